--- /dev/null
+++ b/src/tarragonramp/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""Libraries behind the ports."""
--- /dev/null
+++ b/src/tarragonramp/adapters/http.py
@@ -0,0 +1,208 @@
+"""Pooled HTTP exchanges whose outcome is never in more doubt than it has to be.
+
+The client of the HTTP library sends an idempotent request again by itself, and
+cannot say whether bytes left. Both matter here, so only its parser is used.
+"""
+
+import re
+import socket as plain_socket
+import time
+
+import attrs
+from gevent import socket
+from geventhttpclient.response import HTTPParseError, HTTPResponse
+from returns.result import Failure, Result, Success
+
+from ..errors import NotSentError, UnansweredError
+
+__all__ = ["Answer", "HttpPool", "HttpPools", "split_address"]
+
+RECEIVE_BYTES = 65_536
+MAX_IDLE_CONNECTIONS = 64
+BODILESS_STATUSES = frozenset((204, 304))
+
+_TOKEN = re.compile(r"[!#$%&'*+\-.^_`|~0-9A-Za-z]+\Z")
+_VALUE = re.compile(r"[\t\x20-\x7e\x80-\xff]*\Z")
+_TARGET = re.compile(r"/[^\x00-\x20\x7f]*\Z")
+
+
+@attrs.frozen
+class Answer:
+    """A whole HTTP answer.
+
+    Parameters
+    ----------
+    status : int
+    headers : tuple of (str, str)
+    body : bytes
+    """
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+    def header(self, name, default=""):
+        """Return the first value of a header, whatever its case."""
+        wanted = name.lower()
+        for key, value in self.headers:
+            if key.lower() == wanted:
+                return value
+        return default
+
+
+def split_address(address):
+    """Split ``ip:port`` into a pair that sockets take."""
+    host, _, port = address.rpartition(":")
+    return host, int(port)
+
+
+@attrs.define(eq=False, repr=False)
+class HttpPool:
+    """Connections to one address.
+
+    Parameters
+    ----------
+    address : str
+        ``ip:port``.
+    answer_bytes : int
+        Longest answer body taken.
+    """
+
+    address: str
+    answer_bytes: int = 8_388_608
+    _idle: list = attrs.Factory(list)
+
+    def exchange(self, method, target, headers, body, timeout_ms) -> Result:
+        """Send a request once and read its whole answer.
+
+        Parameters
+        ----------
+        method, target : str
+        headers : iterable of (str, str)
+            Without framing headers, which are set here.
+        body : bytes
+        timeout_ms : float
+            For the whole exchange.
+
+        Returns
+        -------
+        answer : Success of Answer, or Failure of ExchangeError
+            NotSentError if no byte left, else UnansweredError.
+        """
+        try:
+            data = _request_bytes(method, target, self.address, headers, body)
+        except ValueError as error:
+            return Failure(NotSentError(str(error)))
+        deadline_s = time.monotonic() + timeout_ms / 1000.0
+        try:
+            connection = self._take(deadline_s)
+        except OSError as error:
+            return Failure(NotSentError(f"{self.address}: {error}"))
+        try:
+            connection.settimeout(_remaining_s(deadline_s))
+            connection.sendall(data)
+            response = self._read(connection, method, deadline_s)
+        except (OSError, HTTPParseError) as error:
+            connection.close()
+            return Failure(UnansweredError(f"{self.address}: {error}"))
+        except BaseException:
+            # The greenlet is being killed or timed out from outside: an answer may
+            # still be on its way, and must not meet the connection's next request.
+            connection.close()
+            raise
+        self._give_back(connection, response)
+        answer = Answer(
+            response.status_code, tuple(response.items()), bytes(response._body_buffer)
+        )
+        return Success(answer)
+
+    def close(self):
+        """Close idle connections."""
+        while self._idle:
+            self._idle.pop().close()
+
+    def _take(self, deadline_s):
+        while self._idle:
+            connection = self._idle.pop()
+            if _is_quiet(connection):
+                return connection
+            connection.close()
+        connection = socket.create_connection(
+            split_address(self.address), timeout=_remaining_s(deadline_s)
+        )
+        connection.setsockopt(plain_socket.IPPROTO_TCP, plain_socket.TCP_NODELAY, 1)
+        return connection
+
+    def _read(self, connection, method, deadline_s):
+        response = HTTPResponse(method=method)
+        while not response.message_complete or response.status_code < 200:
+            connection.settimeout(_remaining_s(deadline_s))
+            data = connection.recv(RECEIVE_BYTES)
+            if not data:
+                # Also an answer that ends with the connection: it cannot be told
+                # from one that was cut short.
+                raise HTTPParseError("connection closed before the answer was whole")
+            response.feed(data)
+            if len(response._body_buffer) > self.answer_bytes:
+                raise HTTPParseError("answer longer than the limit")
+        return response
+
+    def _give_back(self, connection, response):
+        if response.should_close() or len(self._idle) >= MAX_IDLE_CONNECTIONS:
+            connection.close()
+            return
+        self._idle.append(connection)
+
+
+@attrs.define(eq=False, repr=False)
+class HttpPools:
+    """One pool an address, made when first needed."""
+
+    answer_bytes: int = 8_388_608
+    _pools: dict = attrs.Factory(dict)
+
+    def at(self, address):
+        """Return the pool of an address."""
+        pool = self._pools.get(address)
+        if pool is None:
+            pool = self._pools[address] = HttpPool(address, self.answer_bytes)
+        return pool
+
+
+def _remaining_s(deadline_s):
+    remaining_s = deadline_s - time.monotonic()
+    if remaining_s <= 0:
+        raise TimeoutError("timed out")
+    return remaining_s
+
+
+def _is_quiet(connection):
+    """Tell whether a pooled connection is open and has nothing to read.
+
+    Guards against servers that closed it between two requests and against bytes
+    that belong to an earlier answer.
+    """
+    connection.settimeout(0)
+    try:
+        connection.recv(1, plain_socket.MSG_PEEK)
+    except BlockingIOError:
+        return True
+    except OSError:
+        return False
+    return False
+
+
+def _request_bytes(method, target, host, headers, body):
+    if not _TOKEN.match(method):
+        raise ValueError("invalid method")
+    if not _TARGET.match(target):
+        raise ValueError("invalid request target")
+    lines = [f"{method} {target} HTTP/1.1\r\nHost: {host}\r\n"]
+    for name, value in headers:
+        if not _TOKEN.match(name) or not _VALUE.match(value):
+            raise ValueError(f"invalid header {name!r}")
+        lines.append(f"{name}: {value}\r\n")
+    if body or method not in ("GET", "HEAD", "DELETE", "OPTIONS"):
+        lines.append(f"Content-Length: {len(body)}\r\n")
+    lines.append("\r\n")
+    return "".join(lines).encode("latin-1") + body
--- /dev/null
+++ b/src/tarragonramp/adapters/peers.py
@@ -0,0 +1,156 @@
+"""Control exchanges between daemons: gRPC for news, small HTTP pings."""
+
+import json
+from concurrent import futures
+
+import attrs
+import grpc
+from returns.result import Failure, Result, Success
+
+from ..errors import UnansweredError
+from ..wire import peer_pb2, peer_pb2_grpc
+from .http import HttpPools
+
+__all__ = ["GrpcPeers", "PeerServer", "PingAnswer"]
+
+PING_TARGET = "/peer/ping"
+MAX_WORKERS = 16
+
+
+@attrs.frozen
+class PingAnswer:
+    """A neighbour's word.
+
+    Parameters
+    ----------
+    identity : str
+        Of the process that answered.
+    taken : tuple of str
+        Roles it has taken, or begun to take, from the asking daemon.
+    """
+
+    identity: str
+    taken: tuple[str, ...]
+
+
+@attrs.define(eq=False, repr=False)
+class GrpcPeers:
+    """Client side of the exchanges between daemons.
+
+    Parameters
+    ----------
+    pools : HttpPools
+    timeout_ms : float
+    """
+
+    pools: HttpPools
+    timeout_ms: float
+    _stubs: dict = attrs.Factory(dict)
+
+    def ping(self, address, identity) -> Result:
+        """Ask a neighbour whether it has taken over anything."""
+        body = json.dumps({"identity": identity}).encode()
+        pool = self.pools.at(address)
+        result = pool.exchange("POST", PING_TARGET, (), body, self.timeout_ms)
+        return result.bind(_ping_answer)
+
+    def report(self, address, sender, reports) -> Result:
+        """Tell a planner about backend servers.
+
+        Parameters
+        ----------
+        address : str
+            The planner's gRPC ``ip:port``.
+        sender : str
+            Identity of the steward's daemon.
+        reports : list of dict
+            Fields of the message ``ServerReport``.
+
+        Returns
+        -------
+        accepted : Success of bool, or Failure of UnansweredError
+            False if that daemon is no planner of the team.
+        """
+        servers = [peer_pb2.ServerReport(**item) for item in reports]
+        request = peer_pb2.ReportRequest(sender=sender, servers=servers)
+        return self._call(address, "Report", request).map(lambda r: r.accepted)
+
+    def prove_release(self, address, question) -> Result:
+        """Ask a steward which slices of a server are released.
+
+        Parameters
+        ----------
+        address : str
+        question : dict
+            Fields of the message ``ReleaseRequest``.
+
+        Returns
+        -------
+        released : Success of list of int, or Failure of UnansweredError
+        """
+        request = peer_pb2.ReleaseRequest(**question)
+        return self._call(address, "ProveRelease", request).map(
+            lambda r: list(r.released)
+        )
+
+    def _call(self, address, method, request):
+        stub = self._stubs.get(address)
+        if stub is None:
+            channel = grpc.insecure_channel(address)
+            stub = self._stubs[address] = peer_pb2_grpc.PeerStub(channel)
+        try:
+            return Success(
+                getattr(stub, method)(request, timeout=self.timeout_ms / 1000.0)
+            )
+        except grpc.RpcError as error:
+            return Failure(UnansweredError(f"{address}: {error.code().name}"))
+
+
+class PeerServer(peer_pb2_grpc.PeerServicer):
+    """Server side: hands each message to a function.
+
+    Parameters
+    ----------
+    address : str
+        ``ip:port``.
+    on_report : callable
+        ``on_report(sender, list of ServerReport) -> bool``
+    on_prove_release : callable
+        ``on_prove_release(ReleaseRequest) -> (list of int, str)``
+    """
+
+    def __init__(self, address, on_report, on_prove_release):
+        self._on_report = on_report
+        self._on_prove_release = on_prove_release
+        self._server = grpc.server(
+            futures.ThreadPoolExecutor(max_workers=MAX_WORKERS),
+            options=[("grpc.so_reuseport", 0)],
+        )
+        peer_pb2_grpc.add_PeerServicer_to_server(self, self._server)
+        self._server.add_insecure_port(address)
+
+    def start(self):
+        """Begin to serve."""
+        self._server.start()
+
+    def stop(self):
+        """Stop at once."""
+        self._server.stop(grace=None)
+
+    def Report(self, request, context):  # noqa: N802
+        """Take a steward's report."""
+        accepted = self._on_report(request.sender, request.servers)
+        return peer_pb2.ReportReply(accepted=accepted)
+
+    def ProveRelease(self, request, context):  # noqa: N802
+        """Answer a planner's question."""
+        released, proof = self._on_prove_release(request)
+        return peer_pb2.ReleaseReply(released=released, proof=proof)
+
+
+def _ping_answer(answer):
+    try:
+        raw = json.loads(answer.body)
+        return Success(PingAnswer(raw["identity"], tuple(raw["taken"])))
+    except (ValueError, KeyError, TypeError) as error:
+        return Failure(UnansweredError(f"ping answer not understood: {error!r}"))
--- /dev/null
+++ b/src/tarragonramp/adapters/platform.py
@@ -0,0 +1,109 @@
+"""The platform's object API over HTTP."""
+
+import json
+
+import attrs
+from returns.result import Failure, Result, Success
+
+from ..errors import (
+    ConflictError,
+    ExchangeError,
+    NotFoundError,
+    PlatformError,
+    PlatformUnreachableError,
+)
+from ..model import Stored, Vm
+from .http import HttpPool
+
+__all__ = ["HttpPlatform"]
+
+_WATCH_GRACE_MS = 2000
+
+
+@attrs.define(eq=False, repr=False)
+class HttpPlatform:
+    """Objects of the platform.
+
+    Parameters
+    ----------
+    pool : HttpPool
+    timeout_ms : float
+        For every call but a watch.
+    """
+
+    pool: HttpPool
+    timeout_ms: float
+
+    @classmethod
+    def from_config(cls, settings):
+        """Make one from a daemon's settings."""
+        pool = HttpPool(settings.platform_address)
+        return cls(pool, settings.timing.platform_timeout_ms)
+
+    def get(self, kind, name) -> Result:
+        """Return Success of Stored, or Failure of PlatformError."""
+        return self._call("GET", f"/v1/objects/{kind}/{name}").map(_stored)
+
+    def list(self, kind) -> Result:
+        """Return Success of a list of Stored, or Failure of PlatformError."""
+        return self._call("GET", f"/v1/objects/{kind}").map(_stored_list)
+
+    def put(self, kind, name, spec, expected_version) -> Result:
+        """Write if the object is at the expected version (0: does not exist)."""
+        target = f"/v1/objects/{kind}/{name}?version={expected_version}"
+        return self._call("PUT", target, spec, expected_version).map(_stored)
+
+    def delete(self, kind, name, expected_version) -> Result:
+        """Delete if the object is at the expected version."""
+        target = f"/v1/objects/{kind}/{name}?version={expected_version}"
+        return self._call("DELETE", target, None, expected_version).map(_stored)
+
+    def watch(self, since_version, wait_ms) -> Result:
+        """Return Success of ``(version, changes)`` once there are any, or in time."""
+        target = f"/v1/watch?since={since_version}&wait_ms={int(wait_ms)}"
+        result = self._call("GET", target, timeout_ms=wait_ms + _WATCH_GRACE_MS)
+        return result.map(lambda raw: (raw["version"], _stored_list(raw)))
+
+    def list_vms(self) -> Result:
+        """Return Success of a list of Vm."""
+        return self._call("GET", "/v1/vms").map(
+            lambda raw: [Vm(**item) for item in raw["items"]]
+        )
+
+    def _call(self, method, target, spec=None, expected_version=0, timeout_ms=None):
+        body = b"" if spec is None else json.dumps(spec).encode()
+        headers = [("Content-Type", "application/json")]
+        wait_ms = self.timeout_ms if timeout_ms is None else timeout_ms
+        result = self.pool.exchange(method, target, headers, body, wait_ms)
+        return result.alt(_converted).bind(
+            lambda answer: _checked(answer, expected_version)
+        )
+
+
+def _converted(error: ExchangeError):
+    return PlatformUnreachableError(str(error))
+
+
+def _checked(answer, expected_version):
+    if answer.status == 404:
+        return Failure(NotFoundError("no such object"))
+    if answer.status >= 500:
+        return Failure(PlatformUnreachableError(f"platform answered {answer.status}"))
+    try:
+        raw = json.loads(answer.body)
+    except ValueError:
+        return Failure(PlatformUnreachableError("platform answer is not JSON"))
+    if answer.status == 409:
+        current = raw.get("current")
+        return Failure(ConflictError(expected_version, current and _stored(current)))
+    if answer.status != 200:
+        return Failure(PlatformError(f"platform answered {answer.status}: {raw}"))
+    return Success(raw)
+
+
+def _stored(raw):
+    return Stored(raw["kind"], raw["name"], raw["version"], raw["spec"])
+
+
+def _stored_list(raw):
+    return [_stored(item) for item in raw["items"]]
--- /dev/null
+++ b/src/tarragonramp/daemon.py
@@ -0,0 +1,192 @@
+"""tarragonrampd: the one daemon, with the roles entry, steward and planner."""
+
+# gevent has to replace the blocking calls before anything else is imported.
+from gevent import monkey
+
+monkey.patch_all()
+
+import argparse  # noqa: E402
+import json  # noqa: E402
+import signal  # noqa: E402
+import sys  # noqa: E402
+import uuid  # noqa: E402
+
+import attrs  # noqa: E402
+import gevent  # noqa: E402
+import grpc.experimental.gevent as grpc_gevent  # noqa: E402
+from gevent.event import Event  # noqa: E402
+from returns.pipeline import is_successful  # noqa: E402
+
+from .adapters.backends import HttpBackends  # noqa: E402
+from .adapters.http import HttpPools  # noqa: E402
+from .adapters.logs import log_event, set_up_logs  # noqa: E402
+from .adapters.peers import GrpcPeers, PeerServer  # noqa: E402
+from .adapters.platform import HttpPlatform  # noqa: E402
+from .adapters.web import WebServer, json_reply  # noqa: E402
+from .clock import Clock  # noqa: E402
+from .model import Member  # noqa: E402
+from .roles.entry import Entry  # noqa: E402
+from .roles.membership import Membership  # noqa: E402
+from .roles.news import News  # noqa: E402
+from .roles.operators import Operators  # noqa: E402
+from .roles.planner import Planners  # noqa: E402
+from .roles.steward import Stewards  # noqa: E402
+from .roles.tasks import keep_running  # noqa: E402
+from .roles.terms import TermKeeper  # noqa: E402
+from .settings import load_settings  # noqa: E402
+from .view import View  # noqa: E402
+
+__all__ = ["Daemon", "main"]
+
+EXIT_SETTINGS = 2
+
+
+@attrs.define(eq=False, repr=False)
+class Daemon:
+    """One running daemon.
+
+    Parameters
+    ----------
+    settings : DaemonSettings
+    """
+
+    settings: object
+    me: object
+    view: object
+    entry: object
+    membership: object
+    news: object
+    keeper: object
+    stewards: object
+    planners: object
+    operators: object
+    ready: bool = False
+    stopped: Event = attrs.Factory(Event)
+
+    @classmethod
+    def from_config(cls, settings):
+        """Join roles and adapters as the settings say."""
+        clock, timing = Clock(), settings.timing
+        me = Member(
+            settings.name,
+            uuid.uuid4().hex[:12],
+            settings.failure_domain,
+            settings.control_address,
+            settings.peer_address,
+        )
+        view = View()
+        platform = HttpPlatform.from_config(settings)
+        watcher = HttpPlatform.from_config(settings)
+        peers = GrpcPeers(HttpPools(), timing.control_timeout_ms)
+        membership = Membership(me, view, platform, peers, clock, timing)
+        keeper = TermKeeper(view, platform, membership, clock, timing)
+        membership.on_word = keeper.on_word
+        backends = HttpBackends(HttpPools())
+        return cls(
+            settings=settings,
+            me=me,
+            view=view,
+            entry=Entry(
+                view,
+                HttpPools(settings.limits.answer_bytes),
+                clock,
+                timing,
+                settings.limits,
+            ),
+            membership=membership,
+            news=News(view, platform, watcher, timing.watch_ms),
+            keeper=keeper,
+            stewards=Stewards(
+                me, view, keeper, platform, backends, peers, clock, timing
+            ),
+            planners=Planners(view, keeper, platform, peers, timing),
+            operators=Operators(me, view, platform),
+        )
+
+    def run(self):
+        """Serve until a signal says stop, then drain."""
+        settings = self.settings
+        peer_server = PeerServer(
+            settings.peer_address,
+            self.planners.take_report,
+            self.stewards.prove_release,
+        )
+        control = WebServer(settings.control_address, self._control)
+        callers = WebServer(settings.caller_address, self.entry, reuse_port=True)
+        peer_server.start()
+        control.start()
+        keep_running(self.news.run_watch)
+        keep_running(self.news.run_vm_list)
+        self.membership.register()
+        for task in (
+            self.membership.run_pings,
+            self.keeper.run,
+            self.stewards.run,
+            self.planners.run,
+        ):
+            keep_running(task)
+        callers.start()
+        self.ready = True
+        log_event("daemon-ready", name=self.me.identity)
+        self.stopped.wait()
+        self.ready = False
+        log_event("daemon-draining", name=self.me.identity)
+        callers.stop(timeout=settings.timing.drain_ms / 1000.0)
+        self.keeper.hand_over_all()
+        self.membership.unregister()
+        control.stop(timeout=1)
+        peer_server.stop()
+        log_event("daemon-stopped", name=self.me.identity)
+
+    def _control(self, environ, start_response):
+        path = environ["PATH_INFO"]
+        if path == "/peer/ping":
+            asked = json.loads(environ["wsgi.input"].read())["identity"]
+            self.membership.heard(asked)
+            word = {
+                "identity": self.me.identity,
+                "taken": self.keeper.taken_from(asked),
+            }
+            return json_reply(start_response, 200, word)
+        if path == "/healthy":
+            return json_reply(start_response, 200, {"healthy": True})
+        if path == "/ready":
+            status = 200 if self.ready else 503
+            return json_reply(start_response, status, {"ready": self.ready})
+        if path.startswith("/operator/"):
+            return self.operators(environ, start_response)
+        return json_reply(start_response, 404, {"error": "no such path"})
+
+
+def main(argv=None):
+    """Run the daemon from the command line.
+
+    Parameters
+    ----------
+    argv : list of str, optional
+        Arguments without the program's name.
+
+    Returns
+    -------
+    exit_code : int
+        0 after a graceful stop, 2 for settings that cannot be used.
+    """
+    parser = argparse.ArgumentParser("tarragonrampd", description=__doc__)
+    parser.add_argument("--settings", required=True, help="YAML settings file")
+    options = parser.parse_args(argv)
+    loaded = load_settings(options.settings)
+    if not is_successful(loaded):
+        for fault in loaded.failure().faults:
+            print(f"tarragonrampd: {fault}", file=sys.stderr)
+        return EXIT_SETTINGS
+    grpc_gevent.init_gevent()
+    set_up_logs()
+    daemon = Daemon.from_config(loaded.unwrap())
+    for number in (signal.SIGTERM, signal.SIGINT):
+        gevent.signal_handler(number, daemon.stopped.set)
+    daemon.run()
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/src/tarragonramp/errors.py
@@ -0,0 +1,126 @@
+"""The errors of every layer, as one tree.
+
+Each layer raises or returns errors of its own branch and converts those of the
+layer below it.
+"""
+
+import attrs
+
+__all__ = [
+    "ConflictError",
+    "ExchangeError",
+    "NotFoundError",
+    "NotSentError",
+    "PlatformError",
+    "PlatformUnreachableError",
+    "RefusedError",
+    "RequestError",
+    "SettingsError",
+    "TarragonError",
+    "TeamError",
+    "UnansweredError",
+]
+
+
+class TarragonError(Exception):
+    """Base of all errors of this project."""
+
+
+class SettingsError(TarragonError):
+    """Settings that cannot be used.
+
+    Parameters
+    ----------
+    faults : list of str
+        Every fault found, each with its field path.
+    """
+
+    def __init__(self, faults):
+        super().__init__("; ".join(faults))
+        self.faults = list(faults)
+
+
+class TeamError(TarragonError):
+    """A template or team that cannot be expanded into services."""
+
+    def __init__(self, faults):
+        super().__init__("; ".join(faults))
+        self.faults = list(faults)
+
+
+class ExchangeError(TarragonError):
+    """An HTTP exchange without a whole answer."""
+
+
+class NotSentError(ExchangeError):
+    """No byte of the request left this process: the request did not run."""
+
+
+class UnansweredError(ExchangeError):
+    """Some of the request may have left and no whole answer came back.
+
+    Whether the request ran is unknown.
+    """
+
+
+class PlatformError(TarragonError):
+    """The platform's object API did not do what was asked."""
+
+
+class PlatformUnreachableError(PlatformError):
+    """No answer, so a write may or may not have taken effect."""
+
+
+class NotFoundError(PlatformError):
+    """The object does not exist."""
+
+
+@attrs.define(eq=False)
+class ConflictError(PlatformError):
+    """A conditional update lost against another one.
+
+    Parameters
+    ----------
+    expected_version : int
+        The version that the update was conditional on.
+    current : tarragonramp.model.Stored or None
+        What the platform holds now.
+    """
+
+    expected_version: int
+    current: object
+
+    def __str__(self):
+        """Name both versions."""
+        now = 0 if self.current is None else self.current.version
+        return f"expected version {self.expected_version}, platform holds {now}"
+
+
+@attrs.define(eq=False)
+class RequestError(TarragonError):
+    """A caller's request that gets a refusal in place of an answer.
+
+    Parameters
+    ----------
+    status : int
+        HTTP status code.
+    outcome : str
+        ``"not-run"`` or ``"unknown"``.
+    reason : str
+        One short clause.
+    retry_after_s : float or None
+        When the caller should come back.
+    """
+
+    status: int
+    outcome: str
+    reason: str
+    retry_after_s: float | None = None
+
+    def __str__(self):
+        """Give outcome and reason."""
+        return f"{self.outcome}: {self.reason}"
+
+
+class RefusedError(TarragonError):
+    """An operator's call that was refused."""
--- /dev/null
+++ b/src/tarragonramp/leases.py
@@ -0,0 +1,223 @@
+"""Grants of one backend server, as its steward accounts for them.
+
+A grant ends at a reading of the server's own monotonic clock. A server that
+freezes and thaws may read an old renewal from its socket buffer; a duration
+counted from receipt would then give it a lease nobody meant. An absolute end on
+its own clock has passed by then.
+"""
+
+import attrs
+
+__all__ = ["Grant", "GrantLedger", "ServerAnswer"]
+
+CLOCK_RATE_MARGIN = 0.002
+"""Two clocks that each run within 1 in 1000 of true time differ by this at most."""
+
+END_MARGIN_MS = 5.0
+"""Rounding and scheduling between reading a clock and acting on it."""
+
+
+@attrs.frozen
+class ServerAnswer:
+    """What a backend server says about itself in every control answer.
+
+    Parameters
+    ----------
+    boot_id : str
+        New with every start of the server.
+    clock_ms : float
+        The server's monotonic clock when it answered.
+    term, sequence : int
+        Of the latest grant that it accepted.
+    accepted : bool
+        False if it refused the grant in the request.
+    cold : bool
+        Whether it is in a cold start.
+    """
+
+    boot_id: str
+    clock_ms: float
+    term: int = 0
+    sequence: int = 0
+    accepted: bool = True
+    cold: bool = False
+
+
+@attrs.frozen
+class Grant:
+    """The right to own some slices until a reading of the server's clock.
+
+    Parameters
+    ----------
+    term : int
+        Term of the steward that gives it.
+    sequence : int
+        Grows with every change of slices within the term.
+    boot_id : str
+        The only process of the server that it is meant for.
+    tokens : dict of int to int
+        Fencing token of each slice.
+    until_ms : float
+        End, on the server's clock.
+    """
+
+    term: int
+    sequence: int
+    boot_id: str
+    tokens: dict[int, int]
+    until_ms: float
+
+
+@attrs.define
+class _Reading:
+    clock_ms: float
+    sent_ms: float
+    arrived_ms: float
+
+
+@attrs.define
+class _SentSet:
+    sequence: int
+    boot_id: str
+    tokens: dict[int, int]
+    until_ms: float
+
+
+@attrs.define
+class GrantLedger:
+    """All grants that a steward has sent to one server in one term.
+
+    Parameters
+    ----------
+    term : int
+        The steward's term.
+    grant_ms : float
+        Length of a grant.
+    inherited_end_ms : float or None
+        On the steward's clock, when grants of earlier stewards have surely run
+        out if the server stays silent. None: time alone does not prove it.
+    """
+
+    term: int
+    grant_ms: float
+    inherited_end_ms: float | None = None
+    boot_id: str = ""
+    acknowledged_sequence: int = 0
+    _sequence: int = 0
+    _reading: _Reading | None = None
+    _sent: list[_SentSet] = attrs.Factory(list)
+    _waiting: bool = False
+
+    @property
+    def in_doubt(self):
+        """Whether the latest grant sent has neither been answered nor given up."""
+        return self._waiting
+
+    def next_grant(self, tokens, now_ms):
+        """Prepare a grant and account for it as if it had arrived.
+
+        While a grant is unanswered no later end is handed out: a frozen server
+        would hold each of them in its socket buffer and keep its keys longer.
+
+        Parameters
+        ----------
+        tokens : dict of int to int
+            Fencing token of each slice that the server shall own.
+        now_ms : float
+            The steward's clock.
+
+        Returns
+        -------
+        grant : Grant or None
+            None as long as the server's clock has not been read, or a grant is
+            in doubt.
+        """
+        if self._reading is None or self._waiting:
+            return None
+        if not self._sent or self._sent[-1].tokens != tokens:
+            self._sequence += 1
+            self._sent.append(_SentSet(self._sequence, self.boot_id, dict(tokens), 0.0))
+        until_ms = self._earliest_server_clock(now_ms) + self.grant_ms
+        latest = self._sent[-1]
+        latest.until_ms = max(latest.until_ms, until_ms)
+        self._waiting = True
+        return Grant(self.term, latest.sequence, self.boot_id, latest.tokens, until_ms)
+
+    def observe(self, answer, sent_ms, arrived_ms):
+        """Take in any control answer of the server.
+
+        Parameters
+        ----------
+        answer : ServerAnswer
+        sent_ms, arrived_ms : float
+            The steward's clock before the request left and after the answer came.
+
+        Returns
+        -------
+        restarted : bool
+            True if the server is a new process.
+        """
+        self._waiting = False
+        restarted = bool(self.boot_id) and answer.boot_id != self.boot_id
+        if answer.boot_id != self.boot_id:
+            # The earlier process is gone, and every grant names its boot id.
+            self._sent.clear()
+            self.acknowledged_sequence = 0
+            self.boot_id = answer.boot_id
+            self.inherited_end_ms = arrived_ms if restarted else self.inherited_end_ms
+        self._reading = _Reading(answer.clock_ms, sent_ms, arrived_ms)
+        if answer.term == self.term and answer.sequence > self.acknowledged_sequence:
+            self.acknowledged_sequence = answer.sequence
+            self.inherited_end_ms = arrived_ms
+            self._sent = [s for s in self._sent if s.sequence >= answer.sequence]
+        return restarted
+
+    def not_sent(self):
+        """Note that the latest grant never left this process."""
+        self._waiting = False
+
+    def released(self, slice_index, now_ms):
+        """Tell whether nobody can be acting as owner of a slice at this server.
+
+        Parameters
+        ----------
+        slice_index : int
+        now_ms : float
+            The steward's clock, read after the last wait.
+
+        Returns
+        -------
+        proof : str
+            Empty without proof; else ``"acknowledged"`` or ``"expired"``.
+        """
+        if self._older_may_hold(now_ms):
+            return ""
+        holding = [s for s in self._sent if slice_index in s.tokens]
+        if not holding:
+            return "acknowledged"
+        if all(self._has_run_out(item, now_ms) for item in holding):
+            return "expired"
+        return ""
+
+    def _older_may_hold(self, now_ms):
+        """Guard against grants of an earlier steward that never were revoked."""
+        if self.acknowledged_sequence > 0:
+            return False
+        return self.inherited_end_ms is None or now_ms < self.inherited_end_ms
+
+    def _has_run_out(self, item, now_ms):
+        if item.boot_id != self.boot_id:
+            return True
+        reading = self._reading
+        elapsed_ms = (now_ms - reading.arrived_ms) * (1.0 - CLOCK_RATE_MARGIN)
+        surely_ms = reading.clock_ms + elapsed_ms - END_MARGIN_MS
+        return surely_ms >= item.until_ms
+
+    def _earliest_server_clock(self, now_ms):
+        """Return the least that the server's clock can read now.
+
+        Grants start from it, so that an end never lies later than meant.
+        """
+        reading = self._reading
+        elapsed_ms = (now_ms - reading.arrived_ms) * (1.0 - CLOCK_RATE_MARGIN)
+        return reading.clock_ms + max(0.0, elapsed_ms)
--- /dev/null
+++ b/src/tarragonramp/model.py
@@ -0,0 +1,329 @@
+"""Data that daemons, the command and the platform share."""
+
+from typing import Any
+
+import attrs
+
+__all__ = [
+    "Assignment",
+    "CallerClass",
+    "Divisor",
+    "FailureDomain",
+    "Member",
+    "Parameter",
+    "Service",
+    "SliceState",
+    "Stored",
+    "Team",
+    "Template",
+    "Term",
+    "Vm",
+]
+
+KIND_TEMPLATE = "Template"
+KIND_TEAM = "Team"
+KIND_FAILURE_DOMAIN = "FailureDomain"
+KIND_ASSIGNMENT = "Assignment"
+KIND_TERM = "Term"
+KIND_MEMBER = "Member"
+KIND_STATUS = "Status"
+KIND_AUDIT_ENTRY = "AuditEntry"
+
+OWNED = "owned"
+RELEASING = "releasing"
+UNOWNED = "unowned"
+
+UP = "up"
+SILENT = "silent"
+UNKNOWN = "unknown"
+
+
+@attrs.frozen
+class Stored:
+    """One object as the platform holds it.
+
+    Parameters
+    ----------
+    kind, name : str
+    version : int
+        Grows with every write to the platform; 0 stands for no object.
+    spec : dict or None
+        None once the object is deleted.
+    """
+
+    kind: str
+    name: str
+    version: int
+    spec: dict | None
+
+
+@attrs.frozen
+class Vm:
+    """A VM from the platform's lagging list.
+
+    Parameters
+    ----------
+    name : str
+    address : str
+        ``ip:port`` of the backend server on it.
+    failure_domain : str
+    team, service : str
+        What the backend server serves.
+    state : {"live", "departing"}
+    """
+
+    name: str
+    address: str
+    failure_domain: str
+    team: str
+    service: str
+    state: str = "live"
+
+
+@attrs.frozen
+class Member:
+    """A daemon that has registered.
+
+    Parameters
+    ----------
+    name : str
+    boot_id : str
+        New with every process.
+    failure_domain : str
+    control_address, peer_address : str
+        ``ip:port`` for HTTP control and for gRPC.
+    """
+
+    name: str
+    boot_id: str
+    failure_domain: str
+    control_address: str
+    peer_address: str
+
+    @property
+    def identity(self):
+        """Name and boot id: one process, never its successor."""
+        return f"{self.name}#{self.boot_id}"
+
+
+@attrs.frozen
+class Divisor:
+    """Where a request carries the key of a divided service.
+
+    Parameters
+    ----------
+    source : {"none", "header", "path", "query"}
+    name : str
+        Header or query field; for ``path`` the zero-based part after the prefix.
+    """
+
+    source: str = "none"
+    name: str = ""
+
+
+@attrs.frozen
+class CallerClass:
+    """Requests that share priority and deadline.
+
+    Parameters
+    ----------
+    name : str
+    methods : tuple of str
+        Methods that belong to the class.
+    path_prefix : str
+        Paths, below the service's prefix, that belong to it.
+    priority : int
+        Lower goes first.
+    deadline_ms : int
+        How long a caller of the class waits at most.
+    idempotent : bool
+        Whether a request may be run again after an unknown outcome.
+    """
+
+    name: str
+    methods: tuple[str, ...] = ("GET", "HEAD")
+    path_prefix: str = "/"
+    priority: int = 1
+    deadline_ms: int = 2000
+    idempotent: bool = False
+
+
+@attrs.frozen
+class Service:
+    """One service of a team, ready to route to.
+
+    Parameters
+    ----------
+    name : str
+    path_prefix : str
+        Caller paths that lead here.
+    divided_by : Divisor
+    n_slices : int
+        Slices of a divided service.
+    slots_per_server, connections_per_server, cold_slots_per_server : int
+        What a backend server bears, warm and in a cold start.
+    checks_grants : bool
+        Whether the backend servers refuse a superseded steward or token.
+    grant_ms, renewal_ms : int
+        Length of a grant, and how often it is renewed.
+    classes : tuple of CallerClass
+        First match wins.
+    """
+
+    name: str
+    path_prefix: str
+    divided_by: Divisor = Divisor()
+    n_slices: int = 64
+    slots_per_server: int = 4
+    connections_per_server: int = 50
+    cold_slots_per_server: int = 1
+    checks_grants: bool = False
+    grant_ms: int = 1200
+    renewal_ms: int = 250
+    classes: tuple[CallerClass, ...] = ()
+
+    @property
+    def divided(self):
+        """Whether keys of this service have owners."""
+        return self.divided_by.source != "none"
+
+
+@attrs.frozen
+class Parameter:
+    """A parameter of a template; without a default it must be given."""
+
+    type: str = "string"
+    default: Any = None
+    required: bool = False
+
+
+@attrs.frozen
+class Template:
+    """Services with ``${parameter}`` places in them.
+
+    Parameters
+    ----------
+    parameters : dict of str to Parameter
+    services : list of dict
+        Fields of :class:`Service`, any scalar of which may be ``${name}``.
+    """
+
+    parameters: dict[str, Parameter]
+    services: list[dict]
+
+
+@attrs.frozen
+class Team:
+    """What operators declare: a template and values for its parameters."""
+
+    template: str
+    parameters: dict[str, Any] = attrs.Factory(dict)
+    domain_weights: dict[str, float] = attrs.Factory(dict)
+
+
+@attrs.frozen
+class FailureDomain:
+    """An operator's order about a failure domain."""
+
+    state: str = "in"
+    changed_by: str = ""
+
+
+@attrs.frozen
+class SliceState:
+    """Owner and fencing token of one slice.
+
+    Parameters
+    ----------
+    state : {"owned", "releasing", "unowned"}
+    server : str
+        The owner; while releasing the server that may still act as one.
+    token : int
+        Grows with every change of owner.
+    """
+
+    state: str = UNOWNED
+    server: str = ""
+    token: int = 0
+
+
+@attrs.frozen
+class Assignment:
+    """Who owns the slices of one service.
+
+    Parameters
+    ----------
+    team, service : str
+    slices : tuple of SliceState
+        Indexed by slice.
+    stewards : dict of str to int
+        By server, the term of the steward whose proofs of release count. A steward
+        grants nothing before it has seen its own term here: so it has seen every
+        change of owner that was made without asking it.
+    request_id : str
+        Of the write, so that a lost answer can be recognised.
+    """
+
+    team: str
+    service: str
+    slices: tuple[SliceState, ...]
+    stewards: dict[str, int] = attrs.Factory(dict)
+    request_id: str = ""
+
+    def to_spec(self):
+        """Return the platform's form, with neighbours joined into ranges."""
+        ranges = []
+        for index, item in enumerate(self.slices):
+            if ranges and ranges[-1][2:] == [item.state, item.server, item.token]:
+                ranges[-1][1] += 1
+                continue
+            ranges.append([index, 1, item.state, item.server, item.token])
+        return {
+            "team": self.team,
+            "service": self.service,
+            "ranges": ranges,
+            "stewards": self.stewards,
+            "request_id": self.request_id,
+        }
+
+    @classmethod
+    def from_spec(cls, spec):
+        """Read the platform's form.
+
+        Parameters
+        ----------
+        spec : dict
+            As written by :meth:`to_spec`.
+        """
+        slices = []
+        for _, count, state, server, token in spec["ranges"]:
+            slices.extend([SliceState(state, server, token)] * count)
+        return cls(
+            team=spec["team"],
+            service=spec["service"],
+            slices=tuple(slices),
+            stewards=spec["stewards"],
+            request_id=spec["request_id"],
+        )
+
+
+@attrs.frozen
+class Term:
+    """A role that one daemon holds at a time.
+
+    Parameters
+    ----------
+    number : int
+        Fencing token of the role.
+    holder : str
+        Identity of the process that holds it; empty if given up.
+    successor : str
+        Identity of the only process that may take over from a silent holder.
+    request_id : str
+        Of the write.
+    """
+
+    number: int
+    holder: str
+    successor: str = ""
+    request_id: str = ""
--- /dev/null
+++ b/src/tarragonramp/placement.py
@@ -0,0 +1,135 @@
+"""Which backend server owns which slices: decisions of the planner, without I/O."""
+
+import collections
+
+import attrs
+
+from .model import OWNED, RELEASING, UNOWNED, Assignment, SliceState
+
+__all__ = ["ServerView", "initial_assignment", "next_slices"]
+
+MOVE_SHARE = 0.1
+"""Share of a service's slices that may be under way for balance alone.
+
+Load: a server was added and could take its whole share at once. Harm prevented:
+a cold server that is owner of more than it bears, and callers of a tenth of the
+keys at most waiting for a move at any moment.
+"""
+
+
+@attrs.frozen
+class ServerView:
+    """What the planner knows of a backend server.
+
+    Parameters
+    ----------
+    name : str
+    weight : float
+        Share of the slices it should own, against the others' weights; 0 takes
+        everything away from it.
+    usable : bool
+        Whether it may become an owner now.
+    lost : bool
+        Whether it should lose what it owns although nobody asked it to.
+    """
+
+    name: str
+    weight: float = 1.0
+    usable: bool = True
+    lost: bool = False
+
+
+def initial_assignment(team, service, n_slices):
+    """Return the assignment in which nobody owns anything."""
+    return Assignment(team, service, (SliceState(),) * n_slices)
+
+
+def next_slices(slices, servers, released):
+    """Take every step towards the wanted owners that is safe now.
+
+    A move goes through ``releasing``; a new owner is written only once the old
+    one is proved to have none of the slice.
+
+    Parameters
+    ----------
+    slices : sequence of SliceState
+    servers : dict of str to ServerView
+    released : set of (int, int)
+        Slice and token pairs whose old owner is proved to have let go.
+
+    Returns
+    -------
+    slices : tuple of SliceState
+        Equal to the argument if there is nothing to do.
+    """
+    result = [_after_release(i, item, released) for i, item in enumerate(slices)]
+    _release_unfit(result, servers)
+    _fill(result, servers)
+    _balance(result, servers)
+    return tuple(result)
+
+
+def _after_release(index, item, released):
+    if item.state == RELEASING and (index, item.token) in released:
+        return SliceState(UNOWNED, "", item.token)
+    return item
+
+
+def _release_unfit(result, servers):
+    """Start to take slices from servers that are lost, out or no longer listed."""
+    for index, item in enumerate(result):
+        if item.state != OWNED:
+            continue
+        server = servers.get(item.server)
+        if server is None or server.lost or server.weight <= 0:
+            result[index] = SliceState(RELEASING, item.server, item.token)
+
+
+def _fill(result, servers):
+    """Give slices without an owner to the servers furthest below their share."""
+    counts = _counts(result)
+    takers = [s for s in servers.values() if _can_take(s)]
+    if not takers:
+        return
+    for index, item in enumerate(result):
+        if item.state != UNOWNED:
+            continue
+        taker = min(takers, key=lambda s: ((counts[s.name] + 1) / s.weight, s.name))
+        counts[taker.name] += 1
+        result[index] = SliceState(OWNED, taker.name, item.token + 1)
+
+
+def _balance(result, servers):
+    """Move slices from servers above their share to those below, a few at a time.
+
+    Only whole slices above the rounded-up share move, so that a steady set of
+    servers never trades slices back and forth.
+    """
+    takers = [s for s in servers.values() if _can_take(s)]
+    total_weight = sum(s.weight for s in servers.values() if not s.lost)
+    if not takers or total_weight <= 0:
+        return
+    counts = _counts(result)
+    under_way = sum(1 for item in result if item.state == RELEASING)
+    budget = max(1, int(len(result) * MOVE_SHARE)) - under_way
+    shares = {s.name: len(result) * s.weight / total_weight for s in servers.values()}
+    room = sum(max(0, int(shares[s.name]) - counts[s.name]) for s in takers)
+    for index, item in enumerate(result):
+        if budget <= 0 or room <= 0:
+            return
+        if item.state != OWNED or item.server not in shares:
+            continue
+        if counts[item.server] <= -int(-shares[item.server] // 1):
+            continue
+        counts[item.server] -= 1
+        budget -= 1
+        room -= 1
+        result[index] = SliceState(RELEASING, item.server, item.token)
+
+
+def _counts(slices):
+    return collections.Counter(s.server for s in slices if s.state == OWNED)
+
+
+def _can_take(server):
+    return server.usable and not server.lost and server.weight > 0
--- /dev/null
+++ b/src/tarragonramp/ports.py
@@ -0,0 +1,61 @@
+"""What the roles need of the world outside, as small protocols."""
+
+from typing import Protocol
+
+from returns.result import Result
+
+__all__ = ["Backends", "Peers", "Platform"]
+
+
+class Platform(Protocol):
+    """The platform's object API."""
+
+    def get(self, kind, name) -> Result:
+        """Return Success of Stored, or Failure of PlatformError."""
+
+    def list(self, kind) -> Result:
+        """Return Success of a list of Stored, or Failure of PlatformError."""
+
+    def put(self, kind, name, spec, expected_version) -> Result:
+        """Write if the object is at a version (0: does not exist).
+
+        Returns Success of the new Stored; Failure of ConflictError if it is at
+        another version; Failure of PlatformUnreachableError if no answer came, in
+        which case the write may still take effect.
+        """
+
+    def delete(self, kind, name, expected_version) -> Result:
+        """Delete if the object is at a version; returns as :meth:`put` does."""
+
+    def watch(self, since_version, wait_ms) -> Result:
+        """Wait for changes after a version.
+
+        Returns Success of ``(version, list of Stored)``, the list empty if nothing
+        changed in time.
+        """
+
+    def list_vms(self) -> Result:
+        """Return Success of a list of Vm; the list lags."""
+
+
+class Backends(Protocol):
+    """Control exchanges with backend servers."""
+
+    def probe(self, address, timeout_ms) -> Result:
+        """Return Success of ServerAnswer, or Failure of ExchangeError."""
+
+    def grant(self, address, grant, timeout_ms) -> Result:
+        """Send a grant; returns as :meth:`probe` does."""
+
+
+class Peers(Protocol):
+    """Control exchanges between daemons."""
+
+    def ping(self, address, identity) -> Result:
+        """Return Success of PingAnswer, or Failure of ExchangeError."""
+
+    def report(self, address, sender, reports) -> Result:
+        """Tell a planner about backend servers; Success of bool."""
+
+    def prove_release(self, address, question) -> Result:
+        """Ask a steward which slices are provably released."""
--- /dev/null
+++ b/src/tarragonramp/roles/planner.py
@@ -0,0 +1,148 @@
+"""Decides for a team which backend server owns which slices."""
+
+import uuid
+
+import attrs
+import gevent
+from gevent.event import Event
+from returns.pipeline import is_successful
+
+from ..adapters.logs import log_event
+from ..errors import ConflictError
+from ..model import KIND_ASSIGNMENT, KIND_TEAM, RELEASING, SILENT, UP
+from ..placement import ServerView, initial_assignment, next_slices
+from ..view import assignment_name, planner_role, steward_role
+
+__all__ = ["Planners"]
+
+RETRY_MS = 500
+
+
+@attrs.define(eq=False, repr=False)
+class Planners:
+    """The planner role of this daemon, for all its teams.
+
+    Parameters
+    ----------
+    view : View
+    keeper : TermKeeper
+    platform : Platform
+    peers : Peers
+    timing : Timing
+    """
+
+    view: object
+    keeper: object
+    platform: object
+    peers: object
+    timing: object
+    _reports: dict = attrs.Factory(dict)
+    _changed: Event = attrs.Factory(Event)
+
+    def take_report(self, sender, reports):
+        """Take in what a steward says about its servers.
+
+        Returns
+        -------
+        accepted : bool
+            False if this daemon plans for none of the teams.
+        """
+        accepted = True
+        for report in reports:
+            if self.keeper.holding(planner_role(report.team)) is None:
+                accepted = False
+                continue
+            key = (report.team, report.service, report.server)
+            known = self._reports.get(key)
+            if known is None or known.term <= report.term:
+                self._reports[key] = report
+                self._changed.set()
+        return accepted
+
+    def run(self):
+        """Plan for every team held, for ever."""
+        self.view.on_change(self._changed.set)
+        while True:
+            busy = False
+            self._changed.clear()
+            for (team, _), service in list(self.view.services().items()):
+                if service.divided and self.keeper.may_act(planner_role(team)):
+                    busy |= self._plan(team, service)
+            wait_ms = self.timing.planning_ms if busy else RETRY_MS
+            self._changed.wait(wait_ms / 1000.0)
+
+    def _plan(self, team, service):
+        """Take one step for one service; True if a move is under way."""
+        name = assignment_name(team, service.name)
+        version = self.view.version_of(KIND_ASSIGNMENT, name)
+        assignment = self.view.assignment(team, service.name)
+        if assignment is None:
+            assignment = initial_assignment(team, service.name, service.n_slices)
+        servers = self._servers(team, service)
+        released = self._released(assignment, version)
+        slices = next_slices(assignment.slices, servers, released)
+        if slices != assignment.slices or version == 0:
+            self._write(name, attrs.evolve(assignment, slices=slices), version)
+        return any(item.state == RELEASING for item in slices)
+
+    def _servers(self, team, service):
+        weights = self.view.get(KIND_TEAM, team).domain_weights
+        views = {}
+        for name, vm in self.view.servers_of(team, service.name).items():
+            report = self._reports.get((team, service.name, name))
+            weight = weights.get(vm.failure_domain, 1.0)
+            leaves = vm.state != "live" or not self.view.domain_in(vm.failure_domain)
+            views[name] = ServerView(
+                name=name,
+                weight=0.0 if leaves else weight,
+                usable=report is not None and report.condition == UP,
+                lost=report is not None and report.condition == SILENT,
+            )
+        return views
+
+    def _released(self, assignment, version):
+        asked = {}
+        for index, item in enumerate(assignment.slices):
+            if item.state == RELEASING:
+                asked.setdefault(item.server, []).append(index)
+        tasks = {
+            server: gevent.spawn(self._ask, assignment, version, server, indexes)
+            for server, indexes in asked.items()
+        }
+        gevent.joinall(tasks.values())
+        return {
+            (index, assignment.slices[index].token)
+            for task in tasks.values()
+            for index in task.value or ()
+        }
+
+    def _ask(self, assignment, version, server, indexes):
+        if server not in assignment.stewards:
+            # No steward ever was registered for it, so nothing was ever granted.
+            return indexes
+        role = steward_role(assignment.team, assignment.service, server)
+        term = self.view.term(role)
+        member = self.view.member_of(term.holder) if term else None
+        if member is None:
+            return []
+        question = {
+            "team": assignment.team,
+            "service": assignment.service,
+            "server": server,
+            "assignment_version": version,
+            "slices": indexes,
+            "steward_term": assignment.stewards[server],
+        }
+        return self.peers.prove_release(member.peer_address, question).value_or([])
+
+    def _write(self, name, assignment, version):
+        new = attrs.evolve(assignment, request_id=uuid.uuid4().hex)
+        result = self.platform.put(KIND_ASSIGNMENT, name, new.to_spec(), version)
+        if is_successful(result):
+            self.view.apply(result.unwrap())
+            log_event("assignment-written", name=name, version=result.unwrap().version)
+            return
+        error = result.failure()
+        log_event("assignment-write-failed", name=name, error=error)
+        if isinstance(error, ConflictError) and error.current is not None:
+            self.view.apply(error.current)
--- /dev/null
+++ b/src/tarragonramp/slices.py
@@ -0,0 +1,23 @@
+"""Which slice of a service a key belongs to."""
+
+import xxhash
+
+__all__ = ["slice_of"]
+
+
+def slice_of(key, n_slices):
+    """Hash a key into a slice.
+
+    Parameters
+    ----------
+    key : str
+        The caller's key, as it appears in the request.
+    n_slices : int
+        Number of slices of the service, at least 1.
+
+    Returns
+    -------
+    slice_index : int
+        In ``[0, n_slices)``; the same in every process.
+    """
+    return xxhash.xxh3_64_intdigest(key.encode()) % n_slices
--- /dev/null
+++ b/src/tarragonramp/view.py
@@ -0,0 +1,199 @@
+"""What one daemon knows of the platform's objects."""
+
+import attrs
+import cattrs
+from returns.pipeline import is_successful
+
+from .model import (
+    KIND_ASSIGNMENT,
+    KIND_FAILURE_DOMAIN,
+    KIND_MEMBER,
+    KIND_TEAM,
+    KIND_TEMPLATE,
+    KIND_TERM,
+    Assignment,
+    FailureDomain,
+    Member,
+    Team,
+    Template,
+    Term,
+)
+from .teams import expand
+
+__all__ = ["View", "assignment_name", "planner_role", "steward_role"]
+
+_CONVERTER = cattrs.Converter(forbid_extra_keys=True)
+_TYPES = {
+    KIND_TEMPLATE: Template,
+    KIND_TEAM: Team,
+    KIND_FAILURE_DOMAIN: FailureDomain,
+    KIND_MEMBER: Member,
+    KIND_TERM: Term,
+}
+
+
+def assignment_name(team, service):
+    """Return the name of the assignment of a team's service."""
+    return f"{team}.{service}"
+
+
+def steward_role(team, service, server):
+    """Return the name of the term of a backend server's steward."""
+    return f"steward.{team}.{service}.{server}"
+
+
+def planner_role(team):
+    """Return the name of the term of a team's planner."""
+    return f"planner.{team}"
+
+
+@attrs.define(eq=False, repr=False)
+class View:
+    """The newest version seen of each object.
+
+    Versions only go up: an older object from a lagging watch, a peer or a restart
+    is dropped, so that an accepted configuration never reverts.
+    """
+
+    version: int = 0
+    vms: dict = attrs.Factory(dict)
+    _stored: dict = attrs.Factory(dict)
+    _typed: dict = attrs.Factory(dict)
+    _services: dict = attrs.Factory(dict)
+    _prefixes: list = attrs.Factory(list)
+    _listeners: list = attrs.Factory(list)
+
+    def on_change(self, listener):
+        """Call a function without arguments after every change."""
+        self._listeners.append(listener)
+
+    def apply(self, stored):
+        """Take in one object.
+
+        Parameters
+        ----------
+        stored : Stored
+
+        Returns
+        -------
+        newer : bool
+            False if it was dropped.
+        """
+        key = (stored.kind, stored.name)
+        held = self._stored.get(key)
+        if held is not None and held.version >= stored.version:
+            return False
+        self._stored[key] = stored
+        self._typed.pop(key, None)
+        if stored.kind in (KIND_TEMPLATE, KIND_TEAM):
+            self._expand_teams()
+        for listener in self._listeners:
+            listener()
+        return True
+
+    def apply_vms(self, vms):
+        """Take in the platform's list of VMs."""
+        updated = {vm.name: vm for vm in vms}
+        if updated == self.vms:
+            return
+        self.vms = updated
+        for listener in self._listeners:
+            listener()
+
+    def stored(self, kind, name):
+        """Return the newest Stored of an object, or None if there is none."""
+        held = self._stored.get((kind, name))
+        return held if held is not None and held.spec is not None else None
+
+    def deleted(self, kind, name):
+        """Tell whether an object was seen to be deleted."""
+        held = self._stored.get((kind, name))
+        return held is not None and held.spec is None
+
+    def version_of(self, kind, name):
+        """Return the version a conditional update has to name; 0 for no object."""
+        held = self.stored(kind, name)
+        return held.version if held else 0
+
+    def get(self, kind, name):
+        """Return an object as its attrs class, or None."""
+        key = (kind, name)
+        if key not in self._typed:
+            held = self.stored(kind, name)
+            self._typed[key] = None if held is None else _structured(held)
+        return self._typed[key]
+
+    def all_of(self, kind):
+        """Return a dict of name to attrs object of a kind."""
+        names = [n for k, n in self._stored if k == kind]
+        found = {name: self.get(kind, name) for name in names}
+        return {name: item for name, item in found.items() if item is not None}
+
+    def term(self, role):
+        """Return the Term of a role, or None."""
+        return self.get(KIND_TERM, role)
+
+    def assignment(self, team, service):
+        """Return the Assignment of a service, or None."""
+        return self.get(KIND_ASSIGNMENT, assignment_name(team, service))
+
+    def member_of(self, identity):
+        """Return the Member that is this very process, or None."""
+        member = self.get(KIND_MEMBER, identity.partition("#")[0])
+        return member if member and member.identity == identity else None
+
+    def members(self):
+        """Return registered daemons by name."""
+        return self.all_of(KIND_MEMBER)
+
+    def domain_in(self, failure_domain):
+        """Tell whether a failure domain takes new work."""
+        order = self.get(KIND_FAILURE_DOMAIN, failure_domain)
+        return order is None or order.state == "in"
+
+    def services(self):
+        """Return a dict of (team, service name) to Service."""
+        return self._services
+
+    def service_at(self, path):
+        """Return ``(team, Service)`` with the longest prefix of a path, or None."""
+        for prefix, team, service in self._prefixes:
+            if path.startswith(prefix):
+                rest = path[len(prefix) :]
+                if not rest or rest[0] == "/" or prefix.endswith("/"):
+                    return team, service
+        return None
+
+    def servers_of(self, team, service):
+        """Return the listed VMs of a service, by name."""
+        return {
+            vm.name: vm
+            for vm in self.vms.values()
+            if vm.team == team and vm.service == service
+        }
+
+    def _expand_teams(self):
+        services = {}
+        for name, team in self.all_of(KIND_TEAM).items():
+            template = self.get(KIND_TEMPLATE, team.template)
+            if template is None:
+                continue
+            expanded = expand(template, team)
+            if not is_successful(expanded):
+                continue
+            for service in expanded.unwrap():
+                services[name, service.name] = service
+        self._services = services
+        self._prefixes = sorted(
+            ((s.path_prefix, team, s) for (team, _), s in services.items()),
+            key=lambda item: -len(item[0]),
+        )
+
+
+def _structured(stored):
+    if stored.kind == KIND_ASSIGNMENT:
+        return Assignment.from_spec(stored.spec)
+    wanted = _TYPES.get(stored.kind)
+    if wanted is None:
+        return stored.spec
+    return _CONVERTER.structure(stored.spec, wanted)
--- /dev/null
+++ b/standins/backend.py
@@ -0,0 +1,180 @@
+"""A stand-in for a backend server that owns keys under fenced grants.
+
+It writes every execution to a log file, one JSON object a line.
+"""
+
+from gevent import monkey
+
+monkey.patch_all()
+
+import argparse  # noqa: E402
+import hashlib  # noqa: E402
+import json  # noqa: E402
+import time  # noqa: E402
+import uuid  # noqa: E402
+
+import attrs  # noqa: E402
+import gevent  # noqa: E402
+from gevent.lock import Semaphore  # noqa: E402
+
+from tarragonramp.adapters.web import REASONS, WebServer, json_reply  # noqa: E402
+
+
+def answer_bytes(boot_id, request_id, body):
+    """Return the body that an execution answers with; a checker can recompute it."""
+    digest = hashlib.sha256(body).hexdigest()
+    return f"boot={boot_id} request={request_id} body={digest}\n".encode()
+
+
+@attrs.define(eq=False, repr=False)
+class BackendStandIn:
+    """One backend server.
+
+    Parameters
+    ----------
+    name : str
+    log : file object
+    divided : bool
+        Whether requests need a grant.
+    slots : int
+        Requests executed at once; a few more wait, the rest are shed.
+    work_ms : float
+        Time an execution takes.
+    """
+
+    name: str
+    log: object
+    divided: bool
+    slots: int
+    work_ms: float
+    boot_id: str = attrs.Factory(lambda: uuid.uuid4().hex[:12])
+    term: int = 0
+    sequence: int = 0
+    tokens: dict = attrs.Factory(dict)
+    until_ms: float = 0.0
+    waiting: int = 0
+    cold: bool = False
+    _slots: Semaphore = attrs.field(init=False)
+
+    def __attrs_post_init__(self):
+        """Make the slots."""
+        self._slots = Semaphore(self.slots)
+
+    def __call__(self, environ, start_response):
+        """Serve a control call or a request."""
+        path = environ["PATH_INFO"]
+        body = environ["wsgi.input"].read()
+        if path == "/tarragon/clock":
+            return json_reply(start_response, 200, self._answer())
+        if path == "/tarragon/grant":
+            accepted = self._take_grant(json.loads(body))
+            return json_reply(start_response, 200 if accepted else 409, self._answer())
+        return self._serve(environ, body, start_response)
+
+    def _answer(self):
+        return {
+            "boot_id": self.boot_id,
+            "clock_ms": clock_ms(),
+            "term": self.term,
+            "sequence": self.sequence,
+            "cold": self.cold,
+        }
+
+    def _take_grant(self, grant):
+        offered = (grant["term"], grant["sequence"])
+        if grant["boot_id"] != self.boot_id or offered < (self.term, self.sequence):
+            return False
+        self.term, self.sequence = offered
+        self.tokens = {
+            index: token
+            for first, count, token in grant["tokens"]
+            for index in range(first, first + count)
+        }
+        self.until_ms = grant["until_ms"]
+        return True
+
+    def _serve(self, environ, body, start_response):
+        if self.waiting >= self.slots * 8:
+            return _not_run(start_response, 503, "overloaded")
+        self.waiting += 1
+        try:
+            with self._slots:
+                return self._execute(environ, body, start_response)
+        finally:
+            self.waiting -= 1
+
+    def _execute(self, environ, body, start_response):
+        started_ms = clock_ms()
+        if not self._owns(environ):
+            return _not_run(start_response, 409, "not the owner")
+        gevent.sleep(self.work_ms / 1000.0)
+        if not self._owns(environ):
+            # Nothing was changed yet: the effect and this check are one step.
+            return _not_run(start_response, 409, "no longer the owner")
+        request_id = environ.get("HTTP_X_REQUEST_ID", "")
+        self._note(environ, request_id, started_ms)
+        answer = answer_bytes(self.boot_id, request_id, body)
+        headers = [
+            ("Content-Type", "text/plain"),
+            ("Content-Length", str(len(answer))),
+            ("X-Request-Id", request_id),
+            ("X-Server", self.name),
+        ]
+        start_response(REASONS[200], headers)
+        return [answer]
+
+    def _owns(self, environ):
+        if not self.divided:
+            return True
+        index = int(environ.get("HTTP_TARRAGON_SLICE", "-1"))
+        token = int(environ.get("HTTP_TARRAGON_TOKEN", "-1"))
+        return self.tokens.get(index) == token and clock_ms() < self.until_ms
+
+    def _note(self, environ, request_id, started_ms):
+        entry = {
+            "server": self.name,
+            "boot_id": self.boot_id,
+            "request_id": request_id,
+            "method": environ["REQUEST_METHOD"],
+            "path": environ["PATH_INFO"],
+            "slice": int(environ.get("HTTP_TARRAGON_SLICE", "-1")),
+            "token": int(environ.get("HTTP_TARRAGON_TOKEN", "-1")),
+            "started_ms": started_ms,
+            "ended_ms": clock_ms(),
+            "until_ms": self.until_ms,
+        }
+        self.log.write(json.dumps(entry) + "\n")
+        self.log.flush()
+
+
+def clock_ms():
+    """Return this machine's monotonic clock in milliseconds."""
+    return time.monotonic() * 1000.0
+
+
+def _not_run(start_response, status, reason):
+    body = f"not run: {reason}\n".encode()
+    headers = [("Content-Length", str(len(body))), ("Tarragon-Outcome", "not-run")]
+    start_response(REASONS[status], headers)
+    return [body]
+
+
+def main():
+    """Run the stand-in until it is killed."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--address", required=True)
+    parser.add_argument("--name", required=True)
+    parser.add_argument("--log", required=True)
+    parser.add_argument("--divided", action="store_true")
+    parser.add_argument("--slots", type=int, default=4)
+    parser.add_argument("--work-ms", type=float, default=5.0)
+    options = parser.parse_args()
+    with open(options.log, "a", encoding="utf-8") as log:
+        server = BackendStandIn(
+            options.name, log, options.divided, options.slots, options.work_ms
+        )
+        WebServer(options.address, server).serve_forever()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/standins/platform.py
@@ -0,0 +1,164 @@
+"""A stand-in for the platform's object API, with faults on order."""
+
+from gevent import monkey
+
+monkey.patch_all()
+
+import argparse  # noqa: E402
+import json  # noqa: E402
+import urllib.parse  # noqa: E402
+
+import attrs  # noqa: E402
+import gevent  # noqa: E402
+from gevent.event import Event  # noqa: E402
+
+from tarragonramp.adapters.web import WebServer, json_reply  # noqa: E402
+
+MAX_VALUE_BYTES = 1_048_576
+
+
+@attrs.define
+class Faults:
+    """What goes wrong at the moment.
+
+    Parameters
+    ----------
+    down : bool
+        Answer nothing but 503.
+    delay_ms : float
+        Before every answer.
+    lose_answers : int
+        So many writes take effect without an answer.
+    freeze_reads : bool
+        Watches and lists show what they showed when this was set.
+    """
+
+    down: bool = False
+    delay_ms: float = 0.0
+    lose_answers: int = 0
+    freeze_reads: bool = False
+
+
+@attrs.define(eq=False, repr=False)
+class PlatformStandIn:
+    """Objects with versions, conditional updates and watches; and a VM list."""
+
+    version: int = 0
+    objects: dict = attrs.Factory(dict)
+    vms: list = attrs.Factory(list)
+    calls: dict = attrs.Factory(dict)
+    faults: Faults = attrs.Factory(Faults)
+    _frozen: tuple = (0, {})
+    _changed: Event = attrs.Factory(Event)
+
+    def __call__(self, environ, start_response):
+        """Serve one call."""
+        path = environ["PATH_INFO"].strip("/").split("/")
+        query = {
+            k: v[0]
+            for k, v in urllib.parse.parse_qs(environ.get("QUERY_STRING", "")).items()
+        }
+        raw = environ["wsgi.input"].read()
+        body = json.loads(raw) if raw else None
+        if path[0] == "standin":
+            return json_reply(start_response, 200, self._control(path[1], body))
+        label = f"{environ['REQUEST_METHOD']} {path[1]}"
+        self.calls[label] = self.calls.get(label, 0) + 1
+        if self.faults.delay_ms:
+            gevent.sleep(self.faults.delay_ms / 1000.0)
+        if self.faults.down:
+            return json_reply(start_response, 503, {"error": "down"})
+        if len(raw) > MAX_VALUE_BYTES:
+            return json_reply(start_response, 413, {"error": "value too large"})
+        status, payload = self._serve(environ["REQUEST_METHOD"], path[1:], query, body)
+        written = environ["REQUEST_METHOD"] != "GET" and status == 200
+        if written and self.faults.lose_answers > 0:
+            self.faults.lose_answers -= 1
+            status, payload = 504, {"error": "answer lost"}
+        return json_reply(start_response, status, payload)
+
+    def _serve(self, method, path, query, body):
+        if path[0] == "vms":
+            return 200, {"items": self.vms}
+        if path[0] == "watch":
+            return 200, self._watch(int(query["since"]), int(query["wait_ms"]))
+        if method == "GET":
+            return self._read(path[1:])
+        return self._write(method, path[1], path[2], body, int(query["version"]))
+
+    def _shown(self):
+        if self.faults.freeze_reads:
+            return self._frozen
+        return self.version, self.objects
+
+    def _read(self, names):
+        _, objects = self._shown()
+        if len(names) == 1:
+            items = [
+                item
+                for (kind, _), item in objects.items()
+                if kind == names[0] and item["spec"] is not None
+            ]
+            return 200, {"items": items}
+        item = objects.get(tuple(names))
+        if item is None or item["spec"] is None:
+            return 404, {"error": "not found"}
+        return 200, item
+
+    def _write(self, method, kind, name, spec, expected_version):
+        held = self.objects.get((kind, name))
+        current = 0 if held is None or held["spec"] is None else held["version"]
+        if current != expected_version:
+            return 409, {"current": held if current else None}
+        self.version += 1
+        item = {
+            "kind": kind,
+            "name": name,
+            "version": self.version,
+            "spec": None if method == "DELETE" else spec,
+        }
+        self.objects[kind, name] = item
+        self._wake()
+        return 200, item
+
+    def _watch(self, since, wait_ms):
+        changed = self._changed
+        version, objects = self._shown()
+        if version <= since and wait_ms > 0:
+            changed.wait(wait_ms / 1000.0)
+            version, objects = self._shown()
+        items = [i for i in objects.values() if i["version"] > since]
+        return {"version": version, "items": sorted(items, key=_version)}
+
+    def _wake(self):
+        changed, self._changed = self._changed, Event()
+        changed.set()
+
+    def _control(self, what, body):
+        if what == "vms" and body is not None:
+            self.vms = body
+        if what == "faults" and body is not None:
+            if body.get("freeze_reads") and not self.faults.freeze_reads:
+                self._frozen = (self.version, dict(self.objects))
+            self.faults = attrs.evolve(self.faults, **body)
+        return {
+            "vms": self.vms,
+            "faults": attrs.asdict(self.faults),
+            "calls": self.calls,
+        }
+
+
+def _version(item):
+    return item["version"]
+
+
+def main():
+    """Run the stand-in until it is killed."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--address", required=True)
+    options = parser.parse_args()
+    WebServer(options.address, PlatformStandIn()).serve_forever()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/standins/site.py
@@ -0,0 +1,242 @@
+"""Starts a whole site of plain processes on loopback, for tests and the demo."""
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+
+import attrs
+import yaml
+
+from tarragonramp.adapters.http import HttpPool
+
+__all__ = ["Backend", "DaemonSpec", "Site", "free_address"]
+
+START_TIMEOUT_S = 20.0
+_given_out = set()
+
+
+def free_address():
+    """Return a loopback ``ip:port`` that nobody listens on now."""
+    while True:
+        with socket.socket() as probe:
+            probe.bind(("127.0.0.1", 0))
+            port = probe.getsockname()[1]
+        if port not in _given_out:
+            _given_out.add(port)
+            return f"127.0.0.1:{port}"
+
+
+@attrs.frozen
+class Backend:
+    """A backend server to start.
+
+    Parameters
+    ----------
+    name, failure_domain, team, service : str
+    divided : bool
+    slots : int
+    work_ms : float
+    """
+
+    name: str
+    failure_domain: str
+    team: str
+    service: str
+    divided: bool = True
+    slots: int = 4
+    work_ms: float = 3.0
+
+
+@attrs.frozen
+class DaemonSpec:
+    """A daemon to start."""
+
+    name: str
+    failure_domain: str
+
+
+@attrs.define
+class Site:
+    """Processes of one site, and what they write.
+
+    Parameters
+    ----------
+    folder : str
+        Settings, server logs and daemon logs go here.
+    """
+
+    folder: str = attrs.Factory(lambda: tempfile.mkdtemp(prefix="site-"))
+    platform_address: str = attrs.Factory(free_address)
+    processes: dict = attrs.Factory(dict)
+    addresses: dict = attrs.Factory(dict)
+    settings: dict = attrs.Factory(dict)
+    vms: list = attrs.Factory(list)
+    _backends: dict = attrs.Factory(dict)
+
+    def start_platform(self):
+        """Start the platform's stand-in."""
+        self._spawn(
+            "platform", ["-m", "standins.platform", "--address", self.platform_address]
+        )
+        self._wait_until(lambda: self.platform("vms") is not None, "platform")
+
+    def start_backend(self, backend):
+        """Start a backend server and list its VM."""
+        address = self.addresses.setdefault(backend.name, free_address())
+        self._backends[backend.name] = backend
+        arguments = ["-m", "standins.backend", "--address", address]
+        arguments += ["--name", backend.name, "--log", self.server_log(backend.name)]
+        arguments += ["--slots", str(backend.slots), "--work-ms", str(backend.work_ms)]
+        if backend.divided:
+            arguments.append("--divided")
+        self._spawn(backend.name, arguments)
+        self.vms = [vm for vm in self.vms if vm["name"] != backend.name]
+        self.vms.append(
+            {
+                "name": backend.name,
+                "address": address,
+                "failure_domain": backend.failure_domain,
+                "team": backend.team,
+                "service": backend.service,
+                "state": "live",
+            }
+        )
+        self.platform("vms", self.vms)
+
+    def restart_backend(self, name):
+        """Start a killed backend server again, at its address."""
+        self.start_backend(self._backends[name])
+
+    def start_daemon(self, spec, **settings):
+        """Start a daemon; further settings override the usual ones."""
+        written = {
+            "name": spec.name,
+            "failure_domain": spec.failure_domain,
+            "caller_address": free_address(),
+            "control_address": free_address(),
+            "peer_address": free_address(),
+            "platform_address": self.platform_address,
+            **settings,
+        }
+        self.settings[spec.name] = written
+        self.restart_daemon(spec.name)
+
+    def restart_daemon(self, name):
+        """Start a daemon with the settings it had."""
+        path = os.path.join(self.folder, f"{name}.yaml")
+        with open(path, "w", encoding="utf-8") as stream:
+            yaml.safe_dump(self.settings[name], stream)
+        self._spawn(name, ["-m", "tarragonramp.daemon", "--settings", path])
+
+    def wait_ready(self, names):
+        """Wait until daemons say they are ready."""
+        for name in names:
+            self._wait_until(lambda name=name: self._is_ready(name), name)
+
+    def wait_owned(self, name, timeout_s=START_TIMEOUT_S):
+        """Wait until a daemon sees an owner for every slice of every service."""
+
+        def all_owned():
+            services = self.operator(name, "status")["services"]
+            return services and all(s["owned"] == s["slices"] for s in services)
+
+        self._wait_until(all_owned, "owners", timeout_s)
+
+    def command(self, *arguments, daemon=None):
+        """Run the operators' command; return its completed process."""
+        if daemon is not None:
+            address = self.settings[daemon]["control_address"]
+            arguments += ("--daemon", address)
+        return subprocess.run(
+            [sys.executable, "-m", "tarragonramp.command", *arguments],
+            capture_output=True,
+            text=True,
+            timeout=60,
+            check=False,
+        )
+
+    def operator(self, daemon, what):
+        """Ask a daemon's operator port."""
+        address = self.settings[daemon]["control_address"]
+        return _ask(address, f"/operator/{what}")
+
+    def platform(self, what, payload=None):
+        """Read or set what the platform's stand-in does; None if not reached."""
+        return _ask(self.platform_address, f"/standin/{what}", payload)
+
+    def caller_address(self, daemon):
+        """Return where a daemon takes callers' requests."""
+        return self.settings[daemon]["caller_address"]
+
+    def signal(self, name, number):
+        """Send a signal to one of this site's processes."""
+        self.processes[name].send_signal(number)
+
+    def kill(self, name):
+        """Kill a process at once and wait for its end."""
+        self.signal(name, signal.SIGKILL)
+        self.processes[name].wait()
+
+    def terminate(self, name, timeout_s=30.0):
+        """Ask a process to stop; return its exit code."""
+        self.signal(name, signal.SIGTERM)
+        return self.processes[name].wait(timeout_s)
+
+    def stop(self):
+        """Kill everything that is left."""
+        for process in self.processes.values():
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+        for process in self.processes.values():
+            process.wait()
+
+    def server_log(self, name):
+        """Return the path of a backend server's log of executions."""
+        return os.path.join(self.folder, f"{name}.log")
+
+    def executions(self):
+        """Return the log entries of all backend servers."""
+        entries = []
+        for name in self._backends:
+            with open(self.server_log(name), encoding="utf-8") as stream:
+                entries += [json.loads(line) for line in stream if line.endswith("\n")]
+        return entries
+
+    def daemon_log(self, name):
+        """Return what a process wrote to standard error."""
+        path = os.path.join(self.folder, f"{name}.err")
+        with open(path, encoding="utf-8") as stream:
+            return stream.read()
+
+    def _spawn(self, name, arguments):
+        path = os.path.join(self.folder, f"{name}.err")
+        with open(path, "ab") as stream:
+            self.processes[name] = subprocess.Popen(
+                [sys.executable, *arguments], stdout=stream, stderr=stream
+            )
+
+    def _is_ready(self, name):
+        return (_ask(self.settings[name]["control_address"], "/ready") or {}).get(
+            "ready", False
+        )
+
+    def _wait_until(self, condition, what, timeout_s=START_TIMEOUT_S):
+        until_s = time.monotonic() + timeout_s
+        while time.monotonic() < until_s:
+            if condition():
+                return
+            time.sleep(0.05)
+        raise TimeoutError(f"{what} not there within {timeout_s} s")
+
+
+def _ask(address, target, payload=None):
+    method = "GET" if payload is None else "POST"
+    body = b"" if payload is None else json.dumps(payload).encode()
+    answer = HttpPool(address).exchange(method, target, (), body, 2000).value_or(None)
+    return None if answer is None else json.loads(answer.body)
--- /dev/null
+++ b/tests/test_checker.py
@@ -0,0 +1,64 @@
+"""A checker that cannot fail proves nothing: each check sees a bad log."""
+
+import unittest
+
+import attrs
+
+from standins.checker import check_run
+from standins.load import Outcome
+
+GOOD = {
+    "server": "s1",
+    "boot_id": "b1",
+    "request_id": "r1",
+    "method": "POST",
+    "path": "/records",
+    "slice": 3,
+    "token": 5,
+    "started_ms": 100.0,
+    "ended_ms": 110.0,
+    "until_ms": 900.0,
+}
+WELL = Outcome("claim", "r1", "POST", "k", "well", 200, 0.0, 12.0)
+
+
+def broken(executions, outcomes=(WELL,)):
+    """Return the names of the checks that found a fault."""
+    faults = check_run(executions, outcomes)
+    return [name for name, found in faults.items() if found]
+
+
+class CheckerTest(unittest.TestCase):
+    """Every check refuses what it is there for."""
+
+    def test_a_good_run_passes(self):
+        self.assertEqual(broken([GOOD]), [])
+
+    def test_an_overlap_of_two_owners(self):
+        other = {**GOOD, "server": "s2", "token": 6, "request_id": "r2"}
+        other |= {"started_ms": 105.0, "ended_ms": 115.0}
+        self.assertIn("one owner at a time", broken([GOOD, other]))
+
+    def test_a_superseded_token(self):
+        late = {**GOOD, "server": "s2", "token": 4, "request_id": "r2"}
+        late |= {"started_ms": 200.0, "ended_ms": 210.0}
+        self.assertIn("one owner at a time", broken([GOOD, late]))
+
+    def test_an_ended_grant(self):
+        late = {**GOOD, "until_ms": 109.0}
+        self.assertIn("no execution under an ended grant", broken([late]))
+
+    def test_a_claim_run_twice(self):
+        again = {**GOOD, "started_ms": 120.0, "ended_ms": 130.0}
+        self.assertIn("non-idempotent at most once", broken([GOOD, again]))
+
+    def test_a_false_not_run(self):
+        told = attrs.evolve(WELL, result="not-run")
+        self.assertIn("not run is true", broken([GOOD], [told]))
+
+    def test_an_answer_out_of_nowhere(self):
+        self.assertIn("acknowledged requests did run", broken([], [WELL]))
+
+    def test_somebody_elses_answer(self):
+        wrong = attrs.evolve(WELL, result="wrong")
+        self.assertIn("answers are whole and the caller's own", broken([GOOD], [wrong]))
--- /dev/null
+++ b/tests/test_leases.py
@@ -0,0 +1,82 @@
+"""Grants and proofs of release, on manual clocks."""
+
+import unittest
+
+from tarragonramp import GrantLedger, ServerAnswer
+
+GRANT_MS = 1200.0
+
+
+def answered(ledger, clock_ms, now_ms, boot_id="b1", sequence=None):
+    """Let the server answer at once."""
+    term = ledger.term if sequence is not None else 0
+    answer = ServerAnswer(boot_id, clock_ms, term, sequence or 0)
+    return ledger.observe(answer, now_ms, now_ms)
+
+
+class GrantTest(unittest.TestCase):
+    """What a steward hands out."""
+
+    def test_nothing_is_granted_before_the_server_clock_is_known(self):
+        ledger = GrantLedger(1, GRANT_MS, 0.0)
+        self.assertIsNone(ledger.next_grant({0: 1}, 10.0))
+
+    def test_a_grant_ends_on_the_servers_clock(self):
+        ledger = GrantLedger(1, GRANT_MS, 0.0)
+        answered(ledger, clock_ms=5_000_000.0, now_ms=10.0)
+        grant = ledger.next_grant({0: 1}, 10.0)
+        self.assertEqual(grant.until_ms, 5_000_000.0 + GRANT_MS)
+
+    def test_a_frozen_server_is_not_handed_later_ends(self):
+        """A server freezes with a renewal in its socket buffer.
+
+        Its steward goes on sending; if each renewal had a later end, the thawed
+        server would read the last of them and own keys that were moved away.
+        """
+        ledger = GrantLedger(1, GRANT_MS, 0.0)
+        answered(ledger, clock_ms=100.0, now_ms=0.0)
+        first = ledger.next_grant({0: 1}, 0.0)
+        self.assertIsNotNone(first)
+        self.assertIsNone(ledger.next_grant({0: 1}, 250.0))
+        self.assertEqual(ledger.released(0, first.until_ms - 100.0), "")
+        self.assertEqual(ledger.released(0, first.until_ms + 10.0), "expired")
+
+
+class ReleaseTest(unittest.TestCase):
+    """What counts as proof."""
+
+    def ledger_with_grant(self):
+        ledger = GrantLedger(3, GRANT_MS, 0.0)
+        answered(ledger, clock_ms=100.0, now_ms=0.0)
+        grant = ledger.next_grant({0: 7, 1: 7}, 0.0)
+        answered(ledger, 100.0, 0.0, sequence=grant.sequence)
+        return ledger
+
+    def test_an_owned_slice_is_not_released(self):
+        self.assertEqual(self.ledger_with_grant().released(0, 10.0), "")
+
+    def test_a_smaller_grant_sent_but_unanswered_proves_nothing(self):
+        ledger = self.ledger_with_grant()
+        ledger.next_grant({1: 7}, 10.0)
+        self.assertEqual(ledger.released(0, 20.0), "")
+
+    def test_an_acknowledged_smaller_grant_is_proof(self):
+        ledger = self.ledger_with_grant()
+        grant = ledger.next_grant({1: 7}, 10.0)
+        answered(ledger, 110.0, 10.0, sequence=grant.sequence)
+        self.assertEqual(ledger.released(0, 20.0), "acknowledged")
+        self.assertEqual(ledger.released(1, 20.0), "")
+
+    def test_a_new_boot_id_is_proof(self):
+        ledger = self.ledger_with_grant()
+        self.assertTrue(answered(ledger, 3.0, 400.0, boot_id="b2"))
+        self.assertEqual(ledger.released(0, 400.0), "acknowledged")
+
+    def test_silence_after_a_takeover_proves_nothing_in_time_unknown(self):
+        ledger = GrantLedger(4, GRANT_MS, None)
+        self.assertEqual(ledger.released(0, 1e12), "")
+
+    def test_inherited_grants_run_out(self):
+        ledger = GrantLedger(4, GRANT_MS, 2000.0)
+        self.assertEqual(ledger.released(0, 1999.0), "")
+        self.assertEqual(ledger.released(0, 2000.0), "acknowledged")
--- /dev/null
+++ b/tests/test_path.py
@@ -0,0 +1,92 @@
+"""The whole path, with real processes on loopback."""
+
+import shutil
+import unittest
+
+import gevent
+
+from demo.run import BACKENDS, CALLS, DAEMONS
+from standins.checker import check_run
+from standins.load import Load
+from standins.site import Site
+from tarragonramp.adapters.http import HttpPool
+
+
+class PathTest(unittest.TestCase):
+    """A site of three daemons in two failure domains and eight backend servers."""
+
+    @classmethod
+    def setUpClass(cls):
+        cls.site = Site()
+        cls.addClassCleanup(shutil.rmtree, cls.site.folder, ignore_errors=True)
+        cls.addClassCleanup(cls.site.stop)
+        cls.site.start_platform()
+        for spec in DAEMONS:
+            cls.site.start_daemon(spec)
+        for backend in BACKENDS:
+            cls.site.start_backend(backend)
+        cls.site.wait_ready([spec.name for spec in DAEMONS])
+        for file in ("demo/fraser-valley.yaml", "demo/cooperative.yaml"):
+            done = cls.site.command("apply", "--file", file, daemon="d1")
+            assert done.returncode == 0, done.stderr
+        for spec in DAEMONS:
+            cls.site.wait_owned(spec.name)
+
+    def call(self, daemon, method, target, headers=(), body=b""):
+        """Send one request through one daemon."""
+        pool = HttpPool(self.site.caller_address(daemon))
+        return pool.exchange(method, target, headers, body, 5000).unwrap()
+
+    def test_1_a_key_reaches_its_one_owner_through_any_daemon(self):
+        header = [("X-Grant-Record", "record-17")]
+        servers = set()
+        for spec in DAEMONS:
+            answer = self.call(spec.name, "POST", "/records", header, b"claim")
+            self.assertEqual(answer.status, 200)
+            servers.add(answer.header("X-Server"))
+        self.assertEqual(len(servers), 1)
+        explained = self.site.operator(
+            "d2", "explain/fraser-valley/records?key=record-17"
+        )
+        self.assertEqual({explained["owner"]}, servers)
+
+    def test_2_every_server_is_reached_through_every_daemon(self):
+        for spec in DAEMONS:
+            seen = set()
+            for i in range(60):
+                header = [("X-Grant-Record", f"k{i}")]
+                seen.add(self.call(spec.name, "GET", "/records", header))
+                seen.add(self.call(spec.name, "GET", f"/jobs/k{i}"))
+                seen.add(self.call(spec.name, "GET", "/claims"))
+                seen.add(self.call(spec.name, "GET", "/catalogue"))
+            names = {answer.header("X-Server") for answer in seen}
+            self.assertEqual(names, {backend.name for backend in BACKENDS})
+
+    def test_3_refusals_are_plain(self):
+        self.assertEqual(self.call("d1", "GET", "/nowhere").status, 404)
+        self.assertEqual(self.call("d1", "GET", "/records").status, 400)
+        body = b"x" * 1_100_000
+        header = [("X-Grant-Record", "k")]
+        answer = self.call("d1", "POST", "/records", header, body)
+        self.assertEqual(answer.status, 413)
+        self.assertEqual(answer.header("Tarragon-Outcome"), "not-run")
+
+    def test_4_a_killed_server_costs_no_promise(self):
+        """A backend server is killed while claims are under way.
+
+        Callers of its keys are told "not run", or "unknown" for the few in its
+        hands; after its grant has run out others own its keys.
+        """
+        load = Load([self.site.caller_address(s.name) for s in DAEMONS], CALLS)
+        gevent.spawn_later(1.0, self.site.kill, "records1")
+        load.run(5.0)
+        faults = check_run(self.site.executions(), load.outcomes)
+        self.assertEqual({k: v for k, v in faults.items() if v}, {})
+        last = [o for o in load.outcomes if o.began_ms > max_began(load) - 1000.0]
+        self.assertGreater(len(last), 100)
+        self.assertEqual({o.result for o in last}, {"well"})
+
+
+def max_began(load):
+    """Return when the last request began."""
+    return max(outcome.began_ms for outcome in load.outcomes)
