Ownership rules as pure state machines, explored under faults

The roles only join them. A lone daemon names an outsider as successor where servers refuse superseded stewards, and may renew the server process that it knows beyond its right; a reporting steward no longer waits for the planner.

Exploration: tests.ownership_world (own clocks, freezes, restarts, cuts, lost, late and doubled messages, a platform that is down, slow, swallows answers or shows old versions).

test_terms uses the new methods in place of the old; its assertions are unchanged.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: demo test lint format
+.PHONY: demo test explore lint format
 
 $(VENV)/.installed: pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -15,6 +15,9 @@
 test: $(VENV)/.installed
 	$(BIN)/python -m tests.run
 
+explore: $(VENV)/.installed
+	$(BIN)/python -m tests.explore_ownership
+
 lint: $(VENV)/.installed
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
--- a/src/tarragonramp/adapters/peers.py
+++ b/src/tarragonramp/adapters/peers.py
@@ -25,12 +25,13 @@
     ----------
     identity : str
         Of the process that answered.
-    taken : tuple of str
-        Roles it has taken, or begun to take, from the asking daemon.
+    taken : dict of str to int
+        By role, the highest term that it has taken, or begun to take, from the asking
+        daemon: no word is given for that one and earlier ones.
     """
 
     identity: str
-    taken: tuple[str, ...]
+    taken: dict[str, int]
 
 
 @attrs.define(eq=False, repr=False)
@@ -151,6 +152,6 @@
 def _ping_answer(answer):
     try:
         raw = json.loads(answer.body)
-        return Success(PingAnswer(raw["identity"], tuple(raw["taken"])))
+        return Success(PingAnswer(raw["identity"], dict(raw["taken"])))
     except (ValueError, KeyError, TypeError) as error:
         return Failure(UnansweredError(f"ping answer not understood: {error!r}"))
--- a/src/tarragonramp/daemon.py
+++ b/src/tarragonramp/daemon.py
@@ -132,8 +132,8 @@
         self.ready = False
         log_event("daemon-draining", name=self.me.identity)
         callers.stop(timeout=settings.timing.drain_ms / 1000.0)
-        self.keeper.hand_over_all()
-        self.membership.unregister()
+        if self.keeper.hand_over_all():
+            self.membership.unregister()
         control.stop(timeout=1)
         peer_server.stop()
         log_event("daemon-stopped", name=self.me.identity)
--- a/src/tarragonramp/leases.py
+++ b/src/tarragonramp/leases.py
@@ -96,13 +96,25 @@
     inherited_end_ms : float or None
         On the steward's clock, when grants of earlier stewards have surely run
         out if the server stays silent. None: time alone does not prove it.
+    earlier_right_ends_ms : float
+        On the steward's clock, when no earlier steward has a right any more.
+    boot_id : str
+        Of the server's process that answered last.
+    acknowledged_sequence : int
+        The latest grant of this term that this process of the server accepted.
+    superseded : bool
+        Whether the server has shown a higher term.
     """
 
     term: int
     grant_ms: float
     inherited_end_ms: float | None = None
+    earlier_right_ends_ms: float = 0.0
     boot_id: str = ""
     acknowledged_sequence: int = 0
+    superseded: bool = False
+    _fenced: bool = False
+    _granted_boot_id: str = ""
     _sequence: int = 0
     _reading: _Reading | None = None
     _sent: list[_SentSet] = attrs.Factory(list)
@@ -113,7 +125,12 @@
         """Whether the latest grant sent has neither been answered nor given up."""
         return self._waiting
 
-    def next_grant(self, tokens, now_ms):
+    @property
+    def fenced(self):
+        """Whether no earlier steward can get any grant to the server any more."""
+        return self._fenced
+
+    def next_grant(self, tokens, now_ms, known_process_only=False):
         """Prepare a grant and account for it as if it had arrived.
 
         While a grant is unanswered no later end is handed out: a frozen server
@@ -125,15 +142,20 @@
             Fencing token of each slice that the server shall own.
         now_ms : float
             The steward's clock.
+        known_process_only : bool, default=False
+            Grant only to the process of the server that was granted to before.
 
         Returns
         -------
         grant : Grant or None
-            None as long as the server's clock has not been read, or a grant is
-            in doubt.
+            None as long as the server's clock has not been read, a grant is in
+            doubt, or the server refuses this steward.
         """
-        if self._reading is None or self._waiting:
+        if self._reading is None or self._waiting or self.superseded:
+            return None
+        if known_process_only and self.boot_id != self._granted_boot_id:
             return None
+        self._granted_boot_id = self.boot_id
         if not self._sent or self._sent[-1].tokens != tokens:
             self._sequence += 1
             self._sent.append(_SentSet(self._sequence, self.boot_id, dict(tokens), 0.0))
@@ -164,14 +186,37 @@
             self._sent.clear()
             self.acknowledged_sequence = 0
             self.boot_id = answer.boot_id
-            self.inherited_end_ms = arrived_ms if restarted else self.inherited_end_ms
         self._reading = _Reading(answer.clock_ms, sent_ms, arrived_ms)
-        if answer.term == self.term and answer.sequence > self.acknowledged_sequence:
+        self.superseded = self.superseded or answer.term > self.term
+        own = answer.term == self.term and 0 < answer.sequence <= self._sequence
+        if own and answer.sequence >= self.acknowledged_sequence:
             self.acknowledged_sequence = answer.sequence
-            self.inherited_end_ms = arrived_ms
             self._sent = [s for s in self._sent if s.sequence >= answer.sequence]
+            self._fenced = self._fenced or sent_ms >= self.earlier_right_ends_ms
         return restarted
 
+    def moved(self, now_ms):
+        """Note that the server's name now stands for another address.
+
+        Nothing that answers there speaks for the process at the old one, so its
+        grants have to run out by the clock.
+
+        Parameters
+        ----------
+        now_ms : float
+        """
+        ends_ms = [self._has_run_out_at(item) for item in self._sent]
+        if self.inherited_end_ms is not None:
+            self.inherited_end_ms = max([self.inherited_end_ms, now_ms, *ends_ms])
+        self._fenced = False
+        self._sent.clear()
+        self.acknowledged_sequence = 0
+        self.boot_id = ""
+        self._granted_boot_id = ""
+        self._reading = None
+        self._waiting = False
+        self.earlier_right_ends_ms = max([self.earlier_right_ends_ms, now_ms, *ends_ms])
+
     def not_sent(self):
         """Note that the latest grant never left this process."""
         self._waiting = False
@@ -200,18 +245,28 @@
         return ""
 
     def _older_may_hold(self, now_ms):
-        """Guard against grants of an earlier steward that never were revoked."""
-        if self.acknowledged_sequence > 0:
+        """Guard against grants of an earlier steward that never were revoked.
+
+        The server's accepting this term is not enough while the earlier steward still
+        has its right: a server that restarts forgets this term, and the earlier
+        steward may be the first to grant to the new process. Once the server has been
+        seen to stand by this term after that right, no process of it can be granted to
+        by anybody earlier.
+        """
+        if self._fenced:
             return False
         return self.inherited_end_ms is None or now_ms < self.inherited_end_ms
 
     def _has_run_out(self, item, now_ms):
         if item.boot_id != self.boot_id:
             return True
+        return now_ms >= self._has_run_out_at(item)
+
+    def _has_run_out_at(self, item):
+        """Return from when on, by the steward's clock, a grant has surely run out."""
         reading = self._reading
-        elapsed_ms = (now_ms - reading.arrived_ms) * (1.0 - CLOCK_RATE_MARGIN)
-        surely_ms = reading.clock_ms + elapsed_ms - END_MARGIN_MS
-        return surely_ms >= item.until_ms
+        left_ms = item.until_ms - reading.clock_ms + END_MARGIN_MS
+        return reading.arrived_ms + left_ms / (1.0 - CLOCK_RATE_MARGIN)
 
     def _earliest_server_clock(self, now_ms):
         """Return the least that the server's clock can read now.
--- a/src/tarragonramp/model.py
+++ b/src/tarragonramp/model.py
@@ -92,6 +92,9 @@
     failure_domain : str
     control_address, peer_address : str
         ``ip:port`` for HTTP control and for gRPC.
+    unproven : tuple of str
+        Boot ids of earlier processes of this name that may still run, because they
+        had other addresses.
     """
 
     name: str
@@ -99,6 +102,7 @@
     failure_domain: str
     control_address: str
     peer_address: str
+    unproven: tuple[str, ...] = ()
 
     @property
     def identity(self):
@@ -321,9 +325,25 @@
         Identity of the only process that may take over from a silent holder.
     request_id : str
         Of the write.
+    lasting : bool
+        Whether the holder, once its right has ended, may go on renewing the server
+        process that it knows. Time then proves nothing about it.
+    unbounded : bool
+        Whether an earlier holder may still be doing so.
+    settled : bool
+        Whether no earlier holder could be acting when this one was written.
     """
 
     number: int
     holder: str
     successor: str = ""
     request_id: str = ""
+    lasting: bool = False
+    unbounded: bool = False
+    settled: bool = False
+
+    @classmethod
+    def from_spec(cls, spec):
+        """Read the platform's form; fields of a newer version are passed over."""
+        known = {field.name for field in attrs.fields(cls)}
+        return cls(**{name: item for name, item in spec.items() if name in known})
--- a/src/tarragonramp/roles/membership.py
+++ b/src/tarragonramp/roles/membership.py
@@ -6,6 +6,7 @@
 
 from ..adapters.logs import log_event
 from ..model import KIND_MEMBER
+from ..terms import has_departed
 
 __all__ = ["Membership"]
 
@@ -42,6 +43,7 @@
         """Write this daemon into the platform, trying until it is there."""
         while True:
             version = self.view.version_of(KIND_MEMBER, self.me.name)
+            self._note_predecessor(self.view.get(KIND_MEMBER, self.me.name))
             result = self.platform.put(
                 KIND_MEMBER, self.me.name, attrs.asdict(self.me), version
             )
@@ -55,8 +57,23 @@
                     return
             gevent.sleep(REGISTER_RETRY_MS / 1000.0)
 
+    def _note_predecessor(self, earlier):
+        """List an earlier process of this name that may still run."""
+        if earlier is None or earlier.identity == self.me.identity:
+            return
+        unproven = earlier.unproven
+        own = (self.me.control_address, self.me.peer_address)
+        if (earlier.control_address, earlier.peer_address) != own:
+            unproven += (earlier.boot_id,)
+        self.me = attrs.evolve(self.me, unproven=unproven)
+
     def unregister(self):
-        """Remove this daemon from the platform, once."""
+        """Remove this daemon from the platform, once.
+
+        It stays if it has unproven predecessors: they would pass for departed.
+        """
+        if self.me.unproven:
+            return
         version = self.view.version_of(KIND_MEMBER, self.me.name)
         self.platform.delete(KIND_MEMBER, self.me.name, version)
 
@@ -103,17 +120,23 @@
         """Tell whether a daemon missed two pings in a row."""
         return self._missed.get(identity, 0) >= 2
 
-    def departed(self, identity):
+    def departed(self, identity, named_at_version):
         """Tell whether a process is known to be gone.
 
-        A daemon registers only after it has bound its addresses, which the kernel
-        gives to one process: a newer boot id proves that the older process ended.
+        Parameters
+        ----------
+        identity : str
+        named_at_version : int
+            Platform version of the newest object that names it.
         """
-        name = identity.partition("#")[0]
+        name, _, boot_id = identity.partition("#")
+        if name == self.me.name:
+            # A write of this daemon's predecessor may land after its successor's
+            # registration; this process knows which predecessors have ended.
+            return boot_id not in (self.me.boot_id, *self.me.unproven)
         member = self.view.get(KIND_MEMBER, name)
-        if member is None:
-            return self.view.deleted(KIND_MEMBER, name)
-        return member.identity != identity
+        version = self.view.version_seen(KIND_MEMBER, name)
+        return has_departed(identity, named_at_version, member, version)
 
     def run_pings(self):
         """Ping the successors of the terms held here, for ever."""
--- a/src/tarragonramp/roles/steward.py
+++ b/src/tarragonramp/roles/steward.py
@@ -8,9 +8,10 @@
 from returns.pipeline import is_successful
 
 from ..adapters.logs import log_event
+from ..assignments import may_grant, registration, tokens_of
 from ..errors import ConflictError, NotSentError
 from ..leases import END_MARGIN_MS, GrantLedger
-from ..model import KIND_ASSIGNMENT, OWNED, SILENT, UNKNOWN, UP
+from ..model import KIND_ASSIGNMENT, SILENT, UNKNOWN, UP
 from ..terms import RIGHT_MARGIN
 from ..view import assignment_name, planner_role, steward_role
 
@@ -32,6 +33,7 @@
     condition: str = UNKNOWN
     answered_ms: float = 0.0
     reported: tuple = ()
+    reporting: bool = False
     changed: Event = attrs.Factory(Event)
 
 
@@ -101,31 +103,46 @@
         return released, ",".join(sorted({p for p in proofs.values() if p}))
 
     def _new_charge(self, vm, role, service):
-        holding = self.keeper.holding(role)
-        inherited_end_ms = holding.earlier_right_ends_ms + END_MARGIN_MS
-        if holding.term.number > 1:
+        state = self.keeper.holding(role)
+        right_ends_ms = state.earlier_right_ends_ms
+        inherited_end_ms = right_ends_ms + END_MARGIN_MS
+        if state.held.number > 1:
             inherited_end_ms += service.grant_ms * RIGHT_MARGIN
-        ledger = GrantLedger(holding.term.number, service.grant_ms, inherited_end_ms)
+        if state.held.unbounded:
+            inherited_end_ms = None
+        ledger = GrantLedger(
+            state.held.number, service.grant_ms, inherited_end_ms, right_ends_ms
+        )
         return _Charge(vm, role, service, ledger, answered_ms=self.clock.now_ms())
 
     def _attend(self, charge):
         log_event("steward-began", role=charge.role, term=charge.ledger.term)
         while self._holds(charge):
             charge.changed.clear()
-            self._exchange(charge)
+            self._refresh(charge)
+            try:
+                self._exchange(charge)
+            except Exception as error:
+                # The ledger must outlive an unforeseen error: a new one for the same
+                # term would not know what has been granted.
+                log_event("steward-failed", role=charge.role, error=repr(error))
             self._report(charge)
             charge.changed.wait(charge.service.renewal_ms / 1000.0)
         del self._charges[charge.role]
         log_event("steward-ended", role=charge.role, term=charge.ledger.term)
 
-    def _holds(self, charge):
-        holding = self.keeper.holding(charge.role)
-        return holding is not None and holding.term.number == charge.ledger.term
+    def _refresh(self, charge):
+        """Follow changes of the service's settings and of the server's address."""
+        vm = self.view.vms.get(charge.vm.name)
+        if vm is not None and vm.address != charge.vm.address:
+            charge.ledger.moved(self.clock.now_ms())
+        charge.vm = vm or charge.vm
+        found = self.view.services().get((charge.vm.team, charge.vm.service))
+        charge.service = found or charge.service
 
-    def _may_act(self, charge, now_ms):
-        return self._holds(charge) and self.keeper.holding(charge.role).term.may_act(
-            now_ms
-        )
+    def _holds(self, charge):
+        state = self.keeper.holding(charge.role)
+        return state is not None and state.held.number == charge.ledger.term
 
     def _exchange(self, charge):
         """Renew the grant, or only ask for the clock."""
@@ -135,8 +152,8 @@
         # than a grant's length.
         now_ms = self.clock.now_ms()
         grant = None
-        if registered and self._may_act(charge, now_ms):
-            grant = charge.ledger.next_grant(self._wanted(charge), now_ms)
+        if registered and self._holds(charge):
+            grant = self._next_grant(charge, now_ms)
         timeout_ms = self.timing.control_timeout_ms
         if grant is None:
             result = self.backends.probe(charge.vm.address, timeout_ms)
@@ -150,11 +167,22 @@
         if self.clock.now_ms() - charge.answered_ms > SERVER_SILENCE_MS:
             self._set_condition(charge, SILENT)
 
+    def _next_grant(self, charge, now_ms):
+        held = self.keeper.holding(charge.role).held
+        if not held.may_last(now_ms):
+            return None
+        vm = charge.vm
+        tokens = tokens_of(self.view.assignment(vm.team, vm.service), vm.name)
+        known_only = not held.may_act(now_ms)
+        return charge.ledger.next_grant(tokens, now_ms, known_only)
+
     def _note_answer(self, charge, answer, sent_ms):
         arrived_ms = self.clock.now_ms()
         first = not charge.ledger.boot_id
         restarted = charge.ledger.observe(answer, sent_ms, arrived_ms)
         charge.answered_ms = arrived_ms
+        if charge.ledger.fenced and self._holds(charge):
+            self.keeper.holding(charge.role).held.unbounded = False
         self._set_condition(charge, UP)
         if restarted:
             log_event("server-restarted", server=charge.vm.name, boot=answer.boot_id)
@@ -172,33 +200,14 @@
         )
         charge.condition = condition
 
-    def _wanted(self, charge):
-        assignment = self.view.assignment(charge.vm.team, charge.vm.service)
-        return {
-            index: item.token
-            for index, item in enumerate(assignment.slices)
-            if item.state == OWNED and item.server == charge.vm.name
-        }
-
     def _is_registered(self, charge):
-        """Make the assignment show this steward's term before anything is granted.
-
-        Guards against a steward with a lagging view that grants a slice which was
-        moved away on an earlier steward's proof: the write that shows its term is
-        conditional on the newest assignment, and later moves need its own proof.
-        """
+        """Make the assignment show this steward's term before anything is granted."""
         vm = charge.vm
         assignment = self.view.assignment(vm.team, vm.service)
-        if assignment is None:
-            return False
-        shown = assignment.stewards.get(vm.name, 0)
-        if shown == charge.ledger.term:
-            return True
-        if shown > charge.ledger.term:
-            return False
+        new = registration(assignment, vm.name, charge.ledger.term, uuid.uuid4().hex)
+        if new is None:
+            return may_grant(assignment, vm.name, charge.ledger.term)
         name = assignment_name(vm.team, vm.service)
-        stewards = {**assignment.stewards, vm.name: charge.ledger.term}
-        new = attrs.evolve(assignment, stewards=stewards, request_id=uuid.uuid4().hex)
         version = self.view.version_of(KIND_ASSIGNMENT, name)
         result = self.platform.put(KIND_ASSIGNMENT, name, new.to_spec(), version)
         if is_successful(result):
@@ -216,7 +225,7 @@
         if planner is None or charge.condition == UNKNOWN:
             return
         news = (planner.number, charge.condition, charge.ledger.boot_id)
-        if news == charge.reported:
+        if news == charge.reported or charge.reporting:
             return
         member = self.view.member_of(planner.holder)
         if member is None:
@@ -229,9 +238,17 @@
             "condition": charge.condition,
             "term": charge.ledger.term,
         }
-        result = self.peers.report(member.peer_address, self.me.identity, [report])
-        if result.value_or(False):
-            charge.reported = news
+        # Apart from the renewals: a planner that is frozen must not delay them.
+        charge.reporting = True
+        gevent.spawn(self._send_report, charge, member.peer_address, report, news)
+
+    def _send_report(self, charge, address, report, news):
+        try:
+            result = self.peers.report(address, self.me.identity, [report])
+            if result.value_or(False):
+                charge.reported = news
+        finally:
+            charge.reporting = False
 
     def _wake(self):
         for charge in self._charges.values():
--- a/src/tarragonramp/roles/terms.py
+++ b/src/tarragonramp/roles/terms.py
@@ -9,30 +9,16 @@
 
 from ..adapters.logs import log_event
 from ..errors import ConflictError
-from ..model import KIND_TERM
-from ..terms import HeldTerm, Takeover, may_claim, next_term
+from ..model import KIND_TERM, Term
+from ..terms import ClaimPlan, RoleTerm, may_claim
 from ..view import planner_role, steward_role
 
-__all__ = ["Holding", "TermKeeper"]
+__all__ = ["TermKeeper"]
 
 TICK_MS = 50
 RANK_DELAY_MS = 700
 MAX_WRITES_AT_ONCE = 8
-
-
-@attrs.define
-class Holding:
-    """A term held here, and what is known of the holder before.
-
-    Parameters
-    ----------
-    term : HeldTerm
-    earlier_right_ends_ms : float
-        On this daemon's clock; when no earlier holder can be acting any more.
-    """
-
-    term: HeldTerm
-    earlier_right_ends_ms: float
+HAND_OVER_TRIES = 3
 
 
 @attrs.define(eq=False, repr=False)
@@ -53,209 +39,246 @@
     membership: object
     clock: object
     timing: object
-    holdings: dict = attrs.Factory(dict)
     stopping: bool = False
-    _takeovers: dict = attrs.Factory(dict)
+    _states: dict = attrs.Factory(dict)
     _unheld_since_ms: dict = attrs.Factory(dict)
     _busy: set = attrs.Factory(set)
 
+    @property
+    def holdings(self):
+        """Roles held here, each with its RoleTerm."""
+        return {r: s for r, s in self._states.items() if s.held is not None}
+
     def holding(self, role):
-        """Return the Holding of a role, or None if another daemon has it."""
-        return self.holdings.get(role)
+        """Return the RoleTerm of a role held here, or None.
+
+        What is None here may still be under way: only a held term gives any right.
+        """
+        state = self._states.get(role)
+        return state if state is not None and state.held is not None else None
 
     def may_act(self, role):
         """Tell whether this daemon may act in a role at this moment."""
-        holding = self.holdings.get(role)
-        return holding is not None and holding.term.may_act(self.clock.now_ms())
+        state = self.holding(role)
+        return state is not None and state.held.may_act(self.clock.now_ms())
 
     def taken_from(self, identity):
-        """Return the roles taken, or begun to be taken, from a daemon."""
-        return [
-            role for role, (holder, _) in self._takeovers.items() if holder == identity
-        ]
+        """Return, by role, up to which number a daemon gets no word any more."""
+        numbers = {r: s.revoked_for(identity) for r, s in self._states.items()}
+        return {role: number for role, number in numbers.items() if number}
 
     def on_word(self, answer, sent_ms):
         """Use a neighbour's word for all terms that name it."""
-        for role, holding in self.holdings.items():
-            if role not in answer.taken:
-                holding.term.renewed_by_successor(answer.identity, sent_ms)
+        for role, state in self._states.items():
+            held = state.held
+            if held is not None and held.number > answer.taken.get(role, 0):
+                held.renewed_by_successor(answer.identity, sent_ms)
 
     def run(self):
         """Look after all roles, for ever."""
         while not self.stopping:
-            for role, in_domain in self._roles():
+            for role, vm in self._roles():
                 if role not in self._busy and len(self._busy) < MAX_WRITES_AT_ONCE:
-                    self._look_after(role, in_domain)
+                    self._look_after(role, vm)
             gevent.sleep(TICK_MS / 1000.0)
 
     def hand_over_all(self):
-        """Give every term to its successor, or to nobody, before a planned stop."""
+        """Give every term to its successor, or to nobody, before a planned stop.
+
+        Returns
+        -------
+        all_handed : bool
+            False if the platform has not confirmed each of them; then this daemon
+            must stay registered, or nobody could learn that it has gone.
+        """
         self.stopping = True
-        for role in list(self.holdings):
-            self._hand_over(role)
+        held = [state for state in self._states.values() if state.held is not None]
+        tasks = [gevent.spawn(self._hand_over, state) for state in held]
+        gevent.joinall(tasks)
+        return all(task.value for task in tasks) and not self._claims_in_doubt()
+
+    def _claims_in_doubt(self):
+        return any(state.claiming is not None for state in self._states.values())
 
     def _roles(self):
+        """Return roles to look after, each with the VM if it is a steward's."""
         own = self.membership.me.failure_domain
+        identity = self.membership.me.identity
         services = self.view.services()
         for vm in list(self.view.vms.values()):
-            known = (vm.team, vm.service) in services
-            if known and vm.failure_domain == own:
-                yield steward_role(vm.team, vm.service, vm.name), True
+            if (vm.team, vm.service) not in services:
+                continue
+            role = steward_role(vm.team, vm.service, vm.name)
+            term = self.view.term(role)
+            named = term is not None and identity in (term.holder, term.successor)
+            if vm.failure_domain == own or named or role in self._states:
+                yield role, vm
         for team in {team for team, _ in services}:
-            yield planner_role(team), False
-
-    def _look_after(self, role, in_domain):
-        term = self.view.term(role)
-        identity = self.membership.me.identity
-        if role in self.holdings:
-            self._keep(role, term, in_domain)
+            yield planner_role(team), None
+
+    def _state(self, role):
+        state = self._states.get(role)
+        if state is None:
+            identity = self.membership.me.identity
+            state = RoleTerm(role, identity, self.timing.right_ms)
+            self._states[role] = state
+        return state
+
+    def _look_after(self, role, vm):
+        state = self._state(role)
+        term, version = self.view.term(role), self.view.version_of(KIND_TERM, role)
+        if term is not None:
+            self._see(state, term, version)
+        if state.held is not None:
+            self._keep(state, vm)
             return
-        if term is not None and term.holder == identity:
-            self._accept(role, term)
-            return
-        allowed = may_claim(
-            term, identity, self.membership.departed, self.membership.silent
-        )
-        if not allowed or not self._is_turn(role, term, in_domain):
-            return
-        self._spawn(role, self._take, role, term, in_domain)
-
-    def _spawn(self, role, task, *arguments):
-        def run():
-            try:
-                task(*arguments)
-            finally:
-                self._busy.discard(role)
-
-        self._busy.add(role)
-        gevent.spawn(run)
-
-    def _is_turn(self, role, term, in_domain):
+        if state.claiming is not None or self._may_claim(role, term, version, vm):
+            self._claim(state, term, version, vm)
+
+    def _see(self, state, term, version, sent_ms=None):
+        before = state.held.number if state.held is not None else 0
+        state.see(term, version, self.clock.now_ms(), sent_ms)
+        after = state.held.number if state.held is not None else 0
+        if before and not after:
+            log_event("term-lost", role=state.role, term=before, to=term.holder)
+        if after > before:
+            self._unheld_since_ms.pop(state.role, None)
+            log_event(
+                "term-taken",
+                role=state.role,
+                term=after,
+                successor=term.successor,
+                lasting=term.lasting,
+            )
+
+    def _may_claim(self, role, term, version, vm):
+        identity = self.membership.me.identity
+        named = term is not None and term.successor == identity
+        if not self._is_near(vm) and not named:
+            return False
+        departed = lambda holder: self.membership.departed(holder, version)
+        if not may_claim(term, identity, departed, self.membership.silent):
+            return False
+        return named or self._is_turn(role, vm)
+
+    def _is_near(self, vm):
+        return vm is None or vm.failure_domain == self.membership.me.failure_domain
+
+    def _is_turn(self, role, vm):
         """Stagger claims on terms that nobody holds.
 
         Without it every daemon would write at once after a start of the fleet; one
         write wins and the others only load the platform.
         """
-        if term is not None and term.successor == self.membership.me.identity:
-            return True
         since_ms = self._unheld_since_ms.setdefault(role, self.clock.now_ms())
         waited_ms = self.clock.now_ms() - since_ms
-        return waited_ms >= self._rank(role, in_domain) * RANK_DELAY_MS
+        return waited_ms >= self._rank(role, vm) * RANK_DELAY_MS
 
-    def _rank(self, role, in_domain):
+    def _rank(self, role, vm):
         own = self.membership.me.failure_domain
         names = [
             name
             for name, member in self.view.members().items()
-            if not in_domain or member.failure_domain == own
+            if vm is None or member.failure_domain == own
         ]
         names.sort(key=lambda name: _rendezvous(role, name))
         me = self.membership.me.name
         return names.index(me) if me in names else len(names)
 
-    def _take(self, role, term, in_domain):
-        now_ms = self.clock.now_ms()
-        takeover = self._begin(role, term, now_ms)
-        new = next_term(
-            term,
-            self.membership.me.identity,
-            self.membership.successor(in_domain),
-            uuid.uuid4().hex,
-        )
-        version = self.view.version_of(KIND_TERM, role)
-        sent_ms = self.clock.now_ms()
-        stored = self._write(role, new, version)
-        if stored is None:
-            current = self.view.term(role)
-            if current is None or current.successor != self.membership.me.identity:
-                self._takeovers.pop(role, None)
-            return
-        self._unheld_since_ms.pop(role, None)
-        answered_ms = self.clock.now_ms()
-        ends_ms = answered_ms
-        if takeover is not None:
-            ends_ms = takeover.old_right_ends_ms(answered_ms)
-        held = HeldTerm(
-            role, new.number, stored.version, new.successor, self.timing.right_ms
-        )
-        held.renewed_by_platform(stored.version, new.successor, sent_ms)
-        self.holdings[role] = Holding(held, ends_ms)
-        log_event(
-            "term-taken",
-            role=role,
-            term=new.number,
-            before=term.holder if term else "",
-            successor=new.successor,
-        )
-
-    def _begin(self, role, term, now_ms):
-        if term is None or not term.holder or self.membership.departed(term.holder):
-            return None
-        if role not in self._takeovers:
-            heard_ms = self.membership.last_heard_ms(term.holder)
-            takeover = Takeover(role, now_ms, heard_ms, self.timing.right_ms)
-            self._takeovers[role] = (term.holder, takeover)
-        return self._takeovers[role][1]
-
-    def _accept(self, role, term):
-        """Begin to act in a term that its holder handed over by consent."""
-        version = self.view.version_of(KIND_TERM, role)
-        held = HeldTerm(
-            role, term.number, version, term.successor, self.timing.right_ms
-        )
-        ends_ms = self.clock.now_ms()
-        if role in self._takeovers:
-            # The answer to the taking update was lost, and nobody consented.
-            ends_ms = self._takeovers[role][1].old_right_ends_ms(ends_ms)
-        self.holdings[role] = Holding(held, ends_ms)
-        log_event("term-accepted", role=role, term=term.number)
-
-    def _keep(self, role, term, in_domain):
-        held = self.holdings[role].term
-        if term is not None and term.number > held.number:
-            del self.holdings[role]
-            log_event("term-lost", role=role, term=held.number, to=term.holder)
-            return
-        wanted = self.membership.successor(in_domain)
+    def _wanted(self, vm):
+        """Choose the successor to name, and whether the holder may outlast its right.
+
+        A steward's successor is a daemon of the same failure domain, so that a domain
+        that is cut off goes on serving. Where there is no other, an outsider is named
+        only if the server itself refuses superseded stewards: the holder then goes on
+        renewing although the outsider is out of reach. Otherwise nobody is named, and
+        the term waits for its holder's return or the news that it departed.
+        """
+        if vm is None:
+            return self.membership.successor(False), False
+        if self._is_near(vm):
+            near = self.membership.successor(True)
+            if near:
+                return near, False
+        service = self.view.services().get((vm.team, vm.service))
+        if service is None or not service.checks_grants:
+            return "", False
+        outsider = self.membership.successor(False)
+        return outsider, bool(outsider)
+
+    def _claim(self, state, term, version, vm):
         now_ms = self.clock.now_ms()
-        renames = wanted != held.successor
-        lapsing = bool(held.successor) and not held.may_act(now_ms)
-        if renames or lapsing or held.renaming_to is not None:
-            self._spawn(role, self._renew, role, wanted)
-
-    def _renew(self, role, successor):
-        held = self.holdings[role].term
-        held.rename_started(successor)
-        new = next_term(None, self.membership.me.identity, successor, uuid.uuid4().hex)
-        new = attrs.evolve(new, number=held.number)
+        successor, lasting = self._wanted(vm)
+        word_ms = None
+        if term is not None and term.holder:
+            departed = self.membership.departed(term.holder, version)
+            if not departed:
+                word_ms = self.membership.last_heard_ms(term.holder)
+        plan = ClaimPlan(successor, lasting, word_ms)
+        write = state.claim(term, version, now_ms, plan, uuid.uuid4().hex)
+        self._spawn(state, write)
+
+    def _keep(self, state, vm):
+        successor, lasting = self._wanted(vm)
+        request_id = uuid.uuid4().hex
+        write = state.keep(self.clock.now_ms(), successor, lasting, request_id)
+        if write is not None:
+            self._spawn(state, write)
+
+    def _spawn(self, state, write):
+        def run():
+            try:
+                self._write(state, write)
+            finally:
+                self._busy.discard(state.role)
+
+        self._busy.add(state.role)
+        gevent.spawn(run)
+
+    def _write(self, state, write):
+        """Send an update; its answer shows the term, whether granted or refused."""
         sent_ms = self.clock.now_ms()
-        stored = self._write(role, new, held.version)
+        spec = attrs.asdict(write.term)
+        result = self.platform.put(KIND_TERM, state.role, spec, write.expected_version)
+        stored = self._shown(result)
         if stored is None:
+            log_event("term-write-failed", role=state.role, error=result.failure())
             return
-        held.renewed_by_platform(stored.version, successor, sent_ms)
-        log_event("successor-named", role=role, term=held.number, successor=successor)
-
-    def _hand_over(self, role):
-        holding = self.holdings.pop(role)
-        held = holding.term
-        new = next_term(None, held.successor, "", uuid.uuid4().hex)
-        new = attrs.evolve(new, number=held.number + 1)
-        if self._write(role, new, held.version) is not None:
-            log_event("term-handed-over", role=role, to=held.successor)
-
-    def _write(self, role, term, version):
-        """Write a term; a conflict that shows the own request id is a success."""
-        result = self.platform.put(KIND_TERM, role, attrs.asdict(term), version)
+        # The view may hold a newer version by now; this one still counts for the right.
+        term = Term.from_spec(stored.spec)
+        self._see(state, term, stored.version, sent_ms)
+
+    def _shown(self, result):
+        """Return the object that an answer shows, and take it into the view."""
         if is_successful(result):
-            self.view.apply(result.unwrap())
-            return result.unwrap()
-        error = result.failure()
-        if isinstance(error, ConflictError) and error.current is not None:
-            self.view.apply(error.current)
-            if error.current.spec["request_id"] == term.request_id:
-                return error.current
-        log_event("term-write-failed", role=role, error=error)
-        return None
+            stored = result.unwrap()
+        else:
+            error = result.failure()
+            stored = error.current if isinstance(error, ConflictError) else None
+        if stored is None or stored.spec is None:
+            return None
+        self.view.apply(stored)
+        return stored
+
+    def _hand_over(self, state):
+        to = state.held.successor
+        if to and self.membership.seems_down(to):
+            to = ""
+        write = state.give_up(self.clock.now_ms(), to, uuid.uuid4().hex)
+        spec = attrs.asdict(write.term)
+        version = write.expected_version
+        for _ in range(HAND_OVER_TRIES):
+            result = self.platform.put(KIND_TERM, state.role, spec, version)
+            stored = self._shown(result)
+            if stored is None:
+                continue
+            if stored.spec["number"] >= write.term.number:
+                log_event("term-handed-over", role=state.role, to=to)
+                return True
+            # An update of ours that was in doubt has landed meanwhile.
+            version = stored.version
+        log_event("hand-over-failed", role=state.role)
+        return False
 
 
 def _rendezvous(role, name):
--- a/src/tarragonramp/terms.py
+++ b/src/tarragonramp/terms.py
@@ -10,10 +10,41 @@
 
 from .model import Term
 
-__all__ = ["HeldTerm", "Takeover", "may_claim"]
+__all__ = [
+    "ClaimPlan",
+    "HeldTerm",
+    "RoleTerm",
+    "Takeover",
+    "TermWrite",
+    "has_departed",
+    "may_claim",
+]
 
-RIGHT_MARGIN = 1.002
-"""Allows for two clocks whose rates differ by 2 in 1000."""
+RIGHT_MARGIN = 1.0025
+"""Two clocks that each run within 1 in 1000 of true time: 1.001 / 0.999, rounded up."""
+
+RENEW_EARLY = 0.4
+"""Share of a right that is left when the platform is asked, for want of words."""
+
+
+@attrs.frozen
+class TermWrite:
+    """One conditional update of a term.
+
+    It is sent again, the same to the letter, until a version above the one it is
+    conditional on has been seen: a lost answer does not show that the write is dead,
+    and it may land later.
+
+    Parameters
+    ----------
+    role : str
+    term : Term
+    expected_version : int
+    """
+
+    role: str
+    term: Term
+    expected_version: int
 
 
 @attrs.define
@@ -26,7 +57,7 @@
         Name of the term's object.
     number : int
     version : int
-        Platform version of the object that shows this holder.
+        Platform version of the newest object seen that shows this holder.
     successor : str
         Identity of the daemon whose word prolongs the right; empty for nobody,
         then the right lasts until it is given up.
@@ -34,6 +65,10 @@
         How long a right lasts from the sending of the request that prolonged it.
     right_ends_ms : float
         On the holder's clock.
+    lasting, unbounded : bool
+        As in :class:`~tarragonramp.model.Term`.
+    pending : TermWrite or None
+        An update whose outcome is not known yet.
     """
 
     role: str
@@ -42,7 +77,9 @@
     successor: str
     right_ms: float
     right_ends_ms: float = 0.0
-    renaming_to: str | None = None
+    lasting: bool = False
+    unbounded: bool = False
+    pending: TermWrite | None = None
     _words_ms: dict[str, float] = attrs.Factory(dict)
 
     def may_act(self, now_ms):
@@ -54,27 +91,102 @@
             Read after the last wait and right before acting: a process that was
             paused in between finds its right gone.
         """
-        if not self.successor and self.renaming_to is None:
+        if not self.successor and self.pending is None:
             return True
         return now_ms < self.right_ends_ms
 
-    def renewed_by_platform(self, version, successor, sent_ms):
-        """Note that a conditional update showed the number still current.
+    def may_last(self, now_ms):
+        """Tell whether the holder may renew what it granted within its right.
+
+        Only servers that refuse superseded stewards are renewed so, and only the
+        server process that the holder knows: a restarted one has forgotten whom it
+        has to refuse. While an update that ends this is in doubt, it has ended.
+        """
+        if self.may_act(now_ms):
+            return True
+        return self.lasting and (self.pending is None or self.pending.term.lasting)
+
+    def needs_update(self, now_ms, successor, lasting):
+        """Tell whether the platform has to be asked.
 
         Parameters
         ----------
-        version : int
-            Of the object after the update.
+        now_ms : float
         successor : str
-            As the update named it.
-        sent_ms : float
-            Before the update was sent: a paused holder that counted from the
-            answer would act on a right that is long over.
+            Whom the term should name.
+        lasting : bool
+        """
+        if self.pending is not None:
+            return True
+        if (successor, lasting) != (self.successor, self.lasting):
+            return True
+        left_ms = self.right_ends_ms - now_ms
+        return bool(self.successor) and left_ms < self.right_ms * RENEW_EARLY
+
+    def begin_update(self, holder, successor, request_id, lasting=False):
+        """Return the update to send, and account for it as if it had landed.
+
+        Parameters
+        ----------
+        holder : str
+            Own identity.
+        successor : str
+            Whom to name; not used while an earlier update is in doubt.
+        request_id : str
+            New for every update, kept by the one in doubt.
+        lasting : bool
+
+        Returns
+        -------
+        write : TermWrite
         """
+        if self.pending is None:
+            if not self.successor:
+                # The unlimited right ends with the first update that names somebody.
+                self.right_ends_ms = 0.0
+            term = Term(
+                self.number,
+                holder,
+                successor,
+                request_id,
+                lasting=lasting,
+                unbounded=self.unbounded,
+            )
+            self.pending = TermWrite(self.role, term, self.version)
+            self._use_words()
+        return self.pending
+
+    def observed(self, term, version, sent_ms=None):
+        """Take in the term as the platform showed it.
+
+        Parameters
+        ----------
+        term : Term
+        version : int
+        sent_ms : float or None
+            If it came in answer to a conditional update, granted or refused: before
+            that was sent. A paused holder that counted from the answer would act on
+            a right that is long over. None for reads and watches, which may be old
+            and prolong nothing.
+
+        Returns
+        -------
+        held : bool
+            False once another daemon holds the term.
+        """
+        if version < self.version:
+            return True
+        if term.number != self.number:
+            return False
         self.version = version
-        self.successor = successor
-        self.renaming_to = None
-        self._prolong(sent_ms)
+        self.successor = term.successor
+        self.lasting = term.lasting
+        if self.pending is not None and version > self.pending.expected_version:
+            self.pending = None
+        if sent_ms is not None:
+            self._prolong(sent_ms)
+        self._use_words()
+        return True
 
     def renewed_by_successor(self, identity, sent_ms):
         """Note a daemon's word that it has not taken over.
@@ -83,21 +195,17 @@
         to be the named one, so the earlier of their two words counts.
         """
         self._words_ms[identity] = max(sent_ms, self._words_ms.get(identity, sent_ms))
+        self._use_words()
+
+    def _use_words(self):
         needed = {self.successor}
-        if self.renaming_to is not None:
-            needed.add(self.renaming_to)
+        if self.pending is not None:
+            needed.add(self.pending.term.successor)
         needed.discard("")
-        if not needed <= self._words_ms.keys():
+        if not needed or not needed <= self._words_ms.keys():
             return
         self._prolong(min(self._words_ms[name] for name in needed))
 
-    def rename_started(self, successor):
-        """Note, before sending it, an update that names another successor."""
-        if not self.successor and self.renaming_to is None:
-            # The unlimited right ends with the first update that names somebody.
-            self.right_ends_ms = 0.0
-        self.renaming_to = successor
-
     def _prolong(self, sent_ms):
         self.right_ends_ms = max(self.right_ends_ms, sent_ms + self.right_ms)
 
@@ -135,6 +243,183 @@
         return latest_ms + self.right_ms * RIGHT_MARGIN
 
 
+@attrs.define
+class RoleTerm:
+    """One role as one daemon pursues, holds and gives it up; without I/O.
+
+    Every object of the role that this daemon sees goes through :meth:`see`, and
+    every update that it sends comes from :meth:`claim`, :meth:`keep` or
+    :meth:`give_up`.
+
+    Parameters
+    ----------
+    role : str
+    identity : str
+        Of this process.
+    right_ms : float
+    held : HeldTerm or None
+    earlier_right_ends_ms : float
+        While held: when no earlier holder can be acting any more, on this clock.
+    claiming : TermWrite or None
+        A taking update whose outcome is not known yet.
+    """
+
+    role: str
+    identity: str
+    right_ms: float
+    held: HeldTerm | None = None
+    earlier_right_ends_ms: float = 0.0
+    claiming: TermWrite | None = None
+    _takeover: Takeover | None = None
+    _takeover_from: tuple[str, int] = ("", 0)
+    _revoked: dict[str, int] = attrs.Factory(dict)
+    _given_up: int = 0
+
+    def revoked_for(self, identity):
+        """Return up to which number this daemon gives another no word any more.
+
+        A number, not a flag: whoever lost a term to this daemon and later holds it
+        again needs this daemon's word again.
+        """
+        return self._revoked.get(identity, 0)
+
+    def see(self, term, version, now_ms, sent_ms=None):
+        """Take in the newest object of the role.
+
+        Parameters
+        ----------
+        term : Term
+        version : int
+        now_ms : float
+        sent_ms : float or None
+            As for :meth:`HeldTerm.observed`.
+        """
+        if self.held is not None and not self.held.observed(term, version, sent_ms):
+            self._given_up = max(self._given_up, self.held.number)
+            self.held = None
+        self._settle_claim(term, version)
+        mine = term.holder == self.identity and term.number > self._given_up
+        if self.held is None and mine:
+            self._accept(term, version, now_ms, sent_ms)
+
+    def claim(self, term, version, now_ms, plan, request_id):
+        """Return the update that takes the role.
+
+        Parameters
+        ----------
+        term : Term or None
+            As last seen, at ``version``.
+        version : int
+        now_ms : float
+        plan : ClaimPlan
+        request_id : str
+            For a new update; one in doubt is sent again as it was.
+
+        Returns
+        -------
+        write : TermWrite
+        """
+        if self.claiming is not None:
+            return self.claiming
+        self._takeover = None
+        if plan.last_word_ms is not None:
+            self._takeover = Takeover(
+                self.role, now_ms, plan.last_word_ms, self.right_ms
+            )
+            self._takeover_from = (term.holder, term.number)
+            # Before the update leaves: no word from here on.
+            self._revoked[term.holder] = term.number
+        self.claiming = TermWrite(
+            self.role, _taking(term, self.identity, plan, request_id), version
+        )
+        return self.claiming
+
+    def keep(self, now_ms, successor, lasting, request_id):
+        """Return the update that the held term needs now, or None."""
+        if not self.held.needs_update(now_ms, successor, lasting):
+            return None
+        return self.held.begin_update(self.identity, successor, request_id, lasting)
+
+    def give_up(self, now_ms, to, request_id):
+        """Stop acting and return the update that hands the term over.
+
+        Parameters
+        ----------
+        now_ms : float
+        to : str
+            Identity of the next holder; empty for whoever claims it first.
+        request_id : str
+        """
+        held, self.held = self.held, None
+        self._given_up = held.number
+        term = Term(
+            held.number + 1,
+            to,
+            "",
+            request_id,
+            unbounded=held.unbounded,
+            settled=now_ms >= self.earlier_right_ends_ms,
+        )
+        return TermWrite(self.role, term, held.version)
+
+    def _settle_claim(self, term, version):
+        claim = self.claiming
+        if claim is None or version <= claim.expected_version:
+            return
+        self.claiming = None
+        holder, number = self._takeover_from
+        if term.number == number and self._revoked.get(holder) == number:
+            # Numbers never go down: the taking update did not land, and never can.
+            self._revoked[holder] = number - 1
+            self._takeover = None
+
+    def _accept(self, term, version, now_ms, sent_ms):
+        self.held = HeldTerm(
+            self.role,
+            term.number,
+            version,
+            term.successor,
+            self.right_ms,
+            lasting=term.lasting,
+            unbounded=term.unbounded,
+        )
+        if sent_ms is not None:
+            self.held.observed(term, version, sent_ms)
+        self.earlier_right_ends_ms = self._earlier_right_ends_ms(term, now_ms)
+        self._takeover = None
+
+    def _earlier_right_ends_ms(self, term, now_ms):
+        """Return when no earlier holder can be acting any more.
+
+        The one before may have consented or departed, and yet its own predecessor's
+        right, which it was waiting for, may still run: so every change of holder is
+        followed by a whole right, but for one that says it is not needed.
+        """
+        if term.settled:
+            return now_ms
+        if self._takeover is not None:
+            return self._takeover.old_right_ends_ms(now_ms)
+        return now_ms + self.right_ms * RIGHT_MARGIN
+
+
+@attrs.frozen
+class ClaimPlan:
+    """What a daemon puts into the update that takes a role.
+
+    Parameters
+    ----------
+    successor : str
+    lasting : bool
+    last_word_ms : float or None
+        When the silent holder was last given this daemon's word. None if nobody
+        holds the term, or its holder departed.
+    """
+
+    successor: str
+    lasting: bool = False
+    last_word_ms: float | None = None
+
+
 def may_claim(term, identity, departed, silent):
     """Decide whether a daemon may try to take a term.
 
@@ -162,7 +447,48 @@
     return term.successor == identity and silent(term.holder)
 
 
-def next_term(term, holder, successor, request_id):
-    """Return the term that a taking update writes."""
+def has_departed(identity, term_version, member, member_version):
+    """Decide whether a process is known to be gone.
+
+    A daemon registers after it has bound its addresses and before it takes any term,
+    and the kernel gives an address to one process. So a registration at the same
+    addresses proves that the process it replaced has ended. One at other addresses
+    (a new VM under an old name) proves nothing: it lists such predecessors.
+
+    Parameters
+    ----------
+    identity : str
+    term_version : int
+        Platform version of the newest object that names the process.
+    member : Member or None
+        Newest registration seen under its name; None if that was deleted.
+    member_version : int
+        Of the registration, or of its deletion; 0 if there never was one.
+
+    Returns
+    -------
+    departed : bool
+        False also if the registration may be older than the process: a lagging view
+        would else take a fresh daemon for one that has been replaced.
+    """
+    if member_version <= term_version:
+        return False
+    if member is None:
+        return True
+    boot_id = identity.partition("#")[2]
+    return member.boot_id != boot_id and boot_id not in member.unproven
+
+
+def _taking(term, identity, plan, request_id):
     number = 0 if term is None else term.number
-    return Term(number + 1, holder, successor, request_id)
+    vacant = term is not None and not term.holder
+    silent = plan.last_word_ms is not None
+    return Term(
+        number + 1,
+        identity,
+        plan.successor,
+        request_id,
+        lasting=plan.lasting,
+        unbounded=term is not None and (term.unbounded or (silent and term.lasting)),
+        settled=term is None or (vacant and term.settled),
+    )
--- a/src/tarragonramp/view.py
+++ b/src/tarragonramp/view.py
@@ -115,6 +115,11 @@
         held = self.stored(kind, name)
         return held.version if held else 0
 
+    def version_seen(self, kind, name):
+        """Return the newest version seen of an object or of its deletion, or 0."""
+        held = self._stored.get((kind, name))
+        return held.version if held else 0
+
     def get(self, kind, name):
         """Return an object as its attrs class, or None."""
         key = (kind, name)
--- /dev/null
+++ b/tests/explore_ownership.py
@@ -0,0 +1,51 @@
+"""Explores the ownership rules for longer than the suite does: ``make explore``."""
+
+import argparse
+import sys
+
+from . import ownership_world
+
+__all__ = ["explore"]
+
+RUNS = (ownership_world.run_seed, ownership_world.run_story)
+
+
+def explore(first, count, note=lambda line: None):
+    """Run many schedules.
+
+    Parameters
+    ----------
+    first, count : int
+        Seeds.
+    note : callable
+        ``note(line)`` is told each broken promise.
+
+    Returns
+    -------
+    n_broken, n_moves : int
+        Schedules that broke a promise; changes of owner in all of them.
+    """
+    n_broken = n_moves = 0
+    for seed in range(first, first + count):
+        for run in RUNS:
+            try:
+                n_moves += run(seed).moves
+            except ownership_world.BrokenPromiseError as fault:
+                n_broken += 1
+                note(f"{run.__name__}({seed}): {fault}")
+    return n_broken, n_moves
+
+
+def main():
+    """Run the exploration; 1 if a promise was broken."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--first", type=int, default=0)
+    parser.add_argument("--count", type=int, default=1000)
+    options = parser.parse_args()
+    n_broken, n_moves = explore(options.first, options.count, print)
+    print(f"{len(RUNS) * options.count} schedules, {n_moves} moves, {n_broken} broken")
+    return 1 if n_broken else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/test_terms.py
+++ b/tests/test_terms.py
@@ -8,7 +8,7 @@
 def held(successor="b#1"):
     """Return a term that the platform has just confirmed at time 0."""
     term = HeldTerm("steward.t.s.x", 1, 10, successor, right_ms=800.0)
-    term.renewed_by_platform(10, successor, sent_ms=0.0)
+    term.observed(Term(1, "a#1", successor), 10, sent_ms=0.0)
     return term
 
 
@@ -38,7 +38,7 @@
         over: the word of the old one alone must not keep the holder going.
         """
         term = held()
-        term.rename_started("c#1")
+        term.begin_update("a#1", "c#1", "request-1")
         term.renewed_by_successor("b#1", sent_ms=700.0)
         self.assertFalse(term.may_act(800.0))
         term.renewed_by_successor("c#1", sent_ms=600.0)
