Fault tests through a proxy; a refusal after a doubtful try says unknown

Cause: an idempotent request to a shared service that was tried at one server without an answer, and then found no other server, was refused as "not run". The cut of a failure domain showed it (checker: 'not run is true', 3 requests that had run). Ruled out: the proxy delivering late (the request ids were those of the first try). Second fault seen: a watch that was frozen by the platform kept a daemon on old versions for up to 10 s after the platform had recovered; a watch now waits 2 s. Conclusion: doubt is carried through the tries of one request.

--- a/src/tarragonramp/adapters/platform.py
+++ b/src/tarragonramp/adapters/platform.py
@@ -17,7 +17,7 @@
 
 __all__ = ["HttpPlatform"]
 
-_WATCH_GRACE_MS = 2000
+_WATCH_GRACE_MS = 500
 
 
 @attrs.define(eq=False, repr=False)
--- a/src/tarragonramp/daemon.py
+++ b/src/tarragonramp/daemon.py
@@ -71,8 +71,8 @@
             settings.name,
             uuid.uuid4().hex[:12],
             settings.failure_domain,
-            settings.control_address,
-            settings.peer_address,
+            settings.advertised_control_address or settings.control_address,
+            settings.advertised_peer_address or settings.peer_address,
         )
         view = View()
         platform = HttpPlatform.from_config(settings)
--- a/src/tarragonramp/roles/entry.py
+++ b/src/tarragonramp/roles/entry.py
@@ -171,12 +171,16 @@
 
     def _serve_shared(self, team, service, request, caller_class):
         tried = set()
+        in_doubt = False
         while True:
             route = self._pick(team, service, tried)
+            if route is None and in_doubt:
+                # An earlier try may have run, so "not run" would not be true.
+                raise RequestError(502, UNKNOWN, "no whole answer from any server")
             if route is None:
                 raise RequestError(503, NOT_RUN, "no server can take it", RETRY_AFTER_S)
             tried.add(route.server)
-            result = self._exchange(route, request)
+            result = self._exchange(route, request, in_doubt)
             if is_successful(result):
                 answer = result.unwrap()
                 if answer.header("Tarragon-Outcome") != NOT_RUN:
@@ -184,8 +188,11 @@
                 continue
             self._eject(route.server)
             error = result.failure()
-            if not isinstance(error, NotSentError) and not caller_class.idempotent:
+            if isinstance(error, NotSentError):
+                continue
+            if not caller_class.idempotent:
                 self._give_up(error)
+            in_doubt = True
 
     def _pick(self, team, service, tried):
         """Choose the less busy of two servers drawn at random.
@@ -211,8 +218,10 @@
     def _eject(self, server):
         self._ejected_until_ms[server] = self.clock.now_ms() + EJECTION_MS
 
-    def _exchange(self, route, request):
+    def _exchange(self, route, request, in_doubt=False):
         left_ms = request.deadline_at_ms - self.clock.now_ms()
+        if left_ms <= 0 and in_doubt:
+            raise RequestError(504, UNKNOWN, "deadline passed")
         if left_ms <= 0:
             raise RequestError(504, NOT_RUN, "deadline passed", RETRY_AFTER_S)
         headers = request.headers + [
--- a/src/tarragonramp/settings.py
+++ b/src/tarragonramp/settings.py
@@ -28,9 +28,9 @@
         raise ValueError(f"{value!r}: expected IP number and port, as 10.0.0.1:7000")
 
 
-def _addresses(instance, attribute, value):
-    for item in value:
-        _address(instance, attribute, item)
+def _address_or_empty(instance, attribute, value):
+    if value:
+        _address(instance, attribute, value)
 
 
 def _between(low, high):
@@ -50,7 +50,7 @@
     right_ms: int = attrs.field(default=800, validator=_between(100, 600_000))
     control_timeout_ms: int = attrs.field(default=250, validator=_between(20, 60_000))
     platform_timeout_ms: int = attrs.field(default=2000, validator=_between(50, 60_000))
-    watch_ms: int = attrs.field(default=10_000, validator=_between(100, 600_000))
+    watch_ms: int = attrs.field(default=2000, validator=_between(100, 600_000))
     planning_ms: int = attrs.field(default=50, validator=_between(10, 60_000))
     route_wait_ms: int = attrs.field(default=300, validator=_between(0, 60_000))
     drain_ms: int = attrs.field(default=10_000, validator=_between(0, 600_000))
@@ -77,6 +77,8 @@
         ``ip:port`` for callers, for HTTP control and for gRPC.
     platform_address : str
         ``ip:port`` of the platform's object API.
+    advertised_control_address, advertised_peer_address : str, default=""
+        Where other daemons reach this one, if not at the addresses it binds.
     timing : Timing
     limits : Limits
     """
@@ -87,6 +89,10 @@
     control_address: str = attrs.field(validator=_address)
     peer_address: str = attrs.field(validator=_address)
     platform_address: str = attrs.field(validator=_address)
+    advertised_control_address: str = attrs.field(
+        default="", validator=_address_or_empty
+    )
+    advertised_peer_address: str = attrs.field(default="", validator=_address_or_empty)
     timing: Timing = Timing()
     limits: Limits = Limits()
 
--- /dev/null
+++ b/standins/proxy.py
@@ -0,0 +1,191 @@
+"""A TCP proxy that cuts, delays and refuses between named processes.
+
+It stands in front of every server of a site. Who connects is told by the process
+that owns the connecting socket, so that the processes need no knowledge of it.
+
+A cut holds bytes back and delivers them once it heals, as TCP would by sending them
+again: what was under way before and during a cut arrives late.
+"""
+
+from gevent import monkey
+
+monkey.patch_all()
+
+import argparse  # noqa: E402
+import json  # noqa: E402
+import os  # noqa: E402
+import socket  # noqa: E402
+import struct  # noqa: E402
+
+import attrs  # noqa: E402
+import gevent  # noqa: E402
+from gevent.event import Event  # noqa: E402
+from gevent.server import StreamServer  # noqa: E402
+
+from tarragonramp.adapters.http import split_address  # noqa: E402
+from tarragonramp.adapters.web import WebServer, json_reply  # noqa: E402
+
+CHUNK_BYTES = 65_536
+UNKNOWN_PROCESS = "?"
+
+
+@attrs.frozen
+class Fault:
+    """Something wrong on the way from some processes to others.
+
+    Parameters
+    ----------
+    sources, targets : list of str
+        Names of the connecting and of the listening processes.
+    kind : {"cut", "cut-requests", "cut-answers", "delay", "refuse"}
+    delay_ms : float
+        For ``delay``, each way.
+    """
+
+    sources: list
+    targets: list
+    kind: str
+    delay_ms: float = 0.0
+
+    def concerns(self, source, target):
+        """Tell whether a connection suffers from it."""
+        return source in self.sources and target in self.targets
+
+
+@attrs.define(eq=False, repr=False)
+class Proxy:
+    """All links of a site, and what is wrong with them now."""
+
+    pids: dict = attrs.Factory(dict)
+    faults: list = attrs.Factory(list)
+    _changed: Event = attrs.Factory(Event)
+
+    def add_link(self, listen, target_address, target):
+        """Listen for connections to a process.
+
+        Parameters
+        ----------
+        listen, target_address : str
+            ``ip:port``.
+        target : str
+            Name of the listening process.
+        """
+
+        def handle(client, address):
+            self._handle(client, address, target_address, target)
+
+        StreamServer(split_address(listen), handle).start()
+
+    def control(self, environ, start_response):
+        """Serve the launcher: links, pids and faults."""
+        body = json.loads(environ["wsgi.input"].read() or b"null")
+        what = environ["PATH_INFO"].strip("/")
+        if what == "links":
+            for link in body:
+                self.add_link(**link)
+        if what == "pids":
+            self.pids.update(body)
+        if what == "faults":
+            self.faults = [Fault(**item) for item in body]
+            changed, self._changed = self._changed, Event()
+            changed.set()
+        return json_reply(start_response, 200, {"faults": len(self.faults)})
+
+    def _handle(self, client, address, target_address, target):
+        source = self._process_at(address)
+        if self._kinds(source, target) & {"refuse"}:
+            # RST instead of FIN: what a firewall that refuses sends.
+            client.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+            )
+            client.close()
+            return
+        try:
+            server = gevent.socket.create_connection(split_address(target_address))
+        except OSError:
+            client.close()
+            return
+        for one in (client, server):
+            one.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        tasks = [
+            gevent.spawn(self._pump, client, server, source, target, "cut-requests"),
+            gevent.spawn(self._pump, server, client, source, target, "cut-answers"),
+        ]
+        gevent.joinall(tasks)
+        client.close()
+        server.close()
+
+    def _pump(self, reader, writer, source, target, one_way):
+        try:
+            while True:
+                data = reader.recv(CHUNK_BYTES)
+                self._wait_while_cut(source, target, one_way)
+                delay_ms = self._delay_ms(source, target)
+                if delay_ms:
+                    gevent.sleep(delay_ms / 1000.0)
+                if not data:
+                    writer.shutdown(socket.SHUT_WR)
+                    return
+                writer.sendall(data)
+        except OSError:
+            # One side was reset: so is the other.
+            for one in (reader, writer):
+                try:
+                    one.shutdown(socket.SHUT_RDWR)
+                except OSError:
+                    continue
+
+    def _wait_while_cut(self, source, target, one_way):
+        while self._kinds(source, target) & {"cut", one_way}:
+            self._changed.wait()
+
+    def _kinds(self, source, target):
+        return {f.kind for f in self.faults if f.concerns(source, target)}
+
+    def _delay_ms(self, source, target):
+        return sum(f.delay_ms for f in self.faults if f.concerns(source, target))
+
+    def _process_at(self, address):
+        """Return the name of the process that owns a connecting socket."""
+        inode = _inode_of(address)
+        for name, pid in self.pids.items():
+            if inode and inode in _socket_inodes(pid):
+                return name
+        return UNKNOWN_PROCESS
+
+
+def _inode_of(address):
+    host, port = address
+    octets = bytes(int(part) for part in host.split("."))
+    wanted = f"{int.from_bytes(octets, 'little'):08X}:{port:04X}"
+    with open("/proc/net/tcp", encoding="ascii") as stream:
+        for line in stream:
+            fields = line.split()
+            if fields[1] == wanted:
+                return fields[9]
+    return ""
+
+
+def _socket_inodes(pid):
+    folder = f"/proc/{pid}/fd"
+    found = set()
+    try:
+        for name in os.listdir(folder):
+            link = os.readlink(os.path.join(folder, name))
+            if link.startswith("socket:["):
+                found.add(link[8:-1])
+    except OSError:
+        pass
+    return found
+
+
+def main():
+    """Run the proxy until it is killed."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--control", required=True)
+    options = parser.parse_args()
+    WebServer(options.control, Proxy().control).serve_forever()
+
+
+if __name__ == "__main__":
+    main()
--- a/standins/site.py
+++ b/standins/site.py
@@ -68,18 +68,28 @@
     ----------
     folder : str
         Settings, server logs and daemon logs go here.
+    proxied : bool
+        Whether all connections between processes pass a fault-injecting proxy.
     """
 
     folder: str = attrs.Factory(lambda: tempfile.mkdtemp(prefix="site-"))
+    proxied: bool = False
+    proxy_address: str = attrs.Factory(free_address)
     platform_address: str = attrs.Factory(free_address)
     processes: dict = attrs.Factory(dict)
     addresses: dict = attrs.Factory(dict)
     settings: dict = attrs.Factory(dict)
     vms: list = attrs.Factory(list)
     _backends: dict = attrs.Factory(dict)
+    _links: dict = attrs.Factory(dict)
 
     def start_platform(self):
-        """Start the platform's stand-in."""
+        """Start the platform's stand-in, and the proxy if there is to be one."""
+        if self.proxied:
+            self._spawn(
+                "proxy", ["-m", "standins.proxy", "--control", self.proxy_address]
+            )
+            self._wait_until(lambda: self._proxy("pids", {}) is not None, "proxy")
         self._spawn(
             "platform", ["-m", "standins.platform", "--address", self.platform_address]
         )
@@ -99,7 +109,7 @@
         self.vms.append(
             {
                 "name": backend.name,
-                "address": address,
+                "address": self._link(address, backend.name),
                 "failure_domain": backend.failure_domain,
                 "team": backend.team,
                 "service": backend.service,
@@ -114,13 +124,16 @@
 
     def start_daemon(self, spec, **settings):
         """Start a daemon; further settings override the usual ones."""
+        control, peer = free_address(), free_address()
         written = {
             "name": spec.name,
             "failure_domain": spec.failure_domain,
             "caller_address": free_address(),
-            "control_address": free_address(),
-            "peer_address": free_address(),
-            "platform_address": self.platform_address,
+            "control_address": control,
+            "peer_address": peer,
+            "advertised_control_address": self._link(control, spec.name),
+            "advertised_peer_address": self._link(peer, spec.name),
+            "platform_address": self._link(self.platform_address, "platform"),
             **settings,
         }
         self.settings[spec.name] = written
@@ -173,6 +186,15 @@
         """Return where a daemon takes callers' requests."""
         return self.settings[daemon]["caller_address"]
 
+    def set_faults(self, *faults):
+        """Replace what is wrong between processes; nothing is without arguments.
+
+        Parameters
+        ----------
+        *faults : standins.proxy.Fault
+        """
+        self._proxy("faults", [attrs.asdict(fault) for fault in faults])
+
     def signal(self, name, number):
         """Send a signal to one of this site's processes."""
         self.processes[name].send_signal(number)
@@ -221,6 +243,22 @@
                 [sys.executable, *arguments], stdout=stream, stderr=stream
             )
 
+        if self.proxied:
+            self._proxy("pids", {name: self.processes[name].pid})
+
+    def _link(self, address, target):
+        """Return where others reach a process: the proxy, if there is one."""
+        if not self.proxied:
+            return address
+        if address not in self._links:
+            listen = self._links[address] = free_address()
+            link = {"listen": listen, "target_address": address, "target": target}
+            self._proxy("links", [link])
+        return self._links[address]
+
+    def _proxy(self, what, payload):
+        return _ask(self.proxy_address, f"/{what}", payload)
+
     def _is_ready(self, name):
         return (_ask(self.settings[name]["control_address"], "/ready") or {}).get(
             "ready", False
