--- a/src/tarragonramp/adapters/http.py
+++ b/src/tarragonramp/adapters/http.py
@@ -14,6 +14,7 @@
 from returns.result import Failure, Result, Success
 
 from ..errors import NotSentError, UnansweredError
+from ..meters import kind_of
 
 __all__ = ["Answer", "HttpPool", "HttpPools", "split_address"]
 
@@ -66,10 +67,13 @@
         ``ip:port``.
     answer_bytes : int
         Longest answer body taken.
+    traffic : TrafficMeter, optional
+        Counts the exchanges of a pool that carries control.
     """
 
     address: str
     answer_bytes: int = 8_388_608
+    traffic: object = None
     _idle: list = attrs.Factory(list)
 
     def exchange(self, method, target, headers, body, timeout_ms) -> Result:
@@ -101,7 +105,9 @@
         try:
             connection.settimeout(_remaining_s(deadline_s))
             connection.sendall(data)
-            response = self._read(connection, method, deadline_s)
+            if self.traffic is not None:
+                self.traffic.sent(kind_of(method, target), len(data))
+            response, n_received = self._read(connection, method, deadline_s)
         except (OSError, HTTPParseError) as error:
             connection.close()
             return Failure(UnansweredError(f"{self.address}: {error}"))
@@ -110,6 +116,8 @@
             # still be on its way, and must not meet the connection's next request.
             connection.close()
             raise
+        if self.traffic is not None:
+            self.traffic.received(kind_of(method, target), n_received)
         self._give_back(connection, response)
         answer = Answer(
             response.status_code, tuple(response.items()), bytes(response._body_buffer)
@@ -135,6 +143,7 @@
 
     def _read(self, connection, method, deadline_s):
         response = HTTPResponse(method=method)
+        n_received = 0
         while not response.message_complete or response.status_code < 200:
             connection.settimeout(_remaining_s(deadline_s))
             data = connection.recv(RECEIVE_BYTES)
@@ -143,9 +152,10 @@
                 # from one that was cut short.
                 raise HTTPParseError("connection closed before the answer was whole")
             response.feed(data)
+            n_received += len(data)
             if len(response._body_buffer) > self.answer_bytes:
                 raise HTTPParseError("answer longer than the limit")
-        return response
+        return response, n_received
 
     def _give_back(self, connection, response):
         if response.should_close() or len(self._idle) >= MAX_IDLE_CONNECTIONS:
@@ -159,13 +169,16 @@
     """One pool an address, made when first needed."""
 
     answer_bytes: int = 8_388_608
+    traffic: object = None
     _pools: dict = attrs.Factory(dict)
 
     def at(self, address):
         """Return the pool of an address."""
         pool = self._pools.get(address)
         if pool is None:
-            pool = self._pools[address] = HttpPool(address, self.answer_bytes)
+            pool = self._pools[address] = HttpPool(
+                address, self.answer_bytes, self.traffic
+            )
         return pool
 
 
--- a/src/tarragonramp/adapters/peers.py
+++ b/src/tarragonramp/adapters/peers.py
@@ -15,6 +15,7 @@
 
 PING_TARGET = "/peer/ping"
 MAX_WORKERS = 16
+GRPC_FRAME_BYTES = 5
 
 
 @attrs.frozen
@@ -41,10 +42,12 @@
     ----------
     pools : HttpPools
     timeout_ms : float
+    traffic : TrafficMeter
     """
 
     pools: HttpPools
     timeout_ms: float
+    traffic: object
     _stubs: dict = attrs.Factory(dict)
 
     def ping(self, address, identity) -> Result:
@@ -98,10 +101,11 @@
         if stub is None:
             channel = grpc.insecure_channel(address)
             stub = self._stubs[address] = peer_pb2_grpc.PeerStub(channel)
+        self.traffic.sent(method, message_bytes(request))
         try:
-            return Success(
-                getattr(stub, method)(request, timeout=self.timeout_ms / 1000.0)
-            )
+            reply = getattr(stub, method)(request, timeout=self.timeout_ms / 1000.0)
+            self.traffic.received(method, message_bytes(reply))
+            return Success(reply)
         except grpc.RpcError as error:
             return Failure(UnansweredError(f"{address}: {error.code().name}"))
 
@@ -117,9 +121,11 @@
         ``on_report(sender, list of ServerReport) -> bool``
     on_prove_release : callable
         ``on_prove_release(ReleaseRequest) -> (list of int, str)``
+    traffic : TrafficMeter
     """
 
-    def __init__(self, address, on_report, on_prove_release):
+    def __init__(self, address, on_report, on_prove_release, traffic):
+        self._traffic = traffic
         self._on_report = on_report
         self._on_prove_release = on_prove_release
         self._server = grpc.server(
@@ -140,12 +146,23 @@
     def Report(self, request, context):  # noqa: N802
         """Take a steward's report."""
         accepted = self._on_report(request.sender, request.servers)
-        return peer_pb2.ReportReply(accepted=accepted)
+        return self._counted("Report", request, peer_pb2.ReportReply(accepted=accepted))
 
     def ProveRelease(self, request, context):  # noqa: N802
         """Answer a planner's question."""
         released, proof = self._on_prove_release(request)
-        return peer_pb2.ReleaseReply(released=released, proof=proof)
+        reply = peer_pb2.ReleaseReply(released=released, proof=proof)
+        return self._counted("ProveRelease", request, reply)
+
+    def _counted(self, method, request, reply):
+        self._traffic.received(method, message_bytes(request))
+        self._traffic.sent(method, message_bytes(reply))
+        return reply
+
+
+def message_bytes(message):
+    """Return the length of a gRPC message with its frame."""
+    return message.ByteSize() + GRPC_FRAME_BYTES
 
 
 def _ping_answer(answer):
--- a/src/tarragonramp/adapters/platform.py
+++ b/src/tarragonramp/adapters/platform.py
@@ -35,9 +35,9 @@
     timeout_ms: float
 
     @classmethod
-    def from_config(cls, settings):
-        """Make one from a daemon's settings."""
-        pool = HttpPool(settings.platform_address)
+    def from_config(cls, settings, traffic=None):
+        """Make one from a daemon's settings; ``traffic`` counts its calls."""
+        pool = HttpPool(settings.platform_address, traffic=traffic)
         return cls(pool, settings.timing.platform_timeout_ms)
 
     def get(self, kind, name) -> Result:
--- /dev/null
+++ b/src/tarragonramp/adapters/process.py
@@ -0,0 +1,75 @@
+"""What this process uses: CPU time by kind of work, and memory."""
+
+import os
+import time
+
+import attrs
+import gevent
+import greenlet
+
+__all__ = ["CpuMeter", "mark_request_path", "resident_bytes"]
+
+PATH_MARK = "on_request_path"
+PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
+
+
+def mark_request_path():
+    """Charge this greenlet, and all it starts, to callers' requests."""
+    gevent.getcurrent().spawn_tree_locals[PATH_MARK] = True
+
+
+def resident_bytes():
+    """Return this process's resident memory in bytes."""
+    with open("/proc/self/statm", encoding="ascii") as stream:
+        return int(stream.read().split()[1]) * PAGE_BYTES
+
+
+@attrs.define(eq=False, repr=False)
+class CpuMeter:
+    """Splits this process's CPU time between callers' requests and control.
+
+    The thread's CPU clock is read whenever the next greenlet to run is of the other
+    kind than the last one; the hub belongs to whichever ran last. So a switch between
+    two requests costs a test, and no clock is read. CPU time of other threads is that
+    of gRPC, which carries control only.
+
+    Parameters
+    ----------
+    request_ms : float
+        CPU time of callers' requests on this thread, in milliseconds.
+    """
+
+    request_ms: float = 0.0
+    _on_path: bool = False
+    _since_s: float = 0.0
+
+    def start(self):
+        """Begin to meter; at most one meter a process."""
+        self._since_s = time.thread_time()
+        hub = gevent.get_hub()
+
+        def note_switch(event, greenlets):
+            target = greenlets[1]
+            if target is hub:
+                return
+            on_path = PATH_MARK in getattr(target, "spawn_tree_locals", ())
+            if on_path is not self._on_path:
+                self._turn(on_path)
+
+        greenlet.settrace(note_switch)
+
+    def stop(self):
+        """Meter no longer."""
+        greenlet.settrace(None)
+
+    def control_ms(self):
+        """Return the CPU time, in milliseconds, of all but callers' requests."""
+        self._turn(self._on_path)
+        return time.process_time() * 1000.0 - self.request_ms
+
+    def _turn(self, on_path):
+        now_s = time.thread_time()
+        if self._on_path:
+            self.request_ms += (now_s - self._since_s) * 1000.0
+        self._since_s = now_s
+        self._on_path = on_path
--- a/src/tarragonramp/adapters/web.py
+++ b/src/tarragonramp/adapters/web.py
@@ -5,7 +5,9 @@
 
 from gevent.pywsgi import WSGIHandler, WSGIServer
 
+from ..meters import kind_of
 from .http import split_address
+from .process import mark_request_path
 
 __all__ = ["REASONS", "WebServer", "json_reply"]
 
@@ -32,7 +34,14 @@
     """Handles the requests of one connection."""
 
     def log_request(self):
-        """Leave logging to the application."""
+        """Count the exchange; leave logging to the application."""
+        traffic = self.server.traffic
+        if traffic is None or self.headers is None:
+            return
+        kind = kind_of(self.command, self.path)
+        n_received = len(self.requestline) + sum(map(len, self.headers.headers))
+        traffic.received(kind, n_received + (self.content_length or 0))
+        traffic.sent(kind, self.response_length)
 
 
 class WebServer(WSGIServer):
@@ -49,9 +58,13 @@
         WSGI application.
     reuse_port : bool, default=False
         Let several processes of this VM share the port.
+    traffic : TrafficMeter, optional
+        Counts the exchanges. Without it the server's CPU time is that of callers'
+        requests; with it, that of control.
     """
 
-    def __init__(self, address, application, reuse_port=False):
+    def __init__(self, address, application, reuse_port=False, traffic=None):
+        self.traffic = traffic
         listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         if reuse_port:
@@ -65,6 +78,8 @@
 
     def handle(self, sock, address):
         """Serve one connection."""
+        if self.traffic is None:
+            mark_request_path()
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         super().handle(sock, address)
 
--- a/src/tarragonramp/daemon.py
+++ b/src/tarragonramp/daemon.py
@@ -6,6 +6,7 @@
 monkey.patch_all()
 
 import argparse  # noqa: E402
+import collections  # noqa: E402
 import json  # noqa: E402
 import signal  # noqa: E402
 import sys  # noqa: E402
@@ -20,10 +21,13 @@
 from .adapters.backends import HttpBackends  # noqa: E402
 from .adapters.http import HttpPools  # noqa: E402
 from .adapters.logs import log_event, set_up_logs  # noqa: E402
+from .adapters.metrics import Metrics  # noqa: E402
 from .adapters.peers import GrpcPeers, PeerServer  # noqa: E402
 from .adapters.platform import HttpPlatform  # noqa: E402
-from .adapters.web import WebServer, json_reply  # noqa: E402
+from .adapters.process import CpuMeter  # noqa: E402
+from .adapters.web import REASONS, WebServer, json_reply  # noqa: E402
 from .clock import Clock  # noqa: E402
+from .meters import RequestMeter, TrafficMeter  # noqa: E402
 from .model import Member  # noqa: E402
 from .roles.entry import Entry  # noqa: E402
 from .roles.membership import Membership  # noqa: E402
@@ -60,6 +64,9 @@
     stewards: object
     planners: object
     operators: object
+    traffic: object
+    cpu: object
+    metrics: object
     ready: bool = False
     stopped: Event = attrs.Factory(Event)
 
@@ -75,14 +82,16 @@
             settings.peer_address,
         )
         view = View()
-        platform = HttpPlatform.from_config(settings)
-        watcher = HttpPlatform.from_config(settings)
-        peers = GrpcPeers(HttpPools(), timing.control_timeout_ms)
+        requests, traffic, cpu = RequestMeter(), TrafficMeter(), CpuMeter()
+        platform = HttpPlatform.from_config(settings, traffic)
+        watcher = HttpPlatform.from_config(settings, traffic)
+        pools = HttpPools(traffic=traffic)
+        peers = GrpcPeers(pools, timing.control_timeout_ms, traffic)
         membership = Membership(me, view, platform, peers, clock, timing)
         keeper = TermKeeper(view, platform, membership, clock, timing)
         membership.on_word = keeper.on_word
-        backends = HttpBackends(HttpPools())
-        return cls(
+        backends = HttpBackends(HttpPools(traffic=traffic))
+        daemon = cls(
             settings=settings,
             me=me,
             view=view,
@@ -92,6 +101,7 @@
                 clock,
                 timing,
                 settings.limits,
+                requests,
             ),
             membership=membership,
             news=News(view, platform, watcher, timing.watch_ms),
@@ -101,7 +111,12 @@
             ),
             planners=Planners(view, keeper, platform, peers, timing),
             operators=Operators(me, view, platform),
+            traffic=traffic,
+            cpu=cpu,
+            metrics=Metrics(me.name, requests, traffic, cpu),
         )
+        daemon._add_gauges()
+        return daemon
 
     def run(self):
         """Serve until a signal says stop, then drain."""
@@ -110,9 +125,13 @@
             settings.peer_address,
             self.planners.take_report,
             self.stewards.prove_release,
+            self.traffic,
+        )
+        control = WebServer(
+            settings.control_address, self._control, traffic=self.traffic
         )
-        control = WebServer(settings.control_address, self._control)
         callers = WebServer(settings.caller_address, self.entry, reuse_port=True)
+        self.cpu.start()
         peer_server.start()
         control.start()
         keep_running(self.news.run_watch)
@@ -138,6 +157,24 @@
         peer_server.stop()
         log_event("daemon-stopped", name=self.me.identity)
 
+    def _add_gauges(self):
+        add = self.metrics.add_gauge
+        add("ready", "1 if callers may be sent here.", lambda: int(self.ready))
+        add("view.version", "Newest platform version.", lambda: self.view.version)
+        add("terms.held", "Terms held here.", self._terms_held, "role")
+        add(
+            "servers",
+            "Backend servers looked after here.",
+            self.stewards.conditions,
+            "condition",
+        )
+
+    def _terms_held(self):
+        kinds = collections.Counter(
+            role.partition(".")[0] for role in self.keeper.holdings
+        )
+        return {kind: kinds[kind] for kind in ("planner", "steward")}
+
     def _control(self, environ, start_response):
         path = environ["PATH_INFO"]
         if path == "/peer/ping":
@@ -148,6 +185,11 @@
                 "taken": self.keeper.taken_from(asked),
             }
             return json_reply(start_response, 200, word)
+        if path == "/metrics":
+            page, content_type = self.metrics.page()
+            headers = [("Content-Type", content_type)]
+            start_response(REASONS[200], headers)
+            return [page]
         if path == "/healthy":
             return json_reply(start_response, 200, {"healthy": True})
         if path == "/ready":
--- /dev/null
+++ b/src/tarragonramp/meters.py
@@ -0,0 +1,164 @@
+"""Counts and histograms that a daemon keeps of its own work.
+
+Plain sums in plain attributes, cheap enough for each request; an adapter exports
+them when somebody asks.
+"""
+
+import bisect
+
+import attrs
+
+__all__ = [
+    "ANSWERED",
+    "BOUNDS_MS",
+    "NOT_RUN",
+    "UNKNOWN",
+    "BucketCounts",
+    "RequestMeter",
+    "RequestTimes",
+    "TrafficMeter",
+]
+
+ANSWERED = "answered"
+NOT_RUN = "not-run"
+UNKNOWN = "unknown"
+BOUNDS_MS = (1, 2, 4, 8, 16, 32, 64, 125, 250, 500, 1000, 2000, 5000, 10_000)
+OTHER = "other"
+
+
+@attrs.define
+class BucketCounts:
+    """A histogram of times.
+
+    Parameters
+    ----------
+    counts : list of int
+        One for each bound of ``BOUNDS_MS``, and one for what is longer.
+    sum_ms, max_ms : float
+    """
+
+    counts: list[int] = attrs.Factory(lambda: [0] * (len(BOUNDS_MS) + 1))
+    sum_ms: float = 0.0
+    max_ms: float = 0.0
+
+    def add(self, time_ms):
+        """Take in one time, in milliseconds."""
+        self.counts[bisect.bisect_left(BOUNDS_MS, time_ms)] += 1
+        self.sum_ms += time_ms
+        if time_ms > self.max_ms:
+            self.max_ms = time_ms
+
+    @property
+    def count(self):
+        """How many times were taken in."""
+        return sum(self.counts)
+
+
+@attrs.define
+class RequestTimes:
+    """Where the time of one request goes.
+
+    Parameters
+    ----------
+    began_ms : float
+    service : str
+        ``team/service``; empty until it is known.
+    service_ms : float
+        Spent at backend servers, all tries together.
+    """
+
+    began_ms: float
+    service: str = ""
+    service_ms: float = 0.0
+
+
+@attrs.define
+class _OutcomeCounts:
+    wait: BucketCounts = attrs.Factory(BucketCounts)
+    service: BucketCounts = attrs.Factory(BucketCounts)
+    total: BucketCounts = attrs.Factory(BucketCounts)
+
+
+@attrs.define
+class RequestMeter:
+    """Callers' requests by service and outcome.
+
+    Parameters
+    ----------
+    by_outcome : dict of (str, str) to object
+        By service and outcome, the histograms ``wait``, ``service`` and ``total``.
+    in_flight : int
+        Requests begun and not yet finished.
+    """
+
+    by_outcome: dict = attrs.Factory(dict)
+    in_flight: int = 0
+
+    def begin(self, now_ms):
+        """Return the RequestTimes of a request that begins now."""
+        self.in_flight += 1
+        return RequestTimes(now_ms)
+
+    def finish(self, times, outcome, now_ms):
+        """Take in a request that ends now.
+
+        Parameters
+        ----------
+        times : RequestTimes
+        outcome : {"answered", "not-run", "unknown"}
+        now_ms : float
+        """
+        self.in_flight -= 1
+        key = (times.service, outcome)
+        counts = self.by_outcome.get(key)
+        if counts is None:
+            counts = self.by_outcome[key] = _OutcomeCounts()
+        total_ms = now_ms - times.began_ms
+        counts.wait.add(total_ms - times.service_ms)
+        counts.service.add(times.service_ms)
+        counts.total.add(total_ms)
+
+
+@attrs.define
+class TrafficMeter:
+    """Control messages and their bytes, by kind and direction.
+
+    Parameters
+    ----------
+    messages, bytes : dict of (str, str) to int
+        Keys are kind and ``"in"`` or ``"out"``. Bytes are those of HTTP messages and
+        of gRPC's payloads with their five bytes of frame, without TCP's and HTTP/2's
+        own.
+    """
+
+    messages: dict = attrs.Factory(dict)
+    bytes: dict = attrs.Factory(dict)
+
+    def sent(self, kind, n_bytes):
+        """Count one message that left."""
+        self._count((kind, "out"), n_bytes)
+
+    def received(self, kind, n_bytes):
+        """Count one message that came."""
+        self._count((kind, "in"), n_bytes)
+
+    def _count(self, key, n_bytes):
+        self.messages[key] = self.messages.get(key, 0) + 1
+        self.bytes[key] = self.bytes.get(key, 0) + n_bytes
+
+
+def kind_of(method, target):
+    """Return what kind of control message an HTTP request is.
+
+    A short, closed list: a label of a metric must not grow with names of objects.
+    """
+    path = target.partition("?")[0]
+    parts = path.strip("/").split("/")
+    if parts[0] == "v1" and len(parts) > 1:
+        reads = "get" if method == "GET" else "write"
+        return {"watch": "watch", "vms": "vm-list"}.get(parts[1], f"platform-{reads}")
+    if parts[0] in ("tarragon", "peer") and len(parts) == 2:
+        known = {"grant", "clock", "ping", "digest", "news"}
+        return parts[1] if parts[1] in known else OTHER
+    known = {"operator", "metrics", "healthy", "ready"}
+    return parts[0] if parts[0] in known else OTHER
--- a/src/tarragonramp/roles/entry.py
+++ b/src/tarragonramp/roles/entry.py
@@ -10,6 +10,7 @@
 
 from ..adapters.web import REASONS
 from ..errors import NotSentError, RequestError
+from ..meters import ANSWERED, NOT_RUN, UNKNOWN
 from ..model import OWNED, CallerClass
 from ..slices import slice_of
 
@@ -30,8 +31,6 @@
         "upgrade",
     )
 )
-NOT_RUN = "not-run"
-UNKNOWN = "unknown"
 RETRY_AFTER_S = 1.0
 EJECTION_MS = 1000
 DEFAULT_CLASS = CallerClass("default", ())
@@ -45,6 +44,7 @@
     body: bytes
     request_id: str
     deadline_at_ms: float
+    times: object
 
 
 @attrs.define
@@ -66,6 +66,7 @@
     clock : Clock
     timing : Timing
     limits : Limits
+    meter : RequestMeter
     """
 
     view: object
@@ -73,6 +74,7 @@
     clock: object
     timing: object
     limits: object
+    meter: object
     _in_flight: dict = attrs.Factory(dict)
     _ejected_until_ms: dict = attrs.Factory(dict)
     _changed: Event = attrs.Factory(Event)
@@ -83,24 +85,31 @@
 
     def __call__(self, environ, start_response):
         """Serve one request of a caller."""
+        times = self.meter.begin(self.clock.now_ms())
+        outcome = UNKNOWN
         try:
-            answer = self._serve(environ)
+            answer = self._serve(environ, times)
+            outcome = ANSWERED
         except RequestError as error:
+            outcome = error.outcome
             return _refuse(start_response, error)
+        finally:
+            self.meter.finish(times, outcome, self.clock.now_ms())
         headers = [(k, v) for k, v in answer.headers if k.lower() not in HOP_HEADERS]
         headers.append(("Content-Length", str(len(answer.body))))
         reason = REASONS.get(answer.status, f"{answer.status} Status")
         start_response(reason, headers)
         return [answer.body]
 
-    def _serve(self, environ):
+    def _serve(self, environ, times):
         path = environ["PATH_INFO"]
         found = self.view.service_at(path)
         if found is None:
             raise RequestError(404, NOT_RUN, "no service at this path")
         team, service = found
+        times.service = f"{team}/{service.name}"
         caller_class = class_of(service, environ["REQUEST_METHOD"], path)
-        request = self._read(environ, caller_class)
+        request = self._read(environ, caller_class, times)
         if not service.divided:
             return self._serve_shared(team, service, request, caller_class)
         key = key_of(service, environ)
@@ -108,7 +117,7 @@
             raise RequestError(400, NOT_RUN, "the request carries no key")
         return self._serve_divided(team, service, key, request, caller_class)
 
-    def _read(self, environ, caller_class):
+    def _read(self, environ, caller_class, times):
         length = int(environ.get("CONTENT_LENGTH") or 0)
         if length > self.limits.body_bytes:
             raise RequestError(413, NOT_RUN, "body longer than the limit")
@@ -122,7 +131,8 @@
             headers=_caller_headers(environ),
             body=body,
             request_id=request_id,
-            deadline_at_ms=self.clock.now_ms() + caller_class.deadline_ms,
+            deadline_at_ms=times.began_ms + caller_class.deadline_ms,
+            times=times,
         )
 
     def _serve_divided(self, team, service, key, request, caller_class):
@@ -212,7 +222,8 @@
         self._ejected_until_ms[server] = self.clock.now_ms() + EJECTION_MS
 
     def _exchange(self, route, request):
-        left_ms = request.deadline_at_ms - self.clock.now_ms()
+        sent_ms = self.clock.now_ms()
+        left_ms = request.deadline_at_ms - sent_ms
         if left_ms <= 0:
             raise RequestError(504, NOT_RUN, "deadline passed", RETRY_AFTER_S)
         headers = request.headers + [
@@ -229,6 +240,7 @@
             )
         finally:
             self._in_flight[route.server] -= 1
+            request.times.service_ms += self.clock.now_ms() - sent_ms
 
     def _give_up(self, error):
         if isinstance(error, NotSentError):
--- a/src/tarragonramp/roles/steward.py
+++ b/src/tarragonramp/roles/steward.py
@@ -74,6 +74,13 @@
                     gevent.spawn(self._attend, self._charges[role])
             gevent.sleep(TICK_MS / 1000.0)
 
+    def conditions(self):
+        """Return how many backend servers looked after here are in each condition."""
+        counts = dict.fromkeys((UP, SILENT, UNKNOWN), 0)
+        for charge in self._charges.values():
+            counts[charge.condition] += 1
+        return counts
+
     def prove_release(self, question):
         """Answer a planner.
 
