--- a/src/tarragonramp/adapters/peers.py
+++ b/src/tarragonramp/adapters/peers.py
@@ -7,6 +7,7 @@
 import grpc
 from returns.result import Failure, Result, Success
 
+from ..credentials import METADATA_KEY, Secrets
 from ..errors import UnansweredError
 from ..wire import peer_pb2, peer_pb2_grpc
 from .http import HttpPools
@@ -41,17 +42,22 @@
     ----------
     pools : HttpPools
     timeout_ms : float
+    secrets : Secrets
+        Of the peer port.
     """
 
     pools: HttpPools
     timeout_ms: float
+    secrets: Secrets = Secrets()
     _stubs: dict = attrs.Factory(dict)
 
     def ping(self, address, identity) -> Result:
         """Ask a neighbour whether it has taken over anything."""
         body = json.dumps({"identity": identity}).encode()
         pool = self.pools.at(address)
-        result = pool.exchange("POST", PING_TARGET, (), body, self.timeout_ms)
+        result = pool.exchange(
+            "POST", PING_TARGET, self.secrets.headers, body, self.timeout_ms
+        )
         return result.bind(_ping_answer)
 
     def report(self, address, sender, reports) -> Result:
@@ -100,12 +106,39 @@
             stub = self._stubs[address] = peer_pb2_grpc.PeerStub(channel)
         try:
             return Success(
-                getattr(stub, method)(request, timeout=self.timeout_ms / 1000.0)
+                getattr(stub, method)(
+                    request,
+                    timeout=self.timeout_ms / 1000.0,
+                    metadata=self.secrets.metadata,
+                )
             )
         except grpc.RpcError as error:
             return Failure(UnansweredError(f"{address}: {error.code().name}"))
 
 
+class _SecretCheck(grpc.ServerInterceptor):
+    """Refuses every call that does not show the secret.
+
+    Without it whoever reaches the port could prove releases that never happened,
+    and a key would get two owners.
+    """
+
+    def __init__(self, secrets):
+        self._secrets = secrets
+        self._refusal = grpc.unary_unary_rpc_method_handler(_refuse)
+
+    def intercept_service(self, continuation, handler_call_details):
+        """Pass a call on, or refuse it."""
+        shown = dict(handler_call_details.invocation_metadata)
+        if self._secrets.admits(shown.get(METADATA_KEY)):
+            return continuation(handler_call_details)
+        return self._refusal
+
+
+def _refuse(request, context):
+    context.abort(grpc.StatusCode.UNAUTHENTICATED, "the peer secret is wrong")
+
+
 class PeerServer(peer_pb2_grpc.PeerServicer):
     """Server side: hands each message to a function.
 
@@ -117,14 +150,17 @@
         ``on_report(sender, list of ServerReport) -> bool``
     on_prove_release : callable
         ``on_prove_release(ReleaseRequest) -> (list of int, str)``
+    secrets : Secrets
+        Of the peer port.
     """
 
-    def __init__(self, address, on_report, on_prove_release):
+    def __init__(self, address, on_report, on_prove_release, secrets=Secrets()):
         self._on_report = on_report
         self._on_prove_release = on_prove_release
         self._server = grpc.server(
             futures.ThreadPoolExecutor(max_workers=MAX_WORKERS),
             options=[("grpc.so_reuseport", 0)],
+            interceptors=[_SecretCheck(secrets)],
         )
         peer_pb2_grpc.add_PeerServicer_to_server(self, self._server)
         self._server.add_insecure_port(address)
--- a/src/tarragonramp/adapters/platform.py
+++ b/src/tarragonramp/adapters/platform.py
@@ -9,7 +9,9 @@
     ConflictError,
     ExchangeError,
     NotFoundError,
+    NotSentError,
     PlatformError,
+    PlatformNotSentError,
     PlatformUnreachableError,
 )
 from ..model import Stored, Vm
@@ -81,6 +83,8 @@
 
 
 def _converted(error: ExchangeError):
+    if isinstance(error, NotSentError):
+        return PlatformNotSentError(str(error))
     return PlatformUnreachableError(str(error))
 
 
--- a/src/tarragonramp/daemon.py
+++ b/src/tarragonramp/daemon.py
@@ -24,12 +24,15 @@
 from .adapters.platform import HttpPlatform  # noqa: E402
 from .adapters.web import WebServer, json_reply  # noqa: E402
 from .clock import Clock  # noqa: E402
+from .credentials import Secrets  # noqa: E402
 from .model import Member  # noqa: E402
+from .roles.audit import AuditTrail  # noqa: E402
 from .roles.entry import Entry  # noqa: E402
 from .roles.membership import Membership  # noqa: E402
 from .roles.news import News  # noqa: E402
 from .roles.operators import Operators  # noqa: E402
 from .roles.planner import Planners  # noqa: E402
+from .roles.status import IN_FORCE_TARGET, StatusReporter  # noqa: E402
 from .roles.steward import Stewards  # noqa: E402
 from .roles.tasks import keep_running  # noqa: E402
 from .roles.terms import TermKeeper  # noqa: E402
@@ -60,6 +63,8 @@
     stewards: object
     planners: object
     operators: object
+    status: object
+    peer_secrets: object
     ready: bool = False
     stopped: Event = attrs.Factory(Event)
 
@@ -77,7 +82,9 @@
         view = View()
         platform = HttpPlatform.from_config(settings)
         watcher = HttpPlatform.from_config(settings)
-        peers = GrpcPeers(HttpPools(), timing.control_timeout_ms)
+        peer_secrets = Secrets.from_text(settings.security.peer_secret)
+        operator_secrets = Secrets.from_text(settings.security.operator_secret)
+        peers = GrpcPeers(HttpPools(), timing.control_timeout_ms, peer_secrets)
         membership = Membership(me, view, platform, peers, clock, timing)
         keeper = TermKeeper(view, platform, membership, clock, timing)
         membership.on_word = keeper.on_word
@@ -100,7 +107,18 @@
                 me, view, keeper, platform, backends, peers, clock, timing
             ),
             planners=Planners(view, keeper, platform, peers, timing),
-            operators=Operators(me, view, platform),
+            operators=Operators(
+                me,
+                view,
+                platform,
+                clock,
+                AuditTrail(me, platform, clock, settings.audit.keep_entries),
+                operator_secrets,
+            ),
+            status=StatusReporter(
+                me, view, platform, HttpPools(), peer_secrets, clock, timing
+            ),
+            peer_secrets=peer_secrets,
         )
 
     def run(self):
@@ -110,6 +128,7 @@
             settings.peer_address,
             self.planners.take_report,
             self.stewards.prove_release,
+            self.peer_secrets,
         )
         control = WebServer(settings.control_address, self._control)
         callers = WebServer(settings.caller_address, self.entry, reuse_port=True)
@@ -123,6 +142,7 @@
             self.keeper.run,
             self.stewards.run,
             self.planners.run,
+            self.status.run,
         ):
             keep_running(task)
         callers.start()
@@ -140,6 +160,13 @@
 
     def _control(self, environ, start_response):
         path = environ["PATH_INFO"]
+        is_peer = self.peer_secrets.admits(environ.get("HTTP_AUTHORIZATION"))
+        if path.startswith("/peer/") and not is_peer:
+            return json_reply(start_response, 401, {"error": "peer secret is wrong"})
+        if path == IN_FORCE_TARGET:
+            told = json.loads(environ["wsgi.input"].read())
+            self.status.take(told["identity"], told["version"])
+            return json_reply(start_response, 200, {})
         if path == "/peer/ping":
             asked = json.loads(environ["wsgi.input"].read())["identity"]
             self.membership.heard(asked)
--- a/src/tarragonramp/declarations.py
+++ b/src/tarragonramp/declarations.py
@@ -1,10 +1,12 @@
-"""Checks of what operators declare."""
+"""Checks of what operators declare, before any of it is written."""
 
-import re
-
-import cattrs
+import attrs
 from returns.pipeline import is_successful
+from returns.result import Failure, Result, Success
 
+from . import checks
+from .documents import Document, Fault, read_file
+from .errors import DocumentError, TeamError
 from .model import (
     KIND_FAILURE_DOMAIN,
     KIND_TEAM,
@@ -13,55 +15,318 @@
     Team,
     Template,
 )
-from .teams import expand
+from .structuring import structure
+from .teams import expand, template_faults
 
-__all__ = ["DECLARED_KINDS", "check_declaration"]
+__all__ = [
+    "DECLARED_KINDS",
+    "Declaration",
+    "Declared",
+    "check_declarations",
+    "check_deletion",
+    "declarations_of",
+    "read_declarations",
+]
 
 DECLARED_KINDS = {
     KIND_TEMPLATE: Template,
     KIND_TEAM: Team,
     KIND_FAILURE_DOMAIN: FailureDomain,
 }
+OWN_FIELDS = ("request_id", "leaving", "changed_by")
+"""Fields of a stored spec that the system writes, never an operator's file."""
 
-_NAME = re.compile(r"[a-z0-9][a-z0-9-]*\Z")
-_CONVERTER = cattrs.Converter(forbid_extra_keys=True)
+DELETE_FIRST = "delete the team, wait until it is gone, and declare it anew"
 
 
-def check_declaration(kind, name, spec, view):
-    """Find every fault of a declared object.
+@attrs.frozen
+class Declaration:
+    """One declared object.
 
     Parameters
     ----------
     kind, name : str
     spec : dict
-    view : View
-        Where a team's template is looked up.
+    version : int or None
+        The version that the writer has seen; None if it does not matter.
+    document : Document or None
+        Where it was read.
+    """
+
+    kind: str
+    name: str
+    spec: dict
+    version: int | None = None
+    document: Document | None = None
+
+    @property
+    def label(self):
+        """``Kind/name``, for people."""
+        return f"{self.kind}/{self.name}"
+
+    def locate(self, fault):
+        """Return a fault with file and line, or with the object's name."""
+        if self.document is None:
+            return f"{self.label}: {fault}"
+        return self.document.locate(fault)
+
+
+@attrs.frozen
+class Declared:
+    """What is declared already, to check new declarations against.
+
+    Parameters
+    ----------
+    templates : dict of str to Template
+    teams : dict of str to Team
+    assigned : dict of (str, str) to int
+        Number of slices by team and service, for assignments that exist.
+    """
+
+    templates: dict = attrs.Factory(dict)
+    teams: dict = attrs.Factory(dict)
+    assigned: dict = attrs.Factory(dict)
+
+    def services(self, team_name):
+        """Return the services of a team by name; none if it cannot be expanded."""
+        team = self.teams.get(team_name)
+        template = team and self.templates.get(team.template)
+        if template is None:
+            return {}
+        return {item.name: item for item in expand(template, team).value_or(())}
+
+
+def read_declarations(path) -> Result:
+    """Read the declarations of a YAML file.
 
     Returns
     -------
-    faults : list of str
-        Empty if the object can be applied.
+    declarations : Success of tuple of Declaration, or Failure of DocumentError
+    """
+    return read_file(path).bind(declarations_of)
+
+
+def declarations_of(documents) -> Result:
+    """Make declarations of documents.
+
+    Parameters
+    ----------
+    documents : sequence of Document
+
+    Returns
+    -------
+    declarations : Success of tuple of Declaration, or Failure of DocumentError
+    """
+    declarations, faults = [], []
+    for document in documents:
+        found = _outer_faults(document.data)
+        faults.extend(document.locate(fault) for fault in found)
+        if not found:
+            declarations.append(Declaration(**document.data, document=document))
+    return Failure(DocumentError(faults)) if faults else Success(tuple(declarations))
+
+
+def check_declarations(declarations, declared):
+    """Find every fault of declarations that are to be applied together.
+
+    Parameters
+    ----------
+    declarations : sequence of Declaration
+    declared : Declared
+
+    Returns
+    -------
+    faults : list of (int, Fault)
+        With the index of the declaration; empty if all can be applied.
+    """
+    faults, items = [], {}
+    for index, declaration in enumerate(declarations):
+        key = declaration.kind, declaration.name
+        if key in items:
+            faults.append((index, Fault("name", f"{declaration.label} twice")))
+        result = _structured(declaration)
+        if is_successful(result):
+            items[key] = index, result.unwrap()
+        else:
+            faults.extend((index, fault) for fault in result.failure())
+    after = _after(declared, items)
+    for index, item in items.values():
+        if isinstance(item, Template):
+            found = template_faults(item)
+            faults.extend((index, _below_spec(fault)) for fault in found)
+    if faults:
+        return faults
+    for name in _touched_teams(items, after):
+        index = _culprit(name, items, after)
+        faults.extend((index, f) for f in _team_faults(name, items, declared, after))
+    return faults
+
+
+def check_deletion(kind, name, declared):
+    """Find what stands against deleting an object.
+
+    Returns
+    -------
+    faults : list of Fault
     """
     if kind not in DECLARED_KINDS:
-        known = ", ".join(DECLARED_KINDS)
-        return [f"kind: {kind!r} cannot be declared; use one of {known}"]
+        return [Fault("kind", _unknown_kind(kind))]
+    if kind != KIND_TEMPLATE:
+        return []
+    users = sorted(n for n, team in declared.teams.items() if team.template == name)
+    if not users:
+        return []
+    return [Fault("", f"in use by {', '.join(users)}: delete these teams first")]
+
+
+def _outer_faults(data):
+    if not isinstance(data, dict):
+        return [Fault("", "expected a mapping with kind, name and spec")]
+    faults = [
+        Fault(key, "missing") for key in ("kind", "name", "spec") if key not in data
+    ]
+    known = ("kind", "name", "spec", "version")
+    faults += [Fault(key, "no such field") for key in data if key not in known]
+    if "kind" in data and data["kind"] not in list(DECLARED_KINDS):
+        faults.append(Fault("kind", _unknown_kind(data["kind"])))
+    if "name" in data and not isinstance(data["name"], str):
+        faults.append(Fault("name", f"{data['name']!r}: expected text"))
+    if "spec" in data and not isinstance(data["spec"], dict):
+        faults.append(Fault("spec", f"{data['spec']!r}: expected a mapping"))
+    version = data.get("version")
+    if version is not None and type(version) is not int:
+        faults.append(Fault("version", f"{version!r}: expected a whole number"))
+    return faults
+
+
+def _unknown_kind(kind):
+    known = ", ".join(DECLARED_KINDS)
+    return f"{kind!r} cannot be declared; use one of {known}"
+
+
+def _structured(declaration) -> Result:
     faults = []
-    if not isinstance(name, str) or not _NAME.match(name):
-        faults.append(f"name: {name!r}: lower-case letters, digits and '-' only")
     try:
-        item = _CONVERTER.structure(spec, DECLARED_KINDS[kind])
-    except Exception as error:
-        return faults + cattrs.transform_error(error, path="spec")
-    if kind == KIND_TEAM:
-        faults += _team_faults(item, view)
-    return faults
+        checks.name(None, None, declaration.name)
+    except ValueError as error:
+        faults.append(Fault("name", str(error)))
+    faults += [
+        Fault(f"spec.{key}", "set by the system; leave it out")
+        for key in OWN_FIELDS
+        if key in declaration.spec
+    ]
+    wanted = DECLARED_KINDS[declaration.kind]
+    result = structure(declaration.spec, wanted, "spec")
+    if not is_successful(result):
+        faults += result.failure()
+    return Failure(faults) if faults else result
+
+
+def _below_spec(fault):
+    return Fault(f"spec.{fault.path}" if fault.path else "spec", fault.message)
+
+
+def _after(declared, items):
+    """Return what would be declared with all the items applied."""
+    templates, teams = dict(declared.templates), dict(declared.teams)
+    for (kind, name), (_, item) in items.items():
+        if kind == KIND_TEMPLATE:
+            templates[name] = item
+        if kind == KIND_TEAM:
+            teams[name] = item
+    return Declared(templates, teams, declared.assigned)
+
 
+def _touched_teams(items, after):
+    """Return teams that are declared, or whose template is."""
+    templates = {name for kind, name in items if kind == KIND_TEMPLATE}
+    return sorted(
+        name
+        for name, team in after.teams.items()
+        if (KIND_TEAM, name) in items or team.template in templates
+    )
 
-def _team_faults(team, view):
-    template = view.get(KIND_TEMPLATE, team.template)
+
+def _culprit(team_name, items, after):
+    key = KIND_TEAM, team_name
+    if key not in items:
+        key = KIND_TEMPLATE, after.teams[team_name].template
+    return items[key][0]
+
+
+def _team_faults(name, items, before, after):
+    team = after.teams[name]
+    declared_here = (KIND_TEAM, name) in items
+    template = after.templates.get(team.template)
     if template is None:
-        return [f"spec.template: no template named {team.template!r}"]
+        return [Fault("spec.template", f"no template named {team.template!r}")]
+    if team.domain_weights and not any(team.domain_weights.values()):
+        return [Fault("spec.domain_weights", "at least one has to be above 0")]
     expanded = expand(template, team)
-    if is_successful(expanded):
-        return []
-    return [f"spec: {fault}" for fault in expanded.failure().faults]
+    if not is_successful(expanded):
+        error: TeamError = expanded.failure()
+        if declared_here:
+            return [_below_spec(fault) for fault in error.faults]
+        return [Fault("spec", f"team {name}: {fault}") for fault in error.faults]
+    services = {service.name: service for service in expanded.unwrap()}
+    faults = _prefix_faults(name, services, after)
+    faults += _rehash_faults(name, services, before)
+    return faults if declared_here else [_of_team(name, f) for f in faults]
+
+
+def _of_team(name, fault):
+    return Fault(fault.path, f"team {name}: {fault.message}")
+
+
+def _prefix_faults(team_name, services, after):
+    """Find paths that two teams claim: callers of one would reach the other."""
+    faults = []
+    taken = {
+        service.path_prefix.rstrip("/"): other
+        for other in sorted(after.teams)
+        if other != team_name
+        for service in after.services(other).values()
+    }
+    for service in services.values():
+        other = taken.get(service.path_prefix.rstrip("/"))
+        if other is not None:
+            message = f"path_prefix {service.path_prefix!r} is claimed by team {other}"
+            faults.append(Fault("spec", f"service {service.name}: {message}"))
+    return faults
+
+
+def _rehash_faults(team_name, services, before):
+    """Find changes that would lead keys to other slices, or forget a grant.
+
+    Daemons take in a change one after the other. With two numbers of slices in
+    force, two daemons send one key to two servers, and both are rightful owners of
+    the slice they are asked for. With two lengths of a grant, a new steward waits
+    for a shorter one than its predecessor gave.
+    """
+    faults = []
+    for name, old in before.services(team_name).items():
+        new = services.get(name)
+        if not old.divided:
+            if new is not None and new.divided:
+                faults.append(_refusal(name, "cannot become divided", DELETE_FIRST))
+            continue
+        if new is None:
+            faults.append(_refusal(name, "its keys have owners", DELETE_FIRST))
+            continue
+        for field in ("n_slices", "divided_by", "grant_ms"):
+            if getattr(new, field) != getattr(old, field):
+                change = f"{field} cannot change while its keys have owners"
+                faults.append(_refusal(name, change, DELETE_FIRST))
+    for name, service in services.items():
+        n_slices = before.assigned.get((team_name, name))
+        if not service.divided or n_slices in (None, service.n_slices):
+            continue
+        message = f"keys were assigned in {n_slices} slices"
+        fix = f"say n_slices: {n_slices}, or give the service another name"
+        if name not in before.services(team_name):
+            faults.append(_refusal(name, message, fix))
+    return faults
+
+
+def _refusal(service_name, message, fix):
+    return Fault("spec", f"service {service_name}: {message}; {fix}")
--- a/src/tarragonramp/errors.py
+++ b/src/tarragonramp/errors.py
@@ -8,12 +8,15 @@
 
 __all__ = [
     "ConflictError",
+    "DocumentError",
     "ExchangeError",
+    "FaultsError",
     "NotFoundError",
     "NotSentError",
+    "OvertakenError",
     "PlatformError",
+    "PlatformNotSentError",
     "PlatformUnreachableError",
-    "RefusedError",
     "RequestError",
     "SettingsError",
     "TarragonError",
@@ -26,26 +29,30 @@
     """Base of all errors of this project."""
 
 
-class SettingsError(TarragonError):
-    """Settings that cannot be used.
+class FaultsError(TarragonError):
+    """Input that cannot be used.
 
     Parameters
     ----------
-    faults : list of str
+    faults : list of str or of Fault
         Every fault found, each with its field path.
     """
 
     def __init__(self, faults):
-        super().__init__("; ".join(faults))
+        super().__init__("; ".join(str(fault) for fault in faults))
         self.faults = list(faults)
 
 
-class TeamError(TarragonError):
-    """A template or team that cannot be expanded into services."""
+class DocumentError(FaultsError):
+    """A YAML file that cannot be read."""
 
-    def __init__(self, faults):
-        super().__init__("; ".join(faults))
-        self.faults = list(faults)
+
+class SettingsError(FaultsError):
+    """Settings that cannot be used."""
+
+
+class TeamError(FaultsError):
+    """A template or team that cannot be expanded into services."""
 
 
 class ExchangeError(TarragonError):
@@ -71,6 +78,10 @@
     """No answer, so a write may or may not have taken effect."""
 
 
+class PlatformNotSentError(PlatformUnreachableError):
+    """No byte of the call left this process: a write did not run."""
+
+
 class NotFoundError(PlatformError):
     """The object does not exist."""
 
@@ -96,6 +107,17 @@
         return f"expected version {self.expected_version}, platform holds {now}"
 
 
+class OvertakenError(ConflictError):
+    """A conflict after a lost answer.
+
+    The own update may have been in force before the other one replaced it.
+    """
+
+    def __str__(self):
+        """Name both versions, and the doubt."""
+        return f"{super().__str__()}; this change may have been in force before it"
+
+
 @attrs.define(eq=False)
 class RequestError(TarragonError):
     """A caller's request that gets a refusal in place of an answer.
@@ -120,7 +142,3 @@
     def __str__(self):
         """Give outcome and reason."""
         return f"{self.outcome}: {self.reason}"
-
-
-class RefusedError(TarragonError):
-    """An operator's call that was refused."""
--- a/src/tarragonramp/model.py
+++ b/src/tarragonramp/model.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from . import checks
+
 __all__ = [
     "Assignment",
     "CallerClass",
@@ -33,6 +35,16 @@
 RELEASING = "releasing"
 UNOWNED = "unowned"
 
+IN = "in"
+OUT = "out"
+LOST = "lost"
+
+HOLD = "hold"
+
+MAX_SLICES = 16_384
+"""Most slices of a service: an assignment fits into one value of the platform even
+if every slice has another owner than its neighbours."""
+
 UP = "up"
 SILENT = "silent"
 UNKNOWN = "unknown"
@@ -117,7 +129,9 @@
         Header or query field; for ``path`` the zero-based part after the prefix.
     """
 
-    source: str = "none"
+    source: str = attrs.field(
+        default="none", validator=checks.one_of("none", "header", "path", "query")
+    )
     name: str = ""
 
 
@@ -140,11 +154,14 @@
         Whether a request may be run again after an unknown outcome.
     """
 
-    name: str
-    methods: tuple[str, ...] = ("GET", "HEAD")
-    path_prefix: str = "/"
-    priority: int = 1
-    deadline_ms: int = 2000
+    name: str = attrs.field(validator=checks.name)
+    methods: tuple[str, ...] = attrs.field(
+        default=("GET", "HEAD"),
+        validator=checks.each(checks.one_of(*checks.METHODS)),
+    )
+    path_prefix: str = attrs.field(default="/", validator=checks.path_prefix)
+    priority: int = attrs.field(default=1, validator=checks.between(0, 9))
+    deadline_ms: int = attrs.field(default=2000, validator=checks.between(10, 600_000))
     idempotent: bool = False
 
 
@@ -170,16 +187,20 @@
         First match wins.
     """
 
-    name: str
-    path_prefix: str
+    name: str = attrs.field(validator=checks.name)
+    path_prefix: str = attrs.field(validator=checks.path_prefix)
     divided_by: Divisor = Divisor()
-    n_slices: int = 64
-    slots_per_server: int = 4
-    connections_per_server: int = 50
-    cold_slots_per_server: int = 1
+    n_slices: int = attrs.field(default=64, validator=checks.between(1, MAX_SLICES))
+    slots_per_server: int = attrs.field(default=4, validator=checks.between(1, 10_000))
+    connections_per_server: int = attrs.field(
+        default=50, validator=checks.between(1, 100_000)
+    )
+    cold_slots_per_server: int = attrs.field(
+        default=1, validator=checks.between(1, 10_000)
+    )
     checks_grants: bool = False
-    grant_ms: int = 1200
-    renewal_ms: int = 250
+    grant_ms: int = attrs.field(default=1200, validator=checks.between(200, 600_000))
+    renewal_ms: int = attrs.field(default=250, validator=checks.between(20, 60_000))
     classes: tuple[CallerClass, ...] = ()
 
     @property
@@ -190,11 +211,25 @@
 
 @attrs.frozen
 class Parameter:
-    """A parameter of a template; without a default it must be given."""
+    """A parameter of a template; without a default it must be given.
+
+    Parameters
+    ----------
+    type : {"string", "integer", "number", "boolean"}
+    default : object, optional
+        Of that type.
+    required : bool
+        Whether a team has to give it although there is a default.
+    description : str
+    """
 
-    type: str = "string"
+    type: str = attrs.field(
+        default="string",
+        validator=checks.one_of("string", "integer", "number", "boolean"),
+    )
     default: Any = None
     required: bool = False
+    description: str = ""
 
 
 @attrs.frozen
@@ -206,27 +241,64 @@
     parameters : dict of str to Parameter
     services : list of dict
         Fields of :class:`Service`, any scalar of which may be ``${name}``.
+    request_id : str
+        Of the write, so that a lost answer can be recognised.
     """
 
-    parameters: dict[str, Parameter]
     services: list[dict]
+    parameters: dict[str, Parameter] = attrs.Factory(dict)
+    request_id: str = ""
 
 
 @attrs.frozen
 class Team:
-    """What operators declare: a template and values for its parameters."""
+    """What operators declare: a template and values for its parameters.
 
-    template: str
+    Parameters
+    ----------
+    template : str
+    parameters : dict
+        Values by parameter name.
+    domain_weights : dict of str to float
+        Share of keys a failure domain's servers get, against the others; 1 if not
+        listed, 0 for none.
+    on_silence : {"hold"}
+        What becomes of the keys of a failure domain that nobody hears from: they
+        stay with their owners until these are proved to have let go.
+    leaving : bool
+        Whether the team is being deleted: it takes no requests, and goes once the
+        owners of its keys are proved to have let go.
+    request_id : str
+        Of the write.
+    """
+
+    template: str = attrs.field(validator=checks.name)
     parameters: dict[str, Any] = attrs.Factory(dict)
-    domain_weights: dict[str, float] = attrs.Factory(dict)
+    domain_weights: dict[str, float] = attrs.field(
+        factory=dict, validator=checks.values_between(0, 1000)
+    )
+    on_silence: str = attrs.field(default=HOLD, validator=checks.one_of(HOLD))
+    leaving: bool = False
+    request_id: str = ""
 
 
 @attrs.frozen
 class FailureDomain:
-    """An operator's order about a failure domain."""
+    """An operator's order about a failure domain.
 
-    state: str = "in"
+    Parameters
+    ----------
+    state : {"in", "out", "lost"}
+        ``lost`` is an operator's word that no process runs there any more: it
+        counts as proof that its servers own nothing.
+    changed_by : str
+    request_id : str
+        Of the write.
+    """
+
+    state: str = attrs.field(default=IN, validator=checks.one_of(IN, OUT, LOST))
     changed_by: str = ""
+    request_id: str = ""
 
 
 @attrs.frozen
--- a/src/tarragonramp/roles/operators.py
+++ b/src/tarragonramp/roles/operators.py
@@ -1,22 +1,66 @@
-"""What operators ask a daemon, and the audit trail of what they changed."""
+"""What operators ask a daemon: changes, each with its audit entry, and answers."""
 
 import json
-import time
 import urllib.parse
 import uuid
 
 import attrs
 from returns.pipeline import is_successful
+from returns.result import Result, Success
 
 from ..adapters.web import json_reply
-from ..declarations import check_declaration
-from ..errors import ConflictError, NotFoundError
-from ..model import KIND_AUDIT_ENTRY, OWNED
+from ..declarations import (
+    DECLARED_KINDS,
+    Declaration,
+    Declared,
+    check_declarations,
+    check_deletion,
+)
+from ..errors import (
+    ConflictError,
+    NotFoundError,
+    PlatformError,
+    PlatformNotSentError,
+    PlatformUnreachableError,
+)
+from ..model import (
+    KIND_ASSIGNMENT,
+    KIND_FAILURE_DOMAIN,
+    KIND_STATUS,
+    KIND_TEAM,
+    KIND_TEMPLATE,
+    LOST,
+    OWNED,
+    RELEASING,
+    Assignment,
+    FailureDomain,
+    Stored,
+    Team,
+    Template,
+)
 from ..slices import slice_of
-from ..view import steward_role
+from ..structuring import structure
+from ..view import CONFIGURED_KINDS, assignment_name, steward_role
+from . import audit
+from .writes import delete_surely, put_surely
 
 __all__ = ["Operators"]
 
+MAX_BODY_BYTES = 1_048_576
+MAX_DOCUMENTS = 200
+MAX_AUDIT_ENTRIES = 1000
+AUDIT_ENTRIES = 50
+CHANGE_MS = 5000
+MAX_ACTOR = 64
+
+
+class _RefusedCallError(Exception):
+    """A call that gets an error in place of an answer."""
+
+    def __init__(self, status, message, faults=()):
+        super().__init__(message)
+        self.reply = status, {"error": message, "faults": list(faults)}
+
 
 @attrs.define(eq=False, repr=False)
 class Operators:
@@ -27,129 +71,417 @@
     me : Member
     view : View
     platform : Platform
+    clock : Clock
+    trail : AuditTrail
+    secrets : Secrets
     """
 
     me: object
     view: object
     platform: object
+    clock: object
+    trail: object
+    secrets: object
 
     def __call__(self, environ, start_response):
         """Serve one call of an operator."""
+        if not self.secrets.admits(environ.get("HTTP_AUTHORIZATION")):
+            self.trail.stranger(_change(environ, environ["PATH_INFO"][:100], "", 0))
+            message = "the operator secret is missing or wrong"
+            return json_reply(start_response, 401, {"error": message})
+        try:
+            status, payload = self._serve(environ)
+        except _RefusedCallError as error:
+            status, payload = error.reply
+        return json_reply(start_response, status, payload)
+
+    def _serve(self, environ):
         parts = environ["PATH_INFO"].strip("/").split("/")[1:]
-        query = urllib.parse.parse_qs(environ.get("QUERY_STRING", ""))
+        query = {
+            key: values[0]
+            for key, values in urllib.parse.parse_qs(
+                environ.get("QUERY_STRING", "")
+            ).items()
+        }
         method = environ["REQUEST_METHOD"]
-        if parts[0] == "status" and method == "GET":
-            return json_reply(start_response, 200, self._status())
-        if parts[0] == "explain" and method == "GET" and len(parts) == 3:
-            key = query.get("key", [""])[0]
-            return json_reply(start_response, *self._explain(parts[1], parts[2], key))
+        if method == "GET" and parts == ["status"]:
+            return 200, self._status()
+        if method == "GET" and parts == ["audit"]:
+            return self._audit(query)
+        if method == "GET" and parts[0] == "explain" and len(parts) == 3:
+            return self._explain(parts[1], parts[2], query.get("key", ""))
+        if method == "POST" and parts == ["check"]:
+            return self._check(_json_body(environ))
         if parts[0] == "objects" and len(parts) in (2, 3):
-            reply = self._objects(method, parts[1:], query, environ)
-            return json_reply(start_response, *reply)
-        return json_reply(start_response, 404, {"error": "no such operation"})
+            return self._objects(method, parts[1:], query, environ)
+        return 404, {"error": "no such operation"}
 
     def _objects(self, method, names, query, environ):
         if method == "GET" and len(names) == 1:
             return _reply(self.platform.list(names[0]))
         if method == "GET":
             return _reply(self.platform.get(*names))
-        actor = environ.get("HTTP_TARRAGON_ACTOR", "unknown")
-        version = int(query.get("version", ["0"])[0])
-        if method == "DELETE":
-            return self._change("delete", names, None, version, actor)
-        if method != "PUT" or len(names) != 2:
+        if method not in ("PUT", "DELETE") or len(names) != 2:
             return 405, {"error": "use GET, PUT or DELETE"}
-        spec = json.loads(environ["wsgi.input"].read())
-        faults = check_declaration(names[0], names[1], spec, self.view)
+        change = _change(environ, *names, _number(query.get("version", "0"), "version"))
+        if method == "DELETE":
+            return self._delete(change)
+        return self._put(change, _json_body(environ), query)
+
+    def _check(self, documents):
+        """Check declarations together, before the first one is written."""
+        if not isinstance(documents, list) or len(documents) > MAX_DOCUMENTS:
+            message = f"expected a list of at most {MAX_DOCUMENTS} documents"
+            return 400, {"error": message}
+        declarations = [_declaration(item) for item in documents]
+        found = check_declarations(declarations, self._declared())
+        faults = [
+            {"index": i, "path": fault.path, "message": fault.message}
+            for i, fault in found
+        ]
+        return 200, {"faults": faults}
+
+    def _put(self, change, spec, query):
+        faults = self._put_faults(change, spec, query)
         if faults:
+            self.trail.refused(change, faults[0])
             return 400, {"error": "declaration refused", "faults": faults}
-        return self._change("apply", names, spec, version, actor)
+        spec = {**spec, "request_id": change.change_id}
+        if change.kind == KIND_FAILURE_DOMAIN:
+            spec["changed_by"] = change.actor
+        return self._write(change, spec)
+
+    def _put_faults(self, change, spec, query):
+        declaration = _declaration(
+            {"kind": change.kind, "name": change.name, "spec": spec}
+        )
+        found = check_declarations([declaration], self._declared())
+        faults = [str(fault) for _, fault in found]
+        if not faults and change.kind == KIND_FAILURE_DOMAIN:
+            faults = self._domain_faults(change.name, spec, query)
+        return faults
 
-    def _change(self, action, names, spec, version, actor):
-        """Change an object between two entries of the audit trail.
+    def _domain_faults(self, name, spec, query):
+        state = spec.get("state", "in")
+        if state != "in" and name not in self._domains():
+            known = ", ".join(sorted(self._domains())) or "none"
+            return [f"name: no daemon or backend server is in {name!r}; known: {known}"]
+        if state == LOST and query.get("confirm") != name:
+            return [
+                f"spec.state: 'lost' says that no process runs in {name} any more; if "
+                "one does, keys get two owners. Declare it by "
+                f"'tarragonramp domain declare-lost {name} --confirm {name}'"
+            ]
+        return []
 
-        The first is written before the change, so that no change is without one.
+    def _delete(self, change):
+        found = check_deletion(change.kind, change.name, self._declared())
+        if found:
+            faults = [str(fault) for fault in found]
+            self.trail.refused(change, faults[0])
+            return 400, {"error": "deletion refused", "faults": faults}
+        if change.kind == KIND_TEAM and self._has_assignments(change.name):
+            return self._withdraw(change)
+        return self._write(change, None)
+
+    def _withdraw(self, change):
+        """Begin to delete a team whose keys may have owners.
+
+        The planner takes its keys from their owners, each with proof, and deletes
+        the team after the last one. Deleted at once, the servers would go on as
+        owners, and a team declared anew could give their keys to others.
         """
-        entry = {
-            "at_ms": int(time.time() * 1000),
-            "actor": actor,
-            "action": action,
-            "kind": names[0],
-            "name": names[1],
-            "before_version": version,
-            "daemon": self.me.identity,
-            "outcome": "begun",
-        }
-        entry_name = f"{entry['at_ms']}-{uuid.uuid4().hex[:8]}"
-        begun = self.platform.put(KIND_AUDIT_ENTRY, entry_name, entry, 0)
+        held = self.platform.get(KIND_TEAM, change.name)
+        if not is_successful(held):
+            return _reply(held)
+        spec = {**held.unwrap().spec, "leaving": True, "request_id": change.change_id}
+        return self._write(change, spec)
+
+    def _write(self, change, spec):
+        """Change an object between two writes of its audit entry."""
+        begun = self.trail.begin(change)
         if not is_successful(begun):
-            return 503, {"error": f"audit trail not written: {begun.failure()}"}
-        if spec is None:
-            result = self.platform.delete(*names, version)
-        else:
-            result = self.platform.put(*names, spec, version)
-        status, payload = _reply(result)
-        entry["outcome"] = "done" if status == 200 else payload["error"]
-        self.platform.put(KIND_AUDIT_ENTRY, entry_name, entry, begun.unwrap().version)
-        if status == 200:
+            message = f"nothing changed: audit trail not written: {begun.failure()}"
+            return 503, {"error": message}
+        result = self._change_surely(change, spec)
+        status, payload = _reply(result, changes=True)
+        after_version = 0
+        if status == 200 and result.unwrap() is not None:
+            after_version = result.unwrap().version
             self.view.apply(result.unwrap())
+        outcome = _OUTCOMES.get(status, audit.NOT_DONE)
+        detail = "" if status == 200 else payload["error"]
+        self.trail.finish(begun.unwrap(), outcome, detail, after_version)
         return status, payload
 
-    def _status(self):
-        services = []
-        for (team, name), service in sorted(self.view.services().items()):
-            assignment = self.view.assignment(team, name)
-            owned = 0
-            if assignment is not None:
-                owned = sum(1 for item in assignment.slices if item.state == OWNED)
-            services.append(
-                {
-                    "team": team,
-                    "service": name,
-                    "divided": service.divided,
-                    "slices": service.n_slices if service.divided else 0,
-                    "owned": owned,
-                    "servers": len(self.view.servers_of(team, name)),
-                }
+    def _change_surely(self, change, spec) -> Result:
+        until_ms = self.clock.now_ms() + CHANGE_MS
+        if spec is None:
+            return delete_surely(
+                self.platform,
+                self.clock,
+                change.kind,
+                change.name,
+                change.before_version,
+                until_ms,
             )
+        stored = Stored(change.kind, change.name, change.before_version, spec)
+        return put_surely(self.platform, self.clock, stored, until_ms)
+
+    def _declared(self):
+        """Return what the platform holds now: the view may lag."""
+        templates = self._listed(KIND_TEMPLATE)
+        teams = self._listed(KIND_TEAM)
+        assigned = {
+            (item.team, item.service): len(item.slices)
+            for item in self.view.all_of(KIND_ASSIGNMENT).values()
+        }
+        return Declared(
+            _structured(templates, Template), _structured(teams, Team), assigned
+        )
+
+    def _listed(self, kind):
+        found = self.platform.list(kind)
+        if not is_successful(found):
+            raise _RefusedCallError(503, f"nothing changed: {found.failure()}")
+        return found.unwrap()
+
+    def _has_assignments(self, team):
+        found = [
+            item
+            for item in self.view.all_of(KIND_ASSIGNMENT).values()
+            if item.team == team
+        ]
+        divided = any(
+            service.divided
+            for (name, _), service in self.view.services().items()
+            if name == team
+        )
+        return bool(found) or divided
+
+    def _domains(self):
+        found = {member.failure_domain for member in self.view.members().values()}
+        return found | {vm.failure_domain for vm in self.view.vms.values()}
+
+    def _audit(self, query):
+        limit = _number(query.get("limit", str(AUDIT_ENTRIES)), "limit")
+        result = self.trail.entries(min(limit, MAX_AUDIT_ENTRIES))
+        if not is_successful(result):
+            return _reply(result)
+        entries = result.unwrap()
+        for entry in entries:
+            if entry["outcome"] == audit.BEGUN:
+                entry["detail"] = self._outcome_of(entry)
+        return 200, {"items": entries}
+
+    def _outcome_of(self, entry):
+        """Say what can be said about a change whose outcome was not recorded."""
+        found = self.platform.get(entry["kind"], entry["name"])
+        if not is_successful(found):
+            return "outcome not recorded; the object is not there or not read"
+        if found.unwrap().spec.get("request_id") == entry["change_id"]:
+            return "outcome not recorded; the change is in the object now"
+        return f"outcome not recorded; object is at version {found.unwrap().version}"
+
+    def _status(self):
+        intended, statuses, reached = self._intended()
+        domains = [
+            self._domain_row(name, statuses.get(name), intended)
+            for name in sorted(self._domains() | set(statuses))
+        ]
         return {
             "daemon": self.me.identity,
             "view_version": self.view.version,
+            "platform_reached": reached,
+            "intended_version": intended,
             "members": sorted(self.view.members()),
-            "services": services,
+            "failure_domains": domains,
+            "services": [
+                self._service_row(team, service)
+                for (team, _), service in sorted(self.view.services().items())
+            ],
+        }
+
+    def _intended(self):
+        """Return the newest configuration, Status specs, and if they are fresh."""
+        versions = [self.view.config_version]
+        reached = True
+        for kind in CONFIGURED_KINDS:
+            found = self.platform.list(kind)
+            reached = reached and is_successful(found)
+            versions += [item.version for item in found.value_or([])]
+            if not reached:
+                break
+        found = self.platform.list(KIND_STATUS) if reached else Success([])
+        statuses = self.view.all_of(KIND_STATUS)
+        statuses |= {item.name: item.spec for item in found.value_or([])}
+        return max(versions), statuses, reached
+
+    def _domain_row(self, name, status, intended):
+        order = self.view.get(KIND_FAILURE_DOMAIN, name) or FailureDomain()
+        version = status["version"] if status else 0
+        daemons = [
+            member.name
+            for member in self.view.members().values()
+            if member.failure_domain == name
+        ]
+        lagging = status["lagging"] if status else sorted(daemons)
+        if version < intended and not lagging:
+            lagging = [status["reporter"]] if status else []
+        return {
+            "failure_domain": name,
+            "order": order.state,
+            "daemons": len(daemons),
+            "in_force_version": version,
+            "in_force": version >= intended and not lagging,
+            "lagging": lagging,
+            "slices_owned": self._slices_in(name),
+        }
+
+    def _slices_in(self, failure_domain):
+        return sum(
+            1
+            for assignment in self.view.all_of(KIND_ASSIGNMENT).values()
+            for item in assignment.slices
+            if item.server in self.view.vms
+            and self.view.vms[item.server].failure_domain == failure_domain
+        )
+
+    def _service_row(self, team, service):
+        assignment = self.view.assignment(team, service.name)
+        slices = assignment.slices if assignment else ()
+        return {
+            "team": team,
+            "service": service.name,
+            "divided": service.divided,
+            "slices": service.n_slices if service.divided else 0,
+            "owned": sum(1 for item in slices if item.state == OWNED),
+            "releasing": sum(1 for item in slices if item.state == RELEASING),
+            "servers": len(self.view.servers_of(team, service.name)),
+            "leaving": self.view.leaving(team),
         }
 
     def _explain(self, team, name, key):
         service = self.view.services().get((team, name))
         if service is None or not service.divided:
-            return 404, {"error": "no such divided service"}
-        assignment = self.view.assignment(team, name)
+            known = sorted(
+                f"{t}/{s.name}"
+                for (t, _), s in self.view.services().items()
+                if s.divided
+            )
+            message = f"no such divided service; known: {', '.join(known) or 'none'}"
+            return 404, {"error": message}
+        assignment: Assignment = self.view.assignment(team, name)
         if assignment is None:
-            return 404, {"error": "no assignment yet"}
+            return 404, {"error": "no assignment yet: no planner has acted"}
         index = slice_of(key, service.n_slices)
         item = assignment.slices[index]
         term = self.view.term(steward_role(team, name, item.server))
+        vm = self.view.vms.get(item.server)
         return 200, {
             "key": key,
             "slice": index,
             "state": item.state,
             "owner": item.server,
             "fencing_token": item.token,
+            "owner_failure_domain": vm.failure_domain if vm else "",
+            "owner_address": vm.address if vm else "",
             "steward": term.holder if term else "",
             "steward_term": term.number if term else 0,
+            "assignment_version": self.view.version_of(
+                KIND_ASSIGNMENT, assignment_name(team, name)
+            ),
+            "why": _why(item, vm, self.view),
         }
 
 
-def _reply(result):
+_OUTCOMES = {200: audit.DONE, 409: audit.CONFLICT, 504: audit.UNKNOWN}
+
+
+def _why(item, vm, view):
+    if item.state == RELEASING:
+        return "moving: the old owner is not yet proved to have let go"
+    if item.state != OWNED:
+        return "no backend server can take it now"
+    if vm is None:
+        return "owned by a server that is not listed any more; about to move"
+    if not view.domain_in(vm.failure_domain):
+        return "owned in a failure domain that was taken out; about to move"
+    return "owned: callers are sent to the owner"
+
+
+def _change(environ, kind, name, version):
+    actor = environ.get("HTTP_TARRAGON_ACTOR", "unknown")
+    actor = "".join(c for c in actor if c.isprintable())[:MAX_ACTOR]
+    return audit.Change(
+        actor=actor,
+        remote=environ.get("REMOTE_ADDR", ""),
+        action=environ["REQUEST_METHOD"].lower(),
+        kind=kind,
+        name=name,
+        before_version=version,
+        change_id=environ.get("HTTP_TARRAGON_REQUEST_ID") or uuid.uuid4().hex,
+    )
+
+
+def _declaration(raw):
+    kind = raw.get("kind") if isinstance(raw, dict) else None
+    if kind not in list(DECLARED_KINDS):
+        known = ", ".join(DECLARED_KINDS)
+        message = f"kind: {kind!r} cannot be declared; use one of {known}"
+        raise _RefusedCallError(400, "declaration refused", [message])
+    name, spec = raw.get("name"), raw.get("spec")
+    if not isinstance(name, str) or not isinstance(spec, dict):
+        message = "expected name (text) and spec (mapping)"
+        raise _RefusedCallError(400, "declaration refused", [message])
+    return Declaration(kind, name, spec)
+
+
+def _structured(items, wanted):
+    found = {item.name: structure(item.spec, wanted) for item in items}
+    return {n: item.unwrap() for n, item in found.items() if is_successful(item)}
+
+
+def _json_body(environ):
+    length = _number(environ.get("CONTENT_LENGTH") or "0", "Content-Length")
+    if length > MAX_BODY_BYTES:
+        raise _RefusedCallError(413, f"longer than {MAX_BODY_BYTES} bytes")
+    try:
+        return json.loads(environ["wsgi.input"].read(length))
+    except ValueError as error:
+        raise _RefusedCallError(400, f"the body is not JSON: {error}") from error
+
+
+def _number(text, what):
+    if not text.isascii() or not text.isdigit():
+        raise _RefusedCallError(400, f"{what}: {text!r} is not a whole number")
+    return int(text)
+
+
+def _reply(result, changes=False):
+    """Return status and payload of a platform result.
+
+    Parameters
+    ----------
+    result : Result
+    changes : bool, default=False
+        Whether the call would have changed something: without an answer, nobody
+        can say whether it has.
+    """
     if is_successful(result):
         value = result.unwrap()
         if isinstance(value, list):
             return 200, {"items": [attrs.asdict(item) for item in value]}
-        return 200, attrs.asdict(value)
-    error = result.failure()
+        return 200, {} if value is None else attrs.asdict(value)
+    error: PlatformError = result.failure()
     if isinstance(error, NotFoundError):
-        return 404, {"error": str(error)}
+        return 404, {"error": "no such object"}
     if isinstance(error, ConflictError):
         current = attrs.asdict(error.current) if error.current else None
         return 409, {"error": str(error), "current": current}
-    return 503, {"error": str(error)}
+    not_sent = isinstance(error, PlatformNotSentError)
+    if not_sent or (isinstance(error, PlatformUnreachableError) and not changes):
+        return 503, {"error": f"platform not reached, nothing changed: {error}"}
+    if isinstance(error, PlatformUnreachableError):
+        return 504, {"error": f"outcome unknown: {error}"}
+    return 500, {"error": str(error)}
--- a/src/tarragonramp/roles/planner.py
+++ b/src/tarragonramp/roles/planner.py
@@ -9,7 +9,7 @@
 
 from ..adapters.logs import log_event
 from ..errors import ConflictError
-from ..model import KIND_ASSIGNMENT, KIND_TEAM, RELEASING, SILENT, UP
+from ..model import KIND_ASSIGNMENT, KIND_TEAM, RELEASING, SILENT, UNOWNED, UP
 from ..placement import ServerView, initial_assignment, next_slices
 from ..view import assignment_name, planner_role, steward_role
 
@@ -68,6 +68,9 @@
             for (team, _), service in list(self.view.services().items()):
                 if service.divided and self.keeper.may_act(planner_role(team)):
                     busy |= self._plan(team, service)
+            for team in self.view.all_of(KIND_TEAM):
+                if self.view.leaving(team) and self.keeper.may_act(planner_role(team)):
+                    self._finish_deletion(team)
             wait_ms = self.timing.planning_ms if busy else RETRY_MS
             self._changed.wait(wait_ms / 1000.0)
 
@@ -76,6 +79,8 @@
         name = assignment_name(team, service.name)
         version = self.view.version_of(KIND_ASSIGNMENT, name)
         assignment = self.view.assignment(team, service.name)
+        if assignment is None and self.view.leaving(team):
+            return False
         if assignment is None:
             assignment = initial_assignment(team, service.name, service.n_slices)
         servers = self._servers(team, service)
@@ -85,6 +90,26 @@
             self._write(name, attrs.evolve(assignment, slices=slices), version)
         return any(item.state == RELEASING for item in slices)
 
+    def _finish_deletion(self, team):
+        """Delete a leaving team once nobody owns any of its keys.
+
+        The assignments stay, without owners: a team declared anew under the name
+        goes on with higher fencing tokens, so that servers can still tell old from
+        new.
+        """
+        for (name, _), service in self.view.services().items():
+            if name != team or not service.divided:
+                continue
+            assignment = self.view.assignment(team, service.name)
+            slices = assignment.slices if assignment else ()
+            if any(item.state != UNOWNED for item in slices):
+                return
+        version = self.view.version_of(KIND_TEAM, team)
+        result = self.platform.delete(KIND_TEAM, team, version)
+        if is_successful(result):
+            self.view.apply(result.unwrap())
+        log_event("team-deleted", team=team, done=is_successful(result))
+
     def _servers(self, team, service):
         weights = self.view.get(KIND_TEAM, team).domain_weights
         views = {}
@@ -92,6 +117,7 @@
             report = self._reports.get((team, service.name, name))
             weight = weights.get(vm.failure_domain, 1.0)
             leaves = vm.state != "live" or not self.view.domain_in(vm.failure_domain)
+            leaves = leaves or self.view.leaving(team)
             views[name] = ServerView(
                 name=name,
                 weight=0.0 if leaves else weight,
@@ -120,6 +146,10 @@
         if server not in assignment.stewards:
             # No steward ever was registered for it, so nothing was ever granted.
             return indexes
+        vm = self.view.vms.get(server)
+        if vm is not None and self.view.domain_lost(vm.failure_domain):
+            # An operator's word that nothing runs there any more.
+            return indexes
         role = steward_role(assignment.team, assignment.service, server)
         term = self.view.term(role)
         member = self.view.member_of(term.holder) if term else None
--- a/src/tarragonramp/view.py
+++ b/src/tarragonramp/view.py
@@ -5,12 +5,15 @@
 from returns.pipeline import is_successful
 
 from .model import (
+    IN,
     KIND_ASSIGNMENT,
+    KIND_AUDIT_ENTRY,
     KIND_FAILURE_DOMAIN,
     KIND_MEMBER,
     KIND_TEAM,
     KIND_TEMPLATE,
     KIND_TERM,
+    LOST,
     Assignment,
     FailureDomain,
     Member,
@@ -22,6 +25,12 @@
 
 __all__ = ["View", "assignment_name", "planner_role", "steward_role"]
 
+CONFIGURED_KINDS = (KIND_TEMPLATE, KIND_TEAM, KIND_FAILURE_DOMAIN)
+"""Kinds that operators declare: their newest version is the configuration's."""
+
+UNVIEWED_KINDS = (KIND_AUDIT_ENTRY,)
+"""Kinds that no role acts on; daemons do not keep them."""
+
 _CONVERTER = cattrs.Converter(forbid_extra_keys=True)
 _TYPES = {
     KIND_TEMPLATE: Template,
@@ -56,6 +65,7 @@
     """
 
     version: int = 0
+    config_version: int = 0
     vms: dict = attrs.Factory(dict)
     _stored: dict = attrs.Factory(dict)
     _typed: dict = attrs.Factory(dict)
@@ -79,12 +89,16 @@
         newer : bool
             False if it was dropped.
         """
+        if stored.kind in UNVIEWED_KINDS:
+            return False
         key = (stored.kind, stored.name)
         held = self._stored.get(key)
         if held is not None and held.version >= stored.version:
             return False
         self._stored[key] = stored
         self._typed.pop(key, None)
+        if stored.kind in CONFIGURED_KINDS:
+            self.config_version = max(self.config_version, stored.version)
         if stored.kind in (KIND_TEMPLATE, KIND_TEAM):
             self._expand_teams()
         for listener in self._listeners:
@@ -149,7 +163,17 @@
     def domain_in(self, failure_domain):
         """Tell whether a failure domain takes new work."""
         order = self.get(KIND_FAILURE_DOMAIN, failure_domain)
-        return order is None or order.state == "in"
+        return order is None or order.state == IN
+
+    def domain_lost(self, failure_domain):
+        """Tell whether an operator declared that nothing runs there any more."""
+        order = self.get(KIND_FAILURE_DOMAIN, failure_domain)
+        return order is not None and order.state == LOST
+
+    def leaving(self, team):
+        """Tell whether a team is being deleted."""
+        declared = self.get(KIND_TEAM, team)
+        return declared is not None and declared.leaving
 
     def services(self):
         """Return a dict of (team, service name) to Service."""
@@ -185,7 +209,11 @@
                 services[name, service.name] = service
         self._services = services
         self._prefixes = sorted(
-            ((s.path_prefix, team, s) for (team, _), s in services.items()),
+            (
+                (s.path_prefix, team, s)
+                for (team, _), s in services.items()
+                if not self.leaving(team)
+            ),
             key=lambda item: -len(item[0]),
         )
 
--- a/standins/site.py
+++ b/standins/site.py
@@ -121,6 +121,7 @@
             "control_address": free_address(),
             "peer_address": free_address(),
             "platform_address": self.platform_address,
+            "security": {"insecure": True},
             **settings,
         }
         self.settings[spec.name] = written
--- /dev/null
+++ b/tests/test_declarations.py
@@ -0,0 +1,216 @@
+"""Declarations: what operators may ask for, and what would harm keys."""
+
+import copy
+import unittest
+
+from returns.pipeline import is_successful
+
+from tarragonramp.declarations import (
+    Declaration,
+    Declared,
+    check_declarations,
+    check_deletion,
+    declarations_of,
+    read_declarations,
+)
+from tarragonramp.documents import read_documents
+from tarragonramp.model import Team, Template
+from tarragonramp.structuring import structure
+
+TEMPLATE = {
+    "parameters": {
+        "slices": {"type": "integer", "default": 64},
+        "path": {"default": "/records"},
+    },
+    "services": [
+        {
+            "name": "records",
+            "path_prefix": "${path}",
+            "divided_by": {"source": "header", "name": "X-Record"},
+            "n_slices": "${slices}",
+        }
+    ],
+}
+
+
+def template(**changes):
+    """Return the template with fields of its service changed."""
+    spec = copy.deepcopy(TEMPLATE)
+    spec["services"][0].update(changes)
+    return Declaration("Template", "desk", spec)
+
+
+def team(name="valley", **parameters):
+    """Return a team of that template."""
+    return Declaration("Team", name, {"template": "desk", "parameters": parameters})
+
+
+def declared(*declarations, assigned=()):
+    """Return what is declared already."""
+    found = {"Template": {}, "Team": {}}
+    for item in declarations:
+        wanted = Template if item.kind == "Template" else Team
+        found[item.kind][item.name] = structure(item.spec, wanted).unwrap()
+    return Declared(found["Template"], found["Team"], dict(assigned))
+
+
+def faults_of(declarations, before=None):
+    """Return faults as texts."""
+    before = before or Declared()
+    return [str(fault) for _, fault in check_declarations(declarations, before)]
+
+
+class DeclarationsTest(unittest.TestCase):
+    """Checks of templates and teams."""
+
+    def assert_one(self, expected, faults):
+        """Check that there is one fault, and its text."""
+        self.assertEqual(len(faults), 1, faults)
+        self.assertIn(expected, faults[0])
+
+    def test_both_users_files_are_taken(self):
+        for file in ("demo/fraser-valley.yaml", "demo/cooperative.yaml"):
+            self.assertEqual(faults_of(read_declarations(file).unwrap()), [])
+
+    def test_documents_without_their_parts_are_refused_with_lines(self):
+        text = "kind: Team\nspec: 3\n---\n- a\n---\nkind: Pod\nname: 3\nspec: {}\n"
+        documents = read_documents(text, "f").unwrap()
+        faults = declarations_of(documents).failure().faults
+        self.assertEqual(faults[0], "f:1: name: missing")
+        self.assertEqual(faults[1], "f:2: spec: 3: expected a mapping")
+        self.assertIn("f:4: expected a mapping with kind", faults[2])
+        self.assertIn("f:6: kind: 'Pod' cannot be declared", faults[3])
+        self.assertEqual(faults[4], "f:7: name: 3: expected text")
+
+    def test_what_a_service_may_not_say(self):
+        divisor = {"source": "header", "name": "X-Record"}
+        cases = {
+            "spec.services[0].n_slices": {"n_slices": 0},
+            "spec.services[0].n_slices: True": {"n_slices": True},
+            "spec.services[0].slots_per_server: '4'": {"slots_per_server": "4"},
+            "spec.services[0].slots": {"slots": 4},
+            "spec.services[0].path_prefix": {"path_prefix": "records"},
+            "3 renewals have to fit": {"renewal_ms": 500},
+            "more than slots_per_server": {"cold_slots_per_server": 9},
+            "fewer than slots_per_server": {"connections_per_server": 2},
+            "divided_by.source": {"divided_by": {"source": "cookie"}},
+            "not the callers' to set": {"divided_by": divisor | {"name": "Host"}},
+            "header is not": {"divided_by": divisor | {"name": "Tarragon-Token"}},
+            "not the name of a header": {"divided_by": divisor | {"name": "A B"}},
+            "the part's number": {"divided_by": {"source": "path", "name": "job"}},
+            "divided_by.name: missing": {"divided_by": {"source": "query"}},
+            "only together with": {"divided_by": {"name": "x"}},
+            "no parameter named 'nope'": {"n_slices": "${nope}"},
+            "classes[0].methods: 'get'": {
+                "classes": [{"name": "a", "methods": ["get"]}]
+            },
+            "classes[0].methods: 'GET'": {"classes": [{"name": "a", "methods": "GET"}]},
+            "methods: expected at": {"classes": [{"name": "a", "methods": []}]},
+            "deadline_ms: 5": {"classes": [{"name": "a", "deadline_ms": 5}]},
+            "never used": {"classes": [{"name": "a"}, {"name": "b"}]},
+            "another class has it": {"classes": [{"name": "a"}, {"name": "a"}]},
+        }
+        for expected, changes in cases.items():
+            self.assert_one(expected, faults_of([template(**changes)]))
+
+    def test_parameters_are_checked_by_type(self):
+        before = declared(template())
+        self.assertEqual(faults_of([team(slices=32)], before), [])
+        self.assert_one("type integer", faults_of([team(slices=True)], before))
+        self.assert_one("type integer", faults_of([team(slices="32")], before))
+        self.assert_one("no such parameter", faults_of([team(slcies=3)], before))
+        self.assert_one("spec.services[0].n_sl", faults_of([team(slices=0)], before))
+        needed = template()
+        needed.spec["parameters"]["slices"] = {"type": "integer"}
+        self.assertEqual(faults_of([needed]), [])
+        self.assert_one("required, not given", faults_of([needed, team()]))
+
+    def test_weights_are_checked(self):
+        before = declared(template())
+        heavy = team()
+        heavy.spec["domain_weights"] = {"a": -1.0}
+        self.assert_one("spec.domain_weights", faults_of([heavy], before))
+        heavy.spec["domain_weights"] = {"a": 0, "b": 0}
+        self.assert_one("at least one", faults_of([heavy], before))
+
+    def test_fields_of_the_system_cannot_be_declared(self):
+        own = team()
+        own.spec["leaving"] = True
+        self.assert_one("leave it out", faults_of([own], declared(template())))
+
+    def test_a_template_and_its_team_may_come_together(self):
+        self.assertEqual(faults_of([team(), template()]), [])
+        self.assert_one("no template named", faults_of([team()]))
+        self.assert_one("twice", faults_of([template(), template()]))
+
+    def test_two_teams_cannot_claim_one_path(self):
+        """A second team's file copies the first one's path.
+
+        Callers of the first team would reach the second team's servers.
+        """
+        before = declared(template(), team())
+        self.assert_one("claimed by team valley", faults_of([team("coop")], before))
+        self.assertEqual(faults_of([team("coop", path="/jobs")], before), [])
+        slash = team("coop", path="/records/")
+        self.assert_one("claimed by team valley", faults_of([slash], before))
+        both = [team("a1"), team("b1")]
+        self.assertEqual(len(faults_of(both, declared(template()))), 2)
+
+    def test_a_change_that_rehashes_keys_is_refused(self):
+        """The number of slices of a service in use is changed.
+
+        Until the last daemon has the change, two daemons send one key to two
+        servers, each the owner of another slice: a claim could run on both.
+        """
+        before = declared(template(), team())
+        self.assert_one("n_slices cannot", faults_of([team(slices=128)], before))
+        changed = template(n_slices=128)
+        self.assert_one("team valley: service rec", faults_of([changed], before))
+        other = template(divided_by={"source": "query", "name": "r"})
+        self.assert_one("divided_by cannot change", faults_of([other], before))
+        self.assert_one("grant_ms", faults_of([template(grant_ms=5000)], before))
+        renamed = template(name="other")
+        self.assert_one("its keys have owners", faults_of([renamed], before))
+        self.assertEqual(faults_of([template(slots_per_server=9)], before), [])
+
+    def test_a_shared_service_cannot_become_divided(self):
+        shared = template(divided_by={"source": "none"})
+        before = declared(shared, team())
+        self.assert_one("cannot become divided", faults_of([template()], before))
+
+    def test_a_team_declared_anew_keeps_the_slices_it_had(self):
+        before = declared(template(), assigned={("valley", "records"): 64})
+        self.assertEqual(faults_of([team()], before), [])
+        self.assert_one("in 64 slices", faults_of([team(slices=32)], before))
+
+    def test_a_template_in_use_cannot_be_deleted(self):
+        before = declared(template(), team())
+        found = check_deletion("Template", "desk", before)
+        self.assertIn("in use by valley", str(found[0]))
+        self.assertEqual(check_deletion("Template", "other", before), [])
+        self.assertEqual(check_deletion("Team", "valley", before), [])
+        self.assertTrue(check_deletion("Assignment", "valley.records", before))
+
+    def test_a_change_of_template_is_checked_with_every_team(self):
+        before = declared(template(), team(slices=64))
+        smaller = template()
+        del smaller.spec["parameters"]["slices"]
+        smaller.spec["services"][0]["n_slices"] = 64
+        faults = faults_of([smaller], before)
+        self.assert_one("team valley: parameters.slices", faults)
+
+
+class FilesTest(unittest.TestCase):
+    """Places of faults in files."""
+
+    def test_a_fault_is_located_by_line(self):
+        text = "kind: Template\nname: t\nspec:\n  services:\n  - name: a\n    x: 1\n"
+        documents = read_documents(text, "f").unwrap()
+        declarations = declarations_of(documents).unwrap()
+        found = check_declarations(declarations, Declared())
+        places = [declarations[i].locate(fault) for i, fault in found]
+        self.assertIn("f:6: spec.services[0].x: no such field", places[0])
+        self.assertIn("f:5: spec.services[0].path_prefix: missing", places[1])
+
+    def test_a_file_that_cannot_be_read_is_a_failure(self):
+        self.assertFalse(is_successful(read_declarations("/nonexistent.yaml")))
