--- a/src/tarragonramp/daemon.py
+++ b/src/tarragonramp/daemon.py
@@ -111,6 +111,7 @@
                 me,
                 view,
                 platform,
+                HttpPools(),
                 clock,
                 AuditTrail(me, platform, clock, settings.audit.keep_entries),
                 operator_secrets,
--- a/src/tarragonramp/roles/operators.py
+++ b/src/tarragonramp/roles/operators.py
@@ -1,10 +1,12 @@
 """What operators ask a daemon: changes, each with its audit entry, and answers."""
 
 import json
+import random
 import urllib.parse
 import uuid
 
 import attrs
+import gevent
 from returns.pipeline import is_successful
 from returns.result import Result, Success
 
@@ -52,6 +54,8 @@
 AUDIT_ENTRIES = 50
 CHANGE_MS = 5000
 MAX_ACTOR = 64
+ASKED_PER_DOMAIN = 3
+ASK_MS = 500
 
 
 class _RefusedCallError(Exception):
@@ -71,6 +75,8 @@
     me : Member
     view : View
     platform : Platform
+    pools : HttpPools
+        To ask daemons of other failure domains whether they are there.
     clock : Clock
     trail : AuditTrail
     secrets : Secrets
@@ -79,6 +85,7 @@
     me: object
     view: object
     platform: object
+    pools: object
     clock: object
     trail: object
     secrets: object
@@ -285,9 +292,12 @@
 
     def _status(self):
         intended, statuses, reached = self._intended()
+        names = sorted(self._domains() | set(statuses))
+        asked = [gevent.spawn(self._answers, name) for name in names]
+        gevent.joinall(asked)
         domains = [
-            self._domain_row(name, statuses.get(name), intended)
-            for name in sorted(self._domains() | set(statuses))
+            self._domain_row(name, statuses.get(name), intended) | {"answers": t.value}
+            for name, t in zip(names, asked, strict=True)
         ]
         return {
             "daemon": self.me.identity,
@@ -317,6 +327,24 @@
         statuses |= {item.name: item.spec for item in found.value_or([])}
         return max(versions), statuses, reached
 
+    def _answers(self, failure_domain):
+        """Tell whether a daemon of a failure domain answers this one.
+
+        A Status stays as it was when the whole failure domain is lost or cut off:
+        nobody is left there to write a new one.
+        """
+        members = [
+            member
+            for member in self.view.members().values()
+            if member.failure_domain == failure_domain
+        ]
+        for member in random.sample(members, min(len(members), ASKED_PER_DOMAIN)):
+            pool = self.pools.at(member.control_address)
+            result = pool.exchange("GET", "/healthy", (), b"", ASK_MS)
+            if is_successful(result) and result.unwrap().status == 200:
+                return True
+        return False
+
     def _domain_row(self, name, status, intended):
         order = self.view.get(KIND_FAILURE_DOMAIN, name) or FailureDomain()
         version = status["version"] if status else 0
