--- a/src/tarragonramp/adapters/peers.py
+++ b/src/tarragonramp/adapters/peers.py
@@ -15,7 +15,7 @@
 
 PING_TARGET = "/peer/ping"
 MAX_WORKERS = 16
-GRPC_FRAME_BYTES = 5
+GRPC_OVERHEAD_BYTES = 60
 
 
 @attrs.frozen
@@ -161,8 +161,8 @@
 
 
 def message_bytes(message):
-    """Return the length of a gRPC message with its frame."""
-    return message.ByteSize() + GRPC_FRAME_BYTES
+    """Return what a gRPC message takes on the wire, headers and frames with it."""
+    return message.ByteSize() + GRPC_OVERHEAD_BYTES
 
 
 def _ping_answer(answer):
--- a/src/tarragonramp/meters.py
+++ b/src/tarragonramp/meters.py
@@ -126,9 +126,8 @@
     Parameters
     ----------
     messages, bytes : dict of (str, str) to int
-        Keys are kind and ``"in"`` or ``"out"``. Bytes are those of HTTP messages and
-        of gRPC's payloads with their five bytes of frame, without TCP's and HTTP/2's
-        own.
+        Keys are kind and ``"in"`` or ``"out"``. Bytes are counted above TCP; for gRPC
+        they are the payload and a measured constant.
     """
 
     messages: dict = attrs.Factory(dict)
