Bench for capacity: daemons, servers, VMs and slices in steps

One backend stand-in process may stand for many servers, and the platform's stand-in counts the bytes it sends and the watches that wait.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: demo test lint format
+.PHONY: capacity demo test lint format
 
 $(VENV)/.installed: pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -12,6 +12,9 @@
 demo: $(VENV)/.installed
 	$(BIN)/python -m demo.run
 
+capacity: $(VENV)/.installed
+	$(BIN)/python -m bench.capacity
+
 test: $(VENV)/.installed
 	$(BIN)/python -m tests.run
 
--- /dev/null
+++ b/bench/capacity_fleet.py
@@ -0,0 +1,252 @@
+"""What real daemons cost: processor time, memory, calls to the platform, bytes."""
+
+import contextlib
+import json
+import shutil
+import socket
+import time
+
+import gevent
+import psutil
+
+from standins.load import Call, Load
+from standins.site import Backend, DaemonSpec, Site
+from tarragonramp.adapters.http import HttpPool, split_address
+
+__all__ = ["measure_entry", "measure_exchange_bytes", "measure_fleet"]
+
+SETTLE_S = 3.0
+IN_FORCE_LIMIT_S = 30.0
+TEAM = "sized"
+TEMPLATE = {
+    "parameters": {"note": {"type": "string", "default": "none"}},
+    "services": [
+        {
+            "name": "records",
+            "path_prefix": "/records",
+            "divided_by": {"source": "header", "name": "X-Key"},
+            "n_slices": 640,
+            "checks_grants": True,
+        },
+        {"name": "pages", "path_prefix": "/pages"},
+    ],
+}
+
+
+def measure_fleet(n_daemons, domains, window_s, n_servers, n_other_vms=0):
+    """Run daemons without callers and read what each one costs.
+
+    Parameters
+    ----------
+    n_daemons : int
+    domains : sequence of str
+        Failure domains, dealt out in turn.
+    window_s : float
+        How long is measured, once the fleet has settled.
+    n_servers : int
+        Backend servers of one divided service.
+    n_other_vms : int, default=0
+        VMs in the platform's list that serve none of the services.
+
+    Returns
+    -------
+    row : dict of str to int or float
+    """
+    with _site() as site:
+        began_s = time.monotonic()
+        specs = _start(site, n_daemons, domains, n_servers, n_other_vms)
+        up_s = time.monotonic() - began_s
+        starting = site.platform("calls")["calls"]
+        gevent.sleep(SETTLE_S)
+        usage = _usage(site, specs, window_s)
+        in_force_s = _in_force_s(site, specs)
+    n_calls = sum(starting.values())
+    return {
+        "daemons": n_daemons,
+        "servers": n_servers,
+        "other VMs": n_other_vms,
+        "up s": up_s,
+        "calls to start": n_calls,
+        **usage,
+        "in force s": in_force_s,
+    }
+
+
+def measure_entry(duration_s=4.0):
+    """Saturate one entry with small requests to one shared service."""
+    with _site() as site:
+        _put(site, "Template", "sized", TEMPLATE)
+        _put(site, "Team", TEAM, {"template": "sized"})
+        site.start_daemon(DaemonSpec("d1", "a"))
+        backends = [
+            Backend(f"pages{i}", "a", TEAM, "pages", False, slots=64, work_ms=0.0)
+            for i in range(2)
+        ]
+        for backend in backends:
+            site.start_backend(backend)
+        site.wait_ready(["d1"])
+        gevent.sleep(2.0)
+        calls = [Call("page", "POST", lambda key: f"/pages/{key}", "", 500)]
+        load = Load([site.caller_address("d1")], calls, n_callers=32, pause_ms=0.0)
+        process = psutil.Process(site.processes["d1"].pid)
+        before_s, began_s = _cpu_s(process), time.monotonic()
+        load.run(duration_s)
+        used_s, lasted_s = _cpu_s(process) - before_s, time.monotonic() - began_s
+    well = sum(1 for outcome in load.outcomes if outcome.result == "well")
+    return {
+        "requests": len(load.outcomes),
+        "well": well,
+        "requests/s": len(load.outcomes) / lasted_s,
+        "core used %": 100 * used_s / lasted_s,
+        "CPU ms/request": 1000 * used_s / len(load.outcomes),
+    }
+
+
+def measure_exchange_bytes():
+    """Count the bytes of each small control exchange, HTTP framing included."""
+    with _site() as site:
+        site.start_daemon(DaemonSpec("d1", "a"))
+        site.start_backend(Backend("records1", "a", TEAM, "records"))
+        site.wait_ready(["d1"])
+        word = json.dumps({"identity": "entry-660#0123456789ab"}).encode()
+        control = site.settings["d1"]["control_address"]
+        grant = {
+            "term": 12,
+            "sequence": 345,
+            "boot_id": "0123456789ab",
+            "tokens": [[100, 53, 7]],
+            "until_ms": 1234567.891,
+        }
+        return [
+            _exchange_row("ping", control, "POST", "/peer/ping", word),
+            _exchange_row(
+                "probe", site.addresses["records1"], "GET", "/tarragon/clock", b""
+            ),
+            _exchange_row(
+                "grant of one range",
+                site.addresses["records1"],
+                "POST",
+                "/tarragon/grant",
+                json.dumps(grant).encode(),
+            ),
+        ]
+
+
+@contextlib.contextmanager
+def _site():
+    site = Site()
+    try:
+        site.start_platform()
+        yield site
+    finally:
+        site.stop()
+        shutil.rmtree(site.folder, ignore_errors=True)
+
+
+def _start(site, n_daemons, domains, n_servers, n_other_vms):
+    _put(site, "Template", "sized", TEMPLATE)
+    _put(site, "Team", TEAM, {"template": "sized"})
+    site.vms = [_other_vm(i, domains) for i in range(n_other_vms)]
+    backends = [
+        Backend(f"records{i}", domains[i % len(domains)], TEAM, "records")
+        for i in range(n_servers)
+    ]
+    site.start_backends(backends)
+    specs = [
+        DaemonSpec(f"entry-{i:03}", domains[i % len(domains)]) for i in range(n_daemons)
+    ]
+    for spec in specs:
+        site.start_daemon(spec)
+    site.wait_ready([spec.name for spec in specs])
+    present = {spec.failure_domain for spec in specs}
+    if all(backend.failure_domain in present for backend in backends):
+        site.wait_owned(specs[0].name, timeout_s=60.0)
+    return specs
+
+
+def _other_vm(index, domains):
+    return {
+        "name": f"other{index}",
+        "address": f"10.0.{index // 250}.{index % 250}:7000",
+        "failure_domain": domains[index % len(domains)],
+        "team": "elsewhere",
+        "service": "elsewhere",
+        "state": "live",
+    }
+
+
+def _usage(site, specs, window_s):
+    processes = [psutil.Process(site.processes[s.name].pid) for s in specs]
+    calls, began_s = site.platform("calls"), time.monotonic()
+    used_s = [_cpu_s(process) for process in processes]
+    gevent.sleep(window_s)
+    used_s = [_cpu_s(p) - u for p, u in zip(processes, used_s, strict=True)]
+    later, lasted_s = site.platform("calls"), time.monotonic() - began_s
+    rates = {
+        label: (count - calls["calls"].get(label, 0)) / lasted_s
+        for label, count in later["calls"].items()
+    }
+    sent = sum(later["sent_bytes"].values()) - sum(calls["sent_bytes"].values())
+    writes = sum(rate for label, rate in rates.items() if not label.startswith("GET"))
+    return {
+        "CPU % mean": 100 * sum(used_s) / len(used_s) / lasted_s,
+        "CPU % max": 100 * max(used_s) / lasted_s,
+        "RSS MB max": max(p.memory_info().rss for p in processes) / 1e6,
+        "VM lists/s": rates.get("GET vms", 0.0),
+        "watches/s": rates.get("GET watch", 0.0),
+        "waiting watches": later["waiting_watches"],
+        "object reads/s": rates.get("GET objects", 0.0),
+        "writes/s": writes,
+        "platform bytes/s/daemon": sent / lasted_s / len(specs),
+    }
+
+
+def _in_force_s(site, specs):
+    """Return how long a change of a team takes to reach the last daemon."""
+    spec = {"template": "sized", "parameters": {"note": "changed"}}
+    version = _get(site, "Team", TEAM)["version"]
+    written = _put(site, "Team", TEAM, spec, version)["version"]
+    began_s = time.monotonic()
+    behind = [spec.name for spec in specs]
+    while behind and time.monotonic() - began_s < IN_FORCE_LIMIT_S:
+        behind = [
+            name
+            for name in behind
+            if site.operator(name, "status")["view_version"] < written
+        ]
+    return time.monotonic() - began_s if not behind else float("inf")
+
+
+def _put(site, kind, name, spec, version=0):
+    target = f"/v1/objects/{kind}/{name}?version={version}"
+    body = json.dumps(spec).encode()
+    pool = HttpPool(site.platform_address)
+    return json.loads(pool.exchange("PUT", target, (), body, 2000).unwrap().body)
+
+
+def _get(site, kind, name):
+    pool = HttpPool(site.platform_address)
+    target = f"/v1/objects/{kind}/{name}"
+    return json.loads(pool.exchange("GET", target, (), b"", 2000).unwrap().body)
+
+
+def _exchange_row(label, address, method, target, body):
+    request = (
+        f"{method} {target} HTTP/1.1\r\nHost: {address}\r\n"
+        f"Content-Length: {len(body)}\r\n\r\n"
+    ).encode() + body
+    with socket.create_connection(split_address(address), timeout=2.0) as connection:
+        connection.sendall(request)
+        gevent.sleep(0.3)
+        answer = connection.recv(65_536)
+    return {
+        "exchange": label,
+        "request bytes": len(request),
+        "answer bytes": len(answer),
+        "both": len(request) + len(answer),
+    }
+
+
+def _cpu_s(process):
+    times = process.cpu_times()
+    return times.user + times.system
--- a/standins/backend.py
+++ b/standins/backend.py
@@ -1,6 +1,7 @@
 """A stand-in for a backend server that owns keys under fenced grants.
 
-It writes every execution to a log file, one JSON object a line.
+It writes every execution to a log file, one JSON object a line. One process may
+stand for many backend servers, each with an address of its own.
 """
 
 from gevent import monkey
@@ -162,18 +163,20 @@
 def main():
     """Run the stand-in until it is killed."""
     parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--address", required=True)
-    parser.add_argument("--name", required=True)
+    parser.add_argument("--address", required=True, nargs="+")
+    parser.add_argument("--name", required=True, nargs="+")
     parser.add_argument("--log", required=True)
     parser.add_argument("--divided", action="store_true")
     parser.add_argument("--slots", type=int, default=4)
     parser.add_argument("--work-ms", type=float, default=5.0)
     options = parser.parse_args()
     with open(options.log, "a", encoding="utf-8") as log:
-        server = BackendStandIn(
-            options.name, log, options.divided, options.slots, options.work_ms
-        )
-        WebServer(options.address, server).serve_forever()
+        for address, name in zip(options.address, options.name, strict=True):
+            server = BackendStandIn(
+                name, log, options.divided, options.slots, options.work_ms
+            )
+            WebServer(address, server).start()
+        gevent.get_hub().join()
 
 
 if __name__ == "__main__":
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -47,6 +47,8 @@
     objects: dict = attrs.Factory(dict)
     vms: list = attrs.Factory(list)
     calls: dict = attrs.Factory(dict)
+    sent_bytes: dict = attrs.Factory(dict)
+    waiting_watches: int = 0
     faults: Faults = attrs.Factory(Faults)
     _frozen: tuple = (0, {})
     _changed: Event = attrs.Factory(Event)
@@ -75,7 +77,9 @@
         if written and self.faults.lose_answers > 0:
             self.faults.lose_answers -= 1
             status, payload = 504, {"error": "answer lost"}
-        return json_reply(start_response, status, payload)
+        reply = json_reply(start_response, status, payload)
+        self.sent_bytes[label] = self.sent_bytes.get(label, 0) + len(reply[0])
+        return reply
 
     def _serve(self, method, path, query, body):
         if path[0] == "vms":
@@ -125,7 +129,9 @@
         changed = self._changed
         version, objects = self._shown()
         if version <= since and wait_ms > 0:
+            self.waiting_watches += 1
             changed.wait(wait_ms / 1000.0)
+            self.waiting_watches -= 1
             version, objects = self._shown()
         items = [i for i in objects.values() if i["version"] > since]
         return {"version": version, "items": sorted(items, key=_version)}
@@ -145,6 +151,8 @@
             "vms": self.vms,
             "faults": attrs.asdict(self.faults),
             "calls": self.calls,
+            "sent_bytes": self.sent_bytes,
+            "waiting_watches": self.waiting_watches,
         }
 
 
--- a/standins/site.py
+++ b/standins/site.py
@@ -87,25 +87,34 @@
 
     def start_backend(self, backend):
         """Start a backend server and list its VM."""
-        address = self.addresses.setdefault(backend.name, free_address())
-        self._backends[backend.name] = backend
-        arguments = ["-m", "standins.backend", "--address", address]
-        arguments += ["--name", backend.name, "--log", self.server_log(backend.name)]
-        arguments += ["--slots", str(backend.slots), "--work-ms", str(backend.work_ms)]
-        if backend.divided:
+        self.start_backends([backend])
+
+    def start_backends(self, backends):
+        """Start one process that stands for backend servers of one kind.
+
+        The first one's name is the process's, and its kind that of them all.
+        """
+        first, names = backends[0], [backend.name for backend in backends]
+        addresses = [self.addresses.setdefault(n, free_address()) for n in names]
+        arguments = ["-m", "standins.backend", "--address", *addresses]
+        arguments += ["--name", *names, "--log", self.server_log(first.name)]
+        arguments += ["--slots", str(first.slots), "--work-ms", str(first.work_ms)]
+        if first.divided:
             arguments.append("--divided")
-        self._spawn(backend.name, arguments)
-        self.vms = [vm for vm in self.vms if vm["name"] != backend.name]
-        self.vms.append(
-            {
-                "name": backend.name,
-                "address": address,
-                "failure_domain": backend.failure_domain,
-                "team": backend.team,
-                "service": backend.service,
-                "state": "live",
-            }
-        )
+        self._spawn(first.name, arguments)
+        self._backends[first.name] = first
+        self.vms = [vm for vm in self.vms if vm["name"] not in names]
+        for backend, address in zip(backends, addresses, strict=True):
+            self.vms.append(
+                {
+                    "name": backend.name,
+                    "address": address,
+                    "failure_domain": backend.failure_domain,
+                    "team": backend.team,
+                    "service": backend.service,
+                    "state": "live",
+                }
+            )
         self.platform("vms", self.vms)
 
     def restart_backend(self, name):
