--- a/bench/capacity_state.py
+++ b/bench/capacity_state.py
@@ -11,6 +11,7 @@
 from tarragonramp.adapters import backends
 from tarragonramp.leases import GrantLedger, ServerAnswer
 from tarragonramp.model import (
+    KIND_ASSIGNMENT,
     KIND_AUDIT_ENTRY,
     KIND_MEMBER,
     KIND_TERM,
@@ -62,7 +63,7 @@
         "read ms": _time_ms(lambda: Assignment.from_spec(spec)),
         "decide ms": planning_ms,
         "decide, one lost ms": losing_ms,
-        "memory bytes": _held_bytes(lambda: Assignment.from_spec(spec)),
+        "held by a view bytes": _held_bytes(lambda: _viewed(encoded)),
     }
 
 
@@ -124,6 +125,13 @@
     return Assignment("sized", "records", tuple(slices), stewards, "0" * 32)
 
 
+def _viewed(encoded):
+    view = View()
+    view.apply(Stored(KIND_ASSIGNMENT, "sized.records", 1, json.loads(encoded)))
+    view.assignment("sized", "records")
+    return view
+
+
 def _grant_row(tokens, mixed):
     ledger = GrantLedger(term=3, grant_ms=1200.0, inherited_end_ms=0.0)
     ledger.observe(ServerAnswer("0123456789ab", 1000.0), 0.0, 1.0)
