--- a/src/tarragonramp/adapters/platform.py
+++ b/src/tarragonramp/adapters/platform.py
@@ -19,7 +19,7 @@
 
 __all__ = ["HttpPlatform"]
 
-_WATCH_GRACE_MS = 2000
+_WATCH_GRACE_MS = 500
 
 
 @attrs.define(eq=False, repr=False)
@@ -37,9 +37,9 @@
     timeout_ms: float
 
     @classmethod
-    def from_config(cls, settings):
-        """Make one from a daemon's settings."""
-        pool = HttpPool(settings.platform_address)
+    def from_config(cls, settings, traffic=None):
+        """Make one from a daemon's settings; ``traffic`` counts its calls."""
+        pool = HttpPool(settings.platform_address, traffic=traffic)
         return cls(pool, settings.timing.platform_timeout_ms)
 
     def get(self, kind, name) -> Result:
--- a/src/tarragonramp/checks.py
+++ b/src/tarragonramp/checks.py
@@ -4,6 +4,7 @@
 
 __all__ = [
     "address",
+    "address_or_empty",
     "between",
     "each",
     "header_name",
@@ -37,6 +38,12 @@
         raise ValueError(f"{value!r}: expected IP number and port, as 10.0.0.1:7000")
 
 
+def address_or_empty(instance, attribute, value):
+    """Take an IP number with a port, or nothing."""
+    if value:
+        address(instance, attribute, value)
+
+
 def header_name(value):
     """Tell whether a text can be the name of an HTTP header."""
     return bool(_HEADER.match(value))
--- a/src/tarragonramp/settings.py
+++ b/src/tarragonramp/settings.py
@@ -44,7 +44,7 @@
     platform_timeout_ms: int = attrs.field(
         default=2000, validator=_milliseconds(50, 60_000)
     )
-    watch_ms: int = attrs.field(default=10_000, validator=_milliseconds(100, 600_000))
+    watch_ms: int = attrs.field(default=2000, validator=_milliseconds(100, 600_000))
     planning_ms: int = attrs.field(default=50, validator=_milliseconds(10, 60_000))
     route_wait_ms: int = attrs.field(default=300, validator=_milliseconds(0, 60_000))
     drain_ms: int = attrs.field(default=10_000, validator=_milliseconds(0, 600_000))
@@ -105,6 +105,8 @@
         ``ip:port`` for callers, for HTTP control and for gRPC.
     platform_address : str
         ``ip:port`` of the platform's object API.
+    advertised_control_address, advertised_peer_address : str, default=""
+        Where other daemons reach this one, if not at the addresses it binds.
     timing : Timing
     limits : Limits
     security : Security
@@ -117,6 +119,12 @@
     control_address: str = attrs.field(validator=checks.address)
     peer_address: str = attrs.field(validator=checks.address)
     platform_address: str = attrs.field(validator=checks.address)
+    advertised_control_address: str = attrs.field(
+        default="", validator=checks.address_or_empty
+    )
+    advertised_peer_address: str = attrs.field(
+        default="", validator=checks.address_or_empty
+    )
     timing: Timing = Timing()
     limits: Limits = Limits()
     security: Security = Security()
