Guard against two operators whose changes pass the checks at one moment

Cause: checks and writes are not one step. A template and a team that change together could re-hash keys in use; two teams at one path were routed by order of arrival, which differs between daemons.

Now the assignment's own length decides how keys are hashed, equal paths go to the first team by name on every daemon, and the write that came last prints the clash.

--- a/src/tarragonramp/command.py
+++ b/src/tarragonramp/command.py
@@ -572,6 +572,8 @@
         if error.exit_code != EXIT_CONFLICT:
             raise
         raise _conflict(error, declaration, error.payload.get("current")) from error
+    for warning in stored.get("warnings", []):
+        print(f"warning: clashes with another change: {warning}", file=sys.stderr)
     return {
         "object": declaration.label,
         "result": "applied",
--- a/src/tarragonramp/roles/operators.py
+++ b/src/tarragonramp/roles/operators.py
@@ -13,6 +13,7 @@
 from ..adapters.web import json_reply
 from ..declarations import (
     DECLARED_KINDS,
+    OWN_FIELDS,
     Declaration,
     Declared,
     check_declarations,
@@ -156,7 +157,34 @@
         spec = {**spec, "request_id": change.change_id}
         if change.kind == KIND_FAILURE_DOMAIN:
             spec["changed_by"] = change.actor
-        return self._write(change, spec)
+        status, payload = self._write(change, spec)
+        if status == 200 and change.kind != KIND_FAILURE_DOMAIN:
+            payload["warnings"] = self._clashes(change)
+        return status, payload
+
+    def _clashes(self, change):
+        """Check once more what is declared now, after the write.
+
+        Two operators whose files do not go together can pass the checks at the same
+        moment; at least the one whose write came last is told.
+        """
+        try:
+            declared = self._declared()
+        except _RefusedCallError:
+            return []
+        declarations = [
+            Declaration(KIND_TEAM, name, attrs.asdict(team))
+            for name, team in declared.teams.items()
+            if name == change.name or change.kind == KIND_TEMPLATE
+        ]
+        declarations = [
+            attrs.evolve(item, spec=_without_own_fields(item.spec))
+            for item in declarations
+        ]
+        return [
+            f"{declarations[index].label}: {fault}"
+            for index, fault in check_declarations(declarations, declared)
+        ]
 
     def _put_faults(self, change, spec, query):
         declaration = _declaration(
@@ -469,6 +497,10 @@
     return Declaration(kind, name, spec)
 
 
+def _without_own_fields(spec):
+    return {key: value for key, value in spec.items() if key not in OWN_FIELDS}
+
+
 def _structured(items, wanted):
     found = {item.name: structure(item.spec, wanted) for item in items}
     return {n: item.unwrap() for n, item in found.items() if is_successful(item)}
--- a/src/tarragonramp/view.py
+++ b/src/tarragonramp/view.py
@@ -100,11 +100,12 @@
         if held is not None and held.version >= stored.version:
             return False
         self._stored[key] = stored
+        first_assignment = stored.kind == KIND_ASSIGNMENT and held is None
         if key in self._typed:
             self._earlier[key] = self._typed.pop(key)
         if stored.kind in CONFIGURED_KINDS:
             self.config_version = max(self.config_version, stored.version)
-        if stored.kind in (KIND_TEMPLATE, KIND_TEAM):
+        if stored.kind in (KIND_TEMPLATE, KIND_TEAM) or first_assignment:
             self._expand_teams()
         for listener in self._listeners:
             listener()
@@ -229,7 +230,7 @@
             if not is_successful(expanded):
                 continue
             for service in expanded.unwrap():
-                services[name, service.name] = service
+                services[name, service.name] = self._as_assigned(name, service)
         self._services = services
         self._prefixes = sorted(
             (
@@ -237,9 +238,23 @@
                 for (team, _), s in services.items()
                 if not self.leaving(team)
             ),
-            key=lambda item: -len(item[0]),
+            # By name among equals: all daemons have to choose the same one, in
+            # whatever order they came to know the teams.
+            key=lambda item: (-len(item[0]), item[1]),
         )
 
+    def _as_assigned(self, team, service):
+        """Return a service with the number of slices that its assignment has.
+
+        Guards against two operators whose changes of template and team pass the
+        checks at the same moment: the assignment never changes its length, so all
+        daemons send a key to the same slice.
+        """
+        assignment = service.divided and self.assignment(team, service.name)
+        if not assignment:
+            return service
+        return attrs.evolve(service, n_slices=len(assignment.slices))
+
 
 def _structured(stored):
     if stored.kind == KIND_ASSIGNMENT:
--- a/tests/test_command.py
+++ b/tests/test_command.py
@@ -198,6 +198,19 @@
         self.assertEqual(self.port.specs("FailureDomain")["b"]["state"], "in")
         self.assertEqual(self.port.outcomes(), ["done", "done"])
 
+    def test_operators_whose_teams_clash_at_the_same_moment_are_told(self):
+        """Two operators declare teams with one path; both pass the checks."""
+        self.run_command("apply", "-f", TEAM_FILES[0])
+        rival = {"kind": "Team", "name": "rival", "spec": {"template": "grant-desk"}}
+        with (
+            unittest.mock.patch.object(Operators, "_put_faults", return_value=[]),
+            unittest.mock.patch.object(command, "_check_at_daemon"),
+        ):
+            code, _, err = self.run_command("apply", "-f", self.write([rival]))
+        self.assertEqual(code, 0)
+        self.assertIn("warning: clashes", err)
+        self.assertIn("claimed by team fraser-valley", err)
+
     def test_an_outcome_that_nobody_knows_is_said_to_be_unknown(self):
         def put(kind, name, spec, version):
             return Failure(PlatformUnreachableError("timed out"))
--- a/tests/test_view.py
+++ b/tests/test_view.py
@@ -57,6 +57,34 @@
         self.assertIsNone(view.service_at("/records"))
         self.assertIn(("valley", "records"), view.services())
 
+    def test_the_assignment_says_how_many_slices_there_are(self):
+        """Two operators change a template and declare its team at the same moment.
+
+        Both pass the checks; the number of slices changes under keys with owners.
+        """
+        divisor = {"source": "header", "name": "X-Record"}
+        assignment = {
+            "team": "valley",
+            "service": "records",
+            "ranges": [[0, 64, "owned", "s1", 1]],
+            "stewards": {},
+            "request_id": "",
+        }
+        service = {**SERVICE, "divided_by": divisor}
+        view = view_of(
+            ("Template", "desk", {"services": [service]}),
+            ("Team", "valley", {"template": "desk"}),
+            ("Assignment", "valley.records", assignment),
+            ("Template", "desk", {"services": [{**service, "n_slices": 128}]}),
+        )
+        self.assertEqual(view.service_at("/records")[1].n_slices, 64)
+
+    def test_daemons_choose_the_same_one_of_two_teams_at_one_path(self):
+        teams = [("Team", name, {"template": "desk"}) for name in ("b", "a")]
+        desk = ("Template", "desk", {"services": [SERVICE]})
+        for order in (teams, teams[::-1]):
+            self.assertEqual(view_of(desk, *order).service_at("/records")[0], "a")
+
     def test_audit_entries_are_not_kept(self):
         view = view_of(("AuditEntry", "1-a", {"actor": "x"}))
         self.assertIsNone(view.stored("AuditEntry", "1-a"))
