--- a/src/tarragonramp/daemon.py
+++ b/src/tarragonramp/daemon.py
@@ -67,11 +67,11 @@
     stewards: object
     planners: object
     operators: object
+    status: object
+    peer_secrets: object
     traffic: object
     cpu: object
     metrics: object
-    status: object
-    peer_secrets: object
     ready: bool = False
     stopped: Event = attrs.Factory(Event)
 
@@ -87,12 +87,12 @@
             settings.advertised_peer_address or settings.peer_address,
         )
         view = View()
+        peer_secrets = Secrets.from_text(settings.security.peer_secret)
+        operator_secrets = Secrets.from_text(settings.security.operator_secret)
         requests, traffic, cpu = RequestMeter(), TrafficMeter(), CpuMeter()
         platform = HttpPlatform.from_config(settings, traffic)
         watcher = HttpPlatform.from_config(settings, traffic)
         pools = HttpPools(traffic=traffic)
-        peer_secrets = Secrets.from_text(settings.security.peer_secret)
-        operator_secrets = Secrets.from_text(settings.security.operator_secret)
         peers = GrpcPeers(pools, timing.control_timeout_ms, traffic, peer_secrets)
         membership = Membership(me, view, platform, peers, clock, timing)
         keeper = TermKeeper(view, platform, membership, clock, timing)
@@ -121,7 +121,7 @@
                 me,
                 view,
                 platform,
-                HttpPools(),
+                pools,
                 clock,
                 AuditTrail(me, platform, clock, settings.audit.keep_entries),
                 operator_secrets,
--- a/src/tarragonramp/view.py
+++ b/src/tarragonramp/view.py
@@ -31,7 +31,9 @@
 UNVIEWED_KINDS = (KIND_AUDIT_ENTRY,)
 """Kinds that no role acts on; daemons do not keep them."""
 
-_CONVERTER = cattrs.Converter(forbid_extra_keys=True)
+# Fields of a newer version are passed over: during a rolling upgrade or rollback
+# daemons of both versions read each other's objects.
+_CONVERTER = cattrs.Converter()
 _TYPES = {
     KIND_TEMPLATE: Template,
     KIND_TEAM: Team,
@@ -66,9 +68,11 @@
 
     version: int = 0
     config_version: int = 0
+    unreadable: dict = attrs.Factory(dict)
     vms: dict = attrs.Factory(dict)
     _stored: dict = attrs.Factory(dict)
     _typed: dict = attrs.Factory(dict)
+    _earlier: dict = attrs.Factory(dict)
     _services: dict = attrs.Factory(dict)
     _prefixes: list = attrs.Factory(list)
     _listeners: list = attrs.Factory(list)
@@ -96,10 +100,12 @@
         if held is not None and held.version >= stored.version:
             return False
         self._stored[key] = stored
-        self._typed.pop(key, None)
+        first_assignment = stored.kind == KIND_ASSIGNMENT and held is None
+        if key in self._typed:
+            self._earlier[key] = self._typed.pop(key)
         if stored.kind in CONFIGURED_KINDS:
             self.config_version = max(self.config_version, stored.version)
-        if stored.kind in (KIND_TEMPLATE, KIND_TEAM):
+        if stored.kind in (KIND_TEMPLATE, KIND_TEAM) or first_assignment:
             self._expand_teams()
         for listener in self._listeners:
             listener()
@@ -133,10 +139,28 @@
         """Return an object as its attrs class, or None."""
         key = (kind, name)
         if key not in self._typed:
-            held = self.stored(kind, name)
-            self._typed[key] = None if held is None else _structured(held)
+            self._typed[key] = self._read(key)
         return self._typed[key]
 
+    def _read(self, key):
+        """Return an object as its attrs class.
+
+        A declaration that cannot be read, because somebody wrote it past the
+        checks, leaves the one before in force; ``unreadable`` names it. Raised, the
+        error would stop this daemon from following any change at all.
+        """
+        held = self.stored(*key)
+        self.unreadable.pop(key, None)
+        if held is None:
+            return None
+        if held.kind not in CONFIGURED_KINDS:
+            return _structured(held)
+        try:
+            return _structured(held)
+        except Exception as error:
+            self.unreadable[key] = "; ".join(cattrs.transform_error(error))
+            return self._earlier.get(key)
+
     def all_of(self, kind):
         """Return a dict of name to attrs object of a kind."""
         names = [n for k, n in self._stored if k == kind]
@@ -206,7 +230,7 @@
             if not is_successful(expanded):
                 continue
             for service in expanded.unwrap():
-                services[name, service.name] = service
+                services[name, service.name] = self._as_assigned(name, service)
         self._services = services
         self._prefixes = sorted(
             (
@@ -214,9 +238,23 @@
                 for (team, _), s in services.items()
                 if not self.leaving(team)
             ),
-            key=lambda item: -len(item[0]),
+            # By name among equals: all daemons have to choose the same one, in
+            # whatever order they came to know the teams.
+            key=lambda item: (-len(item[0]), item[1]),
         )
 
+    def _as_assigned(self, team, service):
+        """Return a service with the number of slices that its assignment has.
+
+        Guards against two operators whose changes of template and team pass the
+        checks at the same moment: the assignment never changes its length, so all
+        daemons send a key to the same slice.
+        """
+        assignment = service.divided and self.assignment(team, service.name)
+        if not assignment:
+            return service
+        return attrs.evolve(service, n_slices=len(assignment.slices))
+
 
 def _structured(stored):
     if stored.kind == KIND_ASSIGNMENT:
