--- a/standins/checker.py
+++ b/standins/checker.py
@@ -4,8 +4,9 @@
 
 from .load import NOT_RUN, WELL, WRONG
 
-__all__ = ["check_run"]
+__all__ = ["check_run", "new_work_after"]
 
+NO_NEW_WORK_AFTER_MS = 3000.0
 IDEMPOTENT = frozenset(("GET", "HEAD"))
 
 
@@ -108,3 +109,29 @@
         for o in outcomes
         if o.result == WRONG
     ]
+
+
+def new_work_after(executions, servers, ordered_ms, until_ms=float("inf")):
+    """Find work that began at servers although they should get none.
+
+    Parameters
+    ----------
+    executions : list of dict
+    servers : collection of str
+        Servers that were taken out, or depart.
+    ordered_ms : float
+        When the order reached the platform, on the machine's monotonic clock.
+    until_ms : float, default=inf
+        When they were taken in again.
+
+    Returns
+    -------
+    faults : list of str
+    """
+    begins_ms = ordered_ms + NO_NEW_WORK_AFTER_MS
+    return [
+        f"{item['server']}: request {item['request_id']} began"
+        f" {item['started_ms'] - ordered_ms:.0f} ms after the order"
+        for item in executions
+        if item["server"] in servers and begins_ms < item["started_ms"] < until_ms
+    ]
--- a/tests/test_checker.py
+++ b/tests/test_checker.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from standins.checker import check_run
+from standins.checker import check_run, new_work_after
 from standins.load import Outcome
 
 GOOD = {
@@ -62,3 +62,9 @@
     def test_somebody_elses_answer(self):
         wrong = attrs.evolve(WELL, result="wrong")
         self.assertIn("answers are whole and the caller's own", broken([GOOD], [wrong]))
+
+    def test_new_work_at_a_server_that_was_taken_out(self):
+        late = {**GOOD, "started_ms": 3101.0}
+        self.assertEqual(new_work_after([GOOD, late], ["s2"], 100.0), [])
+        self.assertEqual(len(new_work_after([GOOD, late], ["s1"], 100.0)), 1)
+        self.assertEqual(new_work_after([GOOD, late], ["s1"], 100.0, 3100.0), [])
