--- a/standins/site.py
+++ b/standins/site.py
@@ -2,6 +2,7 @@
 
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -17,15 +18,23 @@
 __all__ = ["Backend", "DaemonSpec", "Site", "free_address"]
 
 START_TIMEOUT_S = 20.0
+PORTS = (12_000, 32_000)
 _given_out = set()
 
 
 def free_address():
-    """Return a loopback ``ip:port`` that nobody listens on now."""
+    """Return a loopback ``ip:port`` that nobody listens on now.
+
+    Below the kernel's range for connecting sockets: a port from there may be taken by
+    any process's connection before the server that it is meant for has bound it.
+    """
     while True:
+        port = random.randrange(*PORTS)
         with socket.socket() as probe:
-            probe.bind(("127.0.0.1", 0))
-            port = probe.getsockname()[1]
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
         if port not in _given_out:
             _given_out.add(port)
             return f"127.0.0.1:{port}"
@@ -143,6 +152,7 @@
             "advertised_control_address": self._link(control, spec.name),
             "advertised_peer_address": self._link(peer, spec.name),
             "platform_address": self._link(self.platform_address, "platform"),
+            "security": {"insecure": True},
             **settings,
         }
         self.settings[spec.name] = written
