--- a/src/tarragonramp/placement.py
+++ b/src/tarragonramp/placement.py
@@ -1,6 +1,7 @@
 """Which backend server owns which slices: decisions of the planner, without I/O."""
 
 import collections
+import heapq
 
 import attrs
 
@@ -86,17 +87,30 @@
 
 
 def _fill(result, servers):
-    """Give slices without an owner to the servers furthest below their share."""
+    """Give slices without an owner to the servers furthest below their share.
+
+    Load: a start of a service of 16 thousand slices on 600 servers, or the loss of a
+    failure domain. Harm prevented: a planner that looks at each server for each slice
+    keeps its core for seconds, and its daemon renews no grant meanwhile.
+    """
+    unowned = [i for i, item in enumerate(result) if item.state == UNOWNED]
+    if not unowned:
+        return
     counts = _counts(result)
-    takers = [s for s in servers.values() if _can_take(s)]
-    if not takers:
+    heap = [_next_load(s, counts[s.name]) for s in servers.values() if _can_take(s)]
+    if not heap:
         return
-    for index, item in enumerate(result):
-        if item.state != UNOWNED:
-            continue
-        taker = min(takers, key=lambda s: ((counts[s.name] + 1) / s.weight, s.name))
-        counts[taker.name] += 1
-        result[index] = SliceState(OWNED, taker.name, item.token + 1)
+    heapq.heapify(heap)
+    for index in unowned:
+        _, name = heap[0]
+        counts[name] += 1
+        heapq.heapreplace(heap, _next_load(servers[name], counts[name]))
+        result[index] = SliceState(OWNED, name, result[index].token + 1)
+
+
+def _next_load(server, n_owned):
+    """Return what a server would carry with one more slice; names break ties."""
+    return (n_owned + 1) / server.weight, server.name
 
 
 def _balance(result, servers):
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -81,6 +81,15 @@
         after = next_slices(before, servers, set())
         self.assertEqual(counts(after)["b"], 0)
 
+    def test_each_slice_goes_to_the_server_furthest_below_its_share(self):
+        servers = {f"s{i}": ServerView(f"s{i}", weight=1 + i % 3) for i in range(7)}
+        given = next_slices((SliceState(),) * N_SLICES, servers, set())
+        owned = collections.Counter()
+        for item in given:
+            loads = {n: (owned[n] + 1) / s.weight for n, s in servers.items()}
+            self.assertEqual(loads[item.server], min(loads.values()))
+            owned[item.server] += 1
+
     def test_unequal_weights_settle(self):
         servers = views("a", "b", "c", a=ServerView("a", weight=2.5))
         found = counts(settled(servers))
