Planner: reports count for one term only, departed VMs are proof, settled is cheap

Cause: a planner that took its term back acted on what stewards had told it before, and took keys from servers that had been silent then. Reports now belong to the term that they were made to; stewards report anew to each. A VM that the platform lists as departed is proof of release; one that is not listed is not: the list lags. While neither the assignment nor any server changes, a settled service is passed over in place of looking through all its slices.

--- a/src/tarragonramp/model.py
+++ b/src/tarragonramp/model.py
@@ -45,6 +45,9 @@
 """Most slices of a service: an assignment fits into one value of the platform even
 if every slice has another owner than its neighbours."""
 
+LIVE = "live"
+DEPARTED = "departed"
+
 UP = "up"
 SILENT = "silent"
 UNKNOWN = "unknown"
@@ -81,7 +84,8 @@
     failure_domain : str
     team, service : str
         What the backend server serves.
-    state : {"live", "departing"}
+    state : {"live", "departing", "departed"}
+        A departing VM still runs; a departed one runs nothing any more.
     """
 
     name: str
@@ -89,7 +93,7 @@
     failure_domain: str
     team: str
     service: str
-    state: str = "live"
+    state: str = LIVE
 
 
 @attrs.frozen
--- a/src/tarragonramp/roles/planner.py
+++ b/src/tarragonramp/roles/planner.py
@@ -8,8 +8,18 @@
 from returns.pipeline import is_successful
 
 from ..adapters.logs import log_event
+from ..assignments import questions
 from ..errors import ConflictError
-from ..model import KIND_ASSIGNMENT, KIND_TEAM, RELEASING, SILENT, UNOWNED, UP
+from ..model import (
+    DEPARTED,
+    KIND_ASSIGNMENT,
+    KIND_TEAM,
+    LIVE,
+    RELEASING,
+    SILENT,
+    UNOWNED,
+    UP,
+)
 from ..placement import ServerView, initial_assignment, next_slices
 from ..view import assignment_name, planner_role, steward_role
 
@@ -37,6 +47,7 @@
     peers: object
     timing: object
     _reports: dict = attrs.Factory(dict)
+    _settled: dict = attrs.Factory(dict)
     _changed: Event = attrs.Factory(Event)
 
     def take_report(self, sender, reports):
@@ -49,16 +60,30 @@
         """
         accepted = True
         for report in reports:
-            if self.keeper.holding(planner_role(report.team)) is None:
+            state = self.keeper.holding(planner_role(report.team))
+            if state is None:
                 accepted = False
                 continue
             key = (report.team, report.service, report.server)
-            known = self._reports.get(key)
+            known = self._report(*key)
             if known is None or known.term <= report.term:
-                self._reports[key] = report
+                self._reports[key] = (state.held.number, report)
                 self._changed.set()
         return accepted
 
+    def _report(self, team, service, server):
+        """Return the newest report of a server that was made to this term, or None.
+
+        Stewards report anew to every new term of the planner. What was told to an
+        earlier one may be long over: a server that was silent then would lose its
+        keys now.
+        """
+        state = self.keeper.holding(planner_role(team))
+        number, report = self._reports.get((team, service, server), (0, None))
+        if state is None or number != state.held.number:
+            return None
+        return report
+
     def run(self):
         """Plan for every team held, for ever."""
         self.view.on_change(self._changed.set)
@@ -84,11 +109,18 @@
         if assignment is None:
             assignment = initial_assignment(team, service.name, service.n_slices)
         servers = self._servers(team, service)
+        if self._settled.get(name) == (version, servers):
+            return False
         released = self._released(assignment, version)
         slices = next_slices(assignment.slices, servers, released)
         if slices != assignment.slices or version == 0:
             self._write(name, attrs.evolve(assignment, slices=slices), version)
-        return any(item.state == RELEASING for item in slices)
+            return any(item.state == RELEASING for item in slices)
+        moving = any(item.state == RELEASING for item in slices)
+        if not moving:
+            # Until the assignment or a server changes there is nothing to decide.
+            self._settled[name] = (version, servers)
+        return moving
 
     def _finish_deletion(self, team):
         """Delete a leaving team once nobody owns any of its keys.
@@ -114,9 +146,9 @@
         weights = self.view.get(KIND_TEAM, team).domain_weights
         views = {}
         for name, vm in self.view.servers_of(team, service.name).items():
-            report = self._reports.get((team, service.name, name))
+            report = self._report(team, service.name, name)
             weight = weights.get(vm.failure_domain, 1.0)
-            leaves = vm.state != "live" or not self.view.domain_in(vm.failure_domain)
+            leaves = vm.state != LIVE or not self.view.domain_in(vm.failure_domain)
             leaves = leaves or self.view.leaving(team)
             views[name] = ServerView(
                 name=name,
@@ -127,13 +159,9 @@
         return views
 
     def _released(self, assignment, version):
-        asked = {}
-        for index, item in enumerate(assignment.slices):
-            if item.state == RELEASING:
-                asked.setdefault(item.server, []).append(index)
         tasks = {
             server: gevent.spawn(self._ask, assignment, version, server, indexes)
-            for server, indexes in asked.items()
+            for server, indexes in questions(assignment).items()
         }
         gevent.joinall(tasks.values())
         return {
@@ -150,6 +178,10 @@
         if vm is not None and self.view.domain_lost(vm.failure_domain):
             # An operator's word that nothing runs there any more.
             return indexes
+        if vm is not None and vm.state == DEPARTED:
+            # The platform's word. That a VM is not listed proves nothing: the list
+            # lags, and an older one may be shown after a newer.
+            return indexes
         role = steward_role(assignment.team, assignment.service, server)
         term = self.view.term(role)
         member = self.view.member_of(term.holder) if term else None
