--- /dev/null
+++ b/standins/layouts.py
@@ -0,0 +1,81 @@
+"""A small site: four daemons, two failure domains, five backend servers."""
+
+from .load import Call
+from .site import Backend, DaemonSpec
+
+__all__ = [
+    "ALL_DAEMONS",
+    "BACKENDS",
+    "CALLS",
+    "DAEMONS",
+    "IN_DOMAIN",
+    "holder_of",
+    "start_small",
+]
+
+TEAM_FILE = "demo/fraser-valley.yaml"
+DAEMONS = (
+    DaemonSpec("d1", "a"),
+    DaemonSpec("d2", "a"),
+    DaemonSpec("d3", "b"),
+    DaemonSpec("d4", "b"),
+)
+BACKENDS = (
+    Backend("records1", "a", "fraser-valley", "records", slots=3),
+    Backend("records2", "a", "fraser-valley", "records", slots=3),
+    Backend("records3", "b", "fraser-valley", "records", slots=3),
+    Backend("claims1", "a", "fraser-valley", "claims", divided=False, slots=3),
+    Backend("claims2", "b", "fraser-valley", "claims", divided=False, slots=3),
+)
+CALLS = (
+    Call("record lookup", "GET", lambda key: "/records/status", "X-Grant-Record"),
+    Call("record claim", "POST", lambda key: "/records", "X-Grant-Record", 200),
+    Call("claim check", "GET", lambda key: "/claims/check"),
+    Call("claim", "POST", lambda key: "/claims", "", 200),
+)
+ALL_DAEMONS = [spec.name for spec in DAEMONS]
+IN_DOMAIN = {
+    domain: [x.name for x in (*DAEMONS, *BACKENDS) if x.failure_domain == domain]
+    for domain in ("a", "b")
+}
+
+
+def start_small(site):
+    """Start everything, declare the team and wait until every key has an owner.
+
+    Parameters
+    ----------
+    site : Site
+        Nothing of which has been started.
+
+    Raises
+    ------
+    RuntimeError
+        If the team is refused.
+    """
+    site.start_platform()
+    for spec in DAEMONS:
+        site.start_daemon(spec)
+    for backend in BACKENDS:
+        site.start_backend(backend)
+    site.wait_ready(ALL_DAEMONS)
+    done = site.command("apply", "--file", TEAM_FILE, daemon="d1")
+    if done.returncode != 0:
+        raise RuntimeError(done.stderr)
+    for name in ALL_DAEMONS:
+        site.wait_owned(name)
+
+
+def holder_of(site, role, asked="d1"):
+    """Return the name of the daemon that holds a role.
+
+    Parameters
+    ----------
+    site : Site
+    role : str
+        Name of the term's object.
+    asked : str, default="d1"
+        The daemon that is asked.
+    """
+    stored = site.operator(asked, f"objects/Term/{role}")
+    return stored["spec"]["holder"].partition("#")[0]
--- a/standins/site.py
+++ b/standins/site.py
@@ -218,6 +218,10 @@
         """Send a signal to one of this site's processes."""
         self.processes[name].send_signal(number)
 
+    def is_running(self, name):
+        """Tell whether a process was started and has not ended."""
+        return name in self.processes and self.processes[name].poll() is None
+
     def kill(self, name):
         """Kill a process at once and wait for its end."""
         self.signal(name, signal.SIGKILL)
--- a/tests/faults.py
+++ b/tests/faults.py
@@ -6,37 +6,12 @@
 import gevent
 
 from standins.checker import check_run
-from standins.load import Call, Load
+from standins.layouts import ALL_DAEMONS, CALLS, IN_DOMAIN, holder_of, start_small
+from standins.load import Load
 from standins.proxy import Fault
-from standins.site import Backend, DaemonSpec, Site
-
-__all__ = ["FaultTestCase", "cut"]
-
-DAEMONS = (
-    DaemonSpec("d1", "a"),
-    DaemonSpec("d2", "a"),
-    DaemonSpec("d3", "b"),
-    DaemonSpec("d4", "b"),
-)
-BACKENDS = (
-    Backend("records1", "a", "fraser-valley", "records", slots=3),
-    Backend("records2", "a", "fraser-valley", "records", slots=3),
-    Backend("records3", "b", "fraser-valley", "records", slots=3),
-    Backend("claims1", "a", "fraser-valley", "claims", divided=False, slots=3),
-    Backend("claims2", "b", "fraser-valley", "claims", divided=False, slots=3),
-)
-CALLS = (
-    Call("record lookup", "GET", lambda key: "/records/status", "X-Grant-Record"),
-    Call("record claim", "POST", lambda key: "/records", "X-Grant-Record", 200),
-    Call("claim check", "GET", lambda key: "/claims/check"),
-    Call("claim", "POST", lambda key: "/claims", "", 200),
-)
-ALL_DAEMONS = [spec.name for spec in DAEMONS]
-IN_DOMAIN = {
-    domain: [x.name for x in (*DAEMONS, *BACKENDS) if x.failure_domain == domain]
-    for domain in ("a", "b")
-}
-EVERYTHING = [*IN_DOMAIN["a"], *IN_DOMAIN["b"], "platform"]
+from standins.site import Site
+
+__all__ = ["ALL_DAEMONS", "IN_DOMAIN", "FaultTestCase", "cut"]
 
 
 def cut(names, others, kind="cut"):
@@ -56,20 +31,7 @@
         self.site = Site(proxied=self.proxied)
         self.addCleanup(shutil.rmtree, self.site.folder, ignore_errors=True)
         self.addCleanup(self.site.stop)
-        self.site.start_platform()
-        for spec in DAEMONS:
-            self.site.start_daemon(spec)
-        for backend in BACKENDS:
-            self.site.start_backend(backend)
-        self.site.wait_ready(ALL_DAEMONS)
-        self.apply("demo/fraser-valley.yaml")
-        for name in ALL_DAEMONS:
-            self.site.wait_owned(name)
-
-    def apply(self, file, daemon="d1"):
-        """Declare what is in a file."""
-        done = self.site.command("apply", "--file", file, daemon=daemon)
-        self.assertEqual(done.returncode, 0, done.stderr)
+        start_small(self.site)
 
     def load_during(self, seconds, *events, daemons=ALL_DAEMONS, calls=CALLS):
         """Put load on and let things happen meanwhile.
@@ -107,13 +69,8 @@
 
     def steward_of(self, server):
         """Return the name of the daemon that is steward of a server."""
-        role = f"steward.fraser-valley.records.{server}"
-        return self._holder(role)
+        return holder_of(self.site, f"steward.fraser-valley.records.{server}")
 
     def planner(self):
         """Return the name of the daemon that plans."""
-        return self._holder("planner.fraser-valley")
-
-    def _holder(self, role):
-        stored = self.site.operator("d1", f"objects/Term/{role}")
-        return stored["spec"]["holder"].partition("#")[0]
+        return holder_of(self.site, "planner.fraser-valley")
