--- a/src/tarragonramp/checks.py
+++ b/src/tarragonramp/checks.py
@@ -4,12 +4,12 @@
 
 __all__ = [
     "address",
-    "address_or_empty",
     "between",
     "each",
     "header_name",
     "name",
     "one_of",
+    "optional",
     "path_prefix",
     "values_between",
 ]
@@ -38,12 +38,6 @@
         raise ValueError(f"{value!r}: expected IP number and port, as 10.0.0.1:7000")
 
 
-def address_or_empty(instance, attribute, value):
-    """Take an IP number with a port, or nothing."""
-    if value:
-        address(instance, attribute, value)
-
-
 def header_name(value):
     """Tell whether a text can be the name of an HTTP header."""
     return bool(_HEADER.match(value))
@@ -77,6 +71,16 @@
     return check
 
 
+def optional(check_one):
+    """Return a check that takes the empty text, and else what another one takes."""
+
+    def check(instance, attribute, value):
+        if value:
+            check_one(instance, attribute, value)
+
+    return check
+
+
 def each(check_one):
     """Return a check that puts every item of a sequence through another one."""
 
--- a/src/tarragonramp/settings.py
+++ b/src/tarragonramp/settings.py
@@ -120,10 +120,10 @@
     peer_address: str = attrs.field(validator=checks.address)
     platform_address: str = attrs.field(validator=checks.address)
     advertised_control_address: str = attrs.field(
-        default="", validator=checks.address_or_empty
+        default="", validator=checks.optional(checks.address)
     )
     advertised_peer_address: str = attrs.field(
-        default="", validator=checks.address_or_empty
+        default="", validator=checks.optional(checks.address)
     )
     timing: Timing = Timing()
     limits: Limits = Limits()
--- a/standins/site.py
+++ b/standins/site.py
@@ -2,6 +2,7 @@
 
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -17,15 +18,23 @@
 __all__ = ["Backend", "DaemonSpec", "Site", "free_address"]
 
 START_TIMEOUT_S = 20.0
+PORTS = (12_000, 32_000)
 _given_out = set()
 
 
 def free_address():
-    """Return a loopback ``ip:port`` that nobody listens on now."""
+    """Return a loopback ``ip:port`` that nobody listens on now.
+
+    Below the kernel's range for connecting sockets: a port from there may be taken by
+    any process's connection before the server that it is meant for has bound it.
+    """
     while True:
+        port = random.randrange(*PORTS)
         with socket.socket() as probe:
-            probe.bind(("127.0.0.1", 0))
-            port = probe.getsockname()[1]
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
         if port not in _given_out:
             _given_out.add(port)
             return f"127.0.0.1:{port}"
@@ -97,25 +106,34 @@
 
     def start_backend(self, backend):
         """Start a backend server and list its VM."""
-        address = self.addresses.setdefault(backend.name, free_address())
-        self._backends[backend.name] = backend
-        arguments = ["-m", "standins.backend", "--address", address]
-        arguments += ["--name", backend.name, "--log", self.server_log(backend.name)]
-        arguments += ["--slots", str(backend.slots), "--work-ms", str(backend.work_ms)]
-        if backend.divided:
+        self.start_backends([backend])
+
+    def start_backends(self, backends):
+        """Start one process that stands for backend servers of one kind.
+
+        The first one's name is the process's, and its kind that of them all.
+        """
+        first, names = backends[0], [backend.name for backend in backends]
+        addresses = [self.addresses.setdefault(n, free_address()) for n in names]
+        arguments = ["-m", "standins.backend", "--address", *addresses]
+        arguments += ["--name", *names, "--log", self.server_log(first.name)]
+        arguments += ["--slots", str(first.slots), "--work-ms", str(first.work_ms)]
+        if first.divided:
             arguments.append("--divided")
-        self._spawn(backend.name, arguments)
-        self.vms = [vm for vm in self.vms if vm["name"] != backend.name]
-        self.vms.append(
-            {
-                "name": backend.name,
-                "address": self._link(address, backend.name),
-                "failure_domain": backend.failure_domain,
-                "team": backend.team,
-                "service": backend.service,
-                "state": "live",
-            }
-        )
+        self._spawn(first.name, arguments)
+        self._backends[first.name] = first
+        self.vms = [vm for vm in self.vms if vm["name"] not in names]
+        for backend, address in zip(backends, addresses, strict=True):
+            self.vms.append(
+                {
+                    "name": backend.name,
+                    "address": self._link(address, backend.name),
+                    "failure_domain": backend.failure_domain,
+                    "team": backend.team,
+                    "service": backend.service,
+                    "state": "live",
+                }
+            )
         self.platform("vms", self.vms)
 
     def restart_backend(self, name):
