--- a/src/tarragonramp/adapters/web.py
+++ b/src/tarragonramp/adapters/web.py
@@ -8,8 +8,10 @@
 from gevent.pywsgi import Input, WSGIHandler, WSGIServer, unquote_latin1
 
 from ..errors import RequestError
+from ..meters import NOT_RUN, kind_of
 from ..settings import Limits
 from .http import split_address
+from .process import mark_request_path
 
 __all__ = [
     "HEADERS_KEY",
@@ -41,7 +43,6 @@
     504: "504 Gateway Timeout",
 }
 METHODS = frozenset(("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"))
-NOT_RUN = "not-run"
 
 # Beside the usual WSGI keys: header lines as (lower-case name, value) in the caller's
 # order, the request target as it was sent, and the caller's socket.
@@ -128,6 +129,8 @@
     caller's bytes become another's request. So each line is checked here first.
     """
 
+    headers = ()
+
     def read_request(self, raw_requestline):
         """Check the request line and headers and take over what frames the body.
 
@@ -194,7 +197,16 @@
         super().finalize_headers()
 
     def log_request(self):
-        """Leave logging to the application."""
+        """Count the exchange; leave logging to the application."""
+        traffic = self.server.traffic
+        if traffic is None or not self.headers:
+            return
+        kind = kind_of(self.command, self.path)
+        # Colon, space and line end, beside name and value.
+        n_received = sum(len(name) + len(value) + 4 for name, value in self.headers)
+        n_received += len(self.requestline) + (self.content_length or 0)
+        traffic.received(kind, n_received)
+        traffic.sent(kind, self.response_length)
 
     def _handle_client_error(self, ex):
         if isinstance(ex, TimeoutError):
@@ -272,11 +284,17 @@
         WSGI application.
     reuse_port : bool, default=False
         Let several processes of this VM share the port.
-    limits : Limits
+    traffic : TrafficMeter, optional
+        Counts the exchanges. Without it the server's CPU time is that of callers'
+        requests; with it, that of control.
+    limits : Limits, optional
         Bounds on a request's head, and on how long a connection may be idle.
     """
 
-    def __init__(self, address, application, reuse_port=False, limits=None):
+    def __init__(
+        self, address, application, reuse_port=False, traffic=None, limits=None
+    ):
+        self.traffic = traffic
         self.limits = limits or Limits()
         listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -291,6 +309,8 @@
 
     def handle(self, sock, address):
         """Serve one connection."""
+        if self.traffic is None:
+            mark_request_path()
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         sock.settimeout(self.limits.idle_ms / 1000.0)
         super().handle(sock, address)
--- a/src/tarragonramp/request.py
+++ b/src/tarragonramp/request.py
@@ -6,13 +6,12 @@
 import attrs
 
 from .errors import RequestError
+from .meters import NOT_RUN, UNKNOWN
 from .model import CallerClass
 
 __all__ = [
     "EXCHANGE_HEADER",
-    "NOT_RUN",
     "OUTCOME_HEADER",
-    "UNKNOWN",
     "Request",
     "answer_headers",
     "check_path",
@@ -23,9 +22,6 @@
     "request_id",
 ]
 
-NOT_RUN = "not-run"
-UNKNOWN = "unknown"
-
 INNER_PREFIX = "tarragon-"
 OUTCOME_HEADER = "Tarragon-Outcome"
 EXCHANGE_HEADER = "Tarragon-Exchange"
@@ -77,6 +73,9 @@
     caller_class : CallerClass
     is_wanted : callable
         False once the caller has gone.
+    times : RequestTimes
+    in_doubt : bool, default=False
+        Whether an earlier try may have run.
     """
 
     method: str
@@ -87,6 +86,17 @@
     deadline_at_ms: float
     caller_class: CallerClass
     is_wanted: object
+    times: object
+    in_doubt: bool = False
+
+    def refusal(self, status, reason, retry_after_s=None):
+        """Return the error for a caller whose request is not sent (again).
+
+        "Not run" only if no earlier try may have run.
+        """
+        if self.in_doubt:
+            return RequestError(status, UNKNOWN, reason)
+        return RequestError(status, NOT_RUN, reason, retry_after_s)
 
 
 def class_of(service, method, path):
--- a/src/tarragonramp/roles/entry.py
+++ b/src/tarragonramp/roles/entry.py
@@ -18,12 +18,11 @@
     error_reply,
 )
 from ..errors import AbandonedError, NotSentError, RequestError
+from ..meters import ANSWERED, NOT_RUN, UNKNOWN
 from ..model import OWNED
 from ..request import (
     EXCHANGE_HEADER,
-    NOT_RUN,
     OUTCOME_HEADER,
-    UNKNOWN,
     Request,
     answer_headers,
     check_path,
@@ -70,6 +69,7 @@
     clock : Clock
     timing : Timing
     limits : Limits
+    meter : RequestMeter
     """
 
     view: object
@@ -77,6 +77,7 @@
     clock: object
     timing: object
     limits: object
+    meter: object
     _in_flight: dict = attrs.Factory(dict)
     _ejected_until_ms: dict = attrs.Factory(dict)
     _changed: Event = attrs.Factory(Event)
@@ -91,12 +92,17 @@
 
     def __call__(self, environ, start_response):
         """Serve one request of a caller."""
-        named = ""
+        times = self.meter.begin(self.clock.now_ms())
+        outcome, named = UNKNOWN, ""
         try:
             named = request_id(environ[HEADERS_KEY]) or uuid.uuid4().hex
-            answer = self._serve(environ, named)
+            answer = self._serve(environ, named, times)
+            outcome = ANSWERED
         except RequestError as error:
+            outcome = error.outcome
             return _refuse(start_response, error, named)
+        finally:
+            self.meter.finish(times, outcome, self.clock.now_ms())
         headers = answer_headers(answer, named)
         if answer.status not in BODILESS_STATUSES:
             length = len(answer.body)
@@ -108,33 +114,34 @@
         start_response(reason, headers)
         return [answer.body]
 
-    def _serve(self, environ, named):
+    def _serve(self, environ, named, times):
         path = environ["PATH_INFO"]
         check_path(path)
         found = self.view.service_at(path)
         if found is None:
             raise RequestError(404, NOT_RUN, "no service at this path")
         team, service = found
-        request = self._read(environ, service, named)
+        times.service = f"{team}/{service.name}"
+        request = self._read(environ, service, named, times)
         if not service.divided:
             return self._serve_shared(team, service, request)
         key = key_of(service, environ[HEADERS_KEY], request.target)
         return self._serve_divided(team, service, key, request)
 
-    def _read(self, environ, service, named):
+    def _read(self, environ, service, named, times):
         method, headers = environ["REQUEST_METHOD"], environ[HEADERS_KEY]
         caller_class = class_of(service, method, environ["PATH_INFO"])
         patience_ms = deadline_ms(headers, caller_class)
-        deadline_at_ms = self.clock.now_ms() + patience_ms
         return Request(
             method=method,
             target=environ[TARGET_KEY],
             headers=end_to_end(headers),
             body=self._read_body(environ, patience_ms),
             request_id=named,
-            deadline_at_ms=deadline_at_ms,
+            deadline_at_ms=times.began_ms + patience_ms,
             caller_class=caller_class,
             is_wanted=lambda: not caller_is_gone(environ),
+            times=times,
         )
 
     def _read_body(self, environ, patience_ms):
@@ -175,17 +182,17 @@
                 error = result.failure()
                 self._check_retry(error, request, budget)
                 if isinstance(error, NotSentError):
-                    raise RequestError(503, NOT_RUN, "owner not reached", RETRY_AFTER_S)
+                    raise request.refusal(503, "owner not reached", RETRY_AFTER_S)
                 continue
             answer = result.unwrap()
             if answer.header(OUTCOME_HEADER) != NOT_RUN:
                 return answer
             if answer.status != 409:
-                raise RequestError(503, NOT_RUN, "server is busy", RETRY_AFTER_S)
+                raise request.refusal(503, "server is busy", RETRY_AFTER_S)
             if stale_token >= 0:
                 break
             stale_token = route.token
-        raise RequestError(503, NOT_RUN, "owner is changing", RETRY_AFTER_S)
+        raise request.refusal(503, "owner is changing", RETRY_AFTER_S)
 
     def _owner(self, team, service, index, request, stale_token):
         """Return the route to a slice's owner, waiting a moment while it moves.
@@ -201,7 +208,7 @@
                 return route
             left_ms = wait_until_ms - self.clock.now_ms()
             if left_ms <= 0:
-                raise RequestError(503, NOT_RUN, "key has no owner", RETRY_AFTER_S)
+                raise request.refusal(503, "key has no owner", RETRY_AFTER_S)
             self._changed.wait(left_ms / 1000.0)
 
     def _route(self, team, service, index):
@@ -236,7 +243,7 @@
             if not isinstance(error, AbandonedError):
                 self._eject(route.server)
             self._check_retry(error, request, budget)
-        raise RequestError(503, NOT_RUN, "no server can take it", RETRY_AFTER_S)
+        raise request.refusal(503, "no server can take it", RETRY_AFTER_S)
 
     def _pick(self, team, service, tried):
         """Choose the less busy of two servers drawn at random.
@@ -263,9 +270,10 @@
         self._ejected_until_ms[server] = self.clock.now_ms() + EJECTION_MS
 
     def _exchange(self, route, request):
-        left_ms = request.deadline_at_ms - self.clock.now_ms()
+        sent_ms = self.clock.now_ms()
+        left_ms = request.deadline_at_ms - sent_ms
         if left_ms <= 0:
-            raise RequestError(504, NOT_RUN, "deadline passed", RETRY_AFTER_S)
+            raise request.refusal(504, "deadline passed", RETRY_AFTER_S)
         headers = request.headers + [
             ("X-Request-Id", request.request_id),
             (EXCHANGE_HEADER, next(self._exchange_ids)),
@@ -286,6 +294,7 @@
             )
         finally:
             self._in_flight[route.server] -= 1
+            request.times.service_ms += self.clock.now_ms() - sent_ms
 
     def _check_retry(self, error, request, budget):
         """Return if a request may be sent again after a failed exchange; else raise.
@@ -300,8 +309,9 @@
         late = self.clock.now_ms() >= request.deadline_at_ms
         if isinstance(error, NotSentError):
             if late:
-                raise RequestError(504, NOT_RUN, "deadline passed", RETRY_AFTER_S)
+                raise request.refusal(504, "deadline passed", RETRY_AFTER_S)
             return
+        request.in_doubt = True
         if late:
             raise RequestError(504, UNKNOWN, "no whole answer in time")
         if not request.caller_class.idempotent or not budget.spend():
--- a/standins/site.py
+++ b/standins/site.py
@@ -2,6 +2,7 @@
 
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -17,15 +18,23 @@
 __all__ = ["Backend", "DaemonSpec", "Site", "free_address"]
 
 START_TIMEOUT_S = 20.0
+PORTS = (12_000, 32_000)
 _given_out = set()
 
 
 def free_address():
-    """Return a loopback ``ip:port`` that nobody listens on now."""
+    """Return a loopback ``ip:port`` that nobody listens on now.
+
+    Below the kernel's range for connecting sockets: a port from there may be taken by
+    any process's connection before the server that it is meant for has bound it.
+    """
     while True:
+        port = random.randrange(*PORTS)
         with socket.socket() as probe:
-            probe.bind(("127.0.0.1", 0))
-            port = probe.getsockname()[1]
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
         if port not in _given_out:
             _given_out.add(port)
             return f"127.0.0.1:{port}"
@@ -68,18 +77,28 @@
     ----------
     folder : str
         Settings, server logs and daemon logs go here.
+    proxied : bool
+        Whether all connections between processes pass a fault-injecting proxy.
     """
 
     folder: str = attrs.Factory(lambda: tempfile.mkdtemp(prefix="site-"))
+    proxied: bool = False
+    proxy_address: str = attrs.Factory(free_address)
     platform_address: str = attrs.Factory(free_address)
     processes: dict = attrs.Factory(dict)
     addresses: dict = attrs.Factory(dict)
     settings: dict = attrs.Factory(dict)
     vms: list = attrs.Factory(list)
     _backends: dict = attrs.Factory(dict)
+    _links: dict = attrs.Factory(dict)
 
     def start_platform(self):
-        """Start the platform's stand-in."""
+        """Start the platform's stand-in, and the proxy if there is to be one."""
+        if self.proxied:
+            self._spawn(
+                "proxy", ["-m", "standins.proxy", "--control", self.proxy_address]
+            )
+            self._wait_until(lambda: self._proxy("pids", {}) is not None, "proxy")
         self._spawn(
             "platform", ["-m", "standins.platform", "--address", self.platform_address]
         )
@@ -87,25 +106,34 @@
 
     def start_backend(self, backend):
         """Start a backend server and list its VM."""
-        address = self.addresses.setdefault(backend.name, free_address())
-        self._backends[backend.name] = backend
-        arguments = ["-m", "standins.backend", "--address", address]
-        arguments += ["--name", backend.name, "--log", self.server_log(backend.name)]
-        arguments += ["--slots", str(backend.slots), "--work-ms", str(backend.work_ms)]
-        if backend.divided:
+        self.start_backends([backend])
+
+    def start_backends(self, backends):
+        """Start one process that stands for backend servers of one kind.
+
+        The first one's name is the process's, and its kind that of them all.
+        """
+        first, names = backends[0], [backend.name for backend in backends]
+        addresses = [self.addresses.setdefault(n, free_address()) for n in names]
+        arguments = ["-m", "standins.backend", "--address", *addresses]
+        arguments += ["--name", *names, "--log", self.server_log(first.name)]
+        arguments += ["--slots", str(first.slots), "--work-ms", str(first.work_ms)]
+        if first.divided:
             arguments.append("--divided")
-        self._spawn(backend.name, arguments)
-        self.vms = [vm for vm in self.vms if vm["name"] != backend.name]
-        self.vms.append(
-            {
-                "name": backend.name,
-                "address": address,
-                "failure_domain": backend.failure_domain,
-                "team": backend.team,
-                "service": backend.service,
-                "state": "live",
-            }
-        )
+        self._spawn(first.name, arguments)
+        self._backends[first.name] = first
+        self.vms = [vm for vm in self.vms if vm["name"] not in names]
+        for backend, address in zip(backends, addresses, strict=True):
+            self.vms.append(
+                {
+                    "name": backend.name,
+                    "address": self._link(address, backend.name),
+                    "failure_domain": backend.failure_domain,
+                    "team": backend.team,
+                    "service": backend.service,
+                    "state": "live",
+                }
+            )
         self.platform("vms", self.vms)
 
     def restart_backend(self, name):
@@ -114,13 +142,17 @@
 
     def start_daemon(self, spec, **settings):
         """Start a daemon; further settings override the usual ones."""
+        control, peer = free_address(), free_address()
         written = {
             "name": spec.name,
             "failure_domain": spec.failure_domain,
             "caller_address": free_address(),
-            "control_address": free_address(),
-            "peer_address": free_address(),
-            "platform_address": self.platform_address,
+            "control_address": control,
+            "peer_address": peer,
+            "advertised_control_address": self._link(control, spec.name),
+            "advertised_peer_address": self._link(peer, spec.name),
+            "platform_address": self._link(self.platform_address, "platform"),
+            "security": {"insecure": True},
             **settings,
         }
         self.settings[spec.name] = written
@@ -173,6 +205,15 @@
         """Return where a daemon takes callers' requests."""
         return self.settings[daemon]["caller_address"]
 
+    def set_faults(self, *faults):
+        """Replace what is wrong between processes; nothing is without arguments.
+
+        Parameters
+        ----------
+        *faults : standins.proxy.Fault
+        """
+        self._proxy("faults", [attrs.asdict(fault) for fault in faults])
+
     def signal(self, name, number):
         """Send a signal to one of this site's processes."""
         self.processes[name].send_signal(number)
@@ -221,6 +262,22 @@
                 [sys.executable, *arguments], stdout=stream, stderr=stream
             )
 
+        if self.proxied:
+            self._proxy("pids", {name: self.processes[name].pid})
+
+    def _link(self, address, target):
+        """Return where others reach a process: the proxy, if there is one."""
+        if not self.proxied:
+            return address
+        if address not in self._links:
+            listen = self._links[address] = free_address()
+            link = {"listen": listen, "target_address": address, "target": target}
+            self._proxy("links", [link])
+        return self._links[address]
+
+    def _proxy(self, what, payload):
+        return _ask(self.proxy_address, f"/{what}", payload)
+
     def _is_ready(self, name):
         return (_ask(self.settings[name]["control_address"], "/ready") or {}).get(
             "ready", False
