--- a/src/tarragonramp/adapters/http.py
+++ b/src/tarragonramp/adapters/http.py
@@ -259,7 +259,7 @@
     """Refuse an answer that names another request than the one it should be for."""
     for name, sent in headers:
         lower = name.lower()
-        if lower in ECHOED_HEADERS and response.get(lower, sent) != sent:
+        if sent and lower in ECHOED_HEADERS and response.get(lower, sent) != sent:
             raise HTTPParseError(f"answer names another request in {name}")
 
 
