--- a/src/tarragonramp/roles/entry.py
+++ b/src/tarragonramp/roles/entry.py
@@ -44,6 +44,13 @@
 # budget; but each try may take as long as a silent address does.
 MAX_TRIES = 4
 
+# Load: all requests for the keys of a move, for as long as it takes. An owner refuses
+# them while its route here is old, and while the grant that goes with a new route is
+# still on its way, some 10 ms. Harm prevented: a refusal to callers for a move that is
+# over in a moment; more than three further tries would load an owner that has lost its
+# steward for good.
+OWNER_PAUSES_MS = (15.0, 60.0, 200.0)
+
 # After these the caller's connection is not read any further: where its next request
 # begins is in doubt.
 CLOSING_STATUSES = frozenset((400, 408, 413))
@@ -167,16 +174,15 @@
     def _serve_divided(self, team, service, key, request):
         """Send to the owner; again if that can do no harm.
 
-        Sent again once if the route was out of date, and, within the retry budget, if
-        the outcome is unknown and the request idempotent. Always to the current
+        Sent again a few times if the owner refused it, and, within the retry budget,
+        if the outcome is unknown and the request idempotent. Always to the current
         owner: nobody else may act for the key.
         """
         index = slice_of(key, service.n_slices)
         budget = self._budgets[team, service.name]
         budget.earn()
-        stale_token = -1
-        for _ in range(MAX_TRIES):
-            route = self._owner(team, service, index, request, stale_token)
+        for pause_ms in (*OWNER_PAUSES_MS, None):
+            route = self._owner(team, service, index, request)
             result = self._exchange(route, request)
             if not is_successful(result):
                 error = result.failure()
@@ -189,12 +195,11 @@
                 return answer
             if answer.status != 409:
                 raise request.refusal(503, "server is busy", RETRY_AFTER_S)
-            if stale_token >= 0:
-                break
-            stale_token = route.token
+            if pause_ms is not None:
+                self._await_newer(team, service, route, pause_ms)
         raise request.refusal(503, "owner is changing", RETRY_AFTER_S)
 
-    def _owner(self, team, service, index, request, stale_token):
+    def _owner(self, team, service, index, request):
         """Return the route to a slice's owner, waiting a moment while it moves.
 
         Nothing has been sent yet, so waiting cannot run a request twice; the wait
@@ -204,13 +209,22 @@
         wait_until_ms = min(wait_until_ms, request.deadline_at_ms)
         while True:
             route = self._route(team, service, index)
-            if route is not None and route.token > stale_token:
+            if route is not None:
                 return route
             left_ms = wait_until_ms - self.clock.now_ms()
             if left_ms <= 0:
                 raise request.refusal(503, "key has no owner", RETRY_AFTER_S)
             self._changed.wait(left_ms / 1000.0)
 
+    def _await_newer(self, team, service, refused, pause_ms):
+        """Wait a moment until a refused route was replaced, or its grant has come."""
+        until_ms = self.clock.now_ms() + pause_ms
+        while (left_ms := until_ms - self.clock.now_ms()) > 0:
+            route = self._route(team, service, refused.slice_index)
+            if route is not None and route.token > refused.token:
+                return
+            self._changed.wait(left_ms / 1000.0)
+
     def _route(self, team, service, index):
         assignment = self.view.assignment(team, service.name)
         if assignment is None or index >= len(assignment.slices):
--- a/standins/site.py
+++ b/standins/site.py
@@ -19,25 +19,44 @@
 
 START_TIMEOUT_S = 20.0
 PORTS = (12_000, 32_000)
-_given_out = set()
+PORTS_IN_BLOCK = 100
+_guards = []
+_free_ports = []
 
 
 def free_address():
-    """Return a loopback ``ip:port`` that nobody listens on now.
+    """Return a loopback ``ip:port`` that no other launcher gives out.
 
-    Below the kernel's range for connecting sockets: a port from there may be taken by
-    any process's connection before the server that it is meant for has bound it.
+    Ports come in blocks below the kernel's range for connecting sockets. Whoever binds
+    the first port of a block has the others: without that, two launchers on one machine
+    give out a port that neither server has bound yet.
     """
     while True:
-        port = random.randrange(*PORTS)
+        if not _free_ports:
+            _claim_block()
+        port = _free_ports.pop()
         with socket.socket() as probe:
             try:
                 probe.bind(("127.0.0.1", port))
             except OSError:
                 continue
-        if port not in _given_out:
-            _given_out.add(port)
-            return f"127.0.0.1:{port}"
+        return f"127.0.0.1:{port}"
+
+
+def _claim_block():
+    blocks = list(range(*PORTS, PORTS_IN_BLOCK))
+    random.shuffle(blocks)
+    for first in blocks:
+        guard = socket.socket()
+        try:
+            guard.bind(("127.0.0.1", first))
+        except OSError:
+            guard.close()
+            continue
+        _guards.append(guard)
+        _free_ports.extend(range(first + 1, first + PORTS_IN_BLOCK))
+        return
+    raise RuntimeError("every block of ports is taken")
 
 
 @attrs.frozen
@@ -293,7 +312,12 @@
             if condition():
                 return
             time.sleep(0.05)
-        raise TimeoutError(f"{what} not there within {timeout_s} s")
+        logs = "".join(f"\n{name}: {self._end_of(name)}" for name in self.processes)
+        raise TimeoutError(f"{what} not there within {timeout_s} s{logs}")
+
+    def _end_of(self, name):
+        state = self.processes[name].poll()
+        return f"exit code {state}; {self.daemon_log(name)[-300:]}"
 
 
 def _ask(address, target, payload=None):
