--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: capacity demo test lint format
+.PHONY: bench-path capacity demo test lint format
 
 $(VENV)/.installed: pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -15,6 +15,9 @@
 capacity: $(VENV)/.installed
 	$(BIN)/python -m bench.capacity
 
+bench-path: $(VENV)/.installed
+	$(BIN)/python -m bench.request_path
+
 test: $(VENV)/.installed
 	$(BIN)/python -m tests.run
 
