--- a/src/tarragonramp/adapters/web.py
+++ b/src/tarragonramp/adapters/web.py
@@ -44,6 +44,9 @@
 }
 METHODS = frozenset(("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"))
 
+# Larger bodies are not copied behind their headers.
+JOINED_BYTES = 16_384
+
 # Beside the usual WSGI keys: header lines as (lower-case name, value) in the caller's
 # order, the request target as it was sent, and the caller's socket.
 HEADERS_KEY = "tarragon.headers"
@@ -196,6 +199,25 @@
             self.provided_content_length = ""
         super().finalize_headers()
 
+    def _write_with_headers(self, data):
+        """Send headers and a small body as one segment.
+
+        The library sends them one after the other, which costs a system call here
+        and wakes the peer twice.
+        """
+        self.headers_sent = True
+        self.finalize_headers()
+        parts = [b"HTTP/1.1 ", self.status, b"\r\n"]
+        for name, value in self.response_headers:
+            parts += (name, b": ", value, b"\r\n")
+        parts.append(b"\r\n")
+        if self.response_use_chunked or len(data) > JOINED_BYTES:
+            self._sendall(b"".join(parts))
+            self._write(data)
+            return
+        parts.append(data)
+        self._sendall(b"".join(parts))
+
     def log_request(self):
         """Count the exchange; leave logging to the application."""
         traffic = self.server.traffic
