--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,8 @@
 PYTHON ?= python3
 VENV := .venv
 BIN := $(VENV)/bin
-
-.PHONY: capacity demo test explore lint format
+.PHONY: bench-path bench-recovery capacity demo test explore lint format
+.PHONY: bench-path capacity demo test lint format
 
 $(VENV)/.installed: pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -15,6 +15,12 @@
 capacity: $(VENV)/.installed
 	$(BIN)/python -m bench.capacity
 
+bench-path: $(VENV)/.installed
+	$(BIN)/python -m bench.request_path
+
+bench-recovery: $(VENV)/.installed
+	$(BIN)/python -m bench.recovery
+
 test: $(VENV)/.installed
 	$(BIN)/python -m tests.run
 
