Servers that do not check senders: only their steward sends to them

Cause: entries sent to the owner themselves, and a divided server that checks nothing would run requests of a superseded route or steward. Entries now forward to the server's steward over gRPC; it reads its right again right before each send and passes a deadline no later than the right's end. Such a server may freeze with a request in its buffer, so a slice is released only once everything sent has been answered, or the server has answered two probes a whole deadline apart, or is another process. Sockets to it discard what was not delivered within a right.

--- a/src/tarragonramp/adapters/http.py
+++ b/src/tarragonramp/adapters/http.py
@@ -6,6 +6,7 @@
 
 import re
 import socket as plain_socket
+import struct
 import time
 
 import attrs
@@ -87,11 +88,15 @@
         Longest answer body taken.
     traffic : TrafficMeter, optional
         Counts the exchanges of a pool that carries control.
+    unsent_ms : float, default=0.0
+        How long the kernel may try to deliver what was sent, also after the
+        connection was closed; 0 for as long as it likes.
     """
 
     address: str
     answer_bytes: int = 8_388_608
     traffic: object = None
+    unsent_ms: float = 0.0
     _idle: list = attrs.Factory(list)
 
     def exchange(
@@ -168,6 +173,8 @@
             split_address(self.address), timeout=_remaining_s(deadline_s)
         )
         connection.setsockopt(plain_socket.IPPROTO_TCP, plain_socket.TCP_NODELAY, 1)
+        if self.unsent_ms:
+            _forget_unsent(connection, self.unsent_ms)
         return connection
 
     def _read(self, connection, method, deadline_s, is_wanted):
@@ -200,6 +207,7 @@
 
     answer_bytes: int = 8_388_608
     traffic: object = None
+    unsent_ms: float = 0.0
     _pools: dict = attrs.Factory(dict)
 
     def at(self, address):
@@ -207,11 +215,25 @@
         pool = self._pools.get(address)
         if pool is None:
             pool = self._pools[address] = HttpPool(
-                address, self.answer_bytes, self.traffic
+                address, self.answer_bytes, self.traffic, self.unsent_ms
             )
         return pool
 
 
+def _forget_unsent(connection, unsent_ms):
+    """Guard against a request that arrives long after it was given up on.
+
+    The kernel goes on delivering to a server that is cut off, also for a process that
+    has died: the server would run the request when the cut is over and the key has
+    another owner. Closing discards what has not left, and the kernel gives up in time.
+    """
+    connection.setsockopt(
+        plain_socket.IPPROTO_TCP, plain_socket.TCP_USER_TIMEOUT, int(unsent_ms)
+    )
+    linger = struct.pack("ii", 1, 0)
+    connection.setsockopt(plain_socket.SOL_SOCKET, plain_socket.SO_LINGER, linger)
+
+
 class _StrictResponse(HTTPResponse):
     """Ends with its first final answer; bytes after that are an error.
 
--- a/src/tarragonramp/adapters/peers.py
+++ b/src/tarragonramp/adapters/peers.py
@@ -5,17 +5,21 @@
 
 import attrs
 import grpc
+from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
 
 from ..credentials import METADATA_KEY, Secrets
-from ..errors import UnansweredError
+from ..errors import NotSentError, UnansweredError
+from ..gates import Order
 from ..wire import peer_pb2, peer_pb2_grpc
-from .http import HttpPools
+from .http import Answer, HttpPools
 
 __all__ = ["GrpcPeers", "PeerServer", "PingAnswer"]
 
 PING_TARGET = "/peer/ping"
-MAX_WORKERS = 16
+MAX_WORKERS = 64
+NOT_CONNECTED = "failed to connect"
+ANY_LENGTH = -1
 GRPC_OVERHEAD_BYTES = 60
 
 
@@ -103,11 +107,43 @@
             lambda r: list(r.released)
         )
 
-    def _call(self, address, method, request):
+    def forward(self, address, order) -> Result:
+        """Have a steward send a caller's request to its server.
+
+        Parameters
+        ----------
+        address : str
+        order : Order
+
+        Returns
+        -------
+        answer : Success of Answer, or Failure of ExchangeError
+            NotSentError if no byte left for the server, else UnansweredError.
+        """
+        request = _forward_request(order)
+        try:
+            reply = self._stub(address).Forward(
+                request,
+                timeout=order.deadline_ms / 1000.0,
+                metadata=self.secrets.metadata,
+            )
+        except grpc.RpcError as error:
+            if NOT_CONNECTED in (error.details() or ""):
+                return Failure(NotSentError(f"{address}: {error.details()}"))
+            return Failure(UnansweredError(f"{address}: {error.code().name}"))
+        return _forwarded(reply)
+
+    def _stub(self, address):
         stub = self._stubs.get(address)
         if stub is None:
-            channel = grpc.insecure_channel(address)
+            # Bodies are bounded where they are read from callers and servers.
+            options = [("grpc.max_receive_message_length", ANY_LENGTH)]
+            channel = grpc.insecure_channel(address, options)
             stub = self._stubs[address] = peer_pb2_grpc.PeerStub(channel)
+        return stub
+
+    def _call(self, address, method, request):
+        stub = self._stub(address)
         self.traffic.sent(method, message_bytes(request))
         try:
             reply = getattr(stub, method)(
@@ -158,17 +194,29 @@
     traffic : TrafficMeter
     secrets : Secrets
         Of the peer port.
+    on_forward : callable
+        ``on_forward(Order) -> Result``, as :meth:`GrpcPeers.forward` returns it.
     """
 
     def __init__(
-        self, address, on_report, on_prove_release, traffic, secrets=Secrets()
+        self,
+        address,
+        on_report,
+        on_prove_release,
+        traffic,
+        secrets=Secrets(),
+        on_forward=None,
     ):
         self._traffic = traffic
         self._on_report = on_report
         self._on_prove_release = on_prove_release
+        self._on_forward = on_forward
         self._server = grpc.server(
             futures.ThreadPoolExecutor(max_workers=MAX_WORKERS),
-            options=[("grpc.so_reuseport", 0)],
+            options=[
+                ("grpc.so_reuseport", 0),
+                ("grpc.max_receive_message_length", ANY_LENGTH),
+            ],
             interceptors=[_SecretCheck(secrets)],
         )
         peer_pb2_grpc.add_PeerServicer_to_server(self, self._server)
@@ -193,12 +241,74 @@
         reply = peer_pb2.ReleaseReply(released=released, proof=proof)
         return self._counted("ProveRelease", request, reply)
 
+    def Forward(self, request, context):  # noqa: N802
+        """Send a caller's request on."""
+        return _forward_reply(self._on_forward(_order(request)))
+
     def _counted(self, method, request, reply):
         self._traffic.received(method, message_bytes(request))
         self._traffic.sent(method, message_bytes(reply))
         return reply
 
 
+def _forward_request(order):
+    return peer_pb2.ForwardRequest(
+        team=order.team,
+        service=order.service,
+        server=order.server,
+        slice=order.slice_index,
+        token=order.token,
+        method=order.method,
+        target=order.target,
+        headers=_wire_headers(order.headers),
+        body=order.body,
+        deadline_ms=order.deadline_ms,
+    )
+
+
+def _order(request):
+    return Order(
+        request.team,
+        request.service,
+        request.server,
+        request.slice,
+        request.token,
+        request.method,
+        request.target,
+        _plain_headers(request.headers),
+        request.body,
+        request.deadline_ms,
+    )
+
+
+def _forward_reply(result):
+    if not is_successful(result):
+        error = result.failure()
+        not_sent = isinstance(error, NotSentError)
+        return peer_pb2.ForwardReply(not_sent=not_sent, error=str(error))
+    answer = result.unwrap()
+    return peer_pb2.ForwardReply(
+        status=answer.status, headers=_wire_headers(answer.headers), body=answer.body
+    )
+
+
+def _forwarded(reply):
+    if reply.status:
+        headers = _plain_headers(reply.headers)
+        return Success(Answer(reply.status, headers, reply.body))
+    error_type = NotSentError if reply.not_sent else UnansweredError
+    return Failure(error_type(reply.error))
+
+
+def _wire_headers(headers):
+    # Header fields may hold bytes that are no text; they are kept as they are.
+    return [peer_pb2.Header(name=name, value=value) for name, value in headers]
+
+
+def _plain_headers(headers):
+    return tuple((item.name, item.value) for item in headers)
+
+
 def message_bytes(message):
     """Return what a gRPC message takes on the wire, headers and frames with it."""
     return message.ByteSize() + GRPC_OVERHEAD_BYTES
--- a/src/tarragonramp/daemon.py
+++ b/src/tarragonramp/daemon.py
@@ -32,6 +32,7 @@
 from .model import Member  # noqa: E402
 from .roles.audit import AuditTrail  # noqa: E402
 from .roles.entry import Entry  # noqa: E402
+from .roles.gatekeeper import Forwarder, GateKeeper  # noqa: E402
 from .roles.membership import Membership  # noqa: E402
 from .roles.news import News  # noqa: E402
 from .roles.operators import Operators  # noqa: E402
@@ -72,6 +73,7 @@
     traffic: object
     cpu: object
     metrics: object
+    gatekeeper: object = None
     ready: bool = False
     stopped: Event = attrs.Factory(Event)
 
@@ -134,6 +136,10 @@
             cpu=cpu,
             metrics=Metrics(me.name, requests, traffic, cpu),
         )
+        gate_pools = HttpPools(settings.limits.answer_bytes, unsent_ms=timing.right_ms)
+        daemon.gatekeeper = GateKeeper(daemon.stewards, view, keeper, gate_pools, clock)
+        forwarder = Forwarder(me, view, peers, daemon.gatekeeper)
+        daemon.entry.forward = forwarder.send
         daemon._add_gauges()
         return daemon
 
@@ -146,6 +152,7 @@
             self.stewards.prove_release,
             self.traffic,
             self.peer_secrets,
+            self.gatekeeper.serve,
         )
         control = WebServer(
             settings.control_address, self._control, traffic=self.traffic
--- /dev/null
+++ b/src/tarragonramp/gates.py
@@ -0,0 +1,245 @@
+"""The way to a backend server that does not check who gives it an order.
+
+Only the server's steward sends to it. Every decision here is the steward's; entries
+forward what callers ask for.
+"""
+
+import collections
+import math
+
+import attrs
+
+from .leases import CLOCK_RATE_MARGIN
+from .terms import RIGHT_MARGIN
+
+__all__ = ["Admission", "Gate", "Order"]
+
+LEAST_MS = 5.0
+"""A deadline shorter than this is over before the server has begun."""
+
+WAITING_PER_SLOT = 4
+"""Requests that wait at a gate, for each slot of the server.
+
+Load: all entries forward a promotion's requests to one steward. Harm prevented: a
+queue that is longer than its callers wait; four rounds of a slot's work are.
+"""
+
+
+@attrs.frozen
+class Order:
+    """A caller's request on its way to a server through the server's steward.
+
+    Parameters
+    ----------
+    team, service, server : str
+    slice_index, token : int
+        As the entry's route has them.
+    method, target : str
+    headers : tuple of (str, str)
+    body : bytes
+    deadline_ms : float
+        How long the caller still waits.
+    """
+
+    team: str
+    service: str
+    server: str
+    slice_index: int
+    token: int
+    method: str
+    target: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    deadline_ms: float
+
+
+@attrs.frozen
+class Admission:
+    """What the gate says to one request.
+
+    Parameters
+    ----------
+    timeout_ms : float
+        How long the server may take, from now on; 0 if it may not be sent.
+    reason : str
+        Of a refusal.
+    """
+
+    timeout_ms: float = 0.0
+    reason: str = ""
+
+
+@attrs.define
+class _Doubt:
+    """Requests that may still run, and how far they are proved to have ended."""
+
+    since_ms: float
+    longest_ms: float
+    running_ms: float | None = None
+
+
+@attrs.define
+class Gate:
+    """What a steward has sent to one server, in one term.
+
+    Such a server may freeze with a request in its socket buffer and run it once it
+    thaws, within a deadline that it counts from there. Neither time nor silence
+    proves then that it has ended. A server that answers a probe is running, and has
+    read what lay in its buffers; a whole deadline later nothing of that can run any
+    more, and a second answer of the same process shows that it did not freeze
+    between reading and deadline.
+
+    Parameters
+    ----------
+    slots : int
+        Requests that the server bears at once, from all daemons together.
+    longest_ms : float
+        Longest deadline that is passed along: the length of a right.
+    earlier_right_ends_ms : float
+        On the steward's clock, when no earlier steward may send any more.
+    earlier_longest_ms : float
+        Longest deadline that an earlier steward may have passed along.
+    """
+
+    slots: int
+    longest_ms: float
+    earlier_right_ends_ms: float
+    earlier_longest_ms: float
+    boot_id: str = ""
+    waiting: int = 0
+    _seen_ms: float = 0.0
+    _in_hand: collections.Counter = attrs.Factory(collections.Counter)
+    _doubts: dict[int, _Doubt] = attrs.Factory(dict)
+    _earlier: _Doubt | None = attrs.field(init=False)
+
+    def __attrs_post_init__(self):
+        """Begin with doubt about whatever earlier stewards have sent."""
+        # What an earlier steward sent last may be on its way for a whole deadline:
+        # so long its kernel tries to deliver it, also if the steward was killed.
+        since_ms = self.earlier_right_ends_ms + self.earlier_longest_ms * RIGHT_MARGIN
+        self._earlier = _Doubt(since_ms, self.earlier_longest_ms)
+
+    @property
+    def in_hand(self):
+        """How many requests are at the server."""
+        return self._in_hand.total()
+
+    @property
+    def is_full(self):
+        """Whether another request has to wait."""
+        return self.in_hand >= self.slots
+
+    @property
+    def is_crowded(self):
+        """Whether another request may not even wait."""
+        return self.waiting >= self.slots * WAITING_PER_SLOT
+
+    def admit(self, slice_index, now_ms, deadline_at_ms, right_ends_ms):
+        """Decide, right before sending, whether a request may go to the server.
+
+        Parameters
+        ----------
+        slice_index : int
+        now_ms : float
+            Read after the last wait.
+        deadline_at_ms : float
+            The caller's.
+        right_ends_ms : float
+            Of the steward; infinite if nobody can take over from it.
+
+        Returns
+        -------
+        admission : Admission
+            If it may, the request counts as sent.
+        """
+        right_ms = min(right_ends_ms - now_ms, self.longest_ms)
+        if right_ms < LEAST_MS:
+            return Admission(reason="steward has no right")
+        timeout_ms = min(deadline_at_ms - now_ms, right_ms)
+        if timeout_ms < LEAST_MS:
+            return Admission(reason="deadline passed")
+        self._in_hand[slice_index] += 1
+        return Admission(timeout_ms)
+
+    def answered(self, slice_index):
+        """Note that a request has ended, or never left."""
+        self._in_hand[slice_index] -= 1
+
+    def unanswered(self, slice_index, now_ms):
+        """Note that nobody knows whether a request has ended.
+
+        Parameters
+        ----------
+        slice_index : int
+        now_ms : float
+            After its connection was closed, which discards what had not left.
+        """
+        self._in_hand[slice_index] -= 1
+        self._doubts[slice_index] = _Doubt(now_ms, self.longest_ms)
+
+    def observe(self, boot_id, sent_ms, arrived_ms):
+        """Take in a probe's answer.
+
+        Parameters
+        ----------
+        boot_id : str
+        sent_ms, arrived_ms : float
+            The steward's clock before the probe left and after its answer came.
+        """
+        if boot_id != self.boot_id:
+            self._restarted(boot_id)
+        self._seen_ms = sent_ms
+        if _is_over(self._earlier, sent_ms, arrived_ms):
+            self._earlier = None
+        ended = [i for i, d in self._doubts.items() if _is_over(d, sent_ms, arrived_ms)]
+        for index in ended:
+            del self._doubts[index]
+
+    def _restarted(self, boot_id):
+        """Drop what went to the process before: it cannot run in this one.
+
+        That process was last seen when ``_seen_ms`` was read; what was given up on
+        later may have reached the new one.
+        """
+        known, self.boot_id = self.boot_id, boot_id
+        if not known:
+            return
+        kept = {i: d for i, d in self._doubts.items() if d.since_ms > self._seen_ms}
+        for doubt in (*kept.values(), self._earlier):
+            if doubt is not None:
+                doubt.running_ms = None
+        self._doubts = kept
+
+    def moved(self, now_ms):
+        """Note that the server's name now stands for another address.
+
+        What answers there says nothing about the process at the old one, which may be
+        cut off with requests in its hands: nothing is released in this term any more.
+        """
+        self.boot_id = ""
+        self._earlier = _Doubt(math.inf, self.longest_ms)
+
+    def released(self, slice_index):
+        """Tell whether nothing of a slice can run at the server any more.
+
+        The caller has made sure that no further request of the slice is admitted.
+
+        Returns
+        -------
+        proof : str
+            ``"drained"``, or empty without proof.
+        """
+        if self._earlier is not None or slice_index in self._doubts:
+            return ""
+        return "" if self._in_hand[slice_index] else "drained"
+
+
+def _is_over(doubt, sent_ms, arrived_ms):
+    if doubt is None:
+        return False
+    if doubt.running_ms is None:
+        if sent_ms >= doubt.since_ms:
+            doubt.running_ms = arrived_ms
+        return False
+    longest_ms = doubt.longest_ms / (1.0 - CLOCK_RATE_MARGIN)
+    return sent_ms >= doubt.running_ms + longest_ms
--- a/src/tarragonramp/roles/entry.py
+++ b/src/tarragonramp/roles/entry.py
@@ -18,6 +18,7 @@
     error_reply,
 )
 from ..errors import AbandonedError, NotSentError, RequestError
+from ..gates import Order
 from ..meters import ANSWERED, NOT_RUN, UNKNOWN
 from ..model import OWNED
 from ..request import (
@@ -63,6 +64,7 @@
     address: str
     slice_index: int = -1
     token: int = 0
+    gated_at: tuple = ()
 
 
 @attrs.define(eq=False, repr=False)
@@ -77,6 +79,9 @@
     timing : Timing
     limits : Limits
     meter : RequestMeter
+    forward : callable
+        ``forward(Order) -> Result``: to a server that takes orders from nobody but
+        its steward.
     """
 
     view: object
@@ -85,6 +90,7 @@
     timing: object
     limits: object
     meter: object
+    forward: object = None
     _in_flight: dict = attrs.Factory(dict)
     _ejected_until_ms: dict = attrs.Factory(dict)
     _changed: Event = attrs.Factory(Event)
@@ -233,7 +239,8 @@
         vm = self.view.vms.get(item.server)
         if item.state != OWNED or vm is None:
             return None
-        return _Route(item.server, vm.address, index, item.token)
+        gated_at = () if service.checks_grants else (team, service.name)
+        return _Route(item.server, vm.address, index, item.token, gated_at)
 
     def _serve_shared(self, team, service, request):
         """Send to a server of the service; elsewhere if that can do no harm."""
@@ -291,13 +298,15 @@
         headers = request.headers + [
             ("X-Request-Id", request.request_id),
             (EXCHANGE_HEADER, next(self._exchange_ids)),
-            ("Tarragon-Deadline-Ms", str(int(left_ms))),
         ]
         if route.slice_index >= 0:
             headers.append(("Tarragon-Slice", str(route.slice_index)))
             headers.append(("Tarragon-Token", str(route.token)))
         self._in_flight[route.server] = self._in_flight.get(route.server, 0) + 1
         try:
+            if route.gated_at:
+                return self._forward(route, request, headers, left_ms)
+            headers.append(("Tarragon-Deadline-Ms", str(int(left_ms))))
             return self.pools.at(route.address).exchange(
                 request.method,
                 request.target,
@@ -310,6 +319,20 @@
             self._in_flight[route.server] -= 1
             request.times.service_ms += self.clock.now_ms() - sent_ms
 
+    def _forward(self, route, request, headers, left_ms):
+        order = Order(
+            *route.gated_at,
+            route.server,
+            route.slice_index,
+            route.token,
+            request.method,
+            request.target,
+            tuple(headers),
+            request.body,
+            left_ms,
+        )
+        return self.forward(order)
+
     def _check_retry(self, error, request, budget):
         """Return if a request may be sent again after a failed exchange; else raise.
 
--- a/src/tarragonramp/roles/steward.py
+++ b/src/tarragonramp/roles/steward.py
@@ -10,6 +10,7 @@
 from ..adapters.logs import log_event
 from ..assignments import may_grant, registration, tokens_of
 from ..errors import ConflictError, NotSentError
+from ..gates import Gate
 from ..leases import END_MARGIN_MS, GrantLedger
 from ..model import KIND_ASSIGNMENT, SILENT, UNKNOWN, UP
 from ..terms import RIGHT_MARGIN
@@ -30,6 +31,7 @@
     role: str
     service: object
     ledger: GrantLedger
+    gate: Gate | None = None
     condition: str = UNKNOWN
     answered_ms: float = 0.0
     reported: tuple = ()
@@ -98,17 +100,36 @@
         proof : str
         """
         role = steward_role(question.team, question.service, question.server)
-        charge = self._charges.get(role)
+        charge = self.charge(role)
         if charge is None or charge.ledger.term != question.steward_term:
             return [], ""
         name = assignment_name(question.team, question.service)
         if self.view.version_of(KIND_ASSIGNMENT, name) < question.assignment_version:
             return [], ""
-        now_ms = self.clock.now_ms()
-        proofs = {i: charge.ledger.released(i, now_ms) for i in question.slices}
+        proofs = {i: self._released(charge, i) for i in question.slices}
         released = [i for i, proof in proofs.items() if proof]
         return released, ",".join(sorted({p for p in proofs.values() if p}))
 
+    def charge(self, role):
+        """Return the server that this daemon looks after in a role, or None."""
+        return self._charges.get(role)
+
+    def _released(self, charge, index):
+        if charge.gate is not None:
+            return charge.gate.released(index)
+        return charge.ledger.released(index, self.clock.now_ms())
+
+    def _new_gate(self, service, held, right_ends_ms):
+        """Return the gate of a server that does not check who gives it orders."""
+        if service.checks_grants or not service.divided:
+            return None
+        return Gate(
+            service.slots_per_server,
+            held.right_ms,
+            right_ends_ms,
+            max(held.right_ms, held.longest_right_ms),
+        )
+
     def _new_charge(self, vm, role, service):
         state = self.keeper.holding(role)
         right_ends_ms = state.earlier_right_ends_ms
@@ -124,7 +145,8 @@
             inherited_end_ms,
             right_ends_ms,
         )
-        return _Charge(vm, role, service, ledger, answered_ms=self.clock.now_ms())
+        gate = self._new_gate(service, state.held, right_ends_ms)
+        return _Charge(vm, role, service, ledger, gate, answered_ms=self.clock.now_ms())
 
     def _attend(self, charge):
         log_event("steward-began", role=charge.role, term=charge.ledger.term)
@@ -147,6 +169,8 @@
         vm = self.view.vms.get(charge.vm.name)
         if vm is not None and vm.address != charge.vm.address:
             charge.ledger.moved(self.clock.now_ms())
+            if charge.gate is not None:
+                charge.gate.moved(self.clock.now_ms())
         charge.vm = vm or charge.vm
         found = self.view.services().get((charge.vm.team, charge.vm.service))
         charge.service = found or charge.service
@@ -163,7 +187,7 @@
         # than a grant's length.
         now_ms = self.clock.now_ms()
         grant = None
-        if registered and self._holds(charge):
+        if registered and charge.gate is None and self._holds(charge):
             grant = self._next_grant(charge, now_ms)
         timeout_ms = self.timing.control_timeout_ms
         if grant is None:
@@ -192,6 +216,8 @@
         first = not charge.ledger.boot_id
         restarted = charge.ledger.observe(answer, sent_ms, arrived_ms)
         charge.answered_ms = arrived_ms
+        if charge.gate is not None:
+            charge.gate.observe(answer.boot_id, sent_ms, arrived_ms)
         if charge.ledger.fenced and self._holds(charge):
             held = self.keeper.holding(charge.role).held
             held.unbounded = False
--- a/src/tarragonramp/terms.py
+++ b/src/tarragonramp/terms.py
@@ -6,6 +6,8 @@
 consensus group nor a store.
 """
 
+import math
+
 import attrs
 
 from .model import Term
@@ -86,6 +88,13 @@
     pending: TermWrite | None = None
     _words_ms: dict[str, float] = attrs.Factory(dict)
 
+    @property
+    def right_until_ms(self):
+        """When the right ends if nothing prolongs it; infinite without a successor."""
+        if not self.successor and self.pending is None:
+            return math.inf
+        return self.right_ends_ms
+
     def may_act(self, now_ms):
         """Tell whether the holder may act.
 
@@ -95,9 +104,7 @@
             Read after the last wait and right before acting: a process that was
             paused in between finds its right gone.
         """
-        if not self.successor and self.pending is None:
-            return True
-        return now_ms < self.right_ends_ms
+        return now_ms < self.right_until_ms
 
     def grant_ms(self, wanted_ms):
         """Return how long grants may be: no longer than the term says."""
--- a/standins/backend.py
+++ b/standins/backend.py
@@ -48,6 +48,8 @@
         Requests executed at once; a few more wait, the rest are shed.
     work_ms : float
         Time an execution takes.
+    checks : bool, default=True
+        Whether a divided server refuses who has no grant.
     """
 
     name: str
@@ -55,6 +57,7 @@
     divided: bool
     slots: int
     work_ms: float
+    checks: bool = True
     boot_id: str = attrs.Factory(lambda: uuid.uuid4().hex[:12])
     term: int = 0
     sequence: int = 0
@@ -148,7 +151,7 @@
         return clock_ms() <= deadline_at_ms
 
     def _owns(self, environ):
-        if not self.divided:
+        if not self.divided or not self.checks:
             return True
         index = int(environ.get("HTTP_TARRAGON_SLICE", "-1"))
         token = int(environ.get("HTTP_TARRAGON_TOKEN", "-1"))
@@ -166,7 +169,12 @@
             "started_ms": started_ms,
             "ended_ms": clock_ms(),
             "until_ms": self.until_ms,
+            "steward_term": None,
         }
+        if self.divided and not self.checks:
+            deadline_ms = float(environ.get("HTTP_TARRAGON_DEADLINE_MS", "inf"))
+            entry["until_ms"] = started_ms + deadline_ms
+            entry["steward_term"] = int(environ.get("HTTP_TARRAGON_TERM", "0"))
         self.log.write(json.dumps(entry) + "\n")
         self.log.flush()
 
@@ -190,13 +198,19 @@
     parser.add_argument("--name", required=True, nargs="+")
     parser.add_argument("--log", required=True)
     parser.add_argument("--divided", action="store_true")
+    parser.add_argument("--unchecked", action="store_true")
     parser.add_argument("--slots", type=int, default=4)
     parser.add_argument("--work-ms", type=float, default=5.0)
     options = parser.parse_args()
     with open(options.log, "a", encoding="utf-8") as log:
         for address, name in zip(options.address, options.name, strict=True):
             server = BackendStandIn(
-                name, log, options.divided, options.slots, options.work_ms
+                name,
+                log,
+                options.divided,
+                options.slots,
+                options.work_ms,
+                not options.unchecked,
             )
             WebServer(address, server).start()
         gevent.get_hub().join()
--- a/standins/checker.py
+++ b/standins/checker.py
@@ -28,6 +28,7 @@
     return {
         "one owner at a time": one_owner(executions),
         "no execution under an ended grant": within_grant(executions),
+        "only the steward sends to a gated server": only_stewards(executions),
         "non-idempotent at most once": at_most_once(executions),
         "not run is true": not_run_is_true(executions, outcomes),
         "acknowledged requests did run": acknowledged_ran(executions, outcomes),
@@ -74,6 +75,22 @@
     ]
 
 
+def only_stewards(executions):
+    """A server that does not check gets nothing past its steward or from an old one."""
+    faults = []
+    newest = collections.Counter()
+    gated = [item for item in executions if item.get("steward_term") is not None]
+    for item in sorted(gated, key=lambda item: item["started_ms"]):
+        where = (item["server"], item["boot_id"])
+        if item["steward_term"] < max(1, newest[where]):
+            faults.append(
+                f"{item['server']}: request {item['request_id']} came in term"
+                f" {item['steward_term']} after term {newest[where]}"
+            )
+        newest[where] = max(newest[where], item["steward_term"])
+    return faults
+
+
 def at_most_once(executions):
     """A request that is not idempotent has at most one execution."""
     counts = collections.Counter(
--- a/standins/layouts.py
+++ b/standins/layouts.py
@@ -1,5 +1,10 @@
 """A small site: four daemons, two failure domains, five backend servers."""
 
+import os
+
+import attrs
+import yaml
+
 from .load import Call
 from .site import Backend, DaemonSpec
 
@@ -40,13 +45,15 @@
 }
 
 
-def start_small(site):
+def start_small(site, checks=True):
     """Start everything, declare the team and wait until every key has an owner.
 
     Parameters
     ----------
     site : Site
         Nothing of which has been started.
+    checks : bool, default=True
+        Whether the servers of the grant records check who gives them orders.
 
     Raises
     ------
@@ -57,15 +64,25 @@
     for spec in DAEMONS:
         site.start_daemon(spec)
     for backend in BACKENDS:
-        site.start_backend(backend)
+        site.start_backend(attrs.evolve(backend, checks=checks))
     site.wait_ready(ALL_DAEMONS)
-    done = site.command("apply", "--file", TEAM_FILE, daemon="d1")
+    done = site.command("apply", "--file", _team_file(site, checks), daemon="d1")
     if done.returncode != 0:
         raise RuntimeError(done.stderr)
     for name in ALL_DAEMONS:
         site.wait_owned(name)
 
 
+def _team_file(site, checks):
+    with open(TEAM_FILE, encoding="utf-8") as stream:
+        documents = list(yaml.safe_load_all(stream))
+    documents[-1]["spec"]["parameters"]["records_check_grants"] = checks
+    path = os.path.join(site.folder, "team.yaml")
+    with open(path, "w", encoding="utf-8") as stream:
+        yaml.safe_dump_all(documents, stream)
+    return path
+
+
 def holder_of(site, role, asked="d1"):
     """Return the name of the daemon that holds a role.
 
--- a/standins/site.py
+++ b/standins/site.py
@@ -69,6 +69,8 @@
     divided : bool
     slots : int
     work_ms : float
+    checks : bool
+        Whether a divided one refuses whoever has no grant.
     """
 
     name: str
@@ -78,6 +80,7 @@
     divided: bool = True
     slots: int = 4
     work_ms: float = 3.0
+    checks: bool = True
 
 
 @attrs.frozen
@@ -139,6 +142,8 @@
         arguments += ["--slots", str(first.slots), "--work-ms", str(first.work_ms)]
         if first.divided:
             arguments.append("--divided")
+        if not first.checks:
+            arguments.append("--unchecked")
         self._spawn(first.name, arguments)
         self._backends[first.name] = first
         self.vms = [vm for vm in self.vms if vm["name"] not in names]
--- a/tests/faults.py
+++ b/tests/faults.py
@@ -25,13 +25,14 @@
     """Starts a site for each test and checks every promise at its end."""
 
     proxied = True
+    checks = True
 
     def setUp(self):
         """Start platform, daemons and backend servers; declare a team."""
         self.site = Site(proxied=self.proxied)
         self.addCleanup(shutil.rmtree, self.site.folder, ignore_errors=True)
         self.addCleanup(self.site.stop)
-        start_small(self.site)
+        start_small(self.site, self.checks)
 
     def load_during(self, seconds, *events, daemons=ALL_DAEMONS, calls=CALLS):
         """Put load on and let things happen meanwhile.
--- a/tests/test_checker.py
+++ b/tests/test_checker.py
@@ -48,6 +48,15 @@
         late = {**GOOD, "until_ms": 109.0}
         self.assertIn("no execution under an ended grant", broken([late]))
 
+    def test_a_gated_server_reached_past_its_steward(self):
+        past = {**GOOD, "steward_term": 0}
+        check = "only the steward sends to a gated server"
+        self.assertIn(check, broken([past]))
+        new = {**GOOD, "steward_term": 3}
+        old = {**GOOD, "steward_term": 2, "request_id": "r2", "started_ms": 500.0}
+        self.assertIn(check, broken([new, old]))
+        self.assertNotIn(check, broken([{**old, "started_ms": 50.0}, new]))
+
     def test_a_claim_run_twice(self):
         again = {**GOOD, "started_ms": 120.0, "ended_ms": 130.0}
         self.assertIn("non-idempotent at most once", broken([GOOD, again]))
