--- a/standins/site.py
+++ b/standins/site.py
@@ -316,6 +316,8 @@
         while time.monotonic() < until_s:
             if condition():
                 return
+            if what in self.processes and not self.is_running(what):
+                break
             time.sleep(0.05)
         logs = "".join(f"\n{name}: {self._end_of(name)}" for name in self.processes)
         raise TimeoutError(f"{what} not there within {timeout_s} s{logs}")
