--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -32,16 +32,19 @@
         "name": "records",
         "path_prefix": "/records",
         "divided_by": {"source": "header", "name": "X-Key"},
+        "checks_grants": True,
     },
     {
         "name": "jobs",
         "path_prefix": "/jobs",
         "divided_by": {"source": "path", "name": "0"},
+        "checks_grants": True,
     },
     {
         "name": "orders",
         "path_prefix": "/orders",
         "divided_by": {"source": "query", "name": "id"},
+        "checks_grants": True,
     },
     {"name": "pages", "path_prefix": "/pages"},
 ]
