A server in a cold start gets what it bears, counted over all daemons

Cause: each entry knew of its own requests only. An entry now sends to a server itself only once the server's steward has said that it is warm; until then it forwards, and the steward keeps to the cold slots, then doubles them every half second. The word is lost with a failed exchange, a shed request, an answer that says cold, or the last open connection: a server's restart closes those at once, and probes tell a moment later. A new steward sends to a cold server only when the right of the one before is over.

--- a/src/tarragonramp/adapters/http.py
+++ b/src/tarragonramp/adapters/http.py
@@ -158,6 +158,17 @@
         )
         return Success(answer)
 
+    def has_live_idle(self):
+        """Tell whether the idle connection that is used next is still open.
+
+        If the server has closed it, the others are closed too: it may be another
+        process by now.
+        """
+        if self._idle and _is_quiet(self._idle[-1]):
+            return True
+        self.close()
+        return False
+
     def close(self):
         """Close idle connections."""
         while self._idle:
--- a/src/tarragonramp/gates.py
+++ b/src/tarragonramp/gates.py
@@ -1,7 +1,8 @@
-"""The way to a backend server that does not check who gives it an order.
+"""The way to a backend server that only its steward may send to.
 
-Only the server's steward sends to it. Every decision here is the steward's; entries
-forward what callers ask for.
+Such are a server that does not check who gives it an order, always, and any server in
+a cold start, until it bears its full load. Every decision here is the steward's;
+entries forward what callers ask for.
 """
 
 import collections
@@ -12,7 +13,7 @@
 from .leases import CLOCK_RATE_MARGIN
 from .terms import RIGHT_MARGIN
 
-__all__ = ["Admission", "Gate", "Order"]
+__all__ = ["Admission", "Gate", "Order", "Warmth"]
 
 LEAST_MS = 5.0
 """A deadline shorter than this is over before the server has begun."""
@@ -91,20 +92,24 @@
 
     Parameters
     ----------
-    slots : int
-        Requests that the server bears at once, from all daemons together.
+    warmth : Warmth
+        How many requests the server bears at once, from all daemons together.
     longest_ms : float
         Longest deadline that is passed along: the length of a right.
     earlier_right_ends_ms : float
         On the steward's clock, when no earlier steward may send any more.
     earlier_longest_ms : float
         Longest deadline that an earlier steward may have passed along.
+    checks : bool, default=False
+        Whether the server refuses superseded stewards; then a request in its hands may
+        outlast the right.
     """
 
-    slots: int
+    warmth: object
     longest_ms: float
     earlier_right_ends_ms: float
     earlier_longest_ms: float
+    checks: bool = False
     boot_id: str = ""
     waiting: int = 0
     _seen_ms: float = 0.0
@@ -124,15 +129,20 @@
         """How many requests are at the server."""
         return self._in_hand.total()
 
-    @property
-    def is_full(self):
-        """Whether another request has to wait."""
-        return self.in_hand >= self.slots
+    def is_full(self, now_ms):
+        """Tell whether another request has to wait.
+
+        Until the earlier steward's right is over, its requests may be in the server's
+        hands too: a server in a cold start would get twice what it bears.
+        """
+        if now_ms < self.earlier_right_ends_ms and not self.warmth.is_warm(now_ms):
+            return True
+        return self.in_hand >= self.warmth.width(now_ms)
 
     @property
     def is_crowded(self):
         """Whether another request may not even wait."""
-        return self.waiting >= self.slots * WAITING_PER_SLOT
+        return self.waiting >= self.warmth.slots * WAITING_PER_SLOT
 
     def admit(self, slice_index, now_ms, deadline_at_ms, right_ends_ms):
         """Decide, right before sending, whether a request may go to the server.
@@ -155,7 +165,9 @@
         right_ms = min(right_ends_ms - now_ms, self.longest_ms)
         if right_ms < LEAST_MS:
             return Admission(reason="steward has no right")
-        timeout_ms = min(deadline_at_ms - now_ms, right_ms)
+        timeout_ms = deadline_at_ms - now_ms
+        if not self.checks:
+            timeout_ms = min(timeout_ms, right_ms)
         if timeout_ms < LEAST_MS:
             return Admission(reason="deadline passed")
         self._in_hand[slice_index] += 1
@@ -243,3 +255,65 @@
         return False
     longest_ms = doubt.longest_ms / (1.0 - CLOCK_RATE_MARGIN)
     return sent_ms >= doubt.running_ms + longest_ms
+
+
+RAMP_STEP_MS = 500.0
+"""How long a server that has warmed up works at one width before the next.
+
+Load: a promotion's callers, all waiting for a server that has just come back. Harm
+prevented: it falls over under the whole of them and is cold again. Each step doubles
+what it may have in hand, so it is at its full width after a second or two.
+"""
+
+
+@attrs.define
+class Warmth:
+    """How much a server bears now, as its steward sees it.
+
+    Parameters
+    ----------
+    cold_slots, slots : int
+        What it bears in a cold start, and warm.
+    """
+
+    cold_slots: int
+    slots: int
+    boot_id: str = ""
+    _warm_since_ms: float | None = None
+
+    def observe(self, boot_id, cold, now_ms):
+        """Take in what the server says of itself.
+
+        A server that is not known yet counts as cold, whatever it says: its word may
+        lag. So it is taken at its word only step by step.
+        """
+        if cold or boot_id != self.boot_id:
+            self._warm_since_ms = None
+        self.boot_id = boot_id
+        if not cold and self._warm_since_ms is None:
+            self._warm_since_ms = now_ms
+
+    def suspect(self):
+        """Note that the server may be another process than the one last seen.
+
+        Its connections tell of a restart at once, probes only a moment later: until the
+        next one it gets what a cold server bears.
+        """
+        self.boot_id = ""
+        self._warm_since_ms = None
+
+    def shed(self, now_ms):
+        """Note that the server turned a request away: it bears less than it says."""
+        if self._warm_since_ms is not None:
+            self._warm_since_ms = now_ms
+
+    def width(self, now_ms):
+        """Return how many requests the server may have in hand."""
+        if self._warm_since_ms is None:
+            return self.cold_slots
+        steps = int((now_ms - self._warm_since_ms) // RAMP_STEP_MS)
+        return min(self.slots, self.cold_slots << min(steps, 32))
+
+    def is_warm(self, now_ms):
+        """Tell whether entries may send to the server themselves."""
+        return self.width(now_ms) >= self.slots
--- a/src/tarragonramp/request.py
+++ b/src/tarragonramp/request.py
@@ -10,6 +10,8 @@
 from .model import CallerClass
 
 __all__ = [
+    "COLD_HEADER",
+    "DIRECT_HEADER",
     "EXCHANGE_HEADER",
     "OUTCOME_HEADER",
     "Request",
@@ -25,6 +27,8 @@
 INNER_PREFIX = "tarragon-"
 OUTCOME_HEADER = "Tarragon-Outcome"
 EXCHANGE_HEADER = "Tarragon-Exchange"
+DIRECT_HEADER = "Tarragon-Direct"
+COLD_HEADER = "Tarragon-Cold"
 REQUEST_ID_HEADER = "x-request-id"
 TIMEOUT_HEADER = "x-request-timeout-ms"
 HOP_HEADERS = frozenset(
--- a/src/tarragonramp/roles/entry.py
+++ b/src/tarragonramp/roles/entry.py
@@ -22,6 +22,8 @@
 from ..meters import ANSWERED, NOT_RUN, UNKNOWN
 from ..model import OWNED
 from ..request import (
+    COLD_HEADER,
+    DIRECT_HEADER,
     EXCHANGE_HEADER,
     OUTCOME_HEADER,
     Request,
@@ -39,6 +41,7 @@
 __all__ = ["Entry"]
 
 RETRY_AFTER_S = 1.0
+PASS_MS = 250.0
 EJECTION_MS = 1000
 
 # A connection that cannot be opened costs the server nothing, so it draws on no
@@ -93,6 +96,7 @@
     forward: object = None
     _in_flight: dict = attrs.Factory(dict)
     _ejected_until_ms: dict = attrs.Factory(dict)
+    _passes: dict = attrs.Factory(dict)
     _changed: Event = attrs.Factory(Event)
     _budgets: dict = attrs.Factory(lambda: collections.defaultdict(RetryBudget))
     _exchange_ids: object = attrs.Factory(
@@ -239,9 +243,54 @@
         vm = self.view.vms.get(item.server)
         if item.state != OWNED or vm is None:
             return None
-        gated_at = () if service.checks_grants else (team, service.name)
+        gated_at = self._gated_at(team, service, vm)
         return _Route(item.server, vm.address, index, item.token, gated_at)
 
+    def _gated_at(self, team, service, vm):
+        """Return the service if requests have to go through the server's steward.
+
+        Load: a server that was started or has come back while its callers wait. Harm
+        prevented: it gets more than it bears in a cold start from entries that each
+        know of their own requests only. An entry sends to a server itself once the
+        steward has said so, and until anything hints at a restart or a cold start.
+        """
+        direct = service.checks_grants or not service.divided
+        return () if direct and self._has_pass(vm) else (team, service.name)
+
+    def _has_pass(self, vm):
+        """Tell whether the steward's word that a server is warm still holds.
+
+        Guards against a server that was replaced between two requests: its kernel has
+        closed this entry's connections, and nothing else tells. Without a connection
+        the word holds for a moment only.
+        """
+        if self.forward is None:
+            return True
+        address, given_ms = self._passes.get(vm.name, ("", 0.0))
+        if address != vm.address:
+            return False
+        if (
+            self._in_flight.get(vm.name, 0) > 0
+            or self.pools.at(address).has_live_idle()
+        ):
+            return True
+        if self.clock.now_ms() - given_ms <= PASS_MS:
+            return True
+        del self._passes[vm.name]
+        return False
+
+    def _note_warmth(self, route, result):
+        if not is_successful(result):
+            if not isinstance(result.failure(), AbandonedError):
+                self._passes.pop(route.server, None)
+            return
+        answer = result.unwrap()
+        shed = answer.header(OUTCOME_HEADER) == NOT_RUN and answer.status == 503
+        if shed or answer.header(COLD_HEADER):
+            self._passes.pop(route.server, None)
+        elif answer.header(DIRECT_HEADER):
+            self._passes[route.server] = (route.address, self.clock.now_ms())
+
     def _serve_shared(self, team, service, request):
         """Send to a server of the service; elsewhere if that can do no harm."""
         budget = self._budgets[team, service.name]
@@ -283,9 +332,26 @@
         ]
         if not usable:
             return None
+        usable = self._without_busy_gates(team, service, usable)
         drawn = random.sample(usable, min(2, len(usable)))
         best = min(drawn, key=lambda vm: self._in_flight.get(vm.name, 0))
-        return _Route(best.name, best.address)
+        gated_at = self._gated_at(team, service, best)
+        return _Route(best.name, best.address, gated_at=gated_at)
+
+    def _without_busy_gates(self, team, service, usable):
+        """Leave out servers in a cold start that this entry has sent something to.
+
+        Load: a service one of whose servers has just come back. Harm prevented: callers
+        queue for the one request that it bears while others are free. One request at a
+        time still goes there, so that it warms up and its steward is asked again.
+        """
+        free = [
+            vm
+            for vm in usable
+            if not self._in_flight.get(vm.name, 0)
+            or not self._gated_at(team, service, vm)
+        ]
+        return free or usable
 
     def _eject(self, server):
         self._ejected_until_ms[server] = self.clock.now_ms() + EJECTION_MS
@@ -305,9 +371,11 @@
         self._in_flight[route.server] = self._in_flight.get(route.server, 0) + 1
         try:
             if route.gated_at:
-                return self._forward(route, request, headers, left_ms)
+                result = self._forward(route, request, headers, left_ms)
+                self._note_warmth(route, result)
+                return result
             headers.append(("Tarragon-Deadline-Ms", str(int(left_ms))))
-            return self.pools.at(route.address).exchange(
+            result = self.pools.at(route.address).exchange(
                 request.method,
                 request.target,
                 headers,
@@ -315,6 +383,8 @@
                 left_ms,
                 request.is_wanted,
             )
+            self._note_warmth(route, result)
+            return result
         finally:
             self._in_flight[route.server] -= 1
             request.times.service_ms += self.clock.now_ms() - sent_ms
--- a/src/tarragonramp/roles/gatekeeper.py
+++ b/src/tarragonramp/roles/gatekeeper.py
@@ -1,4 +1,4 @@
-"""Takes callers' requests to servers that do not check who gives them orders."""
+"""Takes callers' requests to servers that only their steward may send to."""
 
 import attrs
 from gevent.event import Event
@@ -11,7 +11,7 @@
 from ..gates import Order
 from ..meters import NOT_RUN
 from ..model import OWNED
-from ..request import OUTCOME_HEADER
+from ..request import COLD_HEADER, DIRECT_HEADER, OUTCOME_HEADER
 from ..view import steward_role
 
 __all__ = ["Forwarder", "GateKeeper"]
@@ -19,6 +19,7 @@
 STALE_ROUTE = 409
 BUSY = 503
 TERM_HEADER = "Tarragon-Term"
+LOOK_AGAIN_MS = 50.0
 
 
 @attrs.define(eq=False, repr=False)
@@ -57,9 +58,14 @@
         deadline_at_ms = self.clock.now_ms() + order.deadline_ms
         role = steward_role(order.team, order.service, order.server)
         charge = self.stewards.charge(role)
-        if charge is None or charge.gate is None:
+        if charge is None:
             return _refused(STALE_ROUTE, "not this server's steward")
-        if charge.gate.is_full and not self._wait(charge.gate, deadline_at_ms):
+        pool = self.pools.at(charge.vm.address)
+        if not charge.gate.in_hand and not pool.has_live_idle():
+            charge.gate.warmth.suspect()
+        # Another server can take what has no owner: it need not wait for this one.
+        wait_until_ms = deadline_at_ms if order.slice_index >= 0 else 0.0
+        if not self._wait(charge.gate, wait_until_ms):
             return _refused(BUSY, "server is busy")
         # Nothing waits from here to the sending: what is read now still holds then.
         held = self._held(charge, order)
@@ -75,12 +81,14 @@
 
     def _wait(self, gate, deadline_at_ms):
         """Wait for a slot; False if there is none in time."""
+        if not gate.is_full(self.clock.now_ms()):
+            return True
         if gate.is_crowded:
             return False
         gate.waiting += 1
         try:
-            while gate.is_full:
-                left_ms = deadline_at_ms - self.clock.now_ms()
+            while gate.is_full(now_ms := self.clock.now_ms()):
+                left_ms = min(deadline_at_ms - now_ms, LOOK_AGAIN_MS)
                 if left_ms <= 0:
                     return False
                 self._changed.wait(left_ms / 1000.0)
@@ -94,10 +102,12 @@
         term = charge.ledger.term
         if state is None or state.held.number != term:
             return None
+        if order.slice_index < 0:
+            return state.held
         assignment = self.view.assignment(order.team, order.service)
         if not may_grant(assignment, order.server, term):
             return None
-        if not 0 <= order.slice_index < len(assignment.slices):
+        if order.slice_index >= len(assignment.slices):
             return None
         item = assignment.slices[order.slice_index]
         wanted = (OWNED, order.server, order.token)
@@ -116,14 +126,27 @@
                 order.method, order.target, headers, order.body, timeout_ms
             )
             ended = is_successful(result) or isinstance(result.failure(), NotSentError)
-            return result
+            return result.map(lambda answer: self._judged(charge, answer))
         finally:
             if ended:
                 charge.gate.answered(order.slice_index)
             else:
+                charge.gate.warmth.suspect()
                 charge.gate.unanswered(order.slice_index, self.clock.now_ms())
             self._wake()
 
+    def _judged(self, charge, answer):
+        """Return the answer, marked if the entry may send to the server itself."""
+        now_ms = self.clock.now_ms()
+        warmth = charge.gate.warmth
+        if answer.header(OUTCOME_HEADER) == NOT_RUN and answer.status == BUSY:
+            warmth.shed(now_ms)
+        if answer.header(COLD_HEADER):
+            warmth.suspect()
+        if not charge.checks or not warmth.is_warm(now_ms):
+            return answer
+        return attrs.evolve(answer, headers=(*answer.headers, (DIRECT_HEADER, "1")))
+
     def _wake(self):
         changed, self._changed = self._changed, Event()
         changed.set()
--- a/src/tarragonramp/roles/steward.py
+++ b/src/tarragonramp/roles/steward.py
@@ -10,7 +10,7 @@
 from ..adapters.logs import log_event
 from ..assignments import may_grant, registration, tokens_of
 from ..errors import ConflictError, NotSentError
-from ..gates import Gate
+from ..gates import Gate, Warmth
 from ..leases import END_MARGIN_MS, GrantLedger
 from ..model import KIND_ASSIGNMENT, SILENT, UNKNOWN, UP
 from ..terms import RIGHT_MARGIN
@@ -31,7 +31,8 @@
     role: str
     service: object
     ledger: GrantLedger
-    gate: Gate | None = None
+    gate: Gate
+    checks: bool
     condition: str = UNKNOWN
     answered_ms: float = 0.0
     reported: tuple = ()
@@ -115,19 +116,17 @@
         return self._charges.get(role)
 
     def _released(self, charge, index):
-        if charge.gate is not None:
+        if not charge.checks:
             return charge.gate.released(index)
         return charge.ledger.released(index, self.clock.now_ms())
 
-    def _new_gate(self, service, held, right_ends_ms):
-        """Return the gate of a server that does not check who gives it orders."""
-        if service.checks_grants or not service.divided:
-            return None
+    def _new_gate(self, service, held, right_ends_ms, checks):
         return Gate(
-            service.slots_per_server,
+            Warmth(service.cold_slots_per_server, service.slots_per_server),
             held.right_ms,
             right_ends_ms,
             max(held.right_ms, held.longest_right_ms),
+            checks,
         )
 
     def _new_charge(self, vm, role, service):
@@ -145,8 +144,11 @@
             inherited_end_ms,
             right_ends_ms,
         )
-        gate = self._new_gate(service, state.held, right_ends_ms)
-        return _Charge(vm, role, service, ledger, gate, answered_ms=self.clock.now_ms())
+        checks = service.checks_grants or not service.divided
+        gate = self._new_gate(service, state.held, right_ends_ms, checks)
+        return _Charge(
+            vm, role, service, ledger, gate, checks, answered_ms=self.clock.now_ms()
+        )
 
     def _attend(self, charge):
         log_event("steward-began", role=charge.role, term=charge.ledger.term)
@@ -169,8 +171,7 @@
         vm = self.view.vms.get(charge.vm.name)
         if vm is not None and vm.address != charge.vm.address:
             charge.ledger.moved(self.clock.now_ms())
-            if charge.gate is not None:
-                charge.gate.moved(self.clock.now_ms())
+            charge.gate.moved(self.clock.now_ms())
         charge.vm = vm or charge.vm
         found = self.view.services().get((charge.vm.team, charge.vm.service))
         charge.service = found or charge.service
@@ -187,7 +188,7 @@
         # than a grant's length.
         now_ms = self.clock.now_ms()
         grant = None
-        if registered and charge.gate is None and self._holds(charge):
+        if registered and charge.checks and self._holds(charge):
             grant = self._next_grant(charge, now_ms)
         timeout_ms = self.timing.control_timeout_ms
         if grant is None:
@@ -216,8 +217,8 @@
         first = not charge.ledger.boot_id
         restarted = charge.ledger.observe(answer, sent_ms, arrived_ms)
         charge.answered_ms = arrived_ms
-        if charge.gate is not None:
-            charge.gate.observe(answer.boot_id, sent_ms, arrived_ms)
+        charge.gate.observe(answer.boot_id, sent_ms, arrived_ms)
+        charge.gate.warmth.observe(answer.boot_id, answer.cold, arrived_ms)
         if charge.ledger.fenced and self._holds(charge):
             held = self.keeper.holding(charge.role).held
             held.unbounded = False
--- a/standins/backend.py
+++ b/standins/backend.py
@@ -26,6 +26,7 @@
 )
 
 WORK_STEP_MS = 20.0
+FALLEN_OVER_MS = 1000.0
 
 
 def answer_bytes(boot_id, request_id, body):
@@ -50,6 +51,10 @@
         Time an execution takes.
     checks : bool, default=True
         Whether a divided server refuses who has no grant.
+    cold_slots : int
+        Requests in hand that it bears in a cold start; it falls over under more.
+    cold_until_ms : float
+        When the cold start ends.
     """
 
     name: str
@@ -58,13 +63,16 @@
     slots: int
     work_ms: float
     checks: bool = True
+    cold_slots: int = 0
+    cold_until_ms: float = 0.0
+    in_hand: int = 0
+    cold_excess: int = 0
     boot_id: str = attrs.Factory(lambda: uuid.uuid4().hex[:12])
     term: int = 0
     sequence: int = 0
     tokens: dict = attrs.Factory(dict)
     until_ms: float = 0.0
     waiting: int = 0
-    cold: bool = False
     cancelled: list = attrs.Factory(list)
     _slots: Semaphore = attrs.field(init=False)
 
@@ -83,7 +91,18 @@
             return json_reply(start_response, 200 if accepted else 409, self._answer())
         if path == "/standin/cancelled":
             return json_reply(start_response, 200, self.cancelled)
-        return self._serve(environ, body, start_response)
+        if path == "/standin/cold":
+            self.cold_until_ms = clock_ms() + json.loads(body)["for_ms"]
+            return json_reply(start_response, 200, {})
+        self.in_hand += 1
+        try:
+            if self.cold and self.in_hand > self.cold_slots:
+                excess = self.in_hand - self.cold_slots
+                self.cold_excess = max(self.cold_excess, excess)
+                gevent.sleep(FALLEN_OVER_MS / 1000.0)
+            return self._serve(environ, body, start_response)
+        finally:
+            self.in_hand -= 1
 
     def _answer(self):
         return {
@@ -94,6 +113,11 @@
             "cold": self.cold,
         }
 
+    @property
+    def cold(self):
+        """Whether it is in a cold start."""
+        return clock_ms() < self.cold_until_ms
+
     def _take_grant(self, grant):
         offered = (grant["term"], grant["sequence"])
         if grant["boot_id"] != self.boot_id or offered < (self.term, self.sequence):
@@ -137,6 +161,8 @@
             ("X-Request-Id", request_id),
             ("X-Server", self.name),
         ]
+        if self.cold:
+            headers.append(("Tarragon-Cold", "1"))
         start_response(REASONS[200], headers)
         return [answer]
 
@@ -170,6 +196,7 @@
             "ended_ms": clock_ms(),
             "until_ms": self.until_ms,
             "steward_term": None,
+            "cold_excess": self.cold_excess,
         }
         if self.divided and not self.checks:
             deadline_ms = float(environ.get("HTTP_TARRAGON_DEADLINE_MS", "inf"))
@@ -199,6 +226,8 @@
     parser.add_argument("--log", required=True)
     parser.add_argument("--divided", action="store_true")
     parser.add_argument("--unchecked", action="store_true")
+    parser.add_argument("--cold-ms", type=float, default=0.0)
+    parser.add_argument("--cold-slots", type=int, default=1)
     parser.add_argument("--slots", type=int, default=4)
     parser.add_argument("--work-ms", type=float, default=5.0)
     options = parser.parse_args()
@@ -211,6 +240,8 @@
                 options.slots,
                 options.work_ms,
                 not options.unchecked,
+                options.cold_slots,
+                clock_ms() + options.cold_ms,
             )
             WebServer(address, server).start()
         gevent.get_hub().join()
--- a/standins/checker.py
+++ b/standins/checker.py
@@ -29,6 +29,7 @@
         "one owner at a time": one_owner(executions),
         "no execution under an ended grant": within_grant(executions),
         "only the steward sends to a gated server": only_stewards(executions),
+        "a cold server bears what it gets": within_cold_slots(executions),
         "non-idempotent at most once": at_most_once(executions),
         "not run is true": not_run_is_true(executions, outcomes),
         "acknowledged requests did run": acknowledged_ran(executions, outcomes),
@@ -91,6 +92,16 @@
     return faults
 
 
+def within_cold_slots(executions):
+    """In a cold start a server has no more in hand than it bears."""
+    return [
+        f"{item['server']}: {item['cold_excess']} requests too many at"
+        f" {item['request_id']}"
+        for item in executions
+        if item.get("cold_excess", 0) > 0
+    ]
+
+
 def at_most_once(executions):
     """A request that is not idempotent has at most one execution."""
     counts = collections.Counter(
--- a/standins/layouts.py
+++ b/standins/layouts.py
@@ -45,7 +45,7 @@
 }
 
 
-def start_small(site, checks=True):
+def start_small(site, checks=True, **changes):
     """Start everything, declare the team and wait until every key has an owner.
 
     Parameters
@@ -54,6 +54,8 @@
         Nothing of which has been started.
     checks : bool, default=True
         Whether the servers of the grant records check who gives them orders.
+    **changes
+        Of every backend server, as fields of Backend.
 
     Raises
     ------
@@ -64,7 +66,7 @@
     for spec in DAEMONS:
         site.start_daemon(spec)
     for backend in BACKENDS:
-        site.start_backend(attrs.evolve(backend, checks=checks))
+        site.start_backend(attrs.evolve(backend, checks=checks, **changes))
     site.wait_ready(ALL_DAEMONS)
     done = site.command("apply", "--file", _team_file(site, checks), daemon="d1")
     if done.returncode != 0:
--- a/standins/site.py
+++ b/standins/site.py
@@ -71,6 +71,8 @@
     work_ms : float
     checks : bool
         Whether a divided one refuses whoever has no grant.
+    cold_ms : float
+        How long it is cold after each start.
     """
 
     name: str
@@ -81,6 +83,7 @@
     slots: int = 4
     work_ms: float = 3.0
     checks: bool = True
+    cold_ms: float = 0.0
 
 
 @attrs.frozen
@@ -142,6 +145,7 @@
         arguments += ["--slots", str(first.slots), "--work-ms", str(first.work_ms)]
         if first.divided:
             arguments.append("--divided")
+        arguments += ["--cold-ms", str(first.cold_ms)]
         if not first.checks:
             arguments.append("--unchecked")
         self._spawn(first.name, arguments)
--- a/tests/faults.py
+++ b/tests/faults.py
@@ -26,13 +26,14 @@
 
     proxied = True
     checks = True
+    changes = {}
 
     def setUp(self):
         """Start platform, daemons and backend servers; declare a team."""
         self.site = Site(proxied=self.proxied)
         self.addCleanup(shutil.rmtree, self.site.folder, ignore_errors=True)
         self.addCleanup(self.site.stop)
-        start_small(self.site, self.checks)
+        start_small(self.site, self.checks, **self.changes)
 
     def load_during(self, seconds, *events, daemons=ALL_DAEMONS, calls=CALLS):
         """Put load on and let things happen meanwhile.
--- a/tests/test_checker.py
+++ b/tests/test_checker.py
@@ -57,6 +57,10 @@
         self.assertIn(check, broken([new, old]))
         self.assertNotIn(check, broken([{**old, "started_ms": 50.0}, new]))
 
+    def test_too_much_for_a_cold_server(self):
+        much = {**GOOD, "cold_excess": 1}
+        self.assertIn("a cold server bears what it gets", broken([much]))
+
     def test_a_claim_run_twice(self):
         again = {**GOOD, "started_ms": 120.0, "ended_ms": 130.0}
         self.assertIn("non-idempotent at most once", broken([GOOD, again]))
--- a/tests/test_gates.py
+++ b/tests/test_gates.py
@@ -2,14 +2,21 @@
 
 import unittest
 
-from tarragonramp.gates import Gate
+from tarragonramp.gates import Gate, Warmth
 
 FAR = float("inf")
 
 
+def warm(slots):
+    """Return a server that has been warm for long."""
+    warmth = Warmth(1, slots)
+    warmth.observe("b1", False, -1e6)
+    return warmth
+
+
 def gate():
     """Return a gate with nothing before it, and proved so by two probes."""
-    made = Gate(2, 800.0, earlier_right_ends_ms=0.0, earlier_longest_ms=800.0)
+    made = Gate(warm(2), 800.0, earlier_right_ends_ms=0.0, earlier_longest_ms=800.0)
     made.observe("b1", 803.0, 804.0)
     made.observe("b1", 1610.0, 1611.0)
     return made
@@ -35,11 +42,11 @@
     def test_no_more_than_the_servers_slots_at_once(self):
         full = gate()
         full.admit(0, 1000.0, FAR, FAR)
-        self.assertFalse(full.is_full)
+        self.assertFalse(full.is_full(1000.0))
         full.admit(1, 1000.0, FAR, FAR)
-        self.assertTrue(full.is_full)
+        self.assertTrue(full.is_full(1000.0))
         full.answered(0)
-        self.assertFalse(full.is_full)
+        self.assertFalse(full.is_full(1000.0))
 
 
 class ReleaseTest(unittest.TestCase):
@@ -96,7 +103,9 @@
 
     def test_an_earlier_stewards_requests_are_waited_for(self):
         """A steward dies with requests at the server; its successor sent none."""
-        new = Gate(2, 800.0, earlier_right_ends_ms=500.0, earlier_longest_ms=800.0)
+        new = Gate(
+            warm(2), 800.0, earlier_right_ends_ms=500.0, earlier_longest_ms=800.0
+        )
         new.observe("b1", 100.0, 101.0)
         new.observe("b1", 1310.0, 1311.0)
         self.assertEqual(new.released(0), "")
@@ -105,3 +114,45 @@
         self.assertEqual(new.released(0), "")
         new.observe("b2", 2210.0, 2211.0)
         self.assertEqual(new.released(0), "drained")
+
+
+class WarmthTest(unittest.TestCase):
+    """What a server bears after a start, on 1 slot cold and 4 warm."""
+
+    def widths(self, warmth, *times_ms):
+        return [warmth.width(at_ms) for at_ms in times_ms]
+
+    def test_a_cold_server_gets_its_cold_slots_however_long(self):
+        warmth = Warmth(1, 4)
+        self.assertEqual(warmth.width(0.0), 1)
+        warmth.observe("b1", True, 10.0)
+        self.assertEqual(self.widths(warmth, 10.0, 1e6), [1, 1])
+
+    def test_a_warmed_up_server_is_widened_step_by_step(self):
+        warmth = Warmth(1, 4)
+        warmth.observe("b1", False, 0.0)
+        self.assertEqual(self.widths(warmth, 0.0, 500.0, 1000.0, 1e6), [1, 2, 4, 4])
+        self.assertFalse(warmth.is_warm(999.0))
+        self.assertTrue(warmth.is_warm(1000.0))
+
+    def test_whatever_hints_at_a_cold_start_begins_anew(self):
+        """A server restarts, or falls cold without a word and sheds a request."""
+        for hint in (
+            lambda w: w.observe("b2", False, 5000.0),
+            lambda w: w.observe("b1", True, 5000.0),
+            lambda w: w.shed(5000.0),
+            lambda w: w.suspect(),
+        ):
+            warmth = Warmth(1, 4)
+            warmth.observe("b1", False, 0.0)
+            hint(warmth)
+            self.assertEqual(warmth.width(5000.0), 1)
+
+    def test_a_new_steward_waits_for_the_one_before(self):
+        """A steward dies with a request at a cold server; its successor knows of none.
+
+        Both together would give it twice what it bears.
+        """
+        gate = Gate(Warmth(1, 4), 800.0, 500.0, 800.0)
+        self.assertTrue(gate.is_full(499.0))
+        self.assertFalse(gate.is_full(500.0))
