--- a/src/tarragonramp/adapters/peers.py
+++ b/src/tarragonramp/adapters/peers.py
@@ -225,10 +225,11 @@
 
     Raises
     ------
-    ValueError, TypeError
-        If it is not one.
+    ValueError, KeyError, TypeError
+        If it is not one. Fields of a newer version are passed over.
     """
-    return NewsQuestion(**json.loads(raw))
+    found = json.loads(raw)
+    return NewsQuestion(*(found[field.name] for field in attrs.fields(NewsQuestion)))
 
 
 def news_payload(news):
@@ -257,6 +258,8 @@
 def _ping_answer(answer):
     try:
         raw = json.loads(answer.body)
-        return Success(PingAnswer(raw["identity"], tuple(raw["taken"]), raw["newest"]))
+        return Success(
+            PingAnswer(raw["identity"], tuple(raw["taken"]), raw.get("newest", 0))
+        )
     except (ValueError, KeyError, TypeError) as error:
         return Failure(UnansweredError(f"ping answer not understood: {error!r}"))
--- a/src/tarragonramp/daemon.py
+++ b/src/tarragonramp/daemon.py
@@ -73,11 +73,11 @@
     stewards: object
     planners: object
     operators: object
+    status: object
+    peer_secrets: object
     traffic: object
     cpu: object
     metrics: object
-    status: object
-    peer_secrets: object
     ready: bool = False
     stopped: Event = attrs.Factory(Event)
 
@@ -93,12 +93,12 @@
             settings.advertised_peer_address or settings.peer_address,
         )
         view = View()
+        peer_secrets = Secrets.from_text(settings.security.peer_secret)
+        operator_secrets = Secrets.from_text(settings.security.operator_secret)
         requests, traffic, cpu = RequestMeter(), TrafficMeter(), CpuMeter()
         platform = HttpPlatform.from_config(settings, traffic)
         watcher = HttpPlatform.from_config(settings, traffic)
         pools = HttpPools(traffic=traffic)
-        peer_secrets = Secrets.from_text(settings.security.peer_secret)
-        operator_secrets = Secrets.from_text(settings.security.operator_secret)
         peers = GrpcPeers(pools, timing.control_timeout_ms, traffic, peer_secrets)
         membership = Membership(me, view, platform, peers, clock, timing)
         keeper = TermKeeper(view, platform, membership, clock, timing)
@@ -129,7 +129,7 @@
                 me,
                 view,
                 platform,
-                HttpPools(),
+                pools,
                 clock,
                 AuditTrail(me, platform, clock, settings.audit.keep_entries),
                 operator_secrets,
@@ -158,7 +158,12 @@
         control = WebServer(
             settings.control_address, self._control, traffic=self.traffic
         )
-        callers = WebServer(settings.caller_address, self.entry, reuse_port=True)
+        callers = WebServer(
+            settings.caller_address,
+            self.entry,
+            reuse_port=True,
+            limits=settings.limits,
+        )
         self.cpu.start()
         peer_server.start()
         control.start()
@@ -221,7 +226,7 @@
             question = json.loads(environ["wsgi.input"].read())
             asked = question["identity"]
             self.membership.heard(asked)
-            self.news.heard(asked.partition("#")[0], question["newest"])
+            self.news.heard(asked.partition("#")[0], question.get("newest", 0))
             word = {
                 "identity": self.me.identity,
                 "taken": self.keeper.taken_from(asked),
--- a/src/tarragonramp/roles/news.py
+++ b/src/tarragonramp/roles/news.py
@@ -54,7 +54,7 @@
     clock: object
     timing: object
     reached: bool = True
-    source: str = PLATFORM
+    source: str | None = None
     sources: Sources = attrs.Factory(Sources)
     _failures: int = 0
     _pulling: bool = False
@@ -82,6 +82,8 @@
 
     def run_vm_list(self):
         """Read the list of VMs, for ever, while this daemon watches the platform."""
+        while self.source is None:
+            gevent.sleep(BATCH_MS / 1000.0)
         while True:
             if self.source == PLATFORM:
                 self._read_vms()
@@ -163,8 +165,6 @@
             self.sources.suspect(name, self.clock.now_ms())
             return
         self.sources.trust(name)
-        if news.vms is not None:
-            self.view.apply_vm_changes(news.vms)
         self._note_reached(news.reached)
         if not news.reached:
             self._fall_back()
@@ -206,6 +206,8 @@
         if not is_successful(result):
             return None
         news = result.unwrap()
+        if news.vms is not None and name == self.source:
+            self.view.apply_vm_changes(news.vms)
         self._take(news.version, news.items)
         return news
 
--- a/src/tarragonramp/view.py
+++ b/src/tarragonramp/view.py
@@ -30,7 +30,9 @@
 CONFIGURED_KINDS = (KIND_TEMPLATE, KIND_TEAM, KIND_FAILURE_DOMAIN)
 """Kinds that operators declare: their newest version is the configuration's."""
 
-_CONVERTER = cattrs.Converter(forbid_extra_keys=True)
+# Fields of a newer version are passed over: during a rolling upgrade or rollback
+# daemons of both versions read each other's objects.
+_CONVERTER = cattrs.Converter()
 _TYPES = {
     KIND_TEMPLATE: Template,
     KIND_TEAM: Team,
@@ -73,10 +75,12 @@
     version: int = 0
     newest: int = 0
     config_version: int = 0
+    unreadable: dict = attrs.Factory(dict)
     _vms: VmList = attrs.Factory(VmList)
     _stored: dict = attrs.Factory(dict)
     _typed: dict = attrs.Factory(dict)
     _by_kind: dict = attrs.Factory(dict)
+    _earlier: dict = attrs.Factory(dict)
     _services: dict = attrs.Factory(dict)
     _prefixes: list = attrs.Factory(list)
     _listeners: list = attrs.Factory(list)
@@ -104,12 +108,15 @@
         if held is not None and held.version >= stored.version:
             return False
         self._stored[key] = stored
-        self._typed.pop(key, None)
         self._by_kind.pop(stored.kind, None)
         self.newest = max(self.newest, stored.version)
+        first_assignment = stored.kind == KIND_ASSIGNMENT and held is None
+        before = self._typed.pop(key, None)
+        if before is not None and stored.kind in CONFIGURED_KINDS:
+            self._earlier[key] = before
         if stored.kind in CONFIGURED_KINDS:
             self.config_version = max(self.config_version, stored.version)
-        if stored.kind in (KIND_TEMPLATE, KIND_TEAM):
+        if stored.kind in (KIND_TEMPLATE, KIND_TEAM) or first_assignment:
             self._expand_teams()
         self._tell()
         return True
@@ -170,10 +177,28 @@
         """Return an object as its attrs class, or None."""
         key = (kind, name)
         if key not in self._typed:
-            held = self.stored(kind, name)
-            self._typed[key] = None if held is None else _structured(held)
+            self._typed[key] = self._read(key)
         return self._typed[key]
 
+    def _read(self, key):
+        """Return an object as its attrs class.
+
+        A declaration that cannot be read, because somebody wrote it past the
+        checks, leaves the one before in force; ``unreadable`` names it. Raised, the
+        error would stop this daemon from following any change at all.
+        """
+        held = self.stored(*key)
+        self.unreadable.pop(key, None)
+        if held is None:
+            return None
+        if held.kind not in CONFIGURED_KINDS:
+            return _structured(held)
+        try:
+            return _structured(held)
+        except Exception as error:
+            self.unreadable[key] = "; ".join(cattrs.transform_error(error))
+            return self._earlier.get(key)
+
     def all_of(self, kind):
         """Return a new dict of name to attrs object of a kind."""
         return dict(self._all_of(kind))
@@ -253,7 +278,7 @@
             if not is_successful(expanded):
                 continue
             for service in expanded.unwrap():
-                services[name, service.name] = service
+                services[name, service.name] = self._as_assigned(name, service)
         self._services = services
         self._prefixes = sorted(
             (
@@ -261,9 +286,23 @@
                 for (team, _), s in services.items()
                 if not self.leaving(team)
             ),
-            key=lambda item: -len(item[0]),
+            # By name among equals: all daemons have to choose the same one, in
+            # whatever order they came to know the teams.
+            key=lambda item: (-len(item[0]), item[1]),
         )
 
+    def _as_assigned(self, team, service):
+        """Return a service with the number of slices that its assignment has.
+
+        Guards against two operators whose changes of template and team pass the
+        checks at the same moment: the assignment never changes its length, so all
+        daemons send a key to the same slice.
+        """
+        assignment = service.divided and self.assignment(team, service.name)
+        if not assignment:
+            return service
+        return attrs.evolve(service, n_slices=len(assignment.slices))
+
 
 def _structured(stored):
     if stored.kind == KIND_ASSIGNMENT:
