--- a/src/tarragonramp/adapters/peers.py
+++ b/src/tarragonramp/adapters/peers.py
@@ -31,15 +31,16 @@
     ----------
     identity : str
         Of the process that answered.
-    taken : tuple of str
-        Roles it has taken, or begun to take, from the asking daemon.
+    taken : dict of str to int
+        By role, the highest term that it has taken, or begun to take, from the asking
+        daemon: no word is given for that one and earlier ones.
     newest : int
         Highest version of the platform's objects that it has seen.
     """
 
     identity: str
-    taken: tuple[str, ...]
-    newest: int
+    taken: dict[str, int]
+    newest: int = 0
 
 
 @attrs.define(eq=False, repr=False)
@@ -258,8 +259,7 @@
 def _ping_answer(answer):
     try:
         raw = json.loads(answer.body)
-        return Success(
-            PingAnswer(raw["identity"], tuple(raw["taken"]), raw.get("newest", 0))
-        )
+        newest = raw.get("newest", 0)
+        return Success(PingAnswer(raw["identity"], dict(raw["taken"]), newest))
     except (ValueError, KeyError, TypeError) as error:
         return Failure(UnansweredError(f"ping answer not understood: {error!r}"))
--- a/src/tarragonramp/daemon.py
+++ b/src/tarragonramp/daemon.py
@@ -169,6 +169,7 @@
         control.start()
         keep_running(self.news.run)
         keep_running(self.news.run_vm_list)
+        self.news.wait_started()
         self.membership.register()
         for task in (
             self.membership.run_pings,
@@ -185,8 +186,8 @@
         self.ready = False
         log_event("daemon-draining", name=self.me.identity)
         callers.stop(timeout=settings.timing.drain_ms / 1000.0)
-        self.keeper.hand_over_all()
-        self.membership.unregister()
+        if self.keeper.hand_over_all():
+            self.membership.unregister()
         control.stop(timeout=1)
         peer_server.stop()
         log_event("daemon-stopped", name=self.me.identity)
--- a/src/tarragonramp/roles/news.py
+++ b/src/tarragonramp/roles/news.py
@@ -60,6 +60,7 @@
     _pulling: bool = False
     _last_direct_ms: float = 0.0
     _changed: Event = attrs.Factory(Event)
+    _started: Event = attrs.Factory(Event)
 
     def __attrs_post_init__(self):
         """Wake waiting followers whenever the view changes."""
@@ -73,6 +74,7 @@
         """
         gevent.sleep(random.random() * START_SPREAD_MS / 1000.0)
         self._read_members()
+        self._started.set()
         while True:
             self._choose_source()
             if self.source == PLATFORM:
@@ -80,10 +82,13 @@
             else:
                 self._follow()
 
+    def wait_started(self):
+        """Wait until the members are known."""
+        self._started.wait()
+
     def run_vm_list(self):
         """Read the list of VMs, for ever, while this daemon watches the platform."""
-        while self.source is None:
-            gevent.sleep(BATCH_MS / 1000.0)
+        self.wait_started()
         while True:
             if self.source == PLATFORM:
                 self._read_vms()
