--- a/src/tarragonramp/adapters/peers.py
+++ b/src/tarragonramp/adapters/peers.py
@@ -40,7 +40,7 @@
 
     identity: str
     taken: dict[str, int]
-    newest: int
+    newest: int = 0
 
 
 @attrs.define(eq=False, repr=False)
@@ -226,10 +226,11 @@
 
     Raises
     ------
-    ValueError, TypeError
-        If it is not one.
+    ValueError, KeyError, TypeError
+        If it is not one. Fields of a newer version are passed over.
     """
-    return NewsQuestion(**json.loads(raw))
+    found = json.loads(raw)
+    return NewsQuestion(*(found[field.name] for field in attrs.fields(NewsQuestion)))
 
 
 def news_payload(news):
@@ -258,6 +259,7 @@
 def _ping_answer(answer):
     try:
         raw = json.loads(answer.body)
-        return Success(PingAnswer(raw["identity"], dict(raw["taken"]), raw["newest"]))
+        newest = raw.get("newest", 0)
+        return Success(PingAnswer(raw["identity"], dict(raw["taken"]), newest))
     except (ValueError, KeyError, TypeError) as error:
         return Failure(UnansweredError(f"ping answer not understood: {error!r}"))
--- a/src/tarragonramp/daemon.py
+++ b/src/tarragonramp/daemon.py
@@ -169,6 +169,7 @@
         control.start()
         keep_running(self.news.run)
         keep_running(self.news.run_vm_list)
+        self.news.wait_started()
         self.membership.register()
         for task in (
             self.membership.run_pings,
@@ -226,7 +227,7 @@
             question = json.loads(environ["wsgi.input"].read())
             asked = question["identity"]
             self.membership.heard(asked)
-            self.news.heard(asked.partition("#")[0], question["newest"])
+            self.news.heard(asked.partition("#")[0], question.get("newest", 0))
             word = {
                 "identity": self.me.identity,
                 "taken": self.keeper.taken_from(asked),
--- a/src/tarragonramp/roles/news.py
+++ b/src/tarragonramp/roles/news.py
@@ -54,12 +54,13 @@
     clock: object
     timing: object
     reached: bool = True
-    source: str = PLATFORM
+    source: str | None = None
     sources: Sources = attrs.Factory(Sources)
     _failures: int = 0
     _pulling: bool = False
     _last_direct_ms: float = 0.0
     _changed: Event = attrs.Factory(Event)
+    _started: Event = attrs.Factory(Event)
 
     def __attrs_post_init__(self):
         """Wake waiting followers whenever the view changes."""
@@ -73,6 +74,7 @@
         """
         gevent.sleep(random.random() * START_SPREAD_MS / 1000.0)
         self._read_members()
+        self._started.set()
         while True:
             self._choose_source()
             if self.source == PLATFORM:
@@ -80,8 +82,13 @@
             else:
                 self._follow()
 
+    def wait_started(self):
+        """Wait until the members are known."""
+        self._started.wait()
+
     def run_vm_list(self):
         """Read the list of VMs, for ever, while this daemon watches the platform."""
+        self.wait_started()
         while True:
             if self.source == PLATFORM:
                 self._read_vms()
@@ -163,8 +170,6 @@
             self.sources.suspect(name, self.clock.now_ms())
             return
         self.sources.trust(name)
-        if news.vms is not None:
-            self.view.apply_vm_changes(news.vms)
         self._note_reached(news.reached)
         if not news.reached:
             self._fall_back()
@@ -206,6 +211,8 @@
         if not is_successful(result):
             return None
         news = result.unwrap()
+        if news.vms is not None and name == self.source:
+            self.view.apply_vm_changes(news.vms)
         self._take(news.version, news.items)
         return news
 
--- a/src/tarragonramp/view.py
+++ b/src/tarragonramp/view.py
@@ -108,11 +108,12 @@
         if held is not None and held.version >= stored.version:
             return False
         self._stored[key] = stored
-        first_assignment = stored.kind == KIND_ASSIGNMENT and held is None
-        if key in self._typed:
-            self._earlier[key] = self._typed.pop(key)
         self._by_kind.pop(stored.kind, None)
         self.newest = max(self.newest, stored.version)
+        first_assignment = stored.kind == KIND_ASSIGNMENT and held is None
+        before = self._typed.pop(key, None)
+        if before is not None and stored.kind in CONFIGURED_KINDS:
+            self._earlier[key] = before
         if stored.kind in CONFIGURED_KINDS:
             self.config_version = max(self.config_version, stored.version)
         if stored.kind in (KIND_TEMPLATE, KIND_TEAM) or first_assignment:
