Entry admits through gates and passes over stragglers; routes kept until the view changes

Retry times come from the queue's drain rate, jittered; the others are jittered too. Tried and dropped: an arithmetic mean, which one long answer moves too far, and a limit widened by the peers' scatter, which made no difference.

--- a/src/tarragonramp/roles/entry.py
+++ b/src/tarragonramp/roles/entry.py
@@ -10,6 +10,7 @@
 from gevent.event import Event
 from returns.pipeline import is_successful
 
+from ..adapters.http import CANCELLATION_CHECK_MS
 from ..adapters.web import (
     HEADERS_KEY,
     REASONS,
@@ -17,9 +18,9 @@
     caller_is_gone,
     error_reply,
 )
+from ..admission import ADMITTED, WAITING, Gate, Outcome, Ticket
 from ..errors import AbandonedError, NotSentError, RequestError
 from ..meters import ANSWERED, NOT_RUN, UNKNOWN
-from ..model import OWNED
 from ..request import (
     EXCHANGE_HEADER,
     OUTCOME_HEADER,
@@ -33,12 +34,14 @@
     request_id,
 )
 from ..retries import RetryBudget
+from ..routing import Routes, less_loaded
 from ..slices import slice_of
+from ..stragglers import Ejections
 
 __all__ = ["Entry"]
 
 RETRY_AFTER_S = 1.0
-EJECTION_MS = 1000
+STALE_OWNER = 409
 
 # A connection that cannot be opened costs the server nothing, so it draws on no
 # budget; but each try may take as long as a silent address does.
@@ -50,14 +53,6 @@
 BODILESS_STATUSES = frozenset((204, 304))
 
 
-@attrs.define
-class _Route:
-    server: str
-    address: str
-    slice_index: int = -1
-    token: int = 0
-
-
 @attrs.define(eq=False, repr=False)
 class Entry:
     """The entry role: a WSGI application for callers.
@@ -78,8 +73,10 @@
     timing: object
     limits: object
     meter: object
-    _in_flight: dict = attrs.Factory(dict)
-    _ejected_until_ms: dict = attrs.Factory(dict)
+    _routes: Routes = attrs.field(init=False)
+    _gates: dict = attrs.Factory(dict)
+    _ejections: dict = attrs.Factory(lambda: collections.defaultdict(Ejections))
+    _rng: random.Random = attrs.Factory(random.Random)
     _changed: Event = attrs.Factory(Event)
     _budgets: dict = attrs.Factory(lambda: collections.defaultdict(RetryBudget))
     _exchange_ids: object = attrs.Factory(
@@ -88,6 +85,7 @@
 
     def __attrs_post_init__(self):
         """Wake requests that wait for a route whenever the view changes."""
+        self._routes = Routes(self.view)
         self.view.on_change(self._wake)
 
     def __call__(self, environ, start_response):
@@ -177,22 +175,27 @@
         stale_token = -1
         for _ in range(MAX_TRIES):
             route = self._owner(team, service, index, request, stale_token)
-            result = self._exchange(route, request)
+            gate, waited = self._admit(route, service, request)
+            if waited and self._routes.owner(team, service.name, index) != route:
+                _tell(gate.leave(Outcome.CANCELLED, 0.0, self.clock.now_ms()))
+                continue
+            result = self._exchange(route, request, gate)
             if not is_successful(result):
                 error = result.failure()
                 self._check_retry(error, request, budget)
                 if isinstance(error, NotSentError):
-                    raise request.refusal(503, "owner not reached", RETRY_AFTER_S)
+                    retry_after_s = self._retry_after_s()
+                    raise request.refusal(503, "owner not reached", retry_after_s)
                 continue
             answer = result.unwrap()
             if answer.header(OUTCOME_HEADER) != NOT_RUN:
                 return answer
-            if answer.status != 409:
-                raise request.refusal(503, "server is busy", RETRY_AFTER_S)
+            if answer.status != STALE_OWNER:
+                raise request.refusal(503, "server is busy", self._retry_after_s())
             if stale_token >= 0:
                 break
             stale_token = route.token
-        raise request.refusal(503, "owner is changing", RETRY_AFTER_S)
+        raise request.refusal(503, "owner is changing", self._retry_after_s())
 
     def _owner(self, team, service, index, request, stale_token):
         """Return the route to a slice's owner, waiting a moment while it moves.
@@ -203,35 +206,27 @@
         wait_until_ms = self.clock.now_ms() + self.timing.route_wait_ms
         wait_until_ms = min(wait_until_ms, request.deadline_at_ms)
         while True:
-            route = self._route(team, service, index)
+            route = self._routes.owner(team, service.name, index)
             if route is not None and route.token > stale_token:
                 return route
             left_ms = wait_until_ms - self.clock.now_ms()
             if left_ms <= 0:
-                raise request.refusal(503, "key has no owner", RETRY_AFTER_S)
+                raise request.refusal(503, "key has no owner", self._retry_after_s())
             self._changed.wait(left_ms / 1000.0)
 
-    def _route(self, team, service, index):
-        assignment = self.view.assignment(team, service.name)
-        if assignment is None or index >= len(assignment.slices):
-            return None
-        item = assignment.slices[index]
-        vm = self.view.vms.get(item.server)
-        if item.state != OWNED or vm is None:
-            return None
-        return _Route(item.server, vm.address, index, item.token)
-
     def _serve_shared(self, team, service, request):
         """Send to a server of the service; elsewhere if that can do no harm."""
         budget = self._budgets[team, service.name]
+        ejections = self._ejections[team, service.name]
         budget.earn()
         tried = set()
         for _ in range(MAX_TRIES):
-            route = self._pick(team, service, tried)
+            route = self._pick(team, service, ejections, tried)
             if route is None:
                 break
             tried.add(route.server)
-            result = self._exchange(route, request)
+            gate, _ = self._admit(route, service, request)
+            result = self._exchange(route, request, gate, ejections)
             if is_successful(result):
                 answer = result.unwrap()
                 if answer.header(OUTCOME_HEADER) != NOT_RUN:
@@ -239,41 +234,96 @@
                 if not budget.spend():
                     break
                 continue
-            error = result.failure()
-            if not isinstance(error, AbandonedError):
-                self._eject(route.server)
-            self._check_retry(error, request, budget)
-        raise request.refusal(503, "no server can take it", RETRY_AFTER_S)
-
-    def _pick(self, team, service, tried):
-        """Choose the less busy of two servers drawn at random.
-
-        Load: many entries choose at once on stale knowledge. Harm prevented: all of
-        them picking the same least loaded server.
-        """
-        now_ms = self.clock.now_ms()
-        usable = [
-            vm
-            for vm in self.view.servers_of(team, service.name).values()
-            if vm.name not in tried
-            and vm.state == "live"
-            and self.view.domain_in(vm.failure_domain)
-            and self._ejected_until_ms.get(vm.name, 0.0) <= now_ms
-        ]
-        if not usable:
+            self._check_retry(result.failure(), request, budget)
+        raise request.refusal(503, "no server can take it", self._retry_after_s())
+
+    def _pick(self, team, service, ejections, tried):
+        routes = self._routes.candidates(team, service.name)
+        routes = ejections.usable(routes, self.clock.now_ms())
+        if tried:
+            routes = [route for route in routes if route.server not in tried]
+        if not routes:
             return None
-        drawn = random.sample(usable, min(2, len(usable)))
-        best = min(drawn, key=lambda vm: self._in_flight.get(vm.name, 0))
-        return _Route(best.name, best.address)
-
-    def _eject(self, server):
-        self._ejected_until_ms[server] = self.clock.now_ms() + EJECTION_MS
+        return less_loaded(routes, self._load_of, self._rng)
+
+    def _load_of(self, route):
+        gate = self._gates.get(route.server)
+        return 0.0 if gate is None else gate.load
+
+    def _gate(self, server, service):
+        """Return the gate before a server, with its latest limits."""
+        slots, connections = service.slots_per_server, service.connections_per_server
+        n_entries = self._routes.n_entries()
+        gate = self._gates.get(server)
+        if gate is None:
+            gate = self._gates[server] = Gate(slots, connections, n_entries)
+        else:
+            gate.resize(slots, connections, n_entries)
+        return gate
+
+    def _admit(self, route, service, request):
+        """Pass the gate before a server, waiting if there is hope.
+
+        Returns
+        -------
+        gate : Gate
+            Which the request has to leave.
+        waited : bool
+            Whether the route may have changed meanwhile.
+        """
+        gate = self._gate(route.server, service)
+        ticket = Ticket(request.caller_class.priority, request.deadline_at_ms)
+        _tell(gate.arrive(ticket, self.clock.now_ms()))
+        if ticket.state == ADMITTED:
+            return gate, False
+        if ticket.state == WAITING:
+            self._wait(gate, ticket, request)
+        if ticket.state == ADMITTED:
+            return gate, True
+        retry_after_s = ticket.retry_after_ms / 1000.0
+        raise request.refusal(503, "server is busy", retry_after_s)
+
+    def _wait(self, gate, ticket, request):
+        """Wait until a ticket is admitted or refused, or until nothing is to be won."""
+        moved = Event()
+        ticket.on_change = moved.set
+        try:
+            while ticket.state == WAITING:
+                left_ms = gate.latest_start_ms(ticket) - self.clock.now_ms()
+                if left_ms <= 0 or not request.is_wanted():
+                    break
+                moved.wait(min(left_ms, CANCELLATION_CHECK_MS) / 1000.0)
+        except BaseException:
+            # The greenlet is being killed: nobody else would free its place.
+            if ticket.state == ADMITTED:
+                _tell(gate.leave(Outcome.CANCELLED, 0.0, self.clock.now_ms()))
+            raise
+        finally:
+            if ticket.state == WAITING:
+                gate.withdraw(ticket)
 
-    def _exchange(self, route, request):
+    def _exchange(self, route, request, gate, ejections=None):
+        """Send a request that has been admitted, once, and leave the gate."""
         sent_ms = self.clock.now_ms()
+        outcome = Outcome.CANCELLED
+        try:
+            result = self._send(route, request, sent_ms)
+            outcome = _outcome_of(result)
+            return result
+        finally:
+            now_ms = self.clock.now_ms()
+            took_ms = now_ms - sent_ms
+            request.times.service_ms += took_ms
+            _tell(gate.leave(outcome, took_ms, now_ms))
+            if ejections is not None and outcome == Outcome.ANSWERED:
+                ejections.note_answer(route.server, took_ms, now_ms)
+            elif ejections is not None and outcome == Outcome.LOST:
+                ejections.eject(route.server, now_ms)
+
+    def _send(self, route, request, sent_ms):
         left_ms = request.deadline_at_ms - sent_ms
         if left_ms <= 0:
-            raise request.refusal(504, "deadline passed", RETRY_AFTER_S)
+            raise request.refusal(504, "deadline passed", self._retry_after_s())
         headers = request.headers + [
             ("X-Request-Id", request.request_id),
             (EXCHANGE_HEADER, next(self._exchange_ids)),
@@ -282,19 +332,18 @@
         if route.slice_index >= 0:
             headers.append(("Tarragon-Slice", str(route.slice_index)))
             headers.append(("Tarragon-Token", str(route.token)))
-        self._in_flight[route.server] = self._in_flight.get(route.server, 0) + 1
-        try:
-            return self.pools.at(route.address).exchange(
-                request.method,
-                request.target,
-                headers,
-                request.body,
-                left_ms,
-                request.is_wanted,
-            )
-        finally:
-            self._in_flight[route.server] -= 1
-            request.times.service_ms += self.clock.now_ms() - sent_ms
+        return self.pools.at(route.address).exchange(
+            request.method,
+            request.target,
+            headers,
+            request.body,
+            left_ms,
+            request.is_wanted,
+        )
+
+    def _retry_after_s(self):
+        """Return when to come back if no queue tells, jittered against waves."""
+        return RETRY_AFTER_S * (0.5 + self._rng.random())
 
     def _check_retry(self, error, request, budget):
         """Return if a request may be sent again after a failed exchange; else raise.
@@ -309,7 +358,7 @@
         late = self.clock.now_ms() >= request.deadline_at_ms
         if isinstance(error, NotSentError):
             if late:
-                raise request.refusal(504, "deadline passed", RETRY_AFTER_S)
+                raise request.refusal(504, "deadline passed", self._retry_after_s())
             return
         request.in_doubt = True
         if late:
@@ -319,14 +368,36 @@
 
     def _wake(self):
         """Let everybody who waits look again."""
+        self._routes.forget()
         changed, self._changed = self._changed, Event()
         changed.set()
 
 
+def _outcome_of(result):
+    """Return how an exchange looks from the gate."""
+    if is_successful(result):
+        answer = result.unwrap()
+        if answer.header(OUTCOME_HEADER) != NOT_RUN:
+            return Outcome.ANSWERED
+        stale = answer.status == STALE_OWNER
+        return Outcome.CANCELLED if stale else Outcome.SHED
+    abandoned = isinstance(result.failure(), AbandonedError)
+    return Outcome.CANCELLED if abandoned else Outcome.LOST
+
+
+def _tell(tickets):
+    for ticket in tickets:
+        ticket.on_change()
+
+
 def _refuse(start_response, error, named):
     headers = [("X-Request-Id", named)] if named else []
     if error.retry_after_s is not None:
+        # Whole seconds are coarse for a queue that drains in less: callers who know
+        # us find the milliseconds beside them.
         headers.append(("Retry-After", str(max(1, round(error.retry_after_s)))))
+        retry_after_ms = int(error.retry_after_s * 1000.0)
+        headers.append(("Tarragon-Retry-After-Ms", str(retry_after_ms)))
     if error.status in CLOSING_STATUSES:
         headers.append(("Connection", "close"))
     return error_reply(start_response, error, headers)
--- /dev/null
+++ b/src/tarragonramp/routing.py
@@ -0,0 +1,109 @@
+"""Where a request may go: the owner of its slice, or a server of its service."""
+
+import attrs
+
+from .model import OWNED
+
+__all__ = ["Route", "Routes", "less_loaded"]
+
+
+@attrs.frozen
+class Route:
+    """One server that may take a request.
+
+    Parameters
+    ----------
+    server, address : str
+    slice_index : int
+        -1 for a shared service.
+    token : int
+        Fencing token of the slice's owner.
+    """
+
+    server: str
+    address: str
+    slice_index: int = -1
+    token: int = 0
+
+
+@attrs.define(eq=False, repr=False)
+class Routes:
+    """Routes worked out from a view, kept until it changes.
+
+    A request then costs two look-ups, however many VMs and slices there are.
+
+    Parameters
+    ----------
+    view : View
+    """
+
+    view: object
+    _owners: dict = attrs.Factory(dict)
+    _candidates: dict = attrs.Factory(dict)
+    _n_entries: int = 0
+
+    def forget(self):
+        """Forget all: the view has changed."""
+        self._owners.clear()
+        self._candidates.clear()
+        self._n_entries = 0
+
+    def owner(self, team, service, index):
+        """Return the Route to the owner of a slice; None while it has none."""
+        key = team, service, index
+        if key not in self._owners:
+            self._owners[key] = self._find_owner(team, service, index)
+        return self._owners[key]
+
+    def candidates(self, team, service):
+        """Return a tuple of Route to the servers that take a shared service."""
+        key = team, service
+        if key not in self._candidates:
+            self._candidates[key] = tuple(
+                Route(vm.name, vm.address)
+                for vm in self.view.servers_of(team, service).values()
+                if vm.state == "live" and self.view.domain_in(vm.failure_domain)
+            )
+        return self._candidates[key]
+
+    def n_entries(self):
+        """Return how many entries send to each server."""
+        if not self._n_entries:
+            self._n_entries = max(1, len(self.view.members()))
+        return self._n_entries
+
+    def _find_owner(self, team, service, index):
+        assignment = self.view.assignment(team, service)
+        if assignment is None or index >= len(assignment.slices):
+            return None
+        item = assignment.slices[index]
+        vm = self.view.vms.get(item.server)
+        if item.state != OWNED or vm is None:
+            return None
+        return Route(item.server, vm.address, index, item.token)
+
+
+def less_loaded(routes, load_of, rng):
+    """Choose the less loaded of two routes drawn at random.
+
+    Load: many entries choose at once on stale knowledge. Harm prevented: all of them
+    picking the same least loaded server. Two draws already take most of the unevenness
+    of one away; more would bring the herd back.
+
+    Parameters
+    ----------
+    routes : sequence of Route
+        At least one.
+    load_of : callable
+        ``load_of(route) -> float``
+    rng : random.Random
+    """
+    n = len(routes)
+    if n == 1:
+        return routes[0]
+    first = rng.randrange(n)
+    second = rng.randrange(n - 1)
+    if second >= first:
+        second += 1
+    one, other = routes[first], routes[second]
+    return one if load_of(one) <= load_of(other) else other
