A lost failure domain: planners survive it, and the operator's word ends its terms

Cause: run by hand, declare-lost left 32 slices of a team with their dead owners: the team's planner and its named successor were both in the lost failure domain, so nobody could take the term. The successor of a role that is not bound to a failure domain now comes from another one, and a declared loss counts as the holder's departure.

--- a/src/tarragonramp/command.py
+++ b/src/tarragonramp/command.py
@@ -629,7 +629,7 @@
             "failure_domain",
             "order",
             "daemons",
-            "answers",
+            "silent",
             "in_force_version",
             "in_force",
             "lagging",
--- a/src/tarragonramp/console.py
+++ b/src/tarragonramp/console.py
@@ -79,11 +79,10 @@
     found += [f"cannot be read: {text}" for text in status["unreadable"]]
     for row in status["failure_domains"]:
         name = row["failure_domain"]
-        if row["order"] == "lost":
-            continue
-        if not row["answers"]:
+        lost = row["order"] == "lost"
+        if not row["answers"] and not lost:
             found.append(f"failure domain {name}: no daemon answers")
-        if not row["in_force"]:
+        if not row["in_force"] and not lost:
             who = ", ".join(row["lagging"]) or "no daemon has reported"
             version = row["in_force_version"]
             found.append(f"failure domain {name}: {version} of {intended} ({who})")
--- a/src/tarragonramp/roles/membership.py
+++ b/src/tarragonramp/roles/membership.py
@@ -63,6 +63,9 @@
     def successor(self, same_domain_only):
         """Return the identity of the next daemon on the ring that answers.
 
+        Daemons of other failure domains come first where they may: a role that is
+        not bound to a failure domain must survive the loss of its own.
+
         Parameters
         ----------
         same_domain_only : bool
@@ -79,7 +82,7 @@
         names = _ring_after(self.me.name, near)
         if not same_domain_only:
             far = sorted(n for n in members if n not in near)
-            names += _ring_after(self.me.name, far)
+            names = _ring_after(self.me.name, far) + names
         for name in names:
             identity = members[name].identity
             if not self.seems_down(identity):
@@ -111,6 +114,10 @@
         """
         name = identity.partition("#")[0]
         member = self.view.get(KIND_MEMBER, name)
+        if member is not None and self.view.domain_lost(member.failure_domain):
+            # An operator's word that nothing runs there any more. Without it, a role
+            # whose holder and successor were lost together would stay with them.
+            return True
         if member is None:
             return self.view.deleted(KIND_MEMBER, name)
         return member.identity != identity
--- a/src/tarragonramp/roles/operators.py
+++ b/src/tarragonramp/roles/operators.py
@@ -55,7 +55,7 @@
 AUDIT_ENTRIES = 50
 CHANGE_MS = 5000
 MAX_ACTOR = 64
-ASKED_PER_DOMAIN = 3
+ASKED_PER_DOMAIN = 20
 ASK_MS = 500
 
 
@@ -321,11 +321,11 @@
     def _status(self):
         intended, statuses, reached = self._intended()
         names = sorted(self._domains() | set(statuses))
-        asked = [gevent.spawn(self._answers, name) for name in names]
-        gevent.joinall(asked)
+        tasks = [gevent.spawn(self._silent, name) for name in names]
+        gevent.joinall(tasks)
         domains = [
-            self._domain_row(name, statuses.get(name), intended) | {"answers": t.value}
-            for name, t in zip(names, asked, strict=True)
+            self._domain_row(name, statuses.get(name), intended, task.value)
+            for name, task in zip(names, tasks, strict=True)
         ]
         return {
             "daemon": self.me.identity,
@@ -359,32 +359,36 @@
         statuses |= {item.name: item.spec for item in found.value_or([])}
         return max(versions), statuses, reached
 
-    def _answers(self, failure_domain):
-        """Tell whether a daemon of a failure domain answers this one.
+    def _silent(self, failure_domain):
+        """Return the daemons of a failure domain that do not answer this one.
 
         A Status stays as it was when the whole failure domain is lost or cut off:
-        nobody is left there to write a new one.
+        nobody is left there to write a new one. In a large failure domain only
+        some are asked.
         """
-        members = [
+        members = self._members(failure_domain)
+        asked = random.sample(members, min(len(members), ASKED_PER_DOMAIN))
+        tasks = [gevent.spawn(self._is_there, member) for member in asked]
+        gevent.joinall(tasks)
+        found = zip(asked, tasks, strict=True)
+        return sorted(member.name for member, task in found if not task.value)
+
+    def _is_there(self, member):
+        pool = self.pools.at(member.control_address)
+        result = pool.exchange("GET", "/healthy", (), b"", ASK_MS)
+        return is_successful(result) and result.unwrap().status == 200
+
+    def _members(self, failure_domain):
+        return [
             member
             for member in self.view.members().values()
             if member.failure_domain == failure_domain
         ]
-        for member in random.sample(members, min(len(members), ASKED_PER_DOMAIN)):
-            pool = self.pools.at(member.control_address)
-            result = pool.exchange("GET", "/healthy", (), b"", ASK_MS)
-            if is_successful(result) and result.unwrap().status == 200:
-                return True
-        return False
-
-    def _domain_row(self, name, status, intended):
+
+    def _domain_row(self, name, status, intended, silent):
         order = self.view.get(KIND_FAILURE_DOMAIN, name) or FailureDomain()
         version = status["version"] if status else 0
-        daemons = [
-            member.name
-            for member in self.view.members().values()
-            if member.failure_domain == name
-        ]
+        daemons = [member.name for member in self._members(name)]
         lagging = status["lagging"] if status else sorted(daemons)
         if version < intended and not lagging:
             lagging = [status["reporter"]] if status else []
@@ -392,6 +396,8 @@
             "failure_domain": name,
             "order": order.state,
             "daemons": len(daemons),
+            "answers": len(silent) < min(len(daemons), ASKED_PER_DOMAIN),
+            "silent": silent,
             "in_force_version": version,
             "in_force": version >= intended and not lagging,
             "lagging": lagging,
