--- a/src/tarragonramp/roles/membership.py
+++ b/src/tarragonramp/roles/membership.py
@@ -1,11 +1,15 @@
 """Registers this daemon and watches its ring neighbours."""
 
+import random
+
 import attrs
 import gevent
 from returns.pipeline import is_successful
 
 from ..adapters.logs import log_event
 from ..model import KIND_MEMBER
+from ..spreading import start_delay_ms
+from ..terms import has_departed
 
 __all__ = ["Membership"]
 
@@ -33,6 +37,7 @@
     clock: object
     timing: object
     on_word: object = None
+    on_newest: object = None
     taken_from: object = None
     _heard_ms: dict = attrs.Factory(dict)
     _missed: dict = attrs.Factory(dict)
@@ -40,8 +45,11 @@
 
     def register(self):
         """Write this daemon into the platform, trying until it is there."""
+        n_members = len(self.view.members())
+        gevent.sleep(start_delay_ms(n_members, random.random()) / 1000.0)
         while True:
             version = self.view.version_of(KIND_MEMBER, self.me.name)
+            self._note_predecessor(self.view.get(KIND_MEMBER, self.me.name))
             result = self.platform.put(
                 KIND_MEMBER, self.me.name, attrs.asdict(self.me), version
             )
@@ -55,8 +63,23 @@
                     return
             gevent.sleep(REGISTER_RETRY_MS / 1000.0)
 
+    def _note_predecessor(self, earlier):
+        """List an earlier process of this name that may still run."""
+        if earlier is None or earlier.identity == self.me.identity:
+            return
+        unproven = earlier.unproven
+        own = (self.me.control_address, self.me.peer_address)
+        if (earlier.control_address, earlier.peer_address) != own:
+            unproven += (earlier.boot_id,)
+        self.me = attrs.evolve(self.me, unproven=unproven)
+
     def unregister(self):
-        """Remove this daemon from the platform, once."""
+        """Remove this daemon from the platform, once.
+
+        It stays if it has unproven predecessors: they would pass for departed.
+        """
+        if self.me.unproven:
+            return
         version = self.view.version_of(KIND_MEMBER, self.me.name)
         self.platform.delete(KIND_MEMBER, self.me.name, version)
 
@@ -106,21 +129,27 @@
         """Tell whether a daemon missed two pings in a row."""
         return self._missed.get(identity, 0) >= 2
 
-    def departed(self, identity):
+    def departed(self, identity, named_at_version):
         """Tell whether a process is known to be gone.
 
-        A daemon registers only after it has bound its addresses, which the kernel
-        gives to one process: a newer boot id proves that the older process ended.
+        Parameters
+        ----------
+        identity : str
+        named_at_version : int
+            Platform version of the newest object that names it.
         """
-        name = identity.partition("#")[0]
+        name, _, boot_id = identity.partition("#")
+        if name == self.me.name:
+            # A write of this daemon's predecessor may land after its successor's
+            # registration; this process knows which predecessors have ended.
+            return boot_id not in (self.me.boot_id, *self.me.unproven)
         member = self.view.get(KIND_MEMBER, name)
         if member is not None and self.view.domain_lost(member.failure_domain):
             # An operator's word that nothing runs there any more. Without it, a role
             # whose holder and successor were lost together would stay with them.
             return True
-        if member is None:
-            return self.view.deleted(KIND_MEMBER, name)
-        return member.identity != identity
+        version = self.view.version_seen(KIND_MEMBER, name)
+        return has_departed(identity, named_at_version, member, version)
 
     def run_pings(self):
         """Ping the successors of the terms held here, for ever."""
@@ -143,13 +172,16 @@
                 self._missed.pop(identity, None)
                 return
             sent_ms = self.clock.now_ms()
-            result = self.peers.ping(member.control_address, self.me.identity)
+            result = self.peers.ping(
+                member.control_address, self.me.identity, self.view.newest
+            )
             if not is_successful(result) or result.unwrap().identity != identity:
                 self._note_missed(identity)
                 return
             if self._missed.pop(identity, 0) >= 2:
                 log_event("peer-back", peer=identity)
             self.on_word(result.unwrap(), sent_ms)
+            self.on_newest(member.name, result.unwrap().newest)
         finally:
             self._pinging.pop(identity, None)
 
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -44,9 +44,9 @@
 
     def test_an_operators_word_ends_the_terms_of_a_lost_failure_domain(self):
         """All of failure domain b is lost: holder and successor of a term at once."""
-        self.assertFalse(self.membership.departed("b1#1"))
+        self.assertFalse(self.membership.departed("b1#1", 0))
         self.apply("FailureDomain", "b", {"state": "out"})
-        self.assertFalse(self.membership.departed("b1#1"))
+        self.assertFalse(self.membership.departed("b1#1", 0))
         self.apply("FailureDomain", "b", {"state": "lost"})
-        self.assertTrue(self.membership.departed("b1#1"))
-        self.assertFalse(self.membership.departed("a2#1"))
+        self.assertTrue(self.membership.departed("b1#1", 0))
+        self.assertFalse(self.membership.departed("a2#1", 0))
