--- a/src/tarragonramp/roles/membership.py
+++ b/src/tarragonramp/roles/membership.py
@@ -7,7 +7,7 @@
 from returns.pipeline import is_successful
 
 from ..adapters.logs import log_event
-from ..model import KIND_MEMBER
+from ..model import KIND_FAILURE_DOMAIN, KIND_MEMBER
 from ..spreading import start_delay_ms
 from ..terms import has_departed
 
@@ -144,13 +144,24 @@
             # registration; this process knows which predecessors have ended.
             return boot_id not in (self.me.boot_id, *self.me.unproven)
         member = self.view.get(KIND_MEMBER, name)
-        if member is not None and self.view.domain_lost(member.failure_domain):
-            # An operator's word that nothing runs there any more. Without it, a role
-            # whose holder and successor were lost together would stay with them.
+        if member is not None and self._was_lost(member):
             return True
         version = self.view.version_seen(KIND_MEMBER, name)
         return has_departed(identity, named_at_version, member, version)
 
+    def _was_lost(self, member):
+        """Tell whether an operator's word says that a daemon does not run any more.
+
+        Without it, a role whose holder and successor were lost together would stay
+        with them. A daemon that registered after the word is a new one: taken for
+        gone, it and its neighbours would take each other's terms in turns.
+        """
+        domain = member.failure_domain
+        if not self.view.domain_lost(domain):
+            return False
+        registered = self.view.version_seen(KIND_MEMBER, member.name)
+        return registered < self.view.version_seen(KIND_FAILURE_DOMAIN, domain)
+
     def run_pings(self):
         """Ping the successors of the terms held here, for ever."""
         while True:
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -44,6 +44,10 @@
             else:
                 self.assertEqual(default, str(field.default).lower(), path)
 
+    def test_nothing_is_listed_twice(self):
+        listed = [row[0] for row in rows(r"`[a-z_]+\.[a-z_]+`")]
+        self.assertEqual(len(listed), len(set(listed)))
+
     def test_ranges_are_those_that_are_checked(self):
         listed = {row[0].strip("`"): row[1:] for row in rows("`[a-z_.]+`")}
         checked = 0
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -50,3 +50,14 @@
         self.apply("FailureDomain", "b", {"state": "lost"})
         self.assertTrue(self.membership.departed("b1#1", 0))
         self.assertFalse(self.membership.departed("a2#1", 0))
+
+    def test_daemons_that_start_in_a_lost_failure_domain_are_there(self):
+        """A lost failure domain is rebuilt before the operator brings it back.
+
+        Its new daemons took each other for gone and took the terms from each other
+        in turns, a hundred writes a second.
+        """
+        self.apply("FailureDomain", "b", {"state": "lost"})
+        self.apply("Member", "b1", attrs.asdict(member("b1", "b")))
+        self.assertFalse(self.membership.departed("b1#1", 0))
+        self.assertTrue(self.membership.departed("b2#1", 0))
