--- a/src/tarragonramp/routing.py
+++ b/src/tarragonramp/routing.py
@@ -18,12 +18,15 @@
         -1 for a shared service.
     token : int
         Fencing token of the slice's owner.
+    gated_at : tuple of str
+        Team and service if only the server's steward may send to it; else empty.
     """
 
     server: str
     address: str
     slice_index: int = -1
     token: int = 0
+    gated_at: tuple = ()
 
 
 @attrs.define(eq=False, repr=False)
@@ -80,7 +83,9 @@
         vm = self.view.vms.get(item.server)
         if item.state != OWNED or vm is None:
             return None
-        return Route(item.server, vm.address, index, item.token)
+        checks = self.view.services()[team, service].checks_grants
+        gated_at = () if checks else (team, service)
+        return Route(item.server, vm.address, index, item.token, gated_at)
 
 
 def less_loaded(routes, load_of, rng):
