--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 PYTHON ?= python3
 VENV := .venv
 BIN := $(VENV)/bin
-
+.PHONY: bench-path bench-recovery capacity demo test explore lint format
 .PHONY: bench-path capacity demo test lint format
 
 $(VENV)/.installed: pyproject.toml
@@ -18,9 +18,15 @@
 bench-path: $(VENV)/.installed
 	$(BIN)/python -m bench.request_path
 
+bench-recovery: $(VENV)/.installed
+	$(BIN)/python -m bench.recovery
+
 test: $(VENV)/.installed
 	$(BIN)/python -m tests.run
 
+explore: $(VENV)/.installed
+	$(BIN)/python -m tests.explore_ownership
+
 lint: $(VENV)/.installed
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
--- a/src/tarragonramp/model.py
+++ b/src/tarragonramp/model.py
@@ -45,6 +45,9 @@
 """Most slices of a service: an assignment fits into one value of the platform even
 if every slice has another owner than its neighbours."""
 
+LIVE = "live"
+DEPARTED = "departed"
+
 UP = "up"
 SILENT = "silent"
 UNKNOWN = "unknown"
@@ -81,7 +84,8 @@
     failure_domain : str
     team, service : str
         What the backend server serves.
-    state : {"live", "departing"}
+    state : {"live", "departing", "departed"}
+        A departing VM still runs; a departed one runs nothing any more.
     """
 
     name: str
@@ -89,7 +93,7 @@
     failure_domain: str
     team: str
     service: str
-    state: str = "live"
+    state: str = LIVE
 
 
 @attrs.frozen
@@ -104,6 +108,9 @@
     failure_domain : str
     control_address, peer_address : str
         ``ip:port`` for HTTP control and for gRPC.
+    unproven : tuple of str
+        Boot ids of earlier processes of this name that may still run, because they
+        had other addresses.
     """
 
     name: str
@@ -111,6 +118,7 @@
     failure_domain: str
     control_address: str
     peer_address: str
+    unproven: tuple[str, ...] = ()
 
     @property
     def identity(self):
@@ -393,9 +401,25 @@
         Identity of the only process that may take over from a silent holder.
     request_id : str
         Of the write.
+    lasting : bool
+        Whether the holder, once its right has ended, may go on renewing the server
+        process that it knows. Time then proves nothing about it.
+    unbounded : bool
+        Whether an earlier holder may still be doing so.
+    settled : bool
+        Whether no earlier holder could be acting when this one was written.
     """
 
     number: int
     holder: str
     successor: str = ""
     request_id: str = ""
+    lasting: bool = False
+    unbounded: bool = False
+    settled: bool = False
+
+    @classmethod
+    def from_spec(cls, spec):
+        """Read the platform's form; fields of a newer version are passed over."""
+        known = {field.name for field in attrs.fields(cls)}
+        return cls(**{name: item for name, item in spec.items() if name in known})
