--- a/src/tarragonramp/adapters/http.py
+++ b/src/tarragonramp/adapters/http.py
@@ -169,6 +169,10 @@
         self.close()
         return False
 
+    def has_lost_idle(self):
+        """Tell whether the server has closed the idle connection used next."""
+        return bool(self._idle) and not self.has_live_idle()
+
     def close(self):
         """Close idle connections."""
         while self._idle:
--- a/src/tarragonramp/daemon.py
+++ b/src/tarragonramp/daemon.py
@@ -145,7 +145,14 @@
             metrics=Metrics(me.name, requests, traffic, cpu),
         )
         gate_pools = HttpPools(settings.limits.answer_bytes, unsent_ms=timing.right_ms)
-        daemon.gatekeeper = GateKeeper(daemon.stewards, view, keeper, gate_pools, clock)
+        daemon.gatekeeper = GateKeeper(
+            daemon.stewards,
+            view,
+            keeper,
+            gate_pools,
+            daemon.stewards.backends.pools,
+            clock,
+        )
         forwarder = Forwarder(me, view, peers, daemon.gatekeeper)
         daemon.entry.forward = forwarder.send
         daemon._add_gauges()
@@ -176,6 +183,7 @@
         control.start()
         keep_running(self.news.run)
         keep_running(self.news.run_vm_list)
+        self.news.wait_started()
         self.membership.register()
         for task in (
             self.membership.run_pings,
@@ -233,7 +241,7 @@
             question = json.loads(environ["wsgi.input"].read())
             asked = question["identity"]
             self.membership.heard(asked)
-            self.news.heard(asked.partition("#")[0], question["newest"])
+            self.news.heard(asked.partition("#")[0], question.get("newest", 0))
             word = {
                 "identity": self.me.identity,
                 "taken": self.keeper.taken_from(asked),
--- a/src/tarragonramp/roles/gatekeeper.py
+++ b/src/tarragonramp/roles/gatekeeper.py
@@ -20,6 +20,7 @@
 BUSY = 503
 TERM_HEADER = "Tarragon-Term"
 LOOK_AGAIN_MS = 50.0
+SHARED_WAIT_MS = 100.0
 
 
 @attrs.define(eq=False, repr=False)
@@ -33,6 +34,8 @@
     keeper : TermKeeper
     pools : HttpPools
         Must discard what was not delivered within a right.
+    control_pools : HttpPools
+        Those of probes: a restart closes their connections too.
     clock : Clock
     """
 
@@ -40,6 +43,7 @@
     view: object
     keeper: object
     pools: object
+    control_pools: object
     clock: object
     _changed: Event = attrs.Factory(Event)
 
@@ -60,11 +64,13 @@
         charge = self.stewards.charge(role)
         if charge is None:
             return _refused(STALE_ROUTE, "not this server's steward")
-        pool = self.pools.at(charge.vm.address)
-        if not charge.gate.in_hand and not pool.has_live_idle():
+        pools = (self.pools, self.control_pools)
+        if any(pool.at(charge.vm.address).has_lost_idle() for pool in pools):
             charge.gate.warmth.suspect()
-        # Another server can take what has no owner: it need not wait for this one.
-        wait_until_ms = deadline_at_ms if order.slice_index >= 0 else 0.0
+        wait_until_ms = deadline_at_ms
+        if order.slice_index < 0:
+            # Another server can take what has no owner.
+            wait_until_ms = min(deadline_at_ms, self.clock.now_ms() + SHARED_WAIT_MS)
         if not self._wait(charge.gate, wait_until_ms):
             return _refused(BUSY, "server is busy")
         # Nothing waits from here to the sending: what is read now still holds then.
--- a/src/tarragonramp/roles/membership.py
+++ b/src/tarragonramp/roles/membership.py
@@ -7,7 +7,7 @@
 from returns.pipeline import is_successful
 
 from ..adapters.logs import log_event
-from ..model import KIND_MEMBER
+from ..model import KIND_FAILURE_DOMAIN, KIND_MEMBER
 from ..spreading import start_delay_ms
 from ..terms import has_departed
 
@@ -86,6 +86,9 @@
     def successor(self, same_domain_only):
         """Return the identity of the next daemon on the ring that answers.
 
+        Daemons of other failure domains come first where they may: a role that is
+        not bound to a failure domain must survive the loss of its own.
+
         Parameters
         ----------
         same_domain_only : bool
@@ -102,7 +105,7 @@
         names = _ring_after(self.me.name, near)
         if not same_domain_only:
             far = sorted(n for n in members if n not in near)
-            names += _ring_after(self.me.name, far)
+            names = _ring_after(self.me.name, far) + names
         for name in names:
             identity = members[name].identity
             if not self.seems_down(identity):
@@ -141,9 +144,24 @@
             # registration; this process knows which predecessors have ended.
             return boot_id not in (self.me.boot_id, *self.me.unproven)
         member = self.view.get(KIND_MEMBER, name)
+        if member is not None and self._was_lost(member):
+            return True
         version = self.view.version_seen(KIND_MEMBER, name)
         return has_departed(identity, named_at_version, member, version)
 
+    def _was_lost(self, member):
+        """Tell whether an operator's word says that a daemon does not run any more.
+
+        Without it, a role whose holder and successor were lost together would stay
+        with them. A daemon that registered after the word is a new one: taken for
+        gone, it and its neighbours would take each other's terms in turns.
+        """
+        domain = member.failure_domain
+        if not self.view.domain_lost(domain):
+            return False
+        registered = self.view.version_seen(KIND_MEMBER, member.name)
+        return registered < self.view.version_seen(KIND_FAILURE_DOMAIN, domain)
+
     def run_pings(self):
         """Ping the successors of the terms held here, for ever."""
         while True:
--- a/standins/site.py
+++ b/standins/site.py
@@ -202,7 +202,8 @@
         """Wait until a daemon sees an owner for every slice of every service."""
 
         def all_owned():
-            services = self.operator(name, "status")["services"]
+            status = self.operator(name, "status")
+            services = status["services"] if status else ()
             return services and all(s["owned"] == s["slices"] for s in services)
 
         self._wait_until(all_owned, "owners", timeout_s)
--- /dev/null
+++ b/tests/test_passes.py
@@ -0,0 +1,33 @@
+"""When an entry may send to a server without its steward."""
+
+import unittest
+
+from tarragonramp.passes import Passes
+
+
+class PassesTest(unittest.TestCase):
+    """A pass holds until anything hints at a restart."""
+
+    def holds(self, passes, at_ms, address="a:1", connected=True):
+        return passes.holds("s", address, lambda: connected, at_ms)
+
+    def test_only_the_steward_gives_one(self):
+        passes = Passes()
+        self.assertFalse(self.holds(passes, 0.0))
+        passes.give("s", "a:1", 0.0)
+        self.assertTrue(self.holds(passes, 1e6))
+        passes.take("s")
+        self.assertFalse(self.holds(passes, 1e6))
+
+    def test_a_lost_connection_ends_it(self):
+        """A server is replaced between two requests of an entry."""
+        passes = Passes()
+        passes.give("s", "a:1", 0.0)
+        self.assertTrue(self.holds(passes, 250.0, connected=False))
+        self.assertFalse(self.holds(passes, 251.0, connected=False))
+        self.assertFalse(self.holds(passes, 252.0))
+
+    def test_it_is_for_one_address(self):
+        passes = Passes()
+        passes.give("s", "a:1", 0.0)
+        self.assertFalse(self.holds(passes, 1.0, address="a:2"))
