Drain on SIGTERM: not ready, no new callers, finish, hand over, go

Cause: a stop closed the caller port at once, left requests on open connections to their fate and wrote its terms one after the other, two seconds each if the platform was down. A daemon whose platform was down at the start never got to its signal wait. Also: a term without a successor made every ping answer raise (min of nothing); seen in a rolling restart, whose log must now be free of tracebacks.

Order now: /ready says 503 while callers are still served, answers close their connections, the listener's queue is accepted before it closes, what is held is finished, terms go to a live neighbour by consent, the member is removed, exit 0.

Left: a half-done handshake at a closing shared listener (kernel), and a domain with one daemon, whose grants run out while it restarts.

--- a/src/tarragonramp/adapters/peers.py
+++ b/src/tarragonramp/adapters/peers.py
@@ -7,7 +7,7 @@
 import grpc
 from returns.result import Failure, Result, Success
 
-from ..errors import UnansweredError
+from ..errors import AddressError, UnansweredError
 from ..wire import peer_pb2, peer_pb2_grpc
 from .http import HttpPools
 
@@ -28,10 +28,13 @@
         Of the process that answered.
     taken : tuple of str
         Roles it has taken, or begun to take, from the asking daemon.
+    leaving : bool
+        Whether it is about to stop, and so no successor for anybody.
     """
 
     identity: str
     taken: tuple[str, ...]
+    leaving: bool = False
 
 
 @attrs.define(eq=False, repr=False)
@@ -133,15 +136,18 @@
             options=[("grpc.so_reuseport", 0)],
         )
         peer_pb2_grpc.add_PeerServicer_to_server(self, self._server)
-        self._server.add_insecure_port(address)
+        try:
+            self._server.add_insecure_port(address)
+        except RuntimeError as error:
+            raise AddressError(f"{address}: address cannot be bound") from error
 
     def start(self):
         """Begin to serve."""
         self._server.start()
 
-    def stop(self):
-        """Stop at once."""
-        self._server.stop(grace=None)
+    def stop(self, timeout_ms):
+        """Take no more calls, and finish those under way within a time."""
+        self._server.stop(grace=timeout_ms / 1000.0).wait()
 
     def Report(self, request, context):  # noqa: N802
         """Take a steward's report."""
@@ -168,6 +174,6 @@
 def _ping_answer(answer):
     try:
         raw = json.loads(answer.body)
-        return Success(PingAnswer(raw["identity"], tuple(raw["taken"])))
+        return Success(PingAnswer(raw["identity"], tuple(raw["taken"]), raw["leaving"]))
     except (ValueError, KeyError, TypeError) as error:
         return Failure(UnansweredError(f"ping answer not understood: {error!r}"))
--- /dev/null
+++ b/src/tarragonramp/adapters/serving.py
@@ -0,0 +1,166 @@
+"""The web servers of a daemon: metered, and able to stop without cutting a request."""
+
+import socket
+
+import attrs
+import gevent
+
+from ..meters import kind_of
+from .process import mark_request_path
+from .web import WebHandler, WebServer
+
+__all__ = ["DaemonServer", "Drained"]
+
+DRAIN_TICK_MS = 20
+
+
+@attrs.frozen
+class Drained:
+    """How a server stopped.
+
+    Parameters
+    ----------
+    cut : int
+        Requests that were still under way when the time was up.
+    """
+
+    cut: int
+
+
+class DaemonHandler(WebHandler):
+    """Handles one connection, and knows whether a request is under way on it."""
+
+    busy = False
+    idle_since_ms = 0.0
+
+    def handle(self):
+        """Serve the connection until it ends."""
+        self._note_idle()
+        self.server.connections.add(self)
+        try:
+            super().handle()
+        finally:
+            self.server.connections.discard(self)
+
+    def read_requestline(self):
+        """Wait for the next request."""
+        line = super().read_requestline()
+        self.busy = bool(line)
+        return line
+
+    def finalize_headers(self):
+        """Say that no further request is taken here, if the server is to stop."""
+        super().finalize_headers()
+        if self.server.leaving:
+            self.close_connection = True
+            self.response_headers.append((b"Connection", b"close"))
+
+    def log_request(self):
+        """Count the exchange, in place of a log line."""
+        self._note_idle()
+        traffic = self.server.traffic
+        if traffic is None or self.headers is None:
+            return
+        head = sum(len(k) + len(v) + 4 for k, v in dict(self.headers).items())
+        kind = kind_of(self.command, self.path)
+        n_received = len(self.requestline) + head + (self.content_length or 0)
+        traffic.received(kind, n_received)
+        traffic.sent(kind, self.response_length)
+
+    def hang_up(self):
+        """Close the connection once all that has arrived is answered.
+
+        Guards against a request that reaches this machine just before the close: the
+        kernel would drop it and the caller could not know whether it ran. With only
+        the receiving side shut, what is in the socket's buffer is still read and
+        served; then the handler meets the end of the stream and closes.
+        """
+        try:
+            self.socket.shutdown(socket.SHUT_RD)
+        except (AttributeError, OSError):
+            # The handler was closing it at this very moment.
+            return
+
+    def _note_idle(self):
+        self.busy = False
+        self.idle_since_ms = self.server.clock.now_ms()
+
+
+class DaemonServer(WebServer):
+    """A web server that can drain.
+
+    Parameters
+    ----------
+    address : str
+        ``ip:port``.
+    application : callable
+        WSGI application.
+    clock : Clock
+    traffic : TrafficMeter, optional
+        Counts the exchanges. Without it the server's CPU time is that of callers'
+        requests; with it, that of control.
+    **options : object
+        For :class:`WebServer`.
+    """
+
+    handler_class = DaemonHandler
+
+    def __init__(self, address, application, clock, traffic=None, **options):
+        super().__init__(address, application, **options)
+        self.clock = clock
+        self.traffic = traffic
+        self.connections = set()
+        self.leaving = False
+
+    def handle(self, sock, address):
+        """Serve one connection."""
+        if self.traffic is None:
+            mark_request_path()
+        super().handle(sock, address)
+
+    def leave(self):
+        """Go on serving, but close each connection with its next answer."""
+        self.leaving = True
+
+    def drain(self, idle_ms, timeout_ms):
+        """Take no more connections, finish what is held, and close.
+
+        Parameters
+        ----------
+        idle_ms : float
+            A connection without a request for this long is closed. Long enough for
+            busy callers to have had an answer that says "close"; a connection that
+            a caller uses at the moment of its close would cost it that request.
+        timeout_ms : float
+            What is under way after this is cut.
+
+        Returns
+        -------
+        drained : Drained
+        """
+        self.leave()
+        if self.started:
+            self._accept_queued()
+        self.close()
+        until_ms = self.clock.now_ms() + timeout_ms
+        while self.connections and self.clock.now_ms() < until_ms:
+            before_ms = self.clock.now_ms() - idle_ms
+            for handler in list(self.connections):
+                if not handler.busy and handler.idle_since_ms <= before_ms:
+                    handler.hang_up()
+            gevent.sleep(DRAIN_TICK_MS / 1000.0)
+        return Drained(sum(handler.busy for handler in self.connections))
+
+    def _accept_queued(self):
+        """Accept the connections that wait in the listener's queue.
+
+        Guards against their loss: the kernel resets what is queued at a listener
+        that closes, also if other processes listen on the same port. A handshake
+        that is half done at the close is still lost, unless the kernel hands it to
+        another listener (``net.ipv4.tcp_migrate_req``).
+        """
+        while True:
+            accepted = self.do_read()
+            if not accepted:
+                return
+            self.do_handle(*accepted)
--- a/src/tarragonramp/adapters/web.py
+++ b/src/tarragonramp/adapters/web.py
@@ -5,12 +5,12 @@
 
 from gevent.pywsgi import WSGIHandler, WSGIServer
 
-from ..meters import kind_of
+from ..errors import AddressError
 from .http import split_address
-from .process import mark_request_path
 
 __all__ = ["REASONS", "WebServer", "json_reply"]
 
+BACKLOG = 1024
 REASONS = {
     200: "200 OK",
     201: "201 Created",
@@ -34,14 +34,7 @@
     """Handles the requests of one connection."""
 
     def log_request(self):
-        """Count the exchange; leave logging to the application."""
-        traffic = self.server.traffic
-        if traffic is None or self.headers is None:
-            return
-        kind = kind_of(self.command, self.path)
-        n_received = len(self.requestline) + sum(map(len, self.headers.headers))
-        traffic.received(kind, n_received + (self.content_length or 0))
-        traffic.sent(kind, self.response_length)
+        """Leave logging to the application."""
 
 
 class WebServer(WSGIServer):
@@ -58,28 +51,37 @@
         WSGI application.
     reuse_port : bool, default=False
         Let several processes of this VM share the port.
-    traffic : TrafficMeter, optional
-        Counts the exchanges. Without it the server's CPU time is that of callers'
-        requests; with it, that of control.
     """
 
-    def __init__(self, address, application, reuse_port=False, traffic=None):
-        self.traffic = traffic
+    handler_class = WebHandler
+
+    def __init__(self, address, application, reuse_port=False):
         listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         if reuse_port:
             listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
-        listener.bind(split_address(address))
-        listener.listen(1024)
+        try:
+            listener.bind(split_address(address))
+        except OSError as error:
+            listener.close()
+            raise AddressError(f"{address}: {error.strerror}") from error
         listener.setblocking(False)
-        super().__init__(
-            listener, application, handler_class=WebHandler, log=None, error_log=None
-        )
+        super().__init__(listener, application, log=None, error_log=None)
+
+    def init_socket(self):
+        """Listen, when the server starts.
+
+        Not earlier: the kernel gives a listener that shares its port a share of the
+        connections, and they would wait until somebody accepts them.
+        """
+        try:
+            self.socket.listen(BACKLOG)
+        except OSError as error:
+            raise AddressError(f"{self.address}: {error.strerror}") from error
+        super().init_socket()
 
     def handle(self, sock, address):
         """Serve one connection."""
-        if self.traffic is None:
-            mark_request_path()
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         super().handle(sock, address)
 
--- a/src/tarragonramp/daemon.py
+++ b/src/tarragonramp/daemon.py
@@ -25,8 +25,10 @@
 from .adapters.peers import GrpcPeers, PeerServer  # noqa: E402
 from .adapters.platform import HttpPlatform  # noqa: E402
 from .adapters.process import CpuMeter  # noqa: E402
-from .adapters.web import REASONS, WebServer, json_reply  # noqa: E402
+from .adapters.serving import DaemonServer  # noqa: E402
+from .adapters.web import REASONS, json_reply  # noqa: E402
 from .clock import Clock  # noqa: E402
+from .errors import AddressError  # noqa: E402
 from .meters import RequestMeter, TrafficMeter  # noqa: E402
 from .model import Member  # noqa: E402
 from .roles.entry import Entry  # noqa: E402
@@ -42,7 +44,10 @@
 
 __all__ = ["Daemon", "main"]
 
+EXIT_ADDRESS = 1
 EXIT_SETTINGS = 2
+WAITING_LOG_MS = 5000
+CONTROL_IDLE_MS = 200
 
 
 @attrs.define(eq=False, repr=False)
@@ -67,6 +72,9 @@
     traffic: object
     cpu: object
     metrics: object
+    peer_server: object
+    control: object = None
+    callers: object = None
     ready: bool = False
     stopped: Event = attrs.Factory(Event)
 
@@ -91,6 +99,8 @@
         keeper = TermKeeper(view, platform, membership, clock, timing)
         membership.on_word = keeper.on_word
         backends = HttpBackends(HttpPools(traffic=traffic))
+        stewards = Stewards(me, view, keeper, platform, backends, peers, clock, timing)
+        planners = Planners(view, keeper, platform, peers, timing)
         daemon = cls(
             settings=settings,
             me=me,
@@ -106,36 +116,51 @@
             membership=membership,
             news=News(view, platform, watcher, timing.watch_ms),
             keeper=keeper,
-            stewards=Stewards(
-                me, view, keeper, platform, backends, peers, clock, timing
-            ),
-            planners=Planners(view, keeper, platform, peers, timing),
+            stewards=stewards,
+            planners=planners,
             operators=Operators(me, view, platform),
             traffic=traffic,
             cpu=cpu,
             metrics=Metrics(me.name, requests, traffic, cpu),
+            peer_server=PeerServer(
+                settings.peer_address,
+                planners.take_report,
+                stewards.prove_release,
+                traffic,
+            ),
+        )
+        daemon.control = DaemonServer(
+            settings.control_address, daemon._control, clock, traffic
+        )
+        daemon.callers = DaemonServer(
+            settings.caller_address, daemon.entry, clock, reuse_port=True
         )
         daemon._add_gauges()
         return daemon
 
     def run(self):
-        """Serve until a signal says stop, then drain."""
-        settings = self.settings
-        peer_server = PeerServer(
-            settings.peer_address,
-            self.planners.take_report,
-            self.stewards.prove_release,
-            self.traffic,
-        )
-        control = WebServer(
-            settings.control_address, self._control, traffic=self.traffic
-        )
-        callers = WebServer(settings.caller_address, self.entry, reuse_port=True)
+        """Serve until a signal says stop, then drain.
+
+        The platform may be down at the start: the daemon then comes up without a
+        view, says that it is not ready, and goes on trying.
+        """
         self.cpu.start()
-        peer_server.start()
-        control.start()
+        self.peer_server.start()
+        self.control.start()
         keep_running(self.news.run_watch)
         keep_running(self.news.run_vm_list)
+        starting = [keep_running(self._join_fleet), keep_running(self._open)]
+        self.stopped.wait()
+        gevent.killall(starting)
+        self._drain()
+
+    def stop(self):
+        """Begin to drain; a second call changes nothing."""
+        log_event("daemon-told-to-stop", again=self.stopped.is_set())
+        self.stopped.set()
+
+    def _join_fleet(self):
+        """Register, then begin to act in the roles of control."""
         self.membership.register()
         for task in (
             self.membership.run_pings,
@@ -144,18 +169,40 @@
             self.planners.run,
         ):
             keep_running(task)
-        callers.start()
+
+    def _open(self):
+        """Take callers once there is a view to route by."""
+        while not self.news.synced.wait(WAITING_LOG_MS / 1000.0):
+            log_event("daemon-waiting", reason="platform not read yet")
+        self.callers.start()
         self.ready = True
-        log_event("daemon-ready", name=self.me.identity)
-        self.stopped.wait()
-        self.ready = False
-        log_event("daemon-draining", name=self.me.identity)
-        callers.stop(timeout=settings.timing.drain_ms / 1000.0)
-        self.keeper.hand_over_all()
-        self.membership.unregister()
-        control.stop(timeout=1)
-        peer_server.stop()
-        log_event("daemon-stopped", name=self.me.identity)
+        log_event("daemon-ready", identity=self.me.identity)
+
+    def _drain(self):
+        """Leave in the order that costs callers and neighbours nothing.
+
+        First "not ready", while still serving, so that the balancer sends new callers
+        elsewhere; then no new connections; then what is held is finished; only then
+        are terms handed over, since until then requests may need their steward here.
+        """
+        timing = self.settings.timing
+        was_ready, self.ready = self.ready, False
+        log_event("daemon-draining", was_ready=was_ready)
+        self.keeper.leave()
+        self.callers.leave()
+        if was_ready:
+            gevent.sleep(timing.unready_ms / 1000.0)
+        drained = self.callers.drain(timing.drain_idle_ms, timing.drain_ms)
+        kept = self.keeper.hand_over_all(timing.handover_ms)
+        unregistered = self.membership.unregister()
+        self.control.drain(CONTROL_IDLE_MS, timing.control_timeout_ms * 2)
+        self.peer_server.stop(timing.control_timeout_ms * 2)
+        log_event(
+            "daemon-stopped",
+            requests_cut=drained.cut,
+            terms_kept=",".join(kept),
+            unregistered=unregistered,
+        )
 
     def _add_gauges(self):
         add = self.metrics.add_gauge
@@ -183,6 +230,7 @@
             word = {
                 "identity": self.me.identity,
                 "taken": self.keeper.taken_from(asked),
+                "leaving": self.stopped.is_set(),
             }
             return json_reply(start_response, 200, word)
         if path == "/metrics":
@@ -211,7 +259,8 @@
     Returns
     -------
     exit_code : int
-        0 after a graceful stop, 2 for settings that cannot be used.
+        0 after a graceful stop, 1 if an address is taken, 2 for settings that cannot
+        be used.
     """
     parser = argparse.ArgumentParser("tarragonrampd", description=__doc__)
     parser.add_argument("--settings", required=True, help="YAML settings file")
@@ -223,9 +272,13 @@
         return EXIT_SETTINGS
     grpc_gevent.init_gevent()
     set_up_logs()
-    daemon = Daemon.from_config(loaded.unwrap())
+    try:
+        daemon = Daemon.from_config(loaded.unwrap())
+    except AddressError as error:
+        log_event("daemon-not-started", error=error)
+        return EXIT_ADDRESS
     for number in (signal.SIGTERM, signal.SIGINT):
-        gevent.signal_handler(number, daemon.stopped.set)
+        gevent.signal_handler(number, daemon.stop)
     daemon.run()
     return 0
 
--- a/src/tarragonramp/errors.py
+++ b/src/tarragonramp/errors.py
@@ -7,6 +7,7 @@
 import attrs
 
 __all__ = [
+    "AddressError",
     "ConflictError",
     "ExchangeError",
     "NotFoundError",
@@ -26,6 +27,10 @@
     """Base of all errors of this project."""
 
 
+class AddressError(TarragonError):
+    """An address of this daemon that cannot be bound."""
+
+
 class SettingsError(TarragonError):
     """Settings that cannot be used.
 
--- a/src/tarragonramp/roles/membership.py
+++ b/src/tarragonramp/roles/membership.py
@@ -37,6 +37,7 @@
     _heard_ms: dict = attrs.Factory(dict)
     _missed: dict = attrs.Factory(dict)
     _pinging: dict = attrs.Factory(dict)
+    _leaving: set = attrs.Factory(set)
 
     def register(self):
         """Write this daemon into the platform, trying until it is there."""
@@ -56,9 +57,17 @@
             gevent.sleep(REGISTER_RETRY_MS / 1000.0)
 
     def unregister(self):
-        """Remove this daemon from the platform, once."""
+        """Remove this daemon from the platform; try once.
+
+        Returns
+        -------
+        removed : bool
+        """
         version = self.view.version_of(KIND_MEMBER, self.me.name)
-        self.platform.delete(KIND_MEMBER, self.me.name, version)
+        if not version:
+            return False
+        result = self.platform.delete(KIND_MEMBER, self.me.name, version)
+        return is_successful(result)
 
     def successor(self, same_domain_only):
         """Return the identity of the next daemon on the ring that answers.
@@ -82,7 +91,7 @@
             names += _ring_after(self.me.name, far)
         for name in names:
             identity = members[name].identity
-            if not self.seems_down(identity):
+            if not self.seems_down(identity) and identity not in self._leaving:
                 return identity
         return ""
 
@@ -140,6 +149,8 @@
             if not is_successful(result) or result.unwrap().identity != identity:
                 self._note_missed(identity)
                 return
+            if result.unwrap().leaving:
+                self._leaving.add(identity)
             if self._missed.pop(identity, 0) >= 2:
                 log_event("peer-back", peer=identity)
             self.on_word(result.unwrap(), sent_ms)
--- a/src/tarragonramp/roles/terms.py
+++ b/src/tarragonramp/roles/terms.py
@@ -4,6 +4,7 @@
 
 import attrs
 import gevent
+import gevent.pool
 import xxhash
 from returns.pipeline import is_successful
 
@@ -18,6 +19,8 @@
 TICK_MS = 50
 RANK_DELAY_MS = 700
 MAX_WRITES_AT_ONCE = 8
+HANDOVER_RETRY_MS = 100
+STEWARD_PREFIX = "steward."
 
 
 @attrs.define
@@ -54,6 +57,7 @@
     clock: object
     timing: object
     holdings: dict = attrs.Factory(dict)
+    leaving: bool = False
     stopping: bool = False
     _takeovers: dict = attrs.Factory(dict)
     _unheld_since_ms: dict = attrs.Factory(dict)
@@ -88,11 +92,33 @@
                     self._look_after(role, in_domain)
             gevent.sleep(TICK_MS / 1000.0)
 
-    def hand_over_all(self):
-        """Give every term to its successor, or to nobody, before a planned stop."""
+    def leave(self):
+        """Take no further terms; keep those that are held."""
+        self.leaving = True
+
+    def hand_over_all(self, timeout_ms):
+        """Give every term to its successor, or to nobody, before a planned stop.
+
+        Parameters
+        ----------
+        timeout_ms : float
+            Bound on the time for all of them together.
+
+        Returns
+        -------
+        kept : list of str
+            Roles that were not surely handed over. Nothing is done in them here any
+            more; their successors find this daemon silent.
+        """
         self.stopping = True
-        for role in list(self.holdings):
-            self._hand_over(role)
+        roles = list(self.holdings)
+        pool = gevent.pool.Pool(MAX_WRITES_AT_ONCE)
+        tasks = {role: pool.spawn(self._hand_over, role) for role in roles}
+        gevent.joinall(tasks.values(), timeout=timeout_ms / 1000.0)
+        kept = [role for role, task in tasks.items() if not task.value]
+        gevent.killall(tasks.values())
+        self.holdings.clear()
+        return kept
 
     def _roles(self):
         own = self.membership.me.failure_domain
@@ -113,6 +139,8 @@
         if term is not None and term.holder == identity:
             self._accept(role, term)
             return
+        if self.leaving:
+            return
         allowed = may_claim(
             term, identity, self.membership.departed, self.membership.silent
         )
@@ -236,12 +264,30 @@
         log_event("successor-named", role=role, term=held.number, successor=successor)
 
     def _hand_over(self, role):
-        holding = self.holdings.pop(role)
-        held = holding.term
-        new = next_term(None, held.successor, "", uuid.uuid4().hex)
-        new = attrs.evolve(new, number=held.number + 1)
-        if self._write(role, new, held.version) is not None:
-            log_event("term-handed-over", role=role, to=held.successor)
+        """Give a term away; True once the platform shows it.
+
+        The daemon acts on until the platform answers at all: while it is down nobody
+        else can take the term, and the servers' grants would run out.
+        """
+        while not is_successful(self.platform.get(KIND_TERM, role)):
+            gevent.sleep(HANDOVER_RETRY_MS / 1000.0)
+        held = self.holdings.pop(role).term
+        in_domain = role.startswith(STEWARD_PREFIX)
+        to = self.membership.successor(in_domain)
+        new = attrs.evolve(
+            next_term(None, to, "", uuid.uuid4().hex), number=held.number + 1
+        )
+        version = held.version
+        while True:
+            if self._write(role, new, version) is not None:
+                log_event("term-handed-over", role=role, to=to, term=new.number)
+                return True
+            current = self.view.term(role)
+            if current is None or current.number > held.number:
+                return True
+            # A lost answer, or a renewal of this daemon that came in between.
+            version = self.view.version_of(KIND_TERM, role)
+            gevent.sleep(HANDOVER_RETRY_MS / 1000.0)
 
     def _write(self, role, term, version):
         """Write a term; a conflict that shows the own request id is a success."""
--- a/src/tarragonramp/settings.py
+++ b/src/tarragonramp/settings.py
@@ -43,7 +43,19 @@
 
 @attrs.frozen
 class Timing:
-    """Time constants, all in milliseconds."""
+    """Time constants, all in milliseconds.
+
+    Parameters
+    ----------
+    unready_ms : int
+        On a stop, how long to say "not ready" and still take new connections.
+    drain_idle_ms : int
+        On a stop, how long a connection is without a request before it is closed.
+    drain_ms : int
+        On a stop, how long to wait for requests under way.
+    handover_ms : int
+        On a stop, how long to try to hand over terms if the platform does not answer.
+    """
 
     ping_ms: int = attrs.field(default=150, validator=_between(20, 60_000))
     silence_ms: int = attrs.field(default=500, validator=_between(50, 600_000))
@@ -53,7 +65,10 @@
     watch_ms: int = attrs.field(default=2000, validator=_between(100, 600_000))
     planning_ms: int = attrs.field(default=50, validator=_between(10, 60_000))
     route_wait_ms: int = attrs.field(default=300, validator=_between(0, 60_000))
+    unready_ms: int = attrs.field(default=2000, validator=_between(0, 600_000))
+    drain_idle_ms: int = attrs.field(default=1000, validator=_between(0, 600_000))
     drain_ms: int = attrs.field(default=10_000, validator=_between(0, 600_000))
+    handover_ms: int = attrs.field(default=10_000, validator=_between(0, 600_000))
 
 
 @attrs.frozen
--- a/src/tarragonramp/terms.py
+++ b/src/tarragonramp/terms.py
@@ -87,7 +87,7 @@
         if self.renaming_to is not None:
             needed.add(self.renaming_to)
         needed.discard("")
-        if not needed <= self._words_ms.keys():
+        if not needed or not needed <= self._words_ms.keys():
             return
         self._prolong(min(self._words_ms[name] for name in needed))
 
--- a/standins/load.py
+++ b/standins/load.py
@@ -72,6 +72,8 @@
     pause_ms : float
         Between a caller's requests.
     seed : int
+    stopping : bool
+        Set it to end the load before its time.
     """
 
     addresses: list
@@ -81,6 +83,7 @@
     pause_ms: float = 5.0
     seed: int = 1
     outcomes: list = attrs.Factory(list)
+    stopping: bool = False
     _pools: HttpPools = attrs.Factory(HttpPools)
     _down_until_ms: dict = attrs.Factory(dict)
 
@@ -105,7 +108,7 @@
 
     def _call_until(self, until_s, rng):
         offsets = itertools.count(rng.randrange(len(self.addresses)))
-        while time.monotonic() < until_s:
+        while time.monotonic() < until_s and not self.stopping:
             call = rng.choice(self.calls)
             self._call_once(call, f"k{rng.randrange(self.n_keys)}", next(offsets))
             gevent.sleep(self.pause_ms / 1000.0)
