--- a/src/tarragonramp/adapters/peers.py
+++ b/src/tarragonramp/adapters/peers.py
@@ -7,6 +7,7 @@
 import grpc
 from returns.result import Failure, Result, Success
 
+from ..credentials import METADATA_KEY, Secrets
 from ..errors import AddressError, UnansweredError
 from ..wire import peer_pb2, peer_pb2_grpc
 from .http import HttpPools
@@ -46,18 +47,23 @@
     pools : HttpPools
     timeout_ms : float
     traffic : TrafficMeter
+    secrets : Secrets
+        Of the peer port.
     """
 
     pools: HttpPools
     timeout_ms: float
     traffic: object
+    secrets: Secrets = Secrets()
     _stubs: dict = attrs.Factory(dict)
 
     def ping(self, address, identity) -> Result:
         """Ask a neighbour whether it has taken over anything."""
         body = json.dumps({"identity": identity}).encode()
         pool = self.pools.at(address)
-        result = pool.exchange("POST", PING_TARGET, (), body, self.timeout_ms)
+        result = pool.exchange(
+            "POST", PING_TARGET, self.secrets.headers, body, self.timeout_ms
+        )
         return result.bind(_ping_answer)
 
     def report(self, address, sender, reports) -> Result:
@@ -106,13 +112,40 @@
             stub = self._stubs[address] = peer_pb2_grpc.PeerStub(channel)
         self.traffic.sent(method, message_bytes(request))
         try:
-            reply = getattr(stub, method)(request, timeout=self.timeout_ms / 1000.0)
+            reply = getattr(stub, method)(
+                request,
+                timeout=self.timeout_ms / 1000.0,
+                metadata=self.secrets.metadata,
+            )
             self.traffic.received(method, message_bytes(reply))
             return Success(reply)
         except grpc.RpcError as error:
             return Failure(UnansweredError(f"{address}: {error.code().name}"))
 
 
+class _SecretCheck(grpc.ServerInterceptor):
+    """Refuses every call that does not show the secret.
+
+    Without it whoever reaches the port could prove releases that never happened,
+    and a key would get two owners.
+    """
+
+    def __init__(self, secrets):
+        self._secrets = secrets
+        self._refusal = grpc.unary_unary_rpc_method_handler(_refuse)
+
+    def intercept_service(self, continuation, handler_call_details):
+        """Pass a call on, or refuse it."""
+        shown = dict(handler_call_details.invocation_metadata)
+        if self._secrets.admits(shown.get(METADATA_KEY)):
+            return continuation(handler_call_details)
+        return self._refusal
+
+
+def _refuse(request, context):
+    context.abort(grpc.StatusCode.UNAUTHENTICATED, "the peer secret is wrong")
+
+
 class PeerServer(peer_pb2_grpc.PeerServicer):
     """Server side: hands each message to a function.
 
@@ -125,15 +158,20 @@
     on_prove_release : callable
         ``on_prove_release(ReleaseRequest) -> (list of int, str)``
     traffic : TrafficMeter
+    secrets : Secrets
+        Of the peer port.
     """
 
-    def __init__(self, address, on_report, on_prove_release, traffic):
+    def __init__(
+        self, address, on_report, on_prove_release, traffic, secrets=Secrets()
+    ):
         self._traffic = traffic
         self._on_report = on_report
         self._on_prove_release = on_prove_release
         self._server = grpc.server(
             futures.ThreadPoolExecutor(max_workers=MAX_WORKERS),
             options=[("grpc.so_reuseport", 0)],
+            interceptors=[_SecretCheck(secrets)],
         )
         peer_pb2_grpc.add_PeerServicer_to_server(self, self._server)
         try:
--- a/src/tarragonramp/adapters/serving.py
+++ b/src/tarragonramp/adapters/serving.py
@@ -1,6 +1,8 @@
 """The web servers of a daemon: metered, and able to stop without cutting a request."""
 
+import ctypes
 import socket
+import struct
 
 import attrs
 import gevent
@@ -12,6 +14,20 @@
 __all__ = ["DaemonServer", "Drained"]
 
 DRAIN_TICK_MS = 20
+SETTLE_MS = 20
+
+# A classic BPF program for a listener's segments: drop what has SYN set, pass the rest.
+_SO_ATTACH_FILTER = 26
+_FLAGS_OFFSET, _SYN = 13, 0x02
+_DROP_SYN = b"".join(
+    struct.pack("HBBI", *instruction)
+    for instruction in (
+        (0x30, 0, 0, _FLAGS_OFFSET),  # load the byte of flags
+        (0x45, 0, 1, _SYN),  # if it has SYN, next, else skip one
+        (0x06, 0, 0, 0),  # drop
+        (0x06, 0, 0, 0xFFFFFFFF),  # pass
+    )
+)
 
 
 @attrs.frozen
@@ -140,6 +156,8 @@
         """
         self.leave()
         if self.started:
+            self._refuse_handshakes()
+            gevent.sleep(SETTLE_MS / 1000.0)
             self._accept_queued()
         self.close()
         until_ms = self.clock.now_ms() + timeout_ms
@@ -151,13 +169,25 @@
             gevent.sleep(DRAIN_TICK_MS / 1000.0)
         return Drained(sum(handler.busy for handler in self.connections))
 
+    def _refuse_handshakes(self):
+        """Let no further connection begin at this listener.
+
+        Guards against connections that are made between the last accept and the
+        close: the kernel resets them, and a caller that has already sent a claim
+        cannot know whether it ran. A dropped SYN costs its caller a second, the time
+        until it is sent again; by then it finds another listener on the port, or is
+        refused and knows that nothing ran. Handshakes under way are finished.
+        """
+        program = ctypes.create_string_buffer(_DROP_SYN, len(_DROP_SYN))
+        size = len(_DROP_SYN) // struct.calcsize("HBBI")
+        filter_ = struct.pack("HP", size, ctypes.addressof(program))
+        self.socket.setsockopt(socket.SOL_SOCKET, _SO_ATTACH_FILTER, filter_)
+
     def _accept_queued(self):
         """Accept the connections that wait in the listener's queue.
 
         Guards against their loss: the kernel resets what is queued at a listener
-        that closes, also if other processes listen on the same port. A handshake
-        that is half done at the close is still lost, unless the kernel hands it to
-        another listener (``net.ipv4.tcp_migrate_req``).
+        that closes, also if other processes listen on the same port.
         """
         while True:
             accepted = self.do_read()
--- a/src/tarragonramp/daemon.py
+++ b/src/tarragonramp/daemon.py
@@ -28,14 +28,17 @@
 from .adapters.serving import DaemonServer  # noqa: E402
 from .adapters.web import REASONS, json_reply  # noqa: E402
 from .clock import Clock  # noqa: E402
+from .credentials import Secrets  # noqa: E402
 from .errors import AddressError  # noqa: E402
 from .meters import RequestMeter, TrafficMeter  # noqa: E402
 from .model import Member  # noqa: E402
+from .roles.audit import AuditTrail  # noqa: E402
 from .roles.entry import Entry  # noqa: E402
 from .roles.membership import Membership  # noqa: E402
 from .roles.news import News  # noqa: E402
 from .roles.operators import Operators  # noqa: E402
 from .roles.planner import Planners  # noqa: E402
+from .roles.status import IN_FORCE_TARGET, StatusReporter  # noqa: E402
 from .roles.steward import Stewards  # noqa: E402
 from .roles.tasks import keep_running  # noqa: E402
 from .roles.terms import TermKeeper  # noqa: E402
@@ -69,6 +72,8 @@
     stewards: object
     planners: object
     operators: object
+    status: object
+    peer_secrets: object
     traffic: object
     cpu: object
     metrics: object
@@ -90,11 +95,13 @@
             settings.advertised_peer_address or settings.peer_address,
         )
         view = View()
+        peer_secrets = Secrets.from_text(settings.security.peer_secret)
+        operator_secrets = Secrets.from_text(settings.security.operator_secret)
         requests, traffic, cpu = RequestMeter(), TrafficMeter(), CpuMeter()
         platform = HttpPlatform.from_config(settings, traffic)
         watcher = HttpPlatform.from_config(settings, traffic)
         pools = HttpPools(traffic=traffic)
-        peers = GrpcPeers(pools, timing.control_timeout_ms, traffic)
+        peers = GrpcPeers(pools, timing.control_timeout_ms, traffic, peer_secrets)
         membership = Membership(me, view, platform, peers, clock, timing)
         keeper = TermKeeper(view, platform, membership, clock, timing)
         membership.on_word = keeper.on_word
@@ -118,7 +125,19 @@
             keeper=keeper,
             stewards=stewards,
             planners=planners,
-            operators=Operators(me, view, platform),
+            operators=Operators(
+                me,
+                view,
+                platform,
+                pools,
+                clock,
+                AuditTrail(me, platform, clock, settings.audit.keep_entries),
+                operator_secrets,
+            ),
+            status=StatusReporter(
+                me, view, platform, pools, peer_secrets, clock, timing
+            ),
+            peer_secrets=peer_secrets,
             traffic=traffic,
             cpu=cpu,
             metrics=Metrics(me.name, requests, traffic, cpu),
@@ -127,6 +146,7 @@
                 planners.take_report,
                 stewards.prove_release,
                 traffic,
+                peer_secrets,
             ),
         )
         daemon.control = DaemonServer(
@@ -167,6 +187,7 @@
             self.keeper.run,
             self.stewards.run,
             self.planners.run,
+            self.status.run,
         ):
             keep_running(task)
 
@@ -224,6 +245,13 @@
 
     def _control(self, environ, start_response):
         path = environ["PATH_INFO"]
+        is_peer = self.peer_secrets.admits(environ.get("HTTP_AUTHORIZATION"))
+        if path.startswith("/peer/") and not is_peer:
+            return json_reply(start_response, 401, {"error": "peer secret is wrong"})
+        if path == IN_FORCE_TARGET:
+            told = json.loads(environ["wsgi.input"].read())
+            self.status.take(told["identity"], told["version"])
+            return json_reply(start_response, 200, {})
         if path == "/peer/ping":
             asked = json.loads(environ["wsgi.input"].read())["identity"]
             self.membership.heard(asked)
--- a/src/tarragonramp/view.py
+++ b/src/tarragonramp/view.py
@@ -5,12 +5,15 @@
 from returns.pipeline import is_successful
 
 from .model import (
+    IN,
     KIND_ASSIGNMENT,
+    KIND_AUDIT_ENTRY,
     KIND_FAILURE_DOMAIN,
     KIND_MEMBER,
     KIND_TEAM,
     KIND_TEMPLATE,
     KIND_TERM,
+    LOST,
     Assignment,
     FailureDomain,
     Member,
@@ -22,7 +25,15 @@
 
 __all__ = ["View", "assignment_name", "planner_role", "steward_role"]
 
-_CONVERTER = cattrs.Converter(forbid_extra_keys=True)
+CONFIGURED_KINDS = (KIND_TEMPLATE, KIND_TEAM, KIND_FAILURE_DOMAIN)
+"""Kinds that operators declare: their newest version is the configuration's."""
+
+UNVIEWED_KINDS = (KIND_AUDIT_ENTRY,)
+"""Kinds that no role acts on; daemons do not keep them."""
+
+# Fields of a newer version are passed over: during a rolling upgrade or rollback
+# daemons of both versions read each other's objects.
+_CONVERTER = cattrs.Converter()
 _TYPES = {
     KIND_TEMPLATE: Template,
     KIND_TEAM: Team,
@@ -56,9 +67,12 @@
     """
 
     version: int = 0
+    config_version: int = 0
+    unreadable: dict = attrs.Factory(dict)
     vms: dict = attrs.Factory(dict)
     _stored: dict = attrs.Factory(dict)
     _typed: dict = attrs.Factory(dict)
+    _earlier: dict = attrs.Factory(dict)
     _services: dict = attrs.Factory(dict)
     _prefixes: list = attrs.Factory(list)
     _listeners: list = attrs.Factory(list)
@@ -79,13 +93,19 @@
         newer : bool
             False if it was dropped.
         """
+        if stored.kind in UNVIEWED_KINDS:
+            return False
         key = (stored.kind, stored.name)
         held = self._stored.get(key)
         if held is not None and held.version >= stored.version:
             return False
         self._stored[key] = stored
-        self._typed.pop(key, None)
-        if stored.kind in (KIND_TEMPLATE, KIND_TEAM):
+        first_assignment = stored.kind == KIND_ASSIGNMENT and held is None
+        if key in self._typed:
+            self._earlier[key] = self._typed.pop(key)
+        if stored.kind in CONFIGURED_KINDS:
+            self.config_version = max(self.config_version, stored.version)
+        if stored.kind in (KIND_TEMPLATE, KIND_TEAM) or first_assignment:
             self._expand_teams()
         for listener in self._listeners:
             listener()
@@ -119,10 +139,28 @@
         """Return an object as its attrs class, or None."""
         key = (kind, name)
         if key not in self._typed:
-            held = self.stored(kind, name)
-            self._typed[key] = None if held is None else _structured(held)
+            self._typed[key] = self._read(key)
         return self._typed[key]
 
+    def _read(self, key):
+        """Return an object as its attrs class.
+
+        A declaration that cannot be read, because somebody wrote it past the
+        checks, leaves the one before in force; ``unreadable`` names it. Raised, the
+        error would stop this daemon from following any change at all.
+        """
+        held = self.stored(*key)
+        self.unreadable.pop(key, None)
+        if held is None:
+            return None
+        if held.kind not in CONFIGURED_KINDS:
+            return _structured(held)
+        try:
+            return _structured(held)
+        except Exception as error:
+            self.unreadable[key] = "; ".join(cattrs.transform_error(error))
+            return self._earlier.get(key)
+
     def all_of(self, kind):
         """Return a dict of name to attrs object of a kind."""
         names = [n for k, n in self._stored if k == kind]
@@ -149,7 +187,17 @@
     def domain_in(self, failure_domain):
         """Tell whether a failure domain takes new work."""
         order = self.get(KIND_FAILURE_DOMAIN, failure_domain)
-        return order is None or order.state == "in"
+        return order is None or order.state == IN
+
+    def domain_lost(self, failure_domain):
+        """Tell whether an operator declared that nothing runs there any more."""
+        order = self.get(KIND_FAILURE_DOMAIN, failure_domain)
+        return order is not None and order.state == LOST
+
+    def leaving(self, team):
+        """Tell whether a team is being deleted."""
+        declared = self.get(KIND_TEAM, team)
+        return declared is not None and declared.leaving
 
     def services(self):
         """Return a dict of (team, service name) to Service."""
@@ -182,13 +230,31 @@
             if not is_successful(expanded):
                 continue
             for service in expanded.unwrap():
-                services[name, service.name] = service
+                services[name, service.name] = self._as_assigned(name, service)
         self._services = services
         self._prefixes = sorted(
-            ((s.path_prefix, team, s) for (team, _), s in services.items()),
-            key=lambda item: -len(item[0]),
+            (
+                (s.path_prefix, team, s)
+                for (team, _), s in services.items()
+                if not self.leaving(team)
+            ),
+            # By name among equals: all daemons have to choose the same one, in
+            # whatever order they came to know the teams.
+            key=lambda item: (-len(item[0]), item[1]),
         )
 
+    def _as_assigned(self, team, service):
+        """Return a service with the number of slices that its assignment has.
+
+        Guards against two operators whose changes of template and team pass the
+        checks at the same moment: the assignment never changes its length, so all
+        daemons send a key to the same slice.
+        """
+        assignment = service.divided and self.assignment(team, service.name)
+        if not assignment:
+            return service
+        return attrs.evolve(service, n_slices=len(assignment.slices))
+
 
 def _structured(stored):
     if stored.kind == KIND_ASSIGNMENT:
