Logs in one form at a bounded rate; failing tasks and a stuck loop show

Cause: tracebacks of gevent, gRPC's and Python's own lines broke the key=value form, no line said which daemon wrote it, a role that failed each round wrote five tracebacks a second, and a blocked event loop left no trace at all.

Every record now goes through one handler that writes one line with time, level and daemon; uncaught errors, warnings and library messages are brought into that form. A timer that fires late tells how long the loop stood still and how much CPU time went into it. /ready says why.

--- a/src/tarragonramp/adapters/process.py
+++ b/src/tarragonramp/adapters/process.py
@@ -7,9 +7,11 @@
 import gevent
 import greenlet
 
-__all__ = ["CpuMeter", "mark_request_path", "resident_bytes"]
+__all__ = ["CpuMeter", "LoopWatch", "mark_request_path", "resident_bytes"]
 
 PATH_MARK = "on_request_path"
+LOOP_CHECK_MS = 100
+LOOP_BLOCKED_MS = 200
 PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
 
 
@@ -73,3 +75,39 @@
             self.request_ms += (now_s - self._since_s) * 1000.0
         self._since_s = now_s
         self._on_path = on_path
+
+
+@attrs.define(eq=False, repr=False)
+class LoopWatch:
+    """Notices when the event loop stood still.
+
+    A call that blocks, a long computation or a paused VM stops every task at once:
+    grants are not renewed and callers wait, with nothing in any log. A timer that
+    fires late shows it, after the fact and for next to nothing.
+
+    Parameters
+    ----------
+    on_block : callable
+        ``on_block(blocked_ms, cpu_ms)``: how long the loop stood still at least, and
+        the CPU time that this thread spent meanwhile. With little of it, the process
+        was paused or waited in a call; with much, it computed.
+    count : int
+        How often it stood still.
+    longest_ms : float
+    """
+
+    on_block: object
+    count: int = 0
+    longest_ms: float = 0.0
+
+    def run(self):
+        """Watch, for ever."""
+        while True:
+            began_s, cpu_s = time.monotonic(), time.thread_time()
+            gevent.sleep(LOOP_CHECK_MS / 1000.0)
+            late_ms = (time.monotonic() - began_s) * 1000.0 - LOOP_CHECK_MS
+            if late_ms < LOOP_BLOCKED_MS:
+                continue
+            self.count += 1
+            self.longest_ms = max(self.longest_ms, late_ms)
+            self.on_block(late_ms, (time.thread_time() - cpu_s) * 1000.0)
--- a/src/tarragonramp/daemon.py
+++ b/src/tarragonramp/daemon.py
@@ -5,6 +5,11 @@
 
 monkey.patch_all()
 
+import os  # noqa: E402
+
+# gRPC's core writes lines of its own form to standard error.
+os.environ.setdefault("GRPC_VERBOSITY", "NONE")
+
 import argparse  # noqa: E402
 import collections  # noqa: E402
 import json  # noqa: E402
@@ -15,16 +20,21 @@
 import attrs  # noqa: E402
 import gevent  # noqa: E402
 import grpc.experimental.gevent as grpc_gevent  # noqa: E402
+import logbook  # noqa: E402
 from gevent.event import Event  # noqa: E402
 from returns.pipeline import is_successful  # noqa: E402
 
 from .adapters.backends import HttpBackends  # noqa: E402
 from .adapters.http import HttpPools  # noqa: E402
-from .adapters.logs import log_event, set_up_logs  # noqa: E402
+from .adapters.logs import (  # noqa: E402
+    log_event,
+    log_lines_suppressed,
+    set_up_logs,
+)  # noqa: E402
 from .adapters.metrics import Metrics  # noqa: E402
 from .adapters.peers import GrpcPeers, PeerServer  # noqa: E402
 from .adapters.platform import HttpPlatform  # noqa: E402
-from .adapters.process import CpuMeter  # noqa: E402
+from .adapters.process import CpuMeter, LoopWatch  # noqa: E402
 from .adapters.serving import DaemonServer  # noqa: E402
 from .adapters.web import REASONS, json_reply  # noqa: E402
 from .clock import Clock  # noqa: E402
@@ -40,7 +50,7 @@
 from .roles.planner import Planners  # noqa: E402
 from .roles.status import IN_FORCE_TARGET, StatusReporter  # noqa: E402
 from .roles.steward import Stewards  # noqa: E402
-from .roles.tasks import keep_running  # noqa: E402
+from .roles.tasks import keep_running, task_failures  # noqa: E402
 from .roles.terms import TermKeeper  # noqa: E402
 from .settings import load_settings  # noqa: E402
 from .view import View  # noqa: E402
@@ -82,6 +92,7 @@
     callers: object = None
     ready: bool = False
     stopped: Event = attrs.Factory(Event)
+    loop_watch: LoopWatch = attrs.Factory(lambda: LoopWatch(_log_blocked))
 
     @classmethod
     def from_config(cls, settings):
@@ -167,6 +178,7 @@
         self.cpu.start()
         self.peer_server.start()
         self.control.start()
+        keep_running(self.loop_watch.run)
         keep_running(self.news.run_watch)
         keep_running(self.news.run_vm_list)
         starting = [keep_running(self._join_fleet), keep_running(self._open)]
@@ -225,6 +237,17 @@
             unregistered=unregistered,
         )
 
+    def _readiness(self):
+        """Say why callers should, or should not, be sent here.
+
+        Not when the platform is out of reach later on: the daemon then serves what it
+        knows, and so do all the others. Were that "not ready", an outage would take
+        the whole site from behind its balancer.
+        """
+        if self.ready:
+            return "serving"
+        return "stopping" if self.stopped.is_set() else "no view of the platform yet"
+
     def _add_gauges(self):
         add = self.metrics.add_gauge
         add("ready", "1 if callers may be sent here.", lambda: int(self.ready))
@@ -237,6 +260,25 @@
             "condition",
         )
 
+        add(
+            "event_loop.blocked_longest",
+            "Longest time the event loop stood still.",
+            lambda: self.loop_watch.longest_ms,
+            unit="ms",
+        )
+        count = self.metrics.add_counter
+        count(
+            "event_loop.blocked",
+            "How often the event loop stood still.",
+            lambda: self.loop_watch.count,
+        )
+        count("tasks.failures", "Failed rounds of a task.", task_failures, "task")
+        count(
+            "log.lines_suppressed",
+            "Log lines left out because there were too many.",
+            log_lines_suppressed,
+        )
+
     def _terms_held(self):
         kinds = collections.Counter(
             role.partition(".")[0] for role in self.keeper.holdings
@@ -267,15 +309,26 @@
             start_response(REASONS[200], headers)
             return [page]
         if path == "/healthy":
+            # That it is answered at all is the news: the event loop turns.
             return json_reply(start_response, 200, {"healthy": True})
         if path == "/ready":
             status = 200 if self.ready else 503
-            return json_reply(start_response, status, {"ready": self.ready})
+            state = {"ready": self.ready, "reason": self._readiness()}
+            return json_reply(start_response, status, state)
         if path.startswith("/operator/"):
             return self.operators(environ, start_response)
         return json_reply(start_response, 404, {"error": "no such path"})
 
 
+def _log_blocked(blocked_ms, cpu_ms):
+    log_event(
+        "event-loop-blocked",
+        level=logbook.WARNING,
+        blocked_ms=round(blocked_ms),
+        cpu_ms=round(cpu_ms),
+    )
+
+
 def main(argv=None):
     """Run the daemon from the command line.
 
@@ -298,10 +351,11 @@
         for fault in loaded.failure().faults:
             print(f"tarragonrampd: {fault}", file=sys.stderr)
         return EXIT_SETTINGS
+    settings = loaded.unwrap()
     grpc_gevent.init_gevent()
-    set_up_logs()
+    set_up_logs(settings.name, settings.log_level)
     try:
-        daemon = Daemon.from_config(loaded.unwrap())
+        daemon = Daemon.from_config(settings)
     except AddressError as error:
         log_event("daemon-not-started", error=error)
         return EXIT_ADDRESS
--- a/src/tarragonramp/settings.py
+++ b/src/tarragonramp/settings.py
@@ -25,6 +25,7 @@
 
 ENVIRONMENT_PREFIX = "TARRAGONRAMP_"
 COMMAND_PREFIX = "TARRAGONRAMP_COMMAND_"
+LOG_LEVELS = ("debug", "info", "warning", "error")
 MIN_SECRET_CHARACTERS = 16
 MAX_SECRETS = 2
 
@@ -122,6 +123,7 @@
         ``ip:port`` of the platform's object API.
     advertised_control_address, advertised_peer_address : str, default=""
         Where other daemons reach this one, if not at the addresses it binds.
+    log_level : {"debug", "info", "warning", "error"}
     timing : Timing
     limits : Limits
     security : Security
@@ -140,6 +142,7 @@
     advertised_peer_address: str = attrs.field(
         default="", validator=checks.address_or_empty
     )
+    log_level: str = attrs.field(default="info", validator=checks.one_of(*LOG_LEVELS))
     timing: Timing = Timing()
     limits: Limits = Limits()
     security: Security = Security()
--- /dev/null
+++ b/tests/test_logs.py
@@ -0,0 +1,203 @@
+"""Log lines: their form, whoever writes them, and their number."""
+
+import io
+import json
+import logging
+import re
+import shutil
+import signal
+import sys
+import unittest
+import warnings
+
+import gevent
+
+from standins.site import DaemonSpec, Site
+from tarragonramp.adapters.http import HttpPool
+from tarragonramp.adapters.logs import LogLimiter, log_event, set_up_logs
+from tarragonramp.adapters.process import LoopWatch
+from tarragonramp.roles.tasks import keep_running, task_failures
+
+LINE = re.compile(
+    r"time=\S+Z level=[a-z]+ daemon=(?P<daemon>\S*)"
+    r'(?P<pairs>( [a-z_]+=("(\\.|[^"\\])*"|[^ "=]+))+)'
+)
+
+
+def parse(line):
+    """Return the pairs of a log line; None if it is not one."""
+    match = LINE.fullmatch(line)
+    if match is None:
+        return None
+    pairs = re.findall(r'([a-z_]+)=("(?:\\.|[^"\\])*"|[^ "=]+)', match["pairs"])
+    values = {k: json.loads(v) if v[0] == '"' else v for k, v in pairs}
+    return {"daemon": match["daemon"], **values}
+
+
+class FormTest(unittest.TestCase):
+    """This process's own log, sent to a buffer."""
+
+    @classmethod
+    def setUpClass(cls):
+        cls.stream = io.StringIO()
+        root = logging.getLogger()
+        cls.addClassCleanup(setattr, root, "handlers", list(root.handlers))
+        cls.addClassCleanup(logging.captureWarnings, False)
+        cls.addClassCleanup(setattr, sys, "excepthook", sys.excepthook)
+        cls.addClassCleanup(setattr, sys, "unraisablehook", sys.unraisablehook)
+        hub = gevent.get_hub()
+        cls.addClassCleanup(setattr, hub, "print_exception", hub.print_exception)
+        handler = set_up_logs("d1", "info", cls.stream)
+        cls.addClassCleanup(handler.pop_application)
+
+    def setUp(self):
+        self.stream.seek(0)
+        self.stream.truncate()
+
+    def only_line(self):
+        """Return the one line written, parsed."""
+        lines = self.stream.getvalue().splitlines()
+        self.assertEqual(len(lines), 1, lines)
+        parsed = parse(lines[0])
+        self.assertIsNotNone(parsed, lines[0])
+        return parsed
+
+    def test_values_with_spaces_quotes_and_newlines(self):
+        hostile = 'a "b"=c\nevent=forged level=error'
+        log_event("something", reason=hostile, empty="", count=3)
+        found = self.only_line()
+        self.assertEqual(found["reason"], hostile)
+        self.assertEqual((found["event"], found["daemon"]), ("something", "d1"))
+        self.assertEqual((found["empty"], found["count"]), ("", "3"))
+
+    def test_library_message_and_warning(self):
+        logging.getLogger("grpc._server").error("call failed:\n%s", "second line")
+        found = self.only_line()
+        self.assertEqual(found["library"], "grpc._server")
+        self.assertEqual(found["message"], "call failed:\nsecond line")
+        self.setUp()
+        warnings.warn("old habit", UserWarning, stacklevel=1)
+        self.assertIn("old habit", self.only_line()["message"])
+
+    def test_traceback_of_a_greenlet_is_one_line(self):
+        def fail():
+            raise ValueError("in a greenlet")
+
+        gevent.spawn(fail).join()
+        found = self.only_line()
+        self.assertEqual(found["event"], "uncaught-error")
+        self.assertEqual(found["message"], "in a greenlet")
+        self.assertIn("Traceback", found["trace"])
+
+    def test_failing_task_is_counted_and_started_again(self):
+        rounds = []
+
+        def broken_role():
+            rounds.append(1)
+            if len(rounds) < 3:
+                raise KeyError("gone")
+
+        keep_running(broken_role).join(timeout=5)
+        self.assertEqual(len(rounds), 3)
+        self.assertEqual(task_failures()[broken_role.__qualname__], 2)
+        lines = [parse(line) for line in self.stream.getvalue().splitlines()]
+        self.assertEqual([line["event"] for line in lines], ["task-failed"] * 2)
+        self.assertIn("KeyError", lines[0]["trace"])
+
+    def test_blocked_event_loop_is_measured(self):
+        """A call blocks the whole process; a paused VM looks the same."""
+        found = []
+        watch = LoopWatch(lambda blocked_ms, cpu_ms: found.append(blocked_ms))
+        task = gevent.spawn(watch.run)
+        gevent.sleep(0.05)
+        gevent.monkey.get_original("time", "sleep")(0.6)
+        gevent.sleep(0.15)
+        task.kill()
+        self.assertEqual(len(found), watch.count)
+        self.assertGreater(max(found), 400)
+        self.assertEqual(watch.longest_ms, max(found))
+
+
+class LimiterTest(unittest.TestCase):
+    """The decision which lines are left out."""
+
+    def test_storm_of_one_event_leaves_room_for_others(self):
+        """Each of 10,000 requests a second logs the same fault, for ten seconds."""
+        limiter = LogLimiter()
+        written = 0
+        for i in range(100_000):
+            written += limiter.admit("request-failed", i / 10.0) is not None
+        self.assertLessEqual(written, limiter.burst + limiter.per_second * 10 + 1)
+        self.assertGreaterEqual(written, limiter.burst)
+        self.assertEqual(limiter.admit("term-taken", 10_000.0), 0)
+        self.assertEqual(limiter.total, 100_000 - written)
+
+    def test_next_line_tells_how_many_were_left_out(self):
+        limiter = LogLimiter(burst=1, per_second=1)
+        self.assertEqual(limiter.admit("e", 0.0), 0)
+        for _ in range(7):
+            self.assertIsNone(limiter.admit("e", 1.0))
+        self.assertEqual(limiter.admit("e", 1001.0), 7)
+        self.assertEqual(limiter.admit("e", 3000.0), 0)
+
+    def test_storm_of_many_events_is_bounded(self):
+        limiter = LogLimiter()
+        written = sum(
+            limiter.admit(f"event-{i % 1000}", i / 10.0) is not None
+            for i in range(100_000)
+        )
+        bound = limiter.overall_burst + limiter.overall_per_second * 10 + 1
+        self.assertLessEqual(written, bound)
+
+
+class DaemonLogTest(unittest.TestCase):
+    """A daemon whose log is read line by line."""
+
+    SECRET = "a-secret-that-nobody-may-read"
+
+    @classmethod
+    def setUpClass(cls):
+        cls.site = Site()
+        cls.addClassCleanup(shutil.rmtree, cls.site.folder, ignore_errors=True)
+        cls.addClassCleanup(cls.site.stop)
+        cls.site.start_platform()
+
+    def start(self, name, **settings):
+        """Start a daemon and wait until it is ready."""
+        security = {"operator_secret": self.SECRET, "peer_secret": self.SECRET}
+        self.site.start_daemon(
+            DaemonSpec(name, "a"),
+            security=security,
+            timing={"unready_ms": 0, "drain_idle_ms": 0},
+            **settings,
+        )
+        self.site.wait_ready([name])
+
+    def test_every_line_parses_and_none_has_a_secret(self):
+        self.start("d1")
+        control = HttpPool(self.site.settings["d1"]["control_address"])
+        wrong = [("Authorization", f"Bearer {self.SECRET}-not")]
+        right = [("Authorization", f"Bearer {self.SECRET}")]
+        for headers in ((), wrong, right):
+            control.exchange("GET", "/operator/status", headers, b"", 2000)
+            control.exchange("POST", "/peer/ping", headers, b"no json", 2000)
+            control.exchange("PUT", "/operator/objects/Team/x", headers, b"{", 2000)
+        self.site.signal("d1", signal.SIGSTOP)
+        gevent.sleep(0.6)
+        self.site.signal("d1", signal.SIGCONT)
+        gevent.sleep(0.3)
+        self.assertEqual(self.site.terminate("d1"), 0)
+        log = self.site.daemon_log("d1")
+        self.assertNotIn(self.SECRET, log)
+        parsed = [parse(line) for line in log.splitlines()]
+        bad = [x for x, p in zip(log.splitlines(), parsed, strict=True) if not p]
+        self.assertEqual(bad, [])
+        self.assertEqual({line["daemon"] for line in parsed}, {"d1"})
+        events = [line["event"] for line in parsed]
+        self.assertIn("event-loop-blocked", events)
+        self.assertIn("uncaught-error", events, "a malformed ping should show up")
+
+    def test_level_leaves_lesser_lines_out(self):
+        self.start("d2", log_level="error")
+        self.assertEqual(self.site.terminate("d2"), 0)
+        self.assertEqual(self.site.daemon_log("d2"), "")
