--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,8 @@
 PYTHON ?= python3
 VENV := .venv
 BIN := $(VENV)/bin
+
 .PHONY: bench-path bench-recovery capacity demo test explore lint format
-.PHONY: bench-path capacity demo test lint format
 
 $(VENV)/.installed: pyproject.toml
 	$(PYTHON) -m venv $(VENV)
--- a/src/tarragonramp/daemon.py
+++ b/src/tarragonramp/daemon.py
@@ -32,7 +32,12 @@
     set_up_logs,
 )  # noqa: E402
 from .adapters.metrics import Metrics  # noqa: E402
-from .adapters.peers import GrpcPeers, PeerServer  # noqa: E402
+from .adapters.peers import (  # noqa: E402
+    GrpcPeers,
+    PeerServer,
+    news_payload,
+    news_question,
+)
 from .adapters.platform import HttpPlatform  # noqa: E402
 from .adapters.process import CpuMeter, LoopWatch  # noqa: E402
 from .adapters.serving import DaemonServer  # noqa: E402
@@ -44,6 +49,7 @@
 from .model import Member  # noqa: E402
 from .roles.audit import AuditTrail  # noqa: E402
 from .roles.entry import Entry  # noqa: E402
+from .roles.gatekeeper import Forwarder, GateKeeper  # noqa: E402
 from .roles.membership import Membership  # noqa: E402
 from .roles.news import News  # noqa: E402
 from .roles.operators import Operators  # noqa: E402
@@ -53,6 +59,7 @@
 from .roles.tasks import keep_running, task_failures  # noqa: E402
 from .roles.terms import TermKeeper  # noqa: E402
 from .settings import load_settings  # noqa: E402
+from .spreading import PLATFORM  # noqa: E402
 from .view import View  # noqa: E402
 
 __all__ = ["Daemon", "main"]
@@ -87,7 +94,8 @@
     traffic: object
     cpu: object
     metrics: object
-    peer_server: object
+    gatekeeper: object = None
+    peer_server: object = None
     control: object = None
     callers: object = None
     ready: bool = False
@@ -116,6 +124,8 @@
         membership = Membership(me, view, platform, peers, clock, timing)
         keeper = TermKeeper(view, platform, membership, clock, timing)
         membership.on_word = keeper.on_word
+        news = News(me, view, platform, watcher, peers, clock, timing)
+        membership.on_newest = news.heard
         backends = HttpBackends(HttpPools(traffic=traffic))
         stewards = Stewards(me, view, keeper, platform, backends, peers, clock, timing)
         planners = Planners(view, keeper, platform, peers, timing)
@@ -132,7 +142,7 @@
                 requests,
             ),
             membership=membership,
-            news=News(view, platform, watcher, timing.watch_ms),
+            news=news,
             keeper=keeper,
             stewards=stewards,
             planners=planners,
@@ -152,26 +162,35 @@
             traffic=traffic,
             cpu=cpu,
             metrics=Metrics(me.name, requests, traffic, cpu),
-            peer_server=PeerServer(
-                settings.peer_address,
-                planners.take_report,
-                stewards.prove_release,
-                traffic,
-                peer_secrets,
-            ),
         )
-        daemon.control = DaemonServer(
-            settings.control_address, daemon._control, clock, traffic
+        gate_pools = HttpPools(settings.limits.answer_bytes, unsent_ms=timing.right_ms)
+        daemon.gatekeeper = GateKeeper(daemon.stewards, view, keeper, gate_pools, clock)
+        forwarder = Forwarder(me, view, peers, daemon.gatekeeper)
+        daemon.entry.forward = forwarder.send
+        daemon._add_servers()
+        daemon._add_gauges()
+        return daemon
+
+    def _add_servers(self):
+        settings, clock = self.settings, self.entry.clock
+        self.peer_server = PeerServer(
+            settings.peer_address,
+            self.planners.take_report,
+            self.stewards.prove_release,
+            self.traffic,
+            self.peer_secrets,
+            self.gatekeeper.serve,
+        )
+        self.control = DaemonServer(
+            settings.control_address, self._control, clock, self.traffic
         )
-        daemon.callers = DaemonServer(
+        self.callers = DaemonServer(
             settings.caller_address,
-            daemon.entry,
+            self.entry,
             clock,
             reuse_port=True,
             limits=settings.limits,
         )
-        daemon._add_gauges()
-        return daemon
 
     def run(self):
         """Serve until a signal says stop, then drain.
@@ -183,7 +202,7 @@
         self.peer_server.start()
         self.control.start()
         keep_running(self.loop_watch.run)
-        keep_running(self.news.run_watch)
+        keep_running(self.news.run)
         keep_running(self.news.run_vm_list)
         starting = [keep_running(self._join_fleet), keep_running(self._open)]
         self.stopped.wait()
@@ -197,6 +216,7 @@
 
     def _join_fleet(self):
         """Register, then begin to act in the roles of control."""
+        self.news.wait_started()
         self.membership.register()
         for task in (
             self.membership.run_pings,
@@ -233,7 +253,8 @@
         all_handed = self.keeper.hand_over_all(timing.handover_ms)
         unregistered = all_handed and self.membership.unregister()
         self.control.drain(CONTROL_IDLE_MS, timing.control_timeout_ms * 2)
-        self.peer_server.stop(timing.control_timeout_ms * 2)
+        # Requests that other daemons forwarded here are callers' requests, too.
+        self.peer_server.stop(timing.drain_ms)
         log_event(
             "daemon-stopped",
             requests_cut=drained.cut,
@@ -256,6 +277,7 @@
         add = self.metrics.add_gauge
         add("ready", "1 if callers may be sent here.", lambda: int(self.ready))
         add("view.version", "Newest platform version.", lambda: self.view.version)
+        add("news.watching", "1 if it watches the platform.", self._watching)
         add("terms.held", "Terms held here.", self._terms_held, "role")
         add(
             "servers",
@@ -283,6 +305,9 @@
             log_lines_suppressed,
         )
 
+    def _watching(self):
+        return int(self.news.source == PLATFORM)
+
     def _terms_held(self):
         kinds = collections.Counter(
             role.partition(".")[0] for role in self.keeper.holdings
@@ -299,14 +324,21 @@
             self.status.take(told["identity"], told["version"])
             return json_reply(start_response, 200, {})
         if path == "/peer/ping":
-            asked = json.loads(environ["wsgi.input"].read())["identity"]
+            question = json.loads(environ["wsgi.input"].read())
+            asked = question["identity"]
             self.membership.heard(asked)
+            self.news.heard(asked.partition("#")[0], question.get("newest", 0))
             word = {
                 "identity": self.me.identity,
                 "taken": self.keeper.taken_from(asked),
+                "newest": self.view.newest,
                 "leaving": self.stopped.is_set(),
             }
             return json_reply(start_response, 200, word)
+        if path == "/peer/news":
+            question = news_question(environ["wsgi.input"].read())
+            news = news_payload(self.news.answer(question))
+            return json_reply(start_response, 200, news)
         if path == "/metrics":
             page, content_type = self.metrics.page()
             headers = [("Content-Type", content_type)]
--- a/standins/site.py
+++ b/standins/site.py
@@ -69,6 +69,8 @@
     divided : bool
     slots : int
     work_ms : float
+    checks : bool
+        Whether a divided one refuses whoever has no grant.
     """
 
     name: str
@@ -78,6 +80,7 @@
     divided: bool = True
     slots: int = 4
     work_ms: float = 3.0
+    checks: bool = True
 
 
 @attrs.frozen
@@ -139,6 +142,8 @@
         arguments += ["--slots", str(first.slots), "--work-ms", str(first.work_ms)]
         if first.divided:
             arguments.append("--divided")
+        if not first.checks:
+            arguments.append("--unchecked")
         self._spawn(first.name, arguments)
         self._backends[first.name] = first
         self.vms = [vm for vm in self.vms if vm["name"] not in names]
@@ -193,7 +198,8 @@
         """Wait until a daemon sees an owner for every slice of every service."""
 
         def all_owned():
-            services = self.operator(name, "status")["services"]
+            status = self.operator(name, "status")
+            services = status["services"] if status else ()
             return services and all(s["owned"] == s["slices"] for s in services)
 
         self._wait_until(all_owned, "owners", timeout_s)
@@ -311,6 +317,8 @@
         while time.monotonic() < until_s:
             if condition():
                 return
+            if what in self.processes and not self.is_running(what):
+                break
             time.sleep(0.05)
         logs = "".join(f"\n{name}: {self._end_of(name)}" for name in self.processes)
         raise TimeoutError(f"{what} not there within {timeout_s} s{logs}")
