--- a/demo/run.py
+++ b/demo/run.py
@@ -6,6 +6,7 @@
 
 import argparse  # noqa: E402
 import shutil  # noqa: E402
+import signal  # noqa: E402
 import sys  # noqa: E402
 import time  # noqa: E402
 
@@ -13,7 +14,7 @@
 
 from standins.checker import check_run  # noqa: E402
 from standins.load import Call, Load, summary  # noqa: E402
-from standins.site import Backend, DaemonSpec, Site  # noqa: E402
+from standins.site import Backend, DaemonSpec, Site, StartError  # noqa: E402
 
 DAEMONS = (DaemonSpec("d1", "a"), DaemonSpec("d2", "a"), DaemonSpec("d3", "b"))
 BACKENDS = (
@@ -36,16 +37,39 @@
 KILLED = "records1"
 
 
+WITHIN_MS = 2000
+EXIT_BROKEN = 1
+EXIT_NOT_STARTED = 3
+EXIT_INTERRUPTED = 130
+
+
 def main():
-    """Run the demo; 0 only if every promise that was checked held."""
+    """Run the demo.
+
+    Returns
+    -------
+    exit_code : int
+        0 only if every promise that was checked held; 1 if one was broken, 3 if the
+        site did not start, 130 after an interrupt.
+    """
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seconds", type=float, default=15.0)
     parser.add_argument("--keep", action="store_true", help="keep logs")
     options = parser.parse_args()
+    signal.signal(signal.SIGTERM, _interrupt)
     site = Site()
     try:
         return _run(site, options.seconds)
+    except KeyboardInterrupt:
+        print("\ninterrupted; stopping all processes")
+        return EXIT_INTERRUPTED
+    except (StartError, TimeoutError) as error:
+        print(f"\nthe site did not start: {error}", file=sys.stderr)
+        return EXIT_NOT_STARTED
     finally:
+        # A second interrupt must not leave processes behind.
+        signal.signal(signal.SIGINT, signal.SIG_IGN)
+        signal.signal(signal.SIGTERM, signal.SIG_IGN)
         site.stop()
         if options.keep:
             print(f"logs kept in {site.folder}")
@@ -53,8 +77,13 @@
             shutil.rmtree(site.folder, ignore_errors=True)
 
 
+def _interrupt(number, frame):
+    raise KeyboardInterrupt
+
+
 def _run(site, seconds):
     began_s = time.monotonic()
+    print("starting platform, daemons and backend servers")
     site.start_platform()
     for spec in DAEMONS:
         site.start_daemon(spec)
@@ -65,27 +94,33 @@
         done = site.command("apply", "--file", file, daemon="d1")
         print(done.stdout, end="")
         if done.returncode != 0:
-            print(done.stderr)
-            return 1
+            raise StartError(f"{file} was not taken: {done.stderr}")
     for spec in DAEMONS:
         site.wait_owned(spec.name)
     print(f"site is up after {time.monotonic() - began_s:.1f} s; load begins")
     load = Load([site.caller_address(spec.name) for spec in DAEMONS], CALLS)
-    gevent.spawn_later(seconds / 3, _kill, site)
+    killed_ms = []
+    gevent.spawn_later(seconds / 3, _kill, site, killed_ms)
     load.run(seconds, _progress)
     print()
     _print_table(load.outcomes)
-    return _verdict(site, load.outcomes)
+    return _verdict(site, load.outcomes, killed_ms[0])
 
 
-def _kill(site):
+def _kill(site, killed_ms):
     print(f"\nkilling backend server {KILLED}")
+    killed_ms.append(time.monotonic() * 1000.0)
     site.kill(KILLED)
 
 
 def _progress(outcomes):
+    """Rewrite one line on a terminal; elsewhere write a new one each time."""
     well = sum(1 for outcome in outcomes if outcome.result == "well")
-    print(f"\r{len(outcomes)} requests, {well} answered well", end="", flush=True)
+    text = f"{len(outcomes)} requests, {well} answered well"
+    if sys.stdout.isatty():
+        print(f"\r{text}", end="", flush=True)
+    else:
+        print(text, flush=True)
 
 
 def _print_table(outcomes):
@@ -97,13 +132,59 @@
         print("".join(f"{text:>16}" for text in texts))
 
 
-def _verdict(site, outcomes):
-    faults = check_run(site.executions(), outcomes)
+def _verdict(site, outcomes, killed_ms):
+    executions = site.executions()
+    faults = check_run(executions, outcomes)
+    gaps_ms = served_again_ms(executions, KILLED, killed_ms)
+    served_ms = [gap_ms for gap_ms in gaps_ms.values() if gap_ms is not None]
+    print(
+        f"{KILLED} owned {len(gaps_ms)} slices in use; {len(served_ms)} of them served"
+        f" again, the first {min(served_ms, default=0):.0f} ms after the kill, the last"
+        f" {max(served_ms, default=0):.0f} ms"
+    )
+    promise = f"keys of a killed server served again within {WITHIN_MS} ms"
+    faults[promise] = [
+        f"slice {index} not served again"
+        for index, gap_ms in gaps_ms.items()
+        if gap_ms is None
+    ] + [
+        f"{item.label} {item.key}: {item.result} {item.began_ms - killed_ms:.0f} ms"
+        " after the kill"
+        for item in outcomes
+        if item.result != "well" and item.began_ms > killed_ms + WITHIN_MS
+    ]
     for check, found in faults.items():
         print(f"{'held' if not found else 'BROKEN':>7}  {check}")
         for fault in found[:5]:
             print(f"         {fault}")
-    return 1 if any(faults.values()) else 0
+    return EXIT_BROKEN if any(faults.values()) else 0
+
+
+def served_again_ms(executions, server, killed_ms):
+    """Return when the slices of a killed server were first served again.
+
+    Parameters
+    ----------
+    executions : list of dict
+        Log entries of all backend servers.
+    server : str
+    killed_ms : float
+
+    Returns
+    -------
+    gaps_ms : dict of int to float or None
+        By slice, from the kill to the first execution elsewhere; None for never.
+        Nobody may have asked for the slice earlier.
+    """
+    service = {e["path"].split("/")[1] for e in executions if e["server"] == server}
+    mine = [e for e in executions if e["path"].split("/")[1] in service]
+    gaps_ms = {e["slice"]: None for e in mine if e["server"] == server}
+    for entry in sorted(mine, key=lambda e: e["started_ms"]):
+        index = entry["slice"]
+        elsewhere = entry["server"] != server and entry["started_ms"] > killed_ms
+        if elsewhere and index in gaps_ms and gaps_ms[index] is None:
+            gaps_ms[index] = entry["started_ms"] - killed_ms
+    return gaps_ms
 
 
 if __name__ == "__main__":
--- a/standins/site.py
+++ b/standins/site.py
@@ -15,7 +15,12 @@
 
 from tarragonramp.adapters.http import HttpPool
 
-__all__ = ["Backend", "DaemonSpec", "Site", "free_address"]
+__all__ = ["Backend", "DaemonSpec", "Site", "StartError", "free_address"]
+
+
+class StartError(Exception):
+    """A process of a site that ended when it should have begun to serve."""
+
 
 START_TIMEOUT_S = 20.0
 PORTS = (12_000, 32_000)
@@ -288,7 +293,11 @@
         path = os.path.join(self.folder, f"{name}.err")
         with open(path, "ab") as stream:
             self.processes[name] = subprocess.Popen(
-                [sys.executable, *arguments], stdout=stream, stderr=stream
+                [sys.executable, *arguments],
+                stdout=stream,
+                stderr=stream,
+                # An interrupt at the terminal is for the launcher alone.
+                start_new_session=True,
             )
 
         if self.proxied:
@@ -308,10 +317,17 @@
         return _ask(self.proxy_address, f"/{what}", payload)
 
     def _is_ready(self, name):
+        self._check_alive(name)
         return (_ask(self.settings[name]["control_address"], "/ready") or {}).get(
             "ready", False
         )
 
+    def _check_alive(self, name):
+        code = self.processes[name].poll()
+        if code is not None:
+            last = self.daemon_log(name).strip().rpartition("\n")[2]
+            raise StartError(f"{name} ended with exit code {code}: {last}")
+
     def _wait_until(self, condition, what, timeout_s=START_TIMEOUT_S):
         until_s = time.monotonic() + timeout_s
         while time.monotonic() < until_s:
