--- a/src/tarragonramp/roles/membership.py
+++ b/src/tarragonramp/roles/membership.py
@@ -42,6 +42,7 @@
     _heard_ms: dict = attrs.Factory(dict)
     _missed: dict = attrs.Factory(dict)
     _pinging: dict = attrs.Factory(dict)
+    _leaving: set = attrs.Factory(set)
 
     def register(self):
         """Write this daemon into the platform, trying until it is there."""
@@ -74,14 +75,21 @@
         self.me = attrs.evolve(self.me, unproven=unproven)
 
     def unregister(self):
-        """Remove this daemon from the platform, once.
+        """Remove this daemon from the platform; try once.
 
         It stays if it has unproven predecessors: they would pass for departed.
+
+        Returns
+        -------
+        removed : bool
         """
         if self.me.unproven:
-            return
+            return False
         version = self.view.version_of(KIND_MEMBER, self.me.name)
-        self.platform.delete(KIND_MEMBER, self.me.name, version)
+        if not version:
+            return False
+        result = self.platform.delete(KIND_MEMBER, self.me.name, version)
+        return is_successful(result)
 
     def successor(self, same_domain_only):
         """Return the identity of the next daemon on the ring that answers.
@@ -108,7 +116,7 @@
             names = _ring_after(self.me.name, far) + names
         for name in names:
             identity = members[name].identity
-            if not self.seems_down(identity):
+            if not self.seems_down(identity) and not self.leaves(identity):
                 return identity
         return ""
 
@@ -129,6 +137,10 @@
         """Tell whether a daemon missed two pings in a row."""
         return self._missed.get(identity, 0) >= 2
 
+    def leaves(self, identity):
+        """Tell whether a daemon said that it is about to stop."""
+        return identity in self._leaving
+
     def departed(self, identity, named_at_version):
         """Tell whether a process is known to be gone.
 
@@ -189,6 +201,8 @@
             if not is_successful(result) or result.unwrap().identity != identity:
                 self._note_missed(identity)
                 return
+            if result.unwrap().leaving:
+                self._leaving.add(identity)
             if self._missed.pop(identity, 0) >= 2:
                 log_event("peer-back", peer=identity)
             self.on_word(result.unwrap(), sent_ms)
--- a/src/tarragonramp/roles/news.py
+++ b/src/tarragonramp/roles/news.py
@@ -44,6 +44,9 @@
     peers : Peers
     clock : Clock
     timing : Timing
+    synced : Event
+        Set once objects and VMs have been read: before, a request for a declared
+        service would be told that there is no such service.
     """
 
     me: object
@@ -54,6 +57,9 @@
     clock: object
     timing: object
     reached: bool = True
+    synced: Event = attrs.Factory(Event)
+    _seen_objects: bool = False
+    _seen_vms: bool = False
     source: str | None = None
     sources: Sources = attrs.Factory(Sources)
     _failures: int = 0
@@ -136,7 +142,7 @@
                 for stored in result.unwrap():
                     self.view.apply(stored)
                 return
-            self._note_reached(False)
+            self._note_reached(False, result.failure())
             self._back_off()
 
     def _choose_source(self):
@@ -154,11 +160,13 @@
         result = self.watcher.watch(
             self.view.version, self.timing.watch_ms, VIEWED_KINDS
         )
-        self._note_reached(is_successful(result))
         if is_successful(result):
+            self._note_reached(True)
             self._failures = 0
             self._take(*result.unwrap())
+            self._note_synced(objects=True)
             return
+        self._note_reached(False, result.failure())
         self._ask_outside()
         self._back_off()
 
@@ -170,7 +178,8 @@
             self.sources.suspect(name, self.clock.now_ms())
             return
         self.sources.trust(name)
-        self._note_reached(news.reached)
+        self._note_reached(news.reached, f"told by {name}")
+        self._note_synced(objects=news.version > 0, vms=news.version > 0)
         if not news.reached:
             self._fall_back()
         gevent.sleep(BATCH_MS / 1000.0)
@@ -226,17 +235,27 @@
         result = self.platform.list_vms()
         if is_successful(result):
             self.view.apply_vms(result.unwrap())
+            self._note_synced(vms=True)
 
     def _back_off(self):
         self._failures += 1
         gevent.sleep(retry_ms(self._failures, random.random()) / 1000.0)
 
-    def _note_reached(self, reached):
+    def _note_synced(self, objects=False, vms=False):
+        self._seen_objects |= objects
+        self._seen_vms |= vms
+        if self._seen_objects and self._seen_vms:
+            self.synced.set()
+
+    def _note_reached(self, reached, error=""):
         if reached == self.reached:
             return
         self.reached = reached
         self._wake()
-        log_event("platform-reached" if reached else "platform-unreachable")
+        if reached:
+            log_event("platform-reached")
+        else:
+            log_event("platform-unreachable", error=error)
 
     def _wake(self):
         changed, self._changed = self._changed, Event()
--- a/src/tarragonramp/settings.py
+++ b/src/tarragonramp/settings.py
@@ -25,6 +25,7 @@
 
 ENVIRONMENT_PREFIX = "TARRAGONRAMP_"
 COMMAND_PREFIX = "TARRAGONRAMP_COMMAND_"
+LOG_LEVELS = ("debug", "info", "warning", "error")
 MIN_SECRET_CHARACTERS = 16
 MAX_SECRETS = 2
 
@@ -40,6 +41,14 @@
     watchers : int
         Daemons of a failure domain that watch the platform; the others learn from
         them.
+    unready_ms : int
+        On a stop, how long to say "not ready" and still take new connections.
+    drain_idle_ms : int
+        On a stop, how long a connection is without a request before it is closed.
+    drain_ms : int
+        On a stop, how long to wait for requests under way.
+    handover_ms : int
+        On a stop, how long to try to hand over terms if the platform does not answer.
     """
 
     ping_ms: int = attrs.field(default=150, validator=_milliseconds(20, 60_000))
@@ -56,7 +65,10 @@
     planning_ms: int = attrs.field(default=50, validator=_milliseconds(10, 60_000))
     route_wait_ms: int = attrs.field(default=300, validator=_milliseconds(0, 60_000))
     watchers: int = attrs.field(default=2, validator=checks.between(1, 1000))
+    unready_ms: int = attrs.field(default=2000, validator=_milliseconds(0, 600_000))
+    drain_idle_ms: int = attrs.field(default=1000, validator=_milliseconds(0, 600_000))
     drain_ms: int = attrs.field(default=10_000, validator=_milliseconds(0, 600_000))
+    handover_ms: int = attrs.field(default=10_000, validator=_milliseconds(0, 600_000))
     status_ms: int = attrs.field(default=300, validator=_milliseconds(50, 60_000))
 
 
@@ -141,6 +153,7 @@
         ``ip:port`` of the platform's object API.
     advertised_control_address, advertised_peer_address : str, default=""
         Where other daemons reach this one, if not at the addresses it binds.
+    log_level : {"debug", "info", "warning", "error"}
     timing : Timing
     limits : Limits
     security : Security
@@ -159,6 +172,7 @@
     advertised_peer_address: str = attrs.field(
         default="", validator=checks.address_or_empty
     )
+    log_level: str = attrs.field(default="info", validator=checks.one_of(*LOG_LEVELS))
     timing: Timing = Timing()
     limits: Limits = Limits()
     security: Security = Security()
