Only plain values and known kinds; pruning of the audit trail that works in a large fleet

Cause: a date or .nan in a declaration ended the command with a traceback, a tagged mapping was taken as if it had no tag, and a daemon that writes fewer than fifty audit entries in its life never removed any.

--- a/src/tarragonramp/client.py
+++ b/src/tarragonramp/client.py
@@ -233,6 +233,7 @@
 
 def _actor():
     try:
-        return getpass.getuser()
+        name = getpass.getuser()
     except (KeyError, OSError):
-        return "unknown"
+        name = "unknown"
+    return name.encode("ascii", "replace").decode()
--- a/src/tarragonramp/command.py
+++ b/src/tarragonramp/command.py
@@ -33,7 +33,7 @@
     read_declarations,
 )
 from .documents import Fault, read_file
-from .model import KIND_FAILURE_DOMAIN, KIND_TEAM, KIND_TEMPLATE
+from .model import KIND_FAILURE_DOMAIN, KIND_TEAM, KIND_TEMPLATE, VIEWED_KINDS
 from .settings import check_settings, is_settings
 
 __all__ = ["main"]
@@ -151,6 +151,7 @@
     output
         Form of the output.
     """
+    kind = _kind(kind)
     client = OperatorClient.from_config(daemon, secret_file)
     if name:
         found = client.find(kind, name)
@@ -196,6 +197,7 @@
     output
         Form of the output.
     """
+    kind = _kind(kind)
     client = OperatorClient.from_config(daemon, secret_file)
     current = client.find(kind, name)
     if current is None:
@@ -515,6 +517,15 @@
     return exit_code or EXIT_OK
 
 
+def _kind(text):
+    """Return the kind that an operator means, whatever the case."""
+    for kind in VIEWED_KINDS:
+        if kind.lower() == text.lower():
+            return kind
+    known = ", ".join(VIEWED_KINDS)
+    raise CommandError(EXIT_INVALID, f"no kind {text!r}; known are {known}")
+
+
 def _read_all(files):
     if not files:
         raise CommandError(EXIT_INVALID, "no file given: add --file team.yaml")
--- a/src/tarragonramp/documents.py
+++ b/src/tarragonramp/documents.py
@@ -1,5 +1,7 @@
 """YAML files, read so that nothing in them is taken for something else."""
 
+import math
+
 import attrs
 import yaml
 from returns.result import Failure, Result, Success
@@ -11,6 +13,8 @@
 MAX_FILE_BYTES = 1_048_576
 """Longest file taken: the platform holds values up to this size."""
 
+_PLAIN_TAGS = ("tag:yaml.org,2002:map", "tag:yaml.org,2002:seq")
+
 MAX_DEPTH = 20
 """Deepest nesting taken; far above any declaration, far below Python's stack."""
 
@@ -165,16 +169,27 @@
 
     def build(node, path):
         lines[path] = node.start_mark.line + 1
+        if isinstance(node, yaml.CollectionNode) and node.tag not in _PLAIN_TAGS:
+            faults.append(f"{source}:{lines[path]}: tag {node.tag!r} is not accepted")
+            return None
         if isinstance(node, yaml.SequenceNode):
             return [build(n, f"{path}[{i}]") for i, n in enumerate(node.value)]
         if isinstance(node, yaml.MappingNode):
             return build_mapping(node, path)
+        return build_scalar(node, path)
+
+    def build_scalar(node, path):
         try:
-            return loader.construct_object(node)
+            value = loader.construct_object(node)
         except (yaml.YAMLError, ValueError) as error:
             problem = getattr(error, "problem", None) or str(error)
             faults.append(f"{source}:{lines[path]}: {path}: {problem}")
             return None
+        plain = value is None or isinstance(value, (str, bool, int, float))
+        if not plain or (isinstance(value, float) and not math.isfinite(value)):
+            message = f"{node.value!r}: put it in quotes"
+            faults.append(f"{source}:{lines[path]}: {path}: {message}")
+        return value
 
     def build_mapping(node, path):
         result = {}
--- a/src/tarragonramp/roles/audit.py
+++ b/src/tarragonramp/roles/audit.py
@@ -1,5 +1,6 @@
 """The audit trail: who changed what, when, and what became of it."""
 
+import random
 import time
 import uuid
 
@@ -23,6 +24,9 @@
 
 WRITE_MS = 3000
 PRUNE_EVERY = 50
+"""One write in so many, drawn at random, looks for entries to remove. Counted instead,
+none would in a large fleet: each daemon writes few and is restarted before the next."""
+
 PRUNE_AT_ONCE = 200
 STRANGERS_EVERY_MS = 60_000
 """Shortest time between two entries about calls without a secret.
@@ -76,7 +80,6 @@
     platform: object
     clock: object
     keep_entries: int
-    _written: int = 0
     _strangers: int = 0
     _next_stranger_ms: float = 0.0
 
@@ -155,8 +158,7 @@
     def _write_new(self, spec):
         name = f"{spec['at_ms']:013d}-{spec['request_id'][:8]}"
         result = self._put(name, spec, 0)
-        self._written += 1
-        if self._written % PRUNE_EVERY == 0:
+        if random.randrange(PRUNE_EVERY) == 0:
             gevent.spawn(self._prune)
         return result
 
--- a/tests/test_command.py
+++ b/tests/test_command.py
@@ -289,8 +289,17 @@
         self.assertEqual(self.run_command("explain", "a", "b", "c")[0], 1)
         code, _, err = self.run_command("apply", "-f", "/nonexistent.yaml")
         self.assertEqual(code, client.EXIT_INVALID)
+        code, _, err = self.run_command("get", "pods")
+        self.assertEqual(code, client.EXIT_INVALID)
+        self.assertIn("known are Template, Team", err)
+        self.assertEqual(self.run_command("get", "team")[0], 0)
+
+    def test_only_declared_objects_can_be_deleted(self):
+        self.port.platform.put("Assignment", "x", {"request_id": ""}, 0)
         code, _, err = self.run_command("delete", "Assignment", "x")
-        self.assertNotEqual(code, 0)
+        self.assertEqual(code, client.EXIT_INVALID)
+        self.assertIn("cannot be declared", err)
+        self.assertIn("x", self.port.specs("Assignment"))
 
     def test_no_daemon_is_reached(self):
         self.port.servers[1].stop(timeout=1)
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -99,6 +99,16 @@
         self.assertIn("put it in quotes", self.faults(GOOD + "on: 1\n")[0])
         self.assertIn("put it in quotes", self.faults(GOOD + "? [a]\n: 1\n")[0])
 
+    def test_values_that_are_no_plain_scalars_are_refused(self):
+        """A date or ``.nan`` in a team's parameters.
+
+        YAML makes an object of it that JSON, in which the platform keeps it, has not.
+        """
+        for value in ("2026-01-01", ".nan", ".inf", "!!binary aGk="):
+            self.assertIn("put it in quotes", self.faults(f"name: {value}\n")[0])
+        tagged = self.faults("name: !!python/object:os.x {}\n")
+        self.assertIn("is not accepted", tagged[0])
+
     def test_the_environment_overrides_and_is_checked_equally(self):
         environment = {
             "TARRAGONRAMP_NAME": "d9",
