--- /dev/null
+++ b/src/tarragonramp/changes.py
@@ -0,0 +1,177 @@
+"""Changes that the operators' command asks a daemon for."""
+
+import sys
+
+from returns.pipeline import is_successful
+
+from .client import EXIT_CONFLICT, EXIT_INVALID, CommandError
+from .console import difference
+from .declarations import DECLARED_KINDS, OWN_FIELDS, read_declarations
+from .documents import Fault
+from .model import KIND_FAILURE_DOMAIN, KIND_TEAM, KIND_TEMPLATE, VIEWED_KINDS
+
+__all__ = [
+    "apply_all",
+    "check_at_daemon",
+    "counted",
+    "declared_spec",
+    "kind_named",
+    "order_domain",
+    "read_all",
+    "shown",
+]
+
+APPLY_ORDER = (KIND_TEMPLATE, KIND_FAILURE_DOMAIN, KIND_TEAM)
+
+
+def kind_named(text):
+    """Return the kind that an operator means, whatever the case."""
+    for kind in VIEWED_KINDS:
+        if kind.lower() == text.lower():
+            return kind
+    known = ", ".join(VIEWED_KINDS)
+    raise CommandError(EXIT_INVALID, f"no kind {text!r}; known are {known}")
+
+
+def read_all(files):
+    """Read declarations of several files.
+
+    Raises
+    ------
+    CommandError
+        With the faults of all files.
+    """
+    if not files:
+        raise CommandError(EXIT_INVALID, "no file given: add --file team.yaml")
+    declarations, faults = [], []
+    for path in files:
+        result = read_declarations(path)
+        if is_successful(result):
+            declarations.extend(result.unwrap())
+        else:
+            faults.extend(result.failure().faults)
+    if faults:
+        raise CommandError(EXIT_INVALID, counted(faults))
+    return declarations
+
+
+def check_at_daemon(client, declarations):
+    """Let a daemon check all of them against what is declared already."""
+    documents = [
+        {"kind": item.kind, "name": item.name, "spec": item.spec}
+        for item in declarations
+    ]
+    found = client.post("/operator/check", documents)["faults"]
+    if not found:
+        return
+    faults = [
+        declarations[item["index"]].locate(Fault(item["path"], item["message"]))
+        for item in found
+    ]
+    raise CommandError(EXIT_INVALID, counted(faults))
+
+
+def counted(faults):
+    """Return the text of faults, and how many there are."""
+    lines = "\n  ".join(str(fault) for fault in faults)
+    return f"{len(faults)} faults, nothing was changed\n  {lines}"
+
+
+def apply_all(client, declarations):
+    """Write checked declarations, those that others need first.
+
+    Returns
+    -------
+    rows : list of dict
+        What became of each.
+
+    Raises
+    ------
+    CommandError
+        Naming what was applied and what was not.
+    """
+    ordered = sorted(declarations, key=lambda item: APPLY_ORDER.index(item.kind))
+    rows = []
+    try:
+        for declaration in ordered:
+            rows.append(_apply_one(client, declaration))
+    except CommandError as error:
+        failed = ordered[len(rows)]
+        done = [row["object"] for row in rows if row["result"] != "unchanged"]
+        left = [item.label for item in ordered[len(rows) :]]
+        message = f"{failed.label}: {error}\napplied: {', '.join(done) or 'none'}"
+        message += f"\nnot applied: {', '.join(left)}"
+        raise CommandError(error.exit_code, message, error.payload) from error
+    return rows
+
+
+def _apply_one(client, declaration):
+    current = client.find(declaration.kind, declaration.name)
+    version = current["version"] if current else 0
+    wanted = version if declaration.version is None else declaration.version
+    if wanted != version:
+        message = f"the file is for version {wanted}, platform holds {version}"
+        raise _conflict(message, declaration, current)
+    if current and _is_same(current["spec"], declaration.spec):
+        return {"object": declaration.label, "result": "unchanged", "version": version}
+    try:
+        stored = client.put(
+            declaration.kind, declaration.name, declaration.spec, wanted
+        )
+    except CommandError as error:
+        if error.exit_code != EXIT_CONFLICT:
+            raise
+        raise _conflict(error, declaration, error.payload.get("current")) from error
+    for warning in stored.get("warnings", []):
+        print(f"warning: clashes with another change: {warning}", file=sys.stderr)
+    return {
+        "object": declaration.label,
+        "result": "applied",
+        "version": stored["version"],
+    }
+
+
+def _conflict(message, declaration, current):
+    """Return the error of a lost race, with both versions."""
+    spec = declared_spec(current["spec"]) if current else {}
+    text = difference(spec, declaration.spec, declaration.label)
+    return CommandError(EXIT_CONFLICT, f"{message}\n{text}")
+
+
+def _is_same(stored_spec, spec):
+    return not stored_spec.get("leaving") and declared_spec(stored_spec) == spec
+
+
+def declared_spec(spec):
+    """Return a stored spec without what the system adds to it."""
+    return {key: value for key, value in spec.items() if key not in OWN_FIELDS}
+
+
+def shown(stored):
+    """Return an object as an operator would declare it, with its version."""
+    spec = stored["spec"]
+    if stored["kind"] in DECLARED_KINDS:
+        spec = declared_spec(spec)
+    return {
+        "kind": stored["kind"],
+        "name": stored["name"],
+        "version": stored["version"],
+        "spec": spec,
+    }
+
+
+def order_domain(client, failure_domain, state, **query):
+    """Give an order about a failure domain; return what it was and is."""
+    current = client.find(KIND_FAILURE_DOMAIN, failure_domain)
+    version = current["version"] if current else 0
+    before = current["spec"].get("state", "in") if current else "in"
+    if before != state:
+        spec = {"state": state}
+        stored = client.put(KIND_FAILURE_DOMAIN, failure_domain, spec, version, **query)
+        version = stored["version"]
+    return {
+        "failure_domain": failure_domain,
+        "before": before,
+        "order": state,
+        "version": version,
+    }
--- a/src/tarragonramp/command.py
+++ b/src/tarragonramp/command.py
@@ -14,8 +14,17 @@
 import defopt
 from returns.pipeline import is_successful
 
+from .changes import (
+    apply_all,
+    check_at_daemon,
+    counted,
+    declared_spec,
+    kind_named,
+    order_domain,
+    read_all,
+    shown,
+)
 from .client import (
-    EXIT_CONFLICT,
     EXIT_DIFFERS,
     EXIT_FAILED,
     EXIT_INVALID,
@@ -25,15 +34,11 @@
 )
 from .console import audit_rows, difference, pending, rendered, table
 from .declarations import (
-    DECLARED_KINDS,
-    OWN_FIELDS,
     Declared,
     check_declarations,
     declarations_of,
-    read_declarations,
 )
-from .documents import Fault, read_file
-from .model import KIND_FAILURE_DOMAIN, KIND_TEAM, KIND_TEMPLATE, VIEWED_KINDS
+from .documents import read_file
 from .settings import check_settings, is_settings
 
 __all__ = ["main"]
@@ -41,7 +46,6 @@
 Output = Literal["table", "yaml", "json"]
 
 WATCH_EVERY_S = 0.5
-APPLY_ORDER = (KIND_TEMPLATE, KIND_FAILURE_DOMAIN, KIND_TEAM)
 
 
 def apply(
@@ -71,20 +75,9 @@
         Form of the output.
     """
     client = OperatorClient.from_config(daemon, secret_file)
-    declarations = _read_all(file)
-    _check_at_daemon(client, declarations)
-    ordered = sorted(declarations, key=lambda item: APPLY_ORDER.index(item.kind))
-    rows = []
-    try:
-        for declaration in ordered:
-            rows.append(_apply_one(client, declaration))
-    except CommandError as error:
-        failed = ordered[len(rows)]
-        done = [row["object"] for row in rows if row["result"] != "unchanged"]
-        left = [item.label for item in ordered[len(rows) :]]
-        message = f"{failed.label}: {error}\napplied: {', '.join(done) or 'none'}"
-        message += f"\nnot applied: {', '.join(left)}"
-        raise CommandError(error.exit_code, message, error.payload) from error
+    declarations = read_all(file)
+    check_at_daemon(client, declarations)
+    rows = apply_all(client, declarations)
     _print(rows, output, lambda data: table(data, ("object", "result", "version")))
 
 
@@ -112,9 +105,9 @@
     """
     client = OperatorClient.from_config(daemon, secret_file)
     found = []
-    for item in _read_all(file):
+    for item in read_all(file):
         current = client.find(item.kind, item.name)
-        spec = _declared_spec(current["spec"]) if current else {}
+        spec = declared_spec(current["spec"]) if current else {}
         text = difference(spec, item.spec, item.label)
         if text:
             version = current["version"] if current else 0
@@ -151,20 +144,20 @@
     output
         Form of the output.
     """
-    kind = _kind(kind)
+    kind = kind_named(kind)
     client = OperatorClient.from_config(daemon, secret_file)
     if name:
         found = client.find(kind, name)
         if found is None:
             message = f"no {kind} named {name!r}: see 'tarragonramp get {kind}'"
             raise CommandError(EXIT_FAILED, message)
-        found = _shown(found)
+        found = shown(found)
         _print(found, output, lambda item: rendered(item, "yaml", None))
         return
     items = client.get(f"/operator/objects/{urllib.parse.quote(kind, safe='')}")[
         "items"
     ]
-    items = [_shown(item) for item in items]
+    items = [shown(item) for item in items]
     _print(items, output, lambda data: table(data, ("kind", "name", "version")))
 
 
@@ -197,7 +190,7 @@
     output
         Form of the output.
     """
-    kind = _kind(kind)
+    kind = kind_named(kind)
     client = OperatorClient.from_config(daemon, secret_file)
     current = client.find(kind, name)
     if current is None:
@@ -248,7 +241,7 @@
     notes = [text for fault, text in located if _is_elsewhere(fault)]
     faults.extend(text for fault, text in located if not _is_elsewhere(fault))
     if faults:
-        raise CommandError(EXIT_INVALID, _counted(faults))
+        raise CommandError(EXIT_INVALID, counted(faults))
     for note in notes:
         print(f"note: {note} in these files", file=sys.stderr)
     _print(rows, output, lambda data: table(data, ("file", "holds", "documents")))
@@ -404,7 +397,7 @@
         Form of the output.
     """
     client = OperatorClient.from_config(daemon, secret_file)
-    _order(client, failure_domain, "out", output)
+    _print_order(order_domain(client, failure_domain, "out"), output)
 
 
 def bring_back(
@@ -430,7 +423,7 @@
         Form of the output.
     """
     client = OperatorClient.from_config(daemon, secret_file)
-    _order(client, failure_domain, "in", output)
+    _print_order(order_domain(client, failure_domain, "in"), output)
 
 
 def declare_lost(
@@ -470,7 +463,7 @@
         )
         raise CommandError(EXIT_INVALID, message)
     client = OperatorClient.from_config(daemon, secret_file)
-    _order(client, failure_domain, "lost", output, confirm=confirm)
+    _print_order(order_domain(client, failure_domain, "lost", confirm=confirm), output)
 
 
 COMMANDS = {
@@ -517,118 +510,11 @@
     return exit_code or EXIT_OK
 
 
-def _kind(text):
-    """Return the kind that an operator means, whatever the case."""
-    for kind in VIEWED_KINDS:
-        if kind.lower() == text.lower():
-            return kind
-    known = ", ".join(VIEWED_KINDS)
-    raise CommandError(EXIT_INVALID, f"no kind {text!r}; known are {known}")
-
-
-def _read_all(files):
-    if not files:
-        raise CommandError(EXIT_INVALID, "no file given: add --file team.yaml")
-    declarations, faults = [], []
-    for path in files:
-        result = read_declarations(path)
-        if is_successful(result):
-            declarations.extend(result.unwrap())
-        else:
-            faults.extend(result.failure().faults)
-    if faults:
-        raise CommandError(EXIT_INVALID, _counted(faults))
-    return declarations
-
-
-def _check_at_daemon(client, declarations):
-    """Let a daemon check all of them against what is declared already."""
-    documents = [
-        {"kind": item.kind, "name": item.name, "spec": item.spec}
-        for item in declarations
-    ]
-    found = client.post("/operator/check", documents)["faults"]
-    if not found:
-        return
-    faults = [
-        declarations[item["index"]].locate(Fault(item["path"], item["message"]))
-        for item in found
-    ]
-    raise CommandError(EXIT_INVALID, _counted(faults))
-
-
-def _counted(faults):
-    lines = "\n  ".join(str(fault) for fault in faults)
-    return f"{len(faults)} faults, nothing was changed\n  {lines}"
-
-
 def _is_elsewhere(fault):
     return fault.path == "spec.template"
 
 
-def _apply_one(client, declaration):
-    current = client.find(declaration.kind, declaration.name)
-    version = current["version"] if current else 0
-    wanted = version if declaration.version is None else declaration.version
-    if wanted != version:
-        message = f"the file is for version {wanted}, platform holds {version}"
-        raise _conflict(message, declaration, current)
-    if current and _is_same(current["spec"], declaration.spec):
-        return {"object": declaration.label, "result": "unchanged", "version": version}
-    try:
-        stored = client.put(
-            declaration.kind, declaration.name, declaration.spec, wanted
-        )
-    except CommandError as error:
-        if error.exit_code != EXIT_CONFLICT:
-            raise
-        raise _conflict(error, declaration, error.payload.get("current")) from error
-    for warning in stored.get("warnings", []):
-        print(f"warning: clashes with another change: {warning}", file=sys.stderr)
-    return {
-        "object": declaration.label,
-        "result": "applied",
-        "version": stored["version"],
-    }
-
-
-def _conflict(message, declaration, current):
-    """Return the error of a lost race, with both versions."""
-    spec = _declared_spec(current["spec"]) if current else {}
-    text = difference(spec, declaration.spec, declaration.label)
-    return CommandError(EXIT_CONFLICT, f"{message}\n{text}")
-
-
-def _is_same(stored_spec, spec):
-    return not stored_spec.get("leaving") and _declared_spec(stored_spec) == spec
-
-
-def _declared_spec(spec):
-    return {key: value for key, value in spec.items() if key not in OWN_FIELDS}
-
-
-def _shown(stored):
-    spec = stored["spec"]
-    if stored["kind"] in DECLARED_KINDS:
-        spec = _declared_spec(spec)
-    return {
-        "kind": stored["kind"],
-        "name": stored["name"],
-        "version": stored["version"],
-        "spec": spec,
-    }
-
-
-def _order(client, failure_domain, state, output, **query):
-    current = client.find(KIND_FAILURE_DOMAIN, failure_domain)
-    version = current["version"] if current else 0
-    before = current["spec"].get("state", "in") if current else "in"
-    if before != state:
-        spec = {"state": state}
-        stored = client.put(KIND_FAILURE_DOMAIN, failure_domain, spec, version, **query)
-        version = stored["version"]
-    row = {"failure_domain": failure_domain, "before": before, "order": state}
-    row["version"] = version
+def _print_order(row, output):
     _print([row], output, lambda data: table(data, tuple(row)))
 
 
--- a/src/tarragonramp/daemon.py
+++ b/src/tarragonramp/daemon.py
@@ -41,6 +41,7 @@
 from .roles.membership import Membership  # noqa: E402
 from .roles.news import News  # noqa: E402
 from .roles.operators import Operators  # noqa: E402
+from .roles.overview import Overview  # noqa: E402
 from .roles.planner import Planners  # noqa: E402
 from .roles.status import IN_FORCE_TARGET, StatusReporter  # noqa: E402
 from .roles.steward import Stewards  # noqa: E402
@@ -131,7 +132,7 @@
                 me,
                 view,
                 platform,
-                pools,
+                Overview(me, view, platform, pools),
                 clock,
                 AuditTrail(me, platform, clock, settings.audit.keep_entries),
                 operator_secrets,
--- a/src/tarragonramp/roles/operators.py
+++ b/src/tarragonramp/roles/operators.py
@@ -1,14 +1,12 @@
 """What operators ask a daemon: changes, each with its audit entry, and answers."""
 
 import json
-import random
 import urllib.parse
 import uuid
 
 import attrs
-import gevent
 from returns.pipeline import is_successful
-from returns.result import Result, Success
+from returns.result import Result
 
 from ..adapters.web import json_reply
 from ..declarations import (
@@ -29,21 +27,14 @@
 from ..model import (
     KIND_ASSIGNMENT,
     KIND_FAILURE_DOMAIN,
-    KIND_STATUS,
     KIND_TEAM,
     KIND_TEMPLATE,
     LOST,
-    OWNED,
-    RELEASING,
-    Assignment,
-    FailureDomain,
     Stored,
     Team,
     Template,
 )
-from ..slices import slice_of
 from ..structuring import structure
-from ..view import CONFIGURED_KINDS, assignment_name, steward_role
 from . import audit
 from .writes import delete_surely, put_surely
 
@@ -55,8 +46,6 @@
 AUDIT_ENTRIES = 50
 CHANGE_MS = 5000
 MAX_ACTOR = 64
-ASKED_PER_DOMAIN = 20
-ASK_MS = 500
 
 
 class _RefusedCallError(Exception):
@@ -76,8 +65,7 @@
     me : Member
     view : View
     platform : Platform
-    pools : HttpPools
-        To ask daemons of other failure domains whether they are there.
+    overview : Overview
     clock : Clock
     trail : AuditTrail
     secrets : Secrets
@@ -86,7 +74,7 @@
     me: object
     view: object
     platform: object
-    pools: object
+    overview: object
     clock: object
     trail: object
     secrets: object
@@ -113,11 +101,11 @@
         }
         method = environ["REQUEST_METHOD"]
         if method == "GET" and parts == ["status"]:
-            return 200, self._status()
+            return 200, self.overview.status()
         if method == "GET" and parts == ["audit"]:
             return self._audit(query)
         if method == "GET" and parts[0] == "explain" and len(parts) == 3:
-            return self._explain(parts[1], parts[2], query.get("key", ""))
+            return self.overview.explain(parts[1], parts[2], query.get("key", ""))
         if method == "POST" and parts == ["check"]:
             return self._check(_json_body(environ))
         if parts[0] == "objects" and len(parts) in (2, 3):
@@ -198,8 +186,8 @@
 
     def _domain_faults(self, name, spec, query):
         state = spec.get("state", "in")
-        if state != "in" and name not in self._domains():
-            known = ", ".join(sorted(self._domains())) or "none"
+        if state != "in" and name not in self.overview.domains():
+            known = ", ".join(sorted(self.overview.domains())) or "none"
             return [f"name: no daemon or backend server is in {name!r}; known: {known}"]
         if state == LOST and query.get("confirm") != name:
             return [
@@ -294,10 +282,6 @@
         )
         return bool(found) or divided
 
-    def _domains(self):
-        found = {member.failure_domain for member in self.view.members().values()}
-        return found | {vm.failure_domain for vm in self.view.vms.values()}
-
     def _audit(self, query):
         limit = _number(query.get("limit", str(AUDIT_ENTRIES)), "limit")
         result = self.trail.entries(min(limit, MAX_AUDIT_ENTRIES))
@@ -318,164 +302,10 @@
             return "outcome not recorded; the change is in the object now"
         return f"outcome not recorded; object is at version {found.unwrap().version}"
 
-    def _status(self):
-        intended, statuses, reached = self._intended()
-        names = sorted(self._domains() | set(statuses))
-        tasks = [gevent.spawn(self._silent, name) for name in names]
-        gevent.joinall(tasks)
-        domains = [
-            self._domain_row(name, statuses.get(name), intended, task.value)
-            for name, task in zip(names, tasks, strict=True)
-        ]
-        return {
-            "daemon": self.me.identity,
-            "view_version": self.view.version,
-            "platform_reached": reached,
-            "intended_version": intended,
-            "members": sorted(self.view.members()),
-            "failure_domains": domains,
-            "unreadable": [
-                f"{kind}/{name}: {fault}"
-                for (kind, name), fault in sorted(self.view.unreadable.items())
-            ],
-            "services": [
-                self._service_row(team, service)
-                for (team, _), service in sorted(self.view.services().items())
-            ],
-        }
-
-    def _intended(self):
-        """Return the newest configuration, Status specs, and if they are fresh."""
-        versions = [self.view.config_version]
-        reached = True
-        for kind in CONFIGURED_KINDS:
-            found = self.platform.list(kind)
-            reached = reached and is_successful(found)
-            versions += [item.version for item in found.value_or([])]
-            if not reached:
-                break
-        found = self.platform.list(KIND_STATUS) if reached else Success([])
-        statuses = self.view.all_of(KIND_STATUS)
-        statuses |= {item.name: item.spec for item in found.value_or([])}
-        return max(versions), statuses, reached
-
-    def _silent(self, failure_domain):
-        """Return the daemons of a failure domain that do not answer this one.
-
-        A Status stays as it was when the whole failure domain is lost or cut off:
-        nobody is left there to write a new one. In a large failure domain only
-        some are asked.
-        """
-        members = self._members(failure_domain)
-        asked = random.sample(members, min(len(members), ASKED_PER_DOMAIN))
-        tasks = [gevent.spawn(self._is_there, member) for member in asked]
-        gevent.joinall(tasks)
-        found = zip(asked, tasks, strict=True)
-        return sorted(member.name for member, task in found if not task.value)
-
-    def _is_there(self, member):
-        pool = self.pools.at(member.control_address)
-        result = pool.exchange("GET", "/healthy", (), b"", ASK_MS)
-        return is_successful(result) and result.unwrap().status == 200
-
-    def _members(self, failure_domain):
-        return [
-            member
-            for member in self.view.members().values()
-            if member.failure_domain == failure_domain
-        ]
-
-    def _domain_row(self, name, status, intended, silent):
-        order = self.view.get(KIND_FAILURE_DOMAIN, name) or FailureDomain()
-        version = status["version"] if status else 0
-        daemons = [member.name for member in self._members(name)]
-        lagging = status["lagging"] if status else sorted(daemons)
-        if version < intended and not lagging:
-            lagging = [status["reporter"]] if status else []
-        return {
-            "failure_domain": name,
-            "order": order.state,
-            "daemons": len(daemons),
-            "answers": len(silent) < min(len(daemons), ASKED_PER_DOMAIN),
-            "silent": silent,
-            "in_force_version": version,
-            "in_force": version >= intended and not lagging,
-            "lagging": lagging,
-            "slices_owned": self._slices_in(name),
-        }
-
-    def _slices_in(self, failure_domain):
-        return sum(
-            1
-            for assignment in self.view.all_of(KIND_ASSIGNMENT).values()
-            for item in assignment.slices
-            if item.server in self.view.vms
-            and self.view.vms[item.server].failure_domain == failure_domain
-        )
-
-    def _service_row(self, team, service):
-        assignment = self.view.assignment(team, service.name)
-        slices = assignment.slices if assignment else ()
-        return {
-            "team": team,
-            "service": service.name,
-            "divided": service.divided,
-            "slices": service.n_slices if service.divided else 0,
-            "owned": sum(1 for item in slices if item.state == OWNED),
-            "releasing": sum(1 for item in slices if item.state == RELEASING),
-            "servers": len(self.view.servers_of(team, service.name)),
-            "leaving": self.view.leaving(team),
-        }
-
-    def _explain(self, team, name, key):
-        service = self.view.services().get((team, name))
-        if service is None or not service.divided:
-            known = sorted(
-                f"{t}/{s.name}"
-                for (t, _), s in self.view.services().items()
-                if s.divided
-            )
-            message = f"no such divided service; known: {', '.join(known) or 'none'}"
-            return 404, {"error": message}
-        assignment: Assignment = self.view.assignment(team, name)
-        if assignment is None:
-            return 404, {"error": "no assignment yet: no planner has acted"}
-        index = slice_of(key, service.n_slices)
-        item = assignment.slices[index]
-        term = self.view.term(steward_role(team, name, item.server))
-        vm = self.view.vms.get(item.server)
-        return 200, {
-            "key": key,
-            "slice": index,
-            "state": item.state,
-            "owner": item.server,
-            "fencing_token": item.token,
-            "owner_failure_domain": vm.failure_domain if vm else "",
-            "owner_address": vm.address if vm else "",
-            "steward": term.holder if term else "",
-            "steward_term": term.number if term else 0,
-            "assignment_version": self.view.version_of(
-                KIND_ASSIGNMENT, assignment_name(team, name)
-            ),
-            "why": _why(item, vm, self.view),
-        }
-
 
 _OUTCOMES = {200: audit.DONE, 409: audit.CONFLICT, 504: audit.UNKNOWN}
 
 
-def _why(item, vm, view):
-    if item.state == RELEASING:
-        return "moving: the old owner is not yet proved to have let go"
-    if item.state != OWNED:
-        return "no backend server can take it now"
-    if vm is None:
-        return "owned by a server that is not listed any more; about to move"
-    if not view.domain_in(vm.failure_domain):
-        return "owned in a failure domain that was taken out; about to move"
-    return "owned: callers are sent to the owner"
-
-
 def _change(environ, kind, name, version):
     actor = environ.get("HTTP_TARRAGON_ACTOR", "unknown")
     actor = "".join(c for c in actor if c.isprintable())[:MAX_ACTOR]
--- a/tests/test_command.py
+++ b/tests/test_command.py
@@ -29,6 +29,7 @@
 from tarragonramp.roles import audit, operators
 from tarragonramp.roles.audit import AuditTrail
 from tarragonramp.roles.operators import Operators
+from tarragonramp.roles.overview import Overview
 from tarragonramp.view import View
 
 TEAM_FILES = ("demo/fraser-valley.yaml", "demo/cooperative.yaml")
@@ -59,8 +60,9 @@
         view.apply_vms([Vm("v1", "127.0.0.1:2", "b", "t", "s")])
         self.trail = AuditTrail(me, self.platform, Clock(), 100)
         secrets = Secrets.from_text(secret)
+        overview = Overview(me, view, self.platform, HttpPools())
         self.app = Operators(
-            me, view, self.platform, HttpPools(), Clock(), self.trail, secrets
+            me, view, self.platform, overview, Clock(), self.trail, secrets
         )
         self.servers = [
             WebServer(platform_address, self.stand_in),
@@ -204,7 +206,7 @@
         rival = {"kind": "Team", "name": "rival", "spec": {"template": "grant-desk"}}
         with (
             unittest.mock.patch.object(Operators, "_put_faults", return_value=[]),
-            unittest.mock.patch.object(command, "_check_at_daemon"),
+            unittest.mock.patch.object(command, "check_at_daemon"),
         ):
             code, _, err = self.run_command("apply", "-f", self.write([rival]))
         self.assertEqual(code, 0)
