--- a/src/tarragonramp/adapters/peers.py
+++ b/src/tarragonramp/adapters/peers.py
@@ -5,17 +5,25 @@
 
 import attrs
 import grpc
+from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
 
 from ..credentials import METADATA_KEY, Secrets
-from ..errors import UnansweredError
+from ..errors import NotSentError, UnansweredError
+from ..gates import Order
+from ..model import Stored, Vm
+from ..news import NewsAnswer, NewsQuestion
+from ..vms import VmChanges
 from ..wire import peer_pb2, peer_pb2_grpc
-from .http import HttpPools
+from .http import Answer, HttpPools
 
-__all__ = ["GrpcPeers", "PeerServer", "PingAnswer"]
+__all__ = ["GrpcPeers", "PeerServer", "PingAnswer", "news_payload", "news_question"]
 
 PING_TARGET = "/peer/ping"
-MAX_WORKERS = 16
+NEWS_TARGET = "/peer/news"
+MAX_WORKERS = 64
+NOT_CONNECTED = "failed to connect"
+ANY_LENGTH = -1
 GRPC_OVERHEAD_BYTES = 60
 
 
@@ -30,10 +38,13 @@
     taken : dict of str to int
         By role, the highest term that it has taken, or begun to take, from the asking
         daemon: no word is given for that one and earlier ones.
+    newest : int
+        Highest version of the platform's objects that it has seen.
     """
 
     identity: str
     taken: dict[str, int]
+    newest: int = 0
 
 
 @attrs.define(eq=False, repr=False)
@@ -55,15 +66,25 @@
     secrets: Secrets = Secrets()
     _stubs: dict = attrs.Factory(dict)
 
-    def ping(self, address, identity) -> Result:
+    def ping(self, address, identity, newest) -> Result:
         """Ask a neighbour whether it has taken over anything."""
-        body = json.dumps({"identity": identity}).encode()
+        body = json.dumps({"identity": identity, "newest": newest}).encode()
         pool = self.pools.at(address)
         result = pool.exchange(
             "POST", PING_TARGET, self.secrets.headers, body, self.timeout_ms
         )
         return result.bind(_ping_answer)
 
+    def news(self, address, question) -> Result:
+        """Ask another daemon for what this one lacks."""
+        body = json.dumps(attrs.asdict(question)).encode()
+        timeout_ms = question.wait_ms + self.timeout_ms
+        pool = self.pools.at(address)
+        result = pool.exchange(
+            "POST", NEWS_TARGET, self.secrets.headers, body, timeout_ms
+        )
+        return result.bind(_news_answer)
+
     def report(self, address, sender, reports) -> Result:
         """Tell a planner about backend servers.
 
@@ -103,11 +124,43 @@
             lambda r: list(r.released)
         )
 
-    def _call(self, address, method, request):
+    def forward(self, address, order) -> Result:
+        """Have a steward send a caller's request to its server.
+
+        Parameters
+        ----------
+        address : str
+        order : Order
+
+        Returns
+        -------
+        answer : Success of Answer, or Failure of ExchangeError
+            NotSentError if no byte left for the server, else UnansweredError.
+        """
+        request = _forward_request(order)
+        try:
+            reply = self._stub(address).Forward(
+                request,
+                timeout=order.deadline_ms / 1000.0,
+                metadata=self.secrets.metadata,
+            )
+        except grpc.RpcError as error:
+            if NOT_CONNECTED in (error.details() or ""):
+                return Failure(NotSentError(f"{address}: {error.details()}"))
+            return Failure(UnansweredError(f"{address}: {error.code().name}"))
+        return _forwarded(reply)
+
+    def _stub(self, address):
         stub = self._stubs.get(address)
         if stub is None:
-            channel = grpc.insecure_channel(address)
+            # Bodies are bounded where they are read from callers and servers.
+            options = [("grpc.max_receive_message_length", ANY_LENGTH)]
+            channel = grpc.insecure_channel(address, options)
             stub = self._stubs[address] = peer_pb2_grpc.PeerStub(channel)
+        return stub
+
+    def _call(self, address, method, request):
+        stub = self._stub(address)
         self.traffic.sent(method, message_bytes(request))
         try:
             reply = getattr(stub, method)(
@@ -158,17 +211,29 @@
     traffic : TrafficMeter
     secrets : Secrets
         Of the peer port.
+    on_forward : callable
+        ``on_forward(Order) -> Result``, as :meth:`GrpcPeers.forward` returns it.
     """
 
     def __init__(
-        self, address, on_report, on_prove_release, traffic, secrets=Secrets()
+        self,
+        address,
+        on_report,
+        on_prove_release,
+        traffic,
+        secrets=Secrets(),
+        on_forward=None,
     ):
         self._traffic = traffic
         self._on_report = on_report
         self._on_prove_release = on_prove_release
+        self._on_forward = on_forward
         self._server = grpc.server(
             futures.ThreadPoolExecutor(max_workers=MAX_WORKERS),
-            options=[("grpc.so_reuseport", 0)],
+            options=[
+                ("grpc.so_reuseport", 0),
+                ("grpc.max_receive_message_length", ANY_LENGTH),
+            ],
             interceptors=[_SecretCheck(secrets)],
         )
         peer_pb2_grpc.add_PeerServicer_to_server(self, self._server)
@@ -193,20 +258,118 @@
         reply = peer_pb2.ReleaseReply(released=released, proof=proof)
         return self._counted("ProveRelease", request, reply)
 
+    def Forward(self, request, context):  # noqa: N802
+        """Send a caller's request on."""
+        return _forward_reply(self._on_forward(_order(request)))
+
     def _counted(self, method, request, reply):
         self._traffic.received(method, message_bytes(request))
         self._traffic.sent(method, message_bytes(reply))
         return reply
 
 
+def _forward_request(order):
+    return peer_pb2.ForwardRequest(
+        team=order.team,
+        service=order.service,
+        server=order.server,
+        slice=order.slice_index,
+        token=order.token,
+        method=order.method,
+        target=order.target,
+        headers=_wire_headers(order.headers),
+        body=order.body,
+        deadline_ms=order.deadline_ms,
+    )
+
+
+def _order(request):
+    return Order(
+        request.team,
+        request.service,
+        request.server,
+        request.slice,
+        request.token,
+        request.method,
+        request.target,
+        _plain_headers(request.headers),
+        request.body,
+        request.deadline_ms,
+    )
+
+
+def _forward_reply(result):
+    if not is_successful(result):
+        error = result.failure()
+        not_sent = isinstance(error, NotSentError)
+        return peer_pb2.ForwardReply(not_sent=not_sent, error=str(error))
+    answer = result.unwrap()
+    return peer_pb2.ForwardReply(
+        status=answer.status, headers=_wire_headers(answer.headers), body=answer.body
+    )
+
+
+def _forwarded(reply):
+    if reply.status:
+        headers = _plain_headers(reply.headers)
+        return Success(Answer(reply.status, headers, reply.body))
+    error_type = NotSentError if reply.not_sent else UnansweredError
+    return Failure(error_type(reply.error))
+
+
+def _wire_headers(headers):
+    # Header fields may hold bytes that are no text; they are kept as they are.
+    return [peer_pb2.Header(name=name, value=value) for name, value in headers]
+
+
+def _plain_headers(headers):
+    return tuple((item.name, item.value) for item in headers)
+
+
 def message_bytes(message):
     """Return what a gRPC message takes on the wire, headers and frames with it."""
     return message.ByteSize() + GRPC_OVERHEAD_BYTES
 
 
+def news_question(raw):
+    """Read a question that came as bytes.
+
+    Raises
+    ------
+    ValueError, KeyError, TypeError
+        If it is not one. Fields of a newer version are passed over.
+    """
+    found = json.loads(raw)
+    return NewsQuestion(*(found[field.name] for field in attrs.fields(NewsQuestion)))
+
+
+def news_payload(news):
+    """Return a NewsAnswer as JSON can hold it."""
+    return attrs.asdict(news)
+
+
+def _news_answer(answer):
+    try:
+        raw = json.loads(answer.body)
+        items = tuple(Stored(**item) for item in raw["items"])
+        return Success(
+            NewsAnswer(raw["version"], items, _vm_changes(raw["vms"]), raw["reached"])
+        )
+    except (ValueError, KeyError, TypeError) as error:
+        return Failure(UnansweredError(f"news not understood: {error!r}"))
+
+
+def _vm_changes(raw):
+    if raw is None:
+        return None
+    changed = tuple(Vm(**item) for item in raw["changed"])
+    return VmChanges(raw["digest"], raw["whole"], changed, tuple(raw["removed"]))
+
+
 def _ping_answer(answer):
     try:
         raw = json.loads(answer.body)
-        return Success(PingAnswer(raw["identity"], dict(raw["taken"])))
+        newest = raw.get("newest", 0)
+        return Success(PingAnswer(raw["identity"], dict(raw["taken"]), newest))
     except (ValueError, KeyError, TypeError) as error:
         return Failure(UnansweredError(f"ping answer not understood: {error!r}"))
--- a/src/tarragonramp/roles/entry.py
+++ b/src/tarragonramp/roles/entry.py
@@ -20,6 +20,7 @@
 )
 from ..admission import ADMITTED, WAITING, Gate, Outcome, Ticket
 from ..errors import AbandonedError, NotSentError, RequestError
+from ..gates import Order
 from ..meters import ANSWERED, NOT_RUN, UNKNOWN
 from ..request import (
     EXCHANGE_HEADER,
@@ -72,6 +73,9 @@
     timing : Timing
     limits : Limits
     meter : RequestMeter
+    forward : callable
+        ``forward(Order) -> Result``: to a server that takes orders from nobody but
+        its steward.
     """
 
     view: object
@@ -80,6 +84,7 @@
     timing: object
     limits: object
     meter: object
+    forward: object = None
     _routes: Routes = attrs.field(init=False)
     _gates: dict = attrs.Factory(dict)
     _ejections: dict = attrs.Factory(lambda: collections.defaultdict(Ejections))
@@ -341,11 +346,13 @@
         headers = request.headers + [
             ("X-Request-Id", request.request_id),
             (EXCHANGE_HEADER, next(self._exchange_ids)),
-            ("Tarragon-Deadline-Ms", str(int(left_ms))),
         ]
         if route.slice_index >= 0:
             headers.append(("Tarragon-Slice", str(route.slice_index)))
             headers.append(("Tarragon-Token", str(route.token)))
+        if route.gated_at:
+            return self._forward(route, request, headers, left_ms)
+        headers.append(("Tarragon-Deadline-Ms", str(int(left_ms))))
         return self.pools.at(route.address).exchange(
             request.method,
             request.target,
@@ -359,6 +366,20 @@
         """Return when to come back if no queue tells, jittered against waves."""
         return RETRY_AFTER_S * (0.5 + self._rng.random())
 
+    def _forward(self, route, request, headers, left_ms):
+        order = Order(
+            *route.gated_at,
+            route.server,
+            route.slice_index,
+            route.token,
+            request.method,
+            request.target,
+            tuple(headers),
+            request.body,
+            left_ms,
+        )
+        return self.forward(order)
+
     def _check_retry(self, error, request, budget):
         """Return if a request may be sent again after a failed exchange; else raise.
 
--- a/src/tarragonramp/roles/membership.py
+++ b/src/tarragonramp/roles/membership.py
@@ -1,11 +1,14 @@
 """Registers this daemon and watches its ring neighbours."""
 
+import random
+
 import attrs
 import gevent
 from returns.pipeline import is_successful
 
 from ..adapters.logs import log_event
-from ..model import KIND_MEMBER
+from ..model import KIND_FAILURE_DOMAIN, KIND_MEMBER
+from ..spreading import start_delay_ms
 from ..terms import has_departed
 
 __all__ = ["Membership"]
@@ -34,6 +37,7 @@
     clock: object
     timing: object
     on_word: object = None
+    on_newest: object = None
     taken_from: object = None
     _heard_ms: dict = attrs.Factory(dict)
     _missed: dict = attrs.Factory(dict)
@@ -41,6 +45,8 @@
 
     def register(self):
         """Write this daemon into the platform, trying until it is there."""
+        n_members = len(self.view.members())
+        gevent.sleep(start_delay_ms(n_members, random.random()) / 1000.0)
         while True:
             version = self.view.version_of(KIND_MEMBER, self.me.name)
             self._note_predecessor(self.view.get(KIND_MEMBER, self.me.name))
@@ -80,6 +86,9 @@
     def successor(self, same_domain_only):
         """Return the identity of the next daemon on the ring that answers.
 
+        Daemons of other failure domains come first where they may: a role that is
+        not bound to a failure domain must survive the loss of its own.
+
         Parameters
         ----------
         same_domain_only : bool
@@ -96,7 +105,7 @@
         names = _ring_after(self.me.name, near)
         if not same_domain_only:
             far = sorted(n for n in members if n not in near)
-            names += _ring_after(self.me.name, far)
+            names = _ring_after(self.me.name, far) + names
         for name in names:
             identity = members[name].identity
             if not self.seems_down(identity):
@@ -135,9 +144,24 @@
             # registration; this process knows which predecessors have ended.
             return boot_id not in (self.me.boot_id, *self.me.unproven)
         member = self.view.get(KIND_MEMBER, name)
+        if member is not None and self._was_lost(member):
+            return True
         version = self.view.version_seen(KIND_MEMBER, name)
         return has_departed(identity, named_at_version, member, version)
 
+    def _was_lost(self, member):
+        """Tell whether an operator's word says that a daemon does not run any more.
+
+        Without it, a role whose holder and successor were lost together would stay
+        with them. A daemon that registered after the word is a new one: taken for
+        gone, it and its neighbours would take each other's terms in turns.
+        """
+        domain = member.failure_domain
+        if not self.view.domain_lost(domain):
+            return False
+        registered = self.view.version_seen(KIND_MEMBER, member.name)
+        return registered < self.view.version_seen(KIND_FAILURE_DOMAIN, domain)
+
     def run_pings(self):
         """Ping the successors of the terms held here, for ever."""
         while True:
@@ -159,13 +183,16 @@
                 self._missed.pop(identity, None)
                 return
             sent_ms = self.clock.now_ms()
-            result = self.peers.ping(member.control_address, self.me.identity)
+            result = self.peers.ping(
+                member.control_address, self.me.identity, self.view.newest
+            )
             if not is_successful(result) or result.unwrap().identity != identity:
                 self._note_missed(identity)
                 return
             if self._missed.pop(identity, 0) >= 2:
                 log_event("peer-back", peer=identity)
             self.on_word(result.unwrap(), sent_ms)
+            self.on_newest(member.name, result.unwrap().newest)
         finally:
             self._pinging.pop(identity, None)
 
--- a/src/tarragonramp/roles/planner.py
+++ b/src/tarragonramp/roles/planner.py
@@ -90,7 +90,10 @@
         while True:
             busy = False
             self._changed.clear()
-            for (team, _), service in list(self.view.services().items()):
+            # Guards against a planner that has seen the assignment and no VM yet, as
+            # after a start: it would take every slice from its owner.
+            seen = list(self.view.services().items()) if self.view.vms_digest else ()
+            for (team, _), service in seen:
                 if service.divided and self.keeper.may_act(planner_role(team)):
                     busy |= self._plan(team, service)
             for team in self.view.all_of(KIND_TEAM):
