An entry that gets no answers asks the server's clock, and refuses at once if it is silent

Cause: callers of a frozen or cut-off server each waited for their whole deadline and a claim ended unknown; seen in the cut of a failure domain, where all twelve callers hung (no record lookup answered well between 2.5 and 3.9 s of the cut). Ruled out: the proxy (daemons of the cut-off side went on serving their own keys).

--- a/src/tarragonramp/daemon.py
+++ b/src/tarragonramp/daemon.py
@@ -141,6 +141,7 @@
                 timing,
                 settings.limits,
                 requests,
+                backends,
             ),
             membership=membership,
             news=news,
--- a/src/tarragonramp/roles/entry.py
+++ b/src/tarragonramp/roles/entry.py
@@ -22,6 +22,7 @@
 from ..errors import AbandonedError, NotSentError, RequestError
 from ..gates import Order
 from ..meters import ANSWERED, NOT_RUN, UNKNOWN
+from ..reachability import Reachability
 from ..request import (
     EXCHANGE_HEADER,
     OUTCOME_HEADER,
@@ -42,6 +43,7 @@
 __all__ = ["Entry"]
 
 RETRY_AFTER_S = 1.0
+SERVER_SILENT = "server does not answer"
 STALE_OWNER = 409
 
 # A connection that cannot be opened costs the server nothing, so it draws on no
@@ -73,6 +75,8 @@
     timing : Timing
     limits : Limits
     meter : RequestMeter
+    backends : Backends
+        Asked whether a server that seems silent is there.
     forward : callable
         ``forward(Order) -> Result``: to a server that takes orders from nobody but
         its steward.
@@ -84,9 +88,11 @@
     timing: object
     limits: object
     meter: object
+    backends: object
     forward: object = None
     _routes: Routes = attrs.field(init=False)
     _gates: dict = attrs.Factory(dict)
+    _reach: dict = attrs.Factory(lambda: collections.defaultdict(Reachability))
     _ejections: dict = attrs.Factory(lambda: collections.defaultdict(Ejections))
     _rng: random.Random = attrs.Factory(random.Random)
     _changed: Event = attrs.Factory(Event)
@@ -261,6 +267,7 @@
         routes = ejections.usable(routes, self.clock.now_ms())
         if tried:
             routes = [route for route in routes if route.server not in tried]
+        routes = [r for r in routes if not self._reach[r.server].down] or routes
         if not routes:
             return None
         return less_loaded(routes, self._load_of, self._rng)
@@ -290,26 +297,48 @@
         waited : bool
             Whether the route may have changed meanwhile.
         """
+        reach = self._reach[route.server]
+        if not route.gated_at and reach.should_probe(self.clock.now_ms()):
+            gevent.spawn(self._probe, route, reach)
+        if reach.down:
+            raise request.refusal(503, SERVER_SILENT, self._retry_after_s())
         gate = self._gate(route.server, service)
         ticket = Ticket(request.caller_class.priority, request.deadline_at_ms)
         _tell(gate.arrive(ticket, self.clock.now_ms()))
         if ticket.state == ADMITTED:
             return gate, False
         if ticket.state == WAITING:
-            self._wait(gate, ticket, request)
+            self._wait(gate, ticket, request, reach)
         if ticket.state == ADMITTED:
             return gate, True
+        if reach.down:
+            raise request.refusal(503, SERVER_SILENT, self._retry_after_s())
         retry_after_s = ticket.retry_after_ms / 1000.0
         raise request.refusal(503, "server is busy", retry_after_s)
 
-    def _wait(self, gate, ticket, request):
+    def _probe(self, route, reach):
+        """Ask a server that seems silent until it answers, or is another's business."""
+        while True:
+            asked_ms = self.clock.now_ms()
+            timeout_ms = self.timing.control_timeout_ms
+            result = self.backends.probe(route.address, timeout_ms)
+            if reach.probed(is_successful(result), self.clock.now_ms()):
+                return
+            vm = self.view.vms.get(route.server)
+            if vm is None or vm.address != route.address:
+                self._reach.pop(route.server, None)
+                return
+            left_ms = timeout_ms - (self.clock.now_ms() - asked_ms)
+            gevent.sleep(max(0.0, left_ms) / 1000.0)
+
+    def _wait(self, gate, ticket, request, reach):
         """Wait until a ticket is admitted or refused, or until nothing is to be won."""
         moved = Event()
         ticket.on_change = moved.set
         try:
             while ticket.state == WAITING:
                 left_ms = gate.latest_start_ms(ticket) - self.clock.now_ms()
-                if left_ms <= 0 or not request.is_wanted():
+                if left_ms <= 0 or reach.down or not request.is_wanted():
                     break
                 moved.wait(min(left_ms, CANCELLATION_CHECK_MS) / 1000.0)
         except BaseException:
@@ -325,14 +354,18 @@
         """Send a request that has been admitted, once, and leave the gate."""
         sent_ms = self.clock.now_ms()
         outcome = Outcome.CANCELLED
+        reach = self._reach[route.server]
+        number, answered = reach.sent(sent_ms), False
         try:
             result = self._send(route, request, sent_ms)
+            answered = is_successful(result)
             outcome = _outcome_of(result)
             return result
         finally:
             now_ms = self.clock.now_ms()
             took_ms = now_ms - sent_ms
             request.times.service_ms += took_ms
+            reach.ended(number, answered, now_ms)
             _tell(gate.leave(outcome, took_ms, now_ms))
             if ejections is not None and outcome == Outcome.ANSWERED:
                 ejections.note_answer(route.server, took_ms, now_ms)
