--- a/src/tarragonramp/adapters/process.py
+++ b/src/tarragonramp/adapters/process.py
@@ -54,7 +54,8 @@
             target = greenlets[1]
             if target is hub:
                 return
-            on_path = PATH_MARK in getattr(target, "spawn_tree_locals", ())
+            # An error in here would end the tracing without a word.
+            on_path = PATH_MARK in (getattr(target, "spawn_tree_locals", None) or ())
             if on_path is not self._on_path:
                 self._turn(on_path)
 
