--- a/src/tarragonramp/adapters/platform.py
+++ b/src/tarragonramp/adapters/platform.py
@@ -35,6 +35,8 @@
 
     pool: HttpPool
     timeout_ms: float
+    _vms: list = attrs.Factory(list)
+    _vms_body: bytes = b""
 
     @classmethod
     def from_config(cls, settings, traffic=None):
@@ -69,19 +71,34 @@
         return result.map(lambda raw: (raw["version"], _stored_list(raw)))
 
     def list_vms(self) -> Result:
-        """Return Success of a list of Vm."""
-        return self._call("GET", "/v1/vms").map(
-            lambda raw: [Vm(**item) for item in raw["items"]]
-        )
+        """Return Success of a list of Vm, the same object for the same answer.
+
+        The list has no version: reading thousands of unchanged VMs each second would
+        cost more than all other control.
+        """
+        result = self._exchange("GET", "/v1/vms", b"", self.timeout_ms)
+        return result.bind(self._read_vms)
+
+    def _read_vms(self, answer):
+        if answer.status == 200 and answer.body == self._vms_body:
+            return Success(self._vms)
+        return _checked(answer, 0).map(lambda raw: self._hold_vms(raw, answer.body))
+
+    def _hold_vms(self, raw, body):
+        self._vms = [Vm(**item) for item in raw["items"]]
+        self._vms_body = body
+        return self._vms
 
     def _call(self, method, target, spec=None, expected_version=0, timeout_ms=None):
         body = b"" if spec is None else json.dumps(spec).encode()
-        headers = [("Content-Type", "application/json")]
         wait_ms = self.timeout_ms if timeout_ms is None else timeout_ms
+        result = self._exchange(method, target, body, wait_ms)
+        return result.bind(lambda answer: _checked(answer, expected_version))
+
+    def _exchange(self, method, target, body, wait_ms):
+        headers = [("Content-Type", "application/json")]
         result = self.pool.exchange(method, target, headers, body, wait_ms)
-        return result.alt(_converted).bind(
-            lambda answer: _checked(answer, expected_version)
-        )
+        return result.alt(_converted)
 
 
 def _converted(error: ExchangeError):
--- a/src/tarragonramp/daemon.py
+++ b/src/tarragonramp/daemon.py
@@ -37,6 +37,7 @@
 from .model import Member  # noqa: E402
 from .roles.audit import AuditTrail  # noqa: E402
 from .roles.entry import Entry  # noqa: E402
+from .roles.gatekeeper import Forwarder, GateKeeper  # noqa: E402
 from .roles.membership import Membership  # noqa: E402
 from .roles.news import News  # noqa: E402
 from .roles.operators import Operators  # noqa: E402
@@ -78,6 +79,7 @@
     traffic: object
     cpu: object
     metrics: object
+    gatekeeper: object = None
     ready: bool = False
     stopped: Event = attrs.Factory(Event)
 
@@ -103,6 +105,7 @@
         membership = Membership(me, view, platform, peers, clock, timing)
         keeper = TermKeeper(view, platform, membership, clock, timing)
         membership.on_word = keeper.on_word
+        membership.named = keeper.named
         news = News(me, view, platform, watcher, peers, clock, timing)
         membership.on_newest = news.heard
         backends = HttpBackends(HttpPools(traffic=traffic))
@@ -142,6 +145,10 @@
             cpu=cpu,
             metrics=Metrics(me.name, requests, traffic, cpu),
         )
+        gate_pools = HttpPools(settings.limits.answer_bytes, unsent_ms=timing.right_ms)
+        daemon.gatekeeper = GateKeeper(daemon.stewards, view, keeper, gate_pools, clock)
+        forwarder = Forwarder(me, view, peers, daemon.gatekeeper)
+        daemon.entry.forward = forwarder.send
         daemon._add_gauges()
         return daemon
 
@@ -154,6 +161,7 @@
             self.stewards.prove_release,
             self.traffic,
             self.peer_secrets,
+            self.gatekeeper.serve,
         )
         control = WebServer(
             settings.control_address, self._control, traffic=self.traffic
--- a/src/tarragonramp/roles/membership.py
+++ b/src/tarragonramp/roles/membership.py
@@ -7,12 +7,13 @@
 from returns.pipeline import is_successful
 
 from ..adapters.logs import log_event
-from ..model import KIND_MEMBER
+from ..model import KIND_FAILURE_DOMAIN, KIND_MEMBER
 from ..spreading import start_delay_ms
 from ..terms import has_departed
 
 __all__ = ["Membership"]
 
+OUTSIDE_EVERY = 8
 REGISTER_RETRY_MS = 200
 
 
@@ -28,6 +29,10 @@
     peers : Peers
     clock : Clock
     timing : Timing
+    on_word, on_newest : callable
+        Called with what a ping's answer says.
+    named : callable
+        Returns the identities that the terms held here name as successors.
     """
 
     me: object
@@ -38,9 +43,11 @@
     timing: object
     on_word: object = None
     on_newest: object = None
+    named: object = set
     taken_from: object = None
     _heard_ms: dict = attrs.Factory(dict)
     _missed: dict = attrs.Factory(dict)
+    _rounds: int = 0
     _pinging: dict = attrs.Factory(dict)
     _ring_of: object = None
     _rings: tuple = ()
@@ -88,6 +95,9 @@
     def successor(self, same_domain_only):
         """Return the identity of the next daemon on the ring that answers.
 
+        Daemons of other failure domains come first where they may: a role that is
+        not bound to a failure domain must survive the loss of its own.
+
         Parameters
         ----------
         same_domain_only : bool
@@ -100,7 +110,7 @@
         """
         members = self.view.members()
         near, far = self._ring(members)
-        names = near if same_domain_only else near + far
+        names = near if same_domain_only else far + near
         for name in names:
             identity = members[name].identity
             if not self.seems_down(identity):
@@ -152,9 +162,24 @@
             # registration; this process knows which predecessors have ended.
             return boot_id not in (self.me.boot_id, *self.me.unproven)
         member = self.view.get(KIND_MEMBER, name)
+        if member is not None and self._was_lost(member):
+            return True
         version = self.view.version_seen(KIND_MEMBER, name)
         return has_departed(identity, named_at_version, member, version)
 
+    def _was_lost(self, member):
+        """Tell whether an operator's word says that a daemon does not run any more.
+
+        Without it, a role whose holder and successor were lost together would stay
+        with them. A daemon that registered after the word is a new one: taken for
+        gone, it and its neighbours would take each other's terms in turns.
+        """
+        domain = member.failure_domain
+        if not self.view.domain_lost(domain):
+            return False
+        registered = self.view.version_seen(KIND_MEMBER, member.name)
+        return registered < self.view.version_seen(KIND_FAILURE_DOMAIN, domain)
+
     def run_pings(self):
         """Ping the successors of the terms held here, for ever."""
         while True:
@@ -165,8 +190,18 @@
             gevent.sleep(self.timing.ping_ms / 1000.0)
 
     def _successors(self):
-        found = {self.successor(True), self.successor(False)}
+        """Return whom to ping in this round.
+
+        Load: each ping costs both sides. A right needs the word of the daemons that
+        its term names, and the next of the failure domain must be known to answer
+        before it is named; of outsiders that are not named, only now and then.
+        """
+        near = self.successor(True)
+        found = {near} | self.named()
         found |= {name for name in self._missed if self.view.member_of(name)}
+        self._rounds += 1
+        if not near or self._rounds % OUTSIDE_EVERY == 0:
+            found.add(self.successor(False))
         return found - {""}
 
     def _ping(self, identity):
--- a/src/tarragonramp/roles/terms.py
+++ b/src/tarragonramp/roles/terms.py
@@ -68,6 +68,15 @@
         numbers = {r: s.revoked_for(identity) for r, s in self._states.items()}
         return {role: number for role, number in numbers.items() if number}
 
+    def named(self):
+        """Return the identities that the terms held here name as successors."""
+        found = set()
+        for state in self.holdings.values():
+            found.add(state.held.successor)
+            if state.held.pending is not None:
+                found.add(state.held.pending.term.successor)
+        return found
+
     def on_word(self, answer, sent_ms):
         """Use a neighbour's word for all terms that name it."""
         for role, state in self._states.items():
@@ -233,6 +242,10 @@
         outsider = self.membership.successor(False)
         return outsider, bool(outsider)
 
+    def _grant_ms(self, vm):
+        service = vm and self.view.services().get((vm.team, vm.service))
+        return service.grant_ms if service else 0.0
+
     def _claim(self, state, term, version, vm):
         now_ms = self.clock.now_ms()
         successor, lasting = self._wanted(vm)
@@ -241,7 +254,7 @@
             departed = self.membership.departed(term.holder, version)
             if not departed:
                 word_ms = self.membership.last_heard_ms(term.holder)
-        plan = ClaimPlan(successor, lasting, word_ms)
+        plan = ClaimPlan(successor, lasting, word_ms, self._grant_ms(vm))
         write = state.claim(term, version, now_ms, plan, uuid.uuid4().hex)
         self._spawn(state, write)
 
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -32,16 +32,19 @@
         "name": "records",
         "path_prefix": "/records",
         "divided_by": {"source": "header", "name": "X-Key"},
+        "checks_grants": True,
     },
     {
         "name": "jobs",
         "path_prefix": "/jobs",
         "divided_by": {"source": "path", "name": "0"},
+        "checks_grants": True,
     },
     {
         "name": "orders",
         "path_prefix": "/orders",
         "divided_by": {"source": "query", "name": "id"},
+        "checks_grants": True,
     },
     {"name": "pages", "path_prefix": "/pages"},
 ]
@@ -205,7 +208,7 @@
             self.assertEqual(outcome, (504, "unknown"))
             self.assertGreater(took_ms, wanted_ms - 20)
             self.assertLess(took_ms, wanted_ms + 300)
-            self.entry._ejected_until_ms.clear()
+            self.entry._ejections.clear()
         self.assertIn("Tarragon-Deadline-Ms: 1", server.requests[0])
         bad = [("X-Request-Timeout-Ms", "soon")]
         self.assertEqual(self.call("GET", "/pages", bad).status, 400)
