--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -22,7 +22,6 @@
     measure_assignment,
     measure_grants,
     measure_objects,
-    measure_status,
 )
 
 DOMAINS = ("a", "b", "c", "d", "e")
@@ -72,7 +71,6 @@
 def _measure_state(options):
     _print_table("control exchanges", measure_exchange_bytes())
     _print_table("objects in a view", measure_objects((660, 6_600)))
-    _print_table("status call", measure_status((9, 66, 660)))
     rows = [
         measure_assignment(n_slices, n_servers, mixed)
         for n_slices in options.slices
--- a/bench/capacity_fleet.py
+++ b/bench/capacity_fleet.py
@@ -67,6 +67,9 @@
         gevent.sleep(SETTLE_S)
         usage = _usage(site, specs, window_s)
         in_force_s = _in_force_s(site, specs)
+        status_began_s = time.monotonic()
+        status = site.operator(specs[0].name, "status")
+        status_s = time.monotonic() - status_began_s
     n_calls = sum(starting.values())
     return {
         "daemons": n_daemons,
@@ -77,6 +80,8 @@
         "calls to start": n_calls,
         **usage,
         "in force s": in_force_s,
+        "status ms": 1000 * status_s,
+        "status bytes": len(json.dumps(status)),
     }
 
 
--- a/bench/capacity_state.py
+++ b/bench/capacity_state.py
@@ -9,8 +9,6 @@
 import attrs
 
 from tarragonramp.adapters import backends
-from tarragonramp.clock import Clock
-from tarragonramp.credentials import Secrets
 from tarragonramp.leases import GrantLedger, ServerAnswer
 from tarragonramp.model import (
     KIND_ASSIGNMENT,
@@ -26,14 +24,12 @@
     Vm,
 )
 from tarragonramp.placement import ServerView, next_slices
-from tarragonramp.roles.operators import Operators
 from tarragonramp.view import View
 
 __all__ = [
     "measure_assignment",
     "measure_grants",
     "measure_objects",
-    "measure_status",
 ]
 
 
@@ -95,27 +91,6 @@
     return rows
 
 
-def measure_status(counts):
-    """Weigh the operators' status call by the number of daemons."""
-    rows = []
-    for n in counts:
-        view = View()
-        for i in range(n):
-            view.apply(_member_stored(i))
-        me = Member("m", "b", "a", "127.0.0.1:1", "127.0.0.1:2")
-        operators = Operators(me, view, None, None, Clock(), None, Secrets())
-        environ = {"PATH_INFO": "/operator/status", "REQUEST_METHOD": "GET"}
-
-        def call(operators=operators, environ=environ):
-            return operators(environ, lambda status, headers: None)
-
-        call()
-        rows.append(
-            {"daemons": n, "answer bytes": len(call()[0]), "call ms": _time_ms(call)}
-        )
-    return rows
-
-
 def _assignment(n_slices, n_servers, mixed):
     rng = random.Random(1)
     slices = []
