--- a/src/tarragonramp/adapters/web.py
+++ b/src/tarragonramp/adapters/web.py
@@ -7,11 +7,10 @@
 import gevent
 from gevent.pywsgi import Input, WSGIHandler, WSGIServer, unquote_latin1
 
-from ..errors import RequestError
-from ..meters import NOT_RUN, kind_of
+from ..errors import AddressError, RequestError
+from ..meters import NOT_RUN
 from ..settings import Limits
 from .http import split_address
-from .process import mark_request_path
 
 __all__ = [
     "HEADERS_KEY",
@@ -23,6 +22,7 @@
     "json_reply",
 ]
 
+BACKLOG = 1024
 REASONS = {
     200: "200 OK",
     201: "201 Created",
@@ -219,16 +219,7 @@
         self._sendall(b"".join(parts))
 
     def log_request(self):
-        """Count the exchange; leave logging to the application."""
-        traffic = self.server.traffic
-        if traffic is None or not self.headers:
-            return
-        kind = kind_of(self.command, self.path)
-        # Colon, space and line end, beside name and value.
-        n_received = sum(len(name) + len(value) + 4 for name, value in self.headers)
-        n_received += len(self.requestline) + (self.content_length or 0)
-        traffic.received(kind, n_received)
-        traffic.sent(kind, self.response_length)
+        """Leave logging to the application."""
 
     def _handle_client_error(self, ex):
         if isinstance(ex, TimeoutError):
@@ -306,33 +297,40 @@
         WSGI application.
     reuse_port : bool, default=False
         Let several processes of this VM share the port.
-    traffic : TrafficMeter, optional
-        Counts the exchanges. Without it the server's CPU time is that of callers'
-        requests; with it, that of control.
     limits : Limits, optional
         Bounds on a request's head, and on how long a connection may be idle.
     """
 
-    def __init__(
-        self, address, application, reuse_port=False, traffic=None, limits=None
-    ):
-        self.traffic = traffic
+    handler_class = WebHandler
+
+    def __init__(self, address, application, reuse_port=False, limits=None):
         self.limits = limits or Limits()
         listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         if reuse_port:
             listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
-        listener.bind(split_address(address))
-        listener.listen(1024)
+        try:
+            listener.bind(split_address(address))
+        except OSError as error:
+            listener.close()
+            raise AddressError(f"{address}: {error.strerror}") from error
         listener.setblocking(False)
-        super().__init__(
-            listener, application, handler_class=WebHandler, log=None, error_log=None
-        )
+        super().__init__(listener, application, log=None, error_log=None)
+
+    def init_socket(self):
+        """Listen, when the server starts.
+
+        Not earlier: the kernel gives a listener that shares its port a share of the
+        connections, and they would wait until somebody accepts them.
+        """
+        try:
+            self.socket.listen(BACKLOG)
+        except OSError as error:
+            raise AddressError(f"{self.address}: {error.strerror}") from error
+        super().init_socket()
 
     def handle(self, sock, address):
         """Serve one connection."""
-        if self.traffic is None:
-            mark_request_path()
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         sock.settimeout(self.limits.idle_ms / 1000.0)
         super().handle(sock, address)
@@ -346,7 +344,9 @@
     environ : dict
         Of a request that :class:`WebServer` took.
     """
-    sock = environ[SOCKET_KEY]
+    sock = environ.get(SOCKET_KEY)
+    if sock is None:
+        return False
     timeout_s = sock.gettimeout()
     sock.settimeout(0)
     try:
--- a/src/tarragonramp/roles/terms.py
+++ b/src/tarragonramp/roles/terms.py
@@ -4,6 +4,7 @@
 
 import attrs
 import gevent
+import gevent.pool
 import xxhash
 from returns.pipeline import is_successful
 
@@ -19,6 +20,7 @@
 RANK_DELAY_MS = 700
 MAX_WRITES_AT_ONCE = 8
 HAND_OVER_TRIES = 3
+HAND_OVER_RETRY_MS = 100
 
 
 @attrs.define(eq=False, repr=False)
@@ -39,6 +41,7 @@
     membership: object
     clock: object
     timing: object
+    leaving: bool = False
     stopping: bool = False
     _changed: bool = True
     _states: dict = attrs.Factory(dict)
@@ -118,21 +121,55 @@
         version = self.view.version_of(KIND_TERM, role)
         return self.membership.departed(term.holder, version)
 
-    def hand_over_all(self):
+    def leave(self):
+        """Take no further terms; keep those that are held."""
+        self.leaving = True
+
+    def hand_over_all(self, timeout_ms):
         """Give every term to its successor, or to nobody, before a planned stop.
 
+        While the platform is down nobody else can take a term, and the servers'
+        grants would run out: so this daemon acts on until it answers, for a time.
+
+        Parameters
+        ----------
+        timeout_ms : float
+            How long to wait for the platform to answer at all.
+
         Returns
         -------
         all_handed : bool
             False if the platform has not confirmed each of them; then this daemon
             must stay registered, or nobody could learn that it has gone.
         """
+        until_ms = self.clock.now_ms() + timeout_ms
+        while self.holdings and not self._platform_answers():
+            if self.clock.now_ms() > until_ms:
+                break
+            gevent.sleep(HAND_OVER_RETRY_MS / 1000.0)
         self.stopping = True
+        targets = self._targets()
         held = [state for state in self._states.values() if state.held is not None]
-        tasks = [gevent.spawn(self._hand_over, state) for state in held]
+        pool = gevent.pool.Pool(MAX_WRITES_AT_ONCE)
+        tasks = [pool.spawn(self._hand_over, s, targets[s.role]) for s in held]
         gevent.joinall(tasks)
         return all(task.value for task in tasks) and not self._claims_in_doubt()
 
+    def _platform_answers(self):
+        result = self.platform.get(KIND_TERM, next(iter(self.holdings)))
+        return is_successful(result)
+
+    def _targets(self):
+        """Return by role who is to have it: the successor, unless it goes too."""
+        vms = dict(self._roles())
+        targets = {}
+        for role, state in self.holdings.items():
+            named = state.held.successor
+            if self.membership.seems_down(named) or self.membership.leaves(named):
+                named, _ = self._wanted(vms.get(role))
+            targets[role] = named
+        return targets
+
     def _claims_in_doubt(self):
         return any(state.claiming is not None for state in self._states.values())
 
@@ -190,7 +227,7 @@
     def _may_claim(self, role, term, version, vm):
         identity = self.membership.me.identity
         named = term is not None and term.successor == identity
-        if not self._is_near(vm) and not named:
+        if self.leaving or (not self._is_near(vm) and not named):
             return False
         departed = lambda holder: self.membership.departed(holder, version)
         if not may_claim(term, identity, departed, self.membership.silent):
@@ -300,10 +337,7 @@
         self.view.apply(stored)
         return stored
 
-    def _hand_over(self, state):
-        to = state.held.successor
-        if to and self.membership.seems_down(to):
-            to = ""
+    def _hand_over(self, state, to):
         write = state.give_up(self.clock.now_ms(), to, uuid.uuid4().hex)
         spec = attrs.asdict(write.term)
         version = write.expected_version
