--- a/src/tarragonramp/daemon.py
+++ b/src/tarragonramp/daemon.py
@@ -125,6 +125,7 @@
         membership = Membership(me, view, platform, peers, clock, timing)
         keeper = TermKeeper(view, platform, membership, clock, timing)
         membership.on_word = keeper.on_word
+        membership.named = keeper.named
         news = News(me, view, platform, watcher, peers, clock, timing)
         membership.on_newest = news.heard
         backends = HttpBackends(HttpPools(traffic=traffic))
--- a/src/tarragonramp/roles/membership.py
+++ b/src/tarragonramp/roles/membership.py
@@ -13,6 +13,7 @@
 
 __all__ = ["Membership"]
 
+OUTSIDE_EVERY = 8
 REGISTER_RETRY_MS = 200
 
 
@@ -28,6 +29,10 @@
     peers : Peers
     clock : Clock
     timing : Timing
+    on_word, on_newest : callable
+        Called with what a ping's answer says.
+    named : callable
+        Returns the identities that the terms held here name as successors.
     """
 
     me: object
@@ -38,9 +43,11 @@
     timing: object
     on_word: object = None
     on_newest: object = None
+    named: object = set
     taken_from: object = None
     _heard_ms: dict = attrs.Factory(dict)
     _missed: dict = attrs.Factory(dict)
+    _rounds: int = 0
     _pinging: dict = attrs.Factory(dict)
     _leaving: set = attrs.Factory(set)
     _ring_of: object = None
@@ -195,8 +202,18 @@
             gevent.sleep(self.timing.ping_ms / 1000.0)
 
     def _successors(self):
-        found = {self.successor(True), self.successor(False)}
+        """Return whom to ping in this round.
+
+        Load: each ping costs both sides. A right needs the word of the daemons that
+        its term names, and the next of the failure domain must be known to answer
+        before it is named; of outsiders that are not named, only now and then.
+        """
+        near = self.successor(True)
+        found = {near} | self.named()
         found |= {name for name in self._missed if self.view.member_of(name)}
+        self._rounds += 1
+        if not near or self._rounds % OUTSIDE_EVERY == 0:
+            found.add(self.successor(False))
         return found - {""}
 
     def _ping(self, identity):
--- a/src/tarragonramp/roles/terms.py
+++ b/src/tarragonramp/roles/terms.py
@@ -71,6 +71,15 @@
         numbers = {r: s.revoked_for(identity) for r, s in self._states.items()}
         return {role: number for role, number in numbers.items() if number}
 
+    def named(self):
+        """Return the identities that the terms held here name as successors."""
+        found = set()
+        for state in self.holdings.values():
+            found.add(state.held.successor)
+            if state.held.pending is not None:
+                found.add(state.held.pending.term.successor)
+        return found
+
     def on_word(self, answer, sent_ms):
         """Use a neighbour's word for all terms that name it."""
         for role, state in self._states.items():
