--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -1,6 +1,6 @@
 """Gates before simulated servers: what callers get under load.
 
-A server runs a request in each slot, queues a few and sheds the rest, as the brief's
+A server runs a request in each slot, queues a few and sheds the rest, as the users'
 do. Time is simulated; requests carry their own work.
 """
 
