Queues end with a silent server or a moved key

Cause: the expected wait comes from past answers, so callers went on queueing behind a frozen server until their deadlines. Now a server's silence counts as an expected wait, nobody waits longer than twice the longest expected one, and those who wait for a key leave as soon as it has another owner.

--- a/src/tarragonramp/admission.py
+++ b/src/tarragonramp/admission.py
@@ -80,6 +80,8 @@
     priority : int
         Lower goes first.
     deadline_at_ms : float
+    arrived_ms : float
+        Set by the gate.
     state : {"waiting", "admitted", "refused"}
     retry_after_ms : float
         Set on refusal: when to come back.
@@ -89,6 +91,7 @@
 
     priority: int
     deadline_at_ms: float
+    arrived_ms: float = 0.0
     state: str = WAITING
     retry_after_ms: float = 0.0
     on_change: object = None
@@ -128,6 +131,7 @@
     _n_answers: int = 0
     _calm_ms: float = 0.0
     _n_calm: int = 0
+    _moved_ms: float = 0.0
     _shrunk_until_ms: float = 0.0
 
     def __attrs_post_init__(self):
@@ -187,10 +191,16 @@
         changed : list of Ticket
             Others that wait no longer: refused, as this one goes before them.
         """
+        ticket.arrived_ms = now_ms
         if self.in_flight < int(self.limit) and not self._waiting:
+            if not self.in_flight:
+                self._moved_ms = now_ms
             self._admit(ticket)
             return []
-        wait_ms = self._expected_wait_ms(ticket.priority)
+        # A server that has answered nothing for some time is taken to go on so: all
+        # that is in flight may be stuck in a frozen one.
+        silent_ms = now_ms - self._moved_ms - self.mean_ms
+        wait_ms = max(self._expected_wait_ms(ticket.priority), silent_ms)
         if not self._has_prospects(ticket, wait_ms, now_ms):
             self._refuse(ticket)
             return []
@@ -215,6 +225,7 @@
         """
         was_full = self.in_flight >= int(self.limit)
         self.in_flight -= 1
+        self._moved_ms = now_ms
         if outcome == Outcome.ANSWERED:
             self._learn(took_ms, was_full, now_ms)
         elif outcome == Outcome.SHED:
@@ -234,7 +245,8 @@
 
     def latest_start_ms(self, ticket):
         """Return until when it makes sense to wait."""
-        return ticket.deadline_at_ms - self.mean_ms
+        longest_ms = self.max_wait_ms * TRIM_SLACK
+        return min(ticket.deadline_at_ms - self.mean_ms, ticket.arrived_ms + longest_ms)
 
     def _admit(self, ticket):
         self.in_flight += 1
--- a/src/tarragonramp/roles/entry.py
+++ b/src/tarragonramp/roles/entry.py
@@ -1,6 +1,7 @@
 """Takes callers' requests and brings back whole answers."""
 
 import collections
+import functools
 import itertools
 import random
 import uuid
@@ -186,9 +187,9 @@
         budget.earn()
         for pause_ms in (*OWNER_PAUSES_MS, None):
             route = self._owner(team, service, index, request)
-            gate, waited = self._admit(route, service, request)
-            if waited and self._routes.owner(team, service.name, index) != route:
-                _tell(gate.leave(Outcome.CANCELLED, 0.0, self.clock.now_ms()))
+            is_current = functools.partial(self._is_owner, team, service, route)
+            gate = self._admit(route, service, request, is_current)
+            if gate is None:
                 continue
             result = self._exchange(route, request, gate)
             if not is_successful(result):
@@ -207,6 +208,9 @@
                 self._await_newer(team, service, route, pause_ms)
         raise request.refusal(503, "owner is changing", self._retry_after_s())
 
+    def _is_owner(self, team, service, route):
+        return self._routes.owner(team, service.name, route.slice_index) == route
+
     def _owner(self, team, service, index, request):
         """Return the route to a slice's owner, waiting a moment while it moves.
 
@@ -244,7 +248,7 @@
             if route is None:
                 break
             tried.add(route.server)
-            gate, _ = self._admit(route, service, request)
+            gate = self._admit(route, service, request)
             result = self._exchange(route, request, gate, ejections)
             if is_successful(result):
                 answer = result.unwrap()
@@ -280,29 +284,32 @@
             gate.resize(slots, connections, n_entries)
         return gate
 
-    def _admit(self, route, service, request):
+    def _admit(self, route, service, request, is_current=None):
         """Pass the gate before a server, waiting if there is hope.
 
         Returns
         -------
-        gate : Gate
-            Which the request has to leave.
-        waited : bool
-            Whether the route may have changed meanwhile.
+        gate : Gate or None
+            Which the request has to leave; None if the route changed meanwhile: a
+            key that moves away from a frozen owner takes its callers with it.
         """
         gate = self._gate(route.server, service)
         ticket = Ticket(request.caller_class.priority, request.deadline_at_ms)
         _tell(gate.arrive(ticket, self.clock.now_ms()))
         if ticket.state == ADMITTED:
-            return gate, False
+            return gate
         if ticket.state == WAITING:
-            self._wait(gate, ticket, request)
+            self._wait(gate, ticket, request, is_current)
+        if is_current is not None and not is_current():
+            if ticket.state == ADMITTED:
+                _tell(gate.leave(Outcome.CANCELLED, 0.0, self.clock.now_ms()))
+            return None
         if ticket.state == ADMITTED:
-            return gate, True
+            return gate
         retry_after_s = ticket.retry_after_ms / 1000.0
         raise request.refusal(503, "server is busy", retry_after_s)
 
-    def _wait(self, gate, ticket, request):
+    def _wait(self, gate, ticket, request, is_current):
         """Wait until a ticket is admitted or refused, or until nothing is to be won."""
         moved = Event()
         ticket.on_change = moved.set
@@ -311,6 +318,8 @@
                 left_ms = gate.latest_start_ms(ticket) - self.clock.now_ms()
                 if left_ms <= 0 or not request.is_wanted():
                     break
+                if is_current is not None and not is_current():
+                    break
                 moved.wait(min(left_ms, CANCELLATION_CHECK_MS) / 1000.0)
         except BaseException:
             # The greenlet is being killed: nobody else would free its place.
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -328,3 +328,18 @@
         for _ in range(4):
             gate.leave(Outcome.SHED, 1.0, 0.0)
         self.assertAlmostEqual(gate.limit, 2.8)
+
+    def test_a_frozen_server_does_not_gather_callers(self):
+        """A server freezes with a request in flight, and its callers keep coming.
+
+        Those behind it are told to come back within the longest wait, not at their
+        deadlines; after that newcomers are told at once.
+        """
+        gate = Gate(1, 50, max_wait_ms=500.0)
+        gate.arrive(Ticket(CLAIM, 3000.0), 0.0)
+        early, late = Ticket(CLAIM, 3100.0), Ticket(CLAIM, 3800.0)
+        gate.arrive(early, 100.0)
+        self.assertEqual(early.state, WAITING)
+        self.assertLessEqual(gate.latest_start_ms(early), 1100.0)
+        gate.arrive(late, 800.0)
+        self.assertEqual(late.state, REFUSED)
