--- a/bench/capacity_fleet.py
+++ b/bench/capacity_fleet.py
@@ -67,16 +67,21 @@
         gevent.sleep(SETTLE_S)
         usage = _usage(site, specs, window_s)
         in_force_s = _in_force_s(site, specs)
+        status_began_s = time.monotonic()
+        status = site.operator(specs[0].name, "status")
+        status_s = time.monotonic() - status_began_s
     n_calls = sum(starting.values())
     return {
         "daemons": n_daemons,
         "servers": n_servers,
         "other VMs": n_other_vms,
         "up s": up_s,
-        "all slices owned": "yes" if owned else f"not in {OWNED_LIMIT_S:.0f} s",
+        "all slices owned": owned,
         "calls to start": n_calls,
         **usage,
         "in force s": in_force_s,
+        "status ms": 1000 * status_s,
+        "status bytes": len(json.dumps(status)),
     }
 
 
@@ -170,8 +175,9 @@
     if all(backend.failure_domain in present for backend in backends):
         with contextlib.suppress(TimeoutError):
             site.wait_owned(specs[0].name, timeout_s=OWNED_LIMIT_S)
-            return specs, True
-    return specs, False
+            return specs, "yes"
+        return specs, f"not in {OWNED_LIMIT_S:.0f} s"
+    return specs, "some have no daemon"
 
 
 def _other_vm(index, domains):
--- a/src/tarragonramp/adapters/peers.py
+++ b/src/tarragonramp/adapters/peers.py
@@ -9,7 +9,7 @@
 from returns.result import Failure, Result, Success
 
 from ..credentials import METADATA_KEY, Secrets
-from ..errors import NotSentError, UnansweredError
+from ..errors import AddressError, NotSentError, UnansweredError
 from ..gates import Order
 from ..model import Stored, Vm
 from ..news import NewsAnswer, NewsQuestion
@@ -40,11 +40,14 @@
         daemon: no word is given for that one and earlier ones.
     newest : int
         Highest version of the platform's objects that it has seen.
+    leaving : bool
+        Whether it is about to stop, and so no successor for anybody.
     """
 
     identity: str
     taken: dict[str, int]
     newest: int = 0
+    leaving: bool = False
 
 
 @attrs.define(eq=False, repr=False)
@@ -237,15 +240,18 @@
             interceptors=[_SecretCheck(secrets)],
         )
         peer_pb2_grpc.add_PeerServicer_to_server(self, self._server)
-        self._server.add_insecure_port(address)
+        try:
+            self._server.add_insecure_port(address)
+        except RuntimeError as error:
+            raise AddressError(f"{address}: address cannot be bound") from error
 
     def start(self):
         """Begin to serve."""
         self._server.start()
 
-    def stop(self):
-        """Stop at once."""
-        self._server.stop(grace=None)
+    def stop(self, timeout_ms):
+        """Take no more calls, and finish those under way within a time."""
+        self._server.stop(grace=timeout_ms / 1000.0).wait()
 
     def Report(self, request, context):  # noqa: N802
         """Take a steward's report."""
@@ -370,6 +376,7 @@
     try:
         raw = json.loads(answer.body)
         newest = raw.get("newest", 0)
-        return Success(PingAnswer(raw["identity"], dict(raw["taken"]), newest))
+        leaving = raw.get("leaving", False)
+        return Success(PingAnswer(raw["identity"], dict(raw["taken"]), newest, leaving))
     except (ValueError, KeyError, TypeError) as error:
         return Failure(UnansweredError(f"ping answer not understood: {error!r}"))
--- a/src/tarragonramp/roles/membership.py
+++ b/src/tarragonramp/roles/membership.py
@@ -13,6 +13,7 @@
 
 __all__ = ["Membership"]
 
+OUTSIDE_EVERY = 8
 REGISTER_RETRY_MS = 200
 
 
@@ -28,6 +29,10 @@
     peers : Peers
     clock : Clock
     timing : Timing
+    on_word, on_newest : callable
+        Called with what a ping's answer says.
+    named : callable
+        Returns the identities that the terms held here name as successors.
     """
 
     me: object
@@ -38,10 +43,15 @@
     timing: object
     on_word: object = None
     on_newest: object = None
+    named: object = set
     taken_from: object = None
     _heard_ms: dict = attrs.Factory(dict)
     _missed: dict = attrs.Factory(dict)
+    _rounds: int = 0
     _pinging: dict = attrs.Factory(dict)
+    _leaving: set = attrs.Factory(set)
+    _ring_of: object = None
+    _rings: tuple = ()
 
     def register(self):
         """Write this daemon into the platform, trying until it is there."""
@@ -74,14 +84,21 @@
         self.me = attrs.evolve(self.me, unproven=unproven)
 
     def unregister(self):
-        """Remove this daemon from the platform, once.
+        """Remove this daemon from the platform; try once.
 
         It stays if it has unproven predecessors: they would pass for departed.
+
+        Returns
+        -------
+        removed : bool
         """
         if self.me.unproven:
-            return
+            return False
         version = self.view.version_of(KIND_MEMBER, self.me.name)
-        self.platform.delete(KIND_MEMBER, self.me.name, version)
+        if not version:
+            return False
+        result = self.platform.delete(KIND_MEMBER, self.me.name, version)
+        return is_successful(result)
 
     def successor(self, same_domain_only):
         """Return the identity of the next daemon on the ring that answers.
@@ -100,18 +117,27 @@
             Empty if there is nobody.
         """
         members = self.view.members()
-        own = self.me.failure_domain
-        near = sorted(n for n, m in members.items() if m.failure_domain == own)
-        names = _ring_after(self.me.name, near)
-        if not same_domain_only:
-            far = sorted(n for n in members if n not in near)
-            names = _ring_after(self.me.name, far) + names
+        near, far = self._ring(members)
+        names = near if same_domain_only else far + near
         for name in names:
             identity = members[name].identity
-            if not self.seems_down(identity):
+            if not self.seems_down(identity) and not self.leaves(identity):
                 return identity
         return ""
 
+    def _ring(self, members):
+        """Return the others' names, own failure domain and the rest, in ring order.
+
+        Computed once for a set of members: it is asked for at every ping and tick.
+        """
+        if self._ring_of is not members:
+            own = self.me.failure_domain
+            near = sorted(n for n, m in members.items() if m.failure_domain == own)
+            far = sorted(n for n, m in members.items() if m.failure_domain != own)
+            self._ring_of = members
+            self._rings = tuple(_ring_after(self.me.name, part) for part in (near, far))
+        return self._rings
+
     def heard(self, identity):
         """Note a ping from another daemon."""
         self._heard_ms[identity] = self.clock.now_ms()
@@ -129,6 +155,10 @@
         """Tell whether a daemon missed two pings in a row."""
         return self._missed.get(identity, 0) >= 2
 
+    def leaves(self, identity):
+        """Tell whether a daemon said that it is about to stop."""
+        return identity in self._leaving
+
     def departed(self, identity, named_at_version):
         """Tell whether a process is known to be gone.
 
@@ -172,8 +202,18 @@
             gevent.sleep(self.timing.ping_ms / 1000.0)
 
     def _successors(self):
-        found = {self.successor(True), self.successor(False)}
+        """Return whom to ping in this round.
+
+        Load: each ping costs both sides. A right needs the word of the daemons that
+        its term names, and the next of the failure domain must be known to answer
+        before it is named; of outsiders that are not named, only now and then.
+        """
+        near = self.successor(True)
+        found = {near} | self.named()
         found |= {name for name in self._missed if self.view.member_of(name)}
+        self._rounds += 1
+        if not near or self._rounds % OUTSIDE_EVERY == 0:
+            found.add(self.successor(False))
         return found - {""}
 
     def _ping(self, identity):
@@ -189,6 +229,8 @@
             if not is_successful(result) or result.unwrap().identity != identity:
                 self._note_missed(identity)
                 return
+            if result.unwrap().leaving:
+                self._leaving.add(identity)
             if self._missed.pop(identity, 0) >= 2:
                 log_event("peer-back", peer=identity)
             self.on_word(result.unwrap(), sent_ms)
--- a/src/tarragonramp/vms.py
+++ b/src/tarragonramp/vms.py
@@ -51,15 +51,20 @@
 
     by_name: dict = attrs.Factory(dict)
     digest: str = ""
+    _replaced_by: object = None
     _by_service: dict = attrs.Factory(dict)
     _earlier: collections.OrderedDict = attrs.Factory(collections.OrderedDict)
 
     def replace(self, vms):
         """Take in a whole list; True if it differs from the one held."""
+        if vms is self._replaced_by:
+            return False
+        self._replaced_by = vms
         return self._hold({vm.name: vm for vm in vms})
 
     def apply(self, changes):
         """Take in changes; True if the list held differs afterwards."""
+        self._replaced_by = None
         updated = {} if changes.whole else dict(self.by_name)
         for name in changes.removed:
             updated.pop(name, None)
--- a/standins/load.py
+++ b/standins/load.py
@@ -56,6 +56,7 @@
     status: int
     began_ms: float
     total_ms: float
+    reason: str = ""
 
 
 @attrs.define
@@ -72,6 +73,8 @@
     pause_ms : float
         Between a caller's requests.
     seed : int
+    stopping : bool
+        Set it to end the load before its time.
     """
 
     addresses: list
@@ -81,6 +84,7 @@
     pause_ms: float = 5.0
     seed: int = 1
     outcomes: list = attrs.Factory(list)
+    stopping: bool = False
     _pools: HttpPools = attrs.Factory(HttpPools)
     _down_until_ms: dict = attrs.Factory(dict)
 
@@ -105,7 +109,7 @@
 
     def _call_until(self, until_s, rng):
         offsets = itertools.count(rng.randrange(len(self.addresses)))
-        while time.monotonic() < until_s:
+        while time.monotonic() < until_s and not self.stopping:
             call = rng.choice(self.calls)
             self._call_once(call, f"k{rng.randrange(self.n_keys)}", next(offsets))
             gevent.sleep(self.pause_ms / 1000.0)
@@ -119,7 +123,7 @@
         began_ms = time.monotonic() * 1000.0
         result = self._send(call, call.make_target(key), headers, body, offset)
         total_ms = time.monotonic() * 1000.0 - began_ms
-        kind, status = judge(result, request_id, body)
+        kind, status, reason = judge(result, request_id, body)
         self.outcomes.append(
             Outcome(
                 call.label,
@@ -130,6 +134,7 @@
                 status,
                 began_ms,
                 total_ms,
+                reason,
             )
         )
 
@@ -149,7 +154,7 @@
 
 
 def judge(result, request_id, body):
-    """Return what a caller got, and the status.
+    """Return what a caller got, the status, and the reason of a refusal.
 
     Parameters
     ----------
@@ -159,15 +164,17 @@
         As sent.
     """
     if result is None:
-        return NOT_RUN, 0
+        return NOT_RUN, 0, "no daemon reached"
     if not is_successful(result):
         not_sent = isinstance(result.failure(), NotSentError)
-        return (NOT_RUN if not_sent else UNKNOWN), 0
+        return (NOT_RUN if not_sent else UNKNOWN), 0, str(result.failure())
     answer = result.unwrap()
     if answer.status == 200:
         wanted = f"request={request_id} body={hashlib.sha256(body).hexdigest()}\n"
-        return (WELL if answer.body.endswith(wanted.encode()) else WRONG), 200
-    return answer.header("Tarragon-Outcome", UNKNOWN), answer.status
+        whole = answer.body.endswith(wanted.encode())
+        return (WELL if whole else WRONG), 200, ""
+    reason = answer.body.decode(errors="replace").strip()
+    return answer.header("Tarragon-Outcome", UNKNOWN), answer.status, reason
 
 
 def summary(outcomes):
--- a/tests/test_command.py
+++ b/tests/test_command.py
@@ -29,6 +29,7 @@
 from tarragonramp.roles import audit, operators
 from tarragonramp.roles.audit import AuditTrail
 from tarragonramp.roles.operators import Operators
+from tarragonramp.roles.overview import Overview
 from tarragonramp.view import View
 
 TEAM_FILES = ("demo/fraser-valley.yaml", "demo/cooperative.yaml")
@@ -59,8 +60,9 @@
         view.apply_vms([Vm("v1", "127.0.0.1:2", "b", "t", "s")])
         self.trail = AuditTrail(me, self.platform, Clock(), 100)
         secrets = Secrets.from_text(secret)
+        overview = Overview(me, view, self.platform, HttpPools())
         self.app = Operators(
-            me, view, self.platform, HttpPools(), Clock(), self.trail, secrets
+            me, view, self.platform, overview, Clock(), self.trail, secrets
         )
         self.servers = [
             WebServer(platform_address, self.stand_in),
@@ -204,7 +206,7 @@
         rival = {"kind": "Team", "name": "rival", "spec": {"template": "grant-desk"}}
         with (
             unittest.mock.patch.object(Operators, "_put_faults", return_value=[]),
-            unittest.mock.patch.object(command, "_check_at_daemon"),
+            unittest.mock.patch.object(command, "check_at_daemon"),
         ):
             code, _, err = self.run_command("apply", "-f", self.write([rival]))
         self.assertEqual(code, 0)
@@ -289,8 +291,17 @@
         self.assertEqual(self.run_command("explain", "a", "b", "c")[0], 1)
         code, _, err = self.run_command("apply", "-f", "/nonexistent.yaml")
         self.assertEqual(code, client.EXIT_INVALID)
+        code, _, err = self.run_command("get", "pods")
+        self.assertEqual(code, client.EXIT_INVALID)
+        self.assertIn("known are Template, Team", err)
+        self.assertEqual(self.run_command("get", "team")[0], 0)
+
+    def test_only_declared_objects_can_be_deleted(self):
+        self.port.platform.put("Assignment", "x", {"request_id": ""}, 0)
         code, _, err = self.run_command("delete", "Assignment", "x")
-        self.assertNotEqual(code, 0)
+        self.assertEqual(code, client.EXIT_INVALID)
+        self.assertIn("cannot be declared", err)
+        self.assertIn("x", self.port.specs("Assignment"))
 
     def test_no_daemon_is_reached(self):
         self.port.servers[1].stop(timeout=1)
