The first server to report no longer gets every slice

Cause: a planner fills slices as soon as one server is usable, and stewards report within some 50 ms of each other; all 64 slices went to the first, and moved again a tenth at a time. Seen by test_all_daemons_die_at_once, which found the moves still under way. Ruled out: servers called silent (no such event in the logs), a VM list without them (a trace of the planner's view showed all three, one of them usable). Nobody is given more than its share for 1.5 s of a planner's term.

--- a/src/tarragonramp/daemon.py
+++ b/src/tarragonramp/daemon.py
@@ -130,7 +130,7 @@
         membership.on_newest = news.heard
         backends = HttpBackends(HttpPools(traffic=traffic))
         stewards = Stewards(me, view, keeper, platform, backends, peers, clock, timing)
-        planners = Planners(view, keeper, platform, peers, timing)
+        planners = Planners(view, keeper, platform, peers, clock, timing)
         daemon = cls(
             settings=settings,
             me=me,
--- a/src/tarragonramp/placement.py
+++ b/src/tarragonramp/placement.py
@@ -2,6 +2,7 @@
 
 import collections
 import heapq
+import math
 
 import attrs
 
@@ -45,7 +46,7 @@
     return Assignment(team, service, (SliceState(),) * n_slices)
 
 
-def next_slices(slices, servers, released):
+def next_slices(slices, servers, released, settling=False):
     """Take every step towards the wanted owners that is safe now.
 
     A move goes through ``releasing``; a new owner is written only once the old
@@ -57,6 +58,9 @@
     servers : dict of str to ServerView
     released : set of (int, int)
         Slice and token pairs whose old owner is proved to have let go.
+    settling : bool, default=False
+        Whether servers that are not usable may yet turn out to be: nobody is given
+        more than its share meanwhile.
 
     Returns
     -------
@@ -65,7 +69,7 @@
     """
     result = [_after_release(i, item, released) for i, item in enumerate(slices)]
     _release_unfit(result, servers)
-    _fill(result, servers)
+    _fill(result, servers, settling)
     _balance(result, servers)
     return tuple(result)
 
@@ -86,7 +90,7 @@
             result[index] = SliceState(RELEASING, item.server, item.token)
 
 
-def _fill(result, servers):
+def _fill(result, servers, settling):
     """Give slices without an owner to the servers furthest below their share.
 
     Load: a start of a service of 16 thousand slices on 600 servers, or the loss of a
@@ -97,11 +101,17 @@
     if not unowned:
         return
     counts = _counts(result)
+    shares = _shares(len(result), servers)
     heap = [_next_load(s, counts[s.name]) for s in servers.values() if _can_take(s)]
-    if not heap:
-        return
     heapq.heapify(heap)
     for index in unowned:
+        # Load: the first servers to report after a start, or to a new planner. Harm
+        # prevented: the first of them owns every key, cold as it is, and most keys
+        # move again a moment later.
+        while settling and heap and counts[heap[0][1]] >= math.ceil(shares[heap[0][1]]):
+            heapq.heappop(heap)
+        if not heap:
+            return
         _, name = heap[0]
         counts[name] += 1
         heapq.heapreplace(heap, _next_load(servers[name], counts[name]))
@@ -120,20 +130,19 @@
     servers never trades slices back and forth.
     """
     takers = [s for s in servers.values() if _can_take(s)]
-    total_weight = sum(s.weight for s in servers.values() if not s.lost)
-    if not takers or total_weight <= 0:
+    shares = _shares(len(result), servers)
+    if not takers or not shares:
         return
     counts = _counts(result)
     under_way = sum(1 for item in result if item.state == RELEASING)
     budget = max(1, int(len(result) * MOVE_SHARE)) - under_way
-    shares = {s.name: len(result) * s.weight / total_weight for s in servers.values()}
     room = sum(max(0, int(shares[s.name]) - counts[s.name]) for s in takers)
     for index, item in enumerate(result):
         if budget <= 0 or room <= 0:
             return
         if item.state != OWNED or item.server not in shares:
             continue
-        if counts[item.server] <= -int(-shares[item.server] // 1):
+        if counts[item.server] <= math.ceil(shares[item.server]):
             continue
         counts[item.server] -= 1
         budget -= 1
@@ -141,6 +150,14 @@
         result[index] = SliceState(RELEASING, item.server, item.token)
 
 
+def _shares(n_slices, servers):
+    """Return how many slices each server should own, by its weight; empty for none."""
+    total_weight = sum(s.weight for s in servers.values() if not s.lost)
+    if total_weight <= 0:
+        return {}
+    return {s.name: n_slices * s.weight / total_weight for s in servers.values()}
+
+
 def _counts(slices):
     return collections.Counter(s.server for s in slices if s.state == OWNED)
 
--- a/src/tarragonramp/roles/planner.py
+++ b/src/tarragonramp/roles/planner.py
@@ -26,6 +26,12 @@
 __all__ = ["Planners"]
 
 RETRY_MS = 500
+SETTLING_MS = 1500
+"""How long after the start of a term stewards may take to report their servers.
+
+They do so within tens of milliseconds; a server that is dead is reported silent within
+a grant. After this a server that nobody reports leaves its share to the others.
+"""
 
 
 @attrs.define(eq=False, repr=False)
@@ -38,6 +44,7 @@
     keeper : TermKeeper
     platform : Platform
     peers : Peers
+    clock : Clock
     timing : Timing
     """
 
@@ -45,7 +52,9 @@
     keeper: object
     platform: object
     peers: object
+    clock: object
     timing: object
+    _began_ms: dict = attrs.Factory(dict)
     _reports: dict = attrs.Factory(dict)
     _settled: dict = attrs.Factory(dict)
     _changed: Event = attrs.Factory(Event)
@@ -114,17 +123,25 @@
         servers = self._servers(team, service)
         if self._settled.get(name) == (version, servers):
             return False
+        settling = self._is_settling(team, service)
         released = self._released(assignment, version)
-        slices = next_slices(assignment.slices, servers, released)
+        slices = next_slices(assignment.slices, servers, released, settling)
         if slices != assignment.slices or version == 0:
             self._write(name, attrs.evolve(assignment, slices=slices), version)
             return any(item.state == RELEASING for item in slices)
         moving = any(item.state == RELEASING for item in slices)
-        if not moving:
+        if not moving and not settling:
             # Until the assignment or a server changes there is nothing to decide.
             self._settled[name] = (version, servers)
         return moving
 
+    def _is_settling(self, team, service):
+        """Tell whether reports to this term about a service may still come in."""
+        term = self.keeper.holding(planner_role(team)).held.number
+        now_ms = self.clock.now_ms()
+        began_ms = self._began_ms.setdefault((team, service.name, term), now_ms)
+        return now_ms - began_ms < SETTLING_MS
+
     def _finish_deletion(self, team):
         """Delete a leaving team once nobody owns any of its keys.
 
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -94,3 +94,17 @@
         servers = views("a", "b", "c", a=ServerView("a", weight=2.5))
         found = counts(settled(servers))
         self.assertAlmostEqual(found["a"], N_SLICES * 2.5 / 4.5, delta=1.5)
+
+    def test_the_first_server_to_report_does_not_get_everything(self):
+        """A team is declared, and one of three servers is the first to report.
+
+        It would own every key, cold as it is, and lose two thirds of them as soon
+        as the others have reported.
+        """
+        servers = {n: ServerView(n, usable=n == "a") for n in ("a", "b", "c")}
+        empty = (SliceState(),) * N_SLICES
+        first = next_slices(empty, servers, set(), settling=True)
+        self.assertEqual(counts(first), {"a": 20})
+        second = next_slices(first, views("a", "b", "c"), set(), settling=True)
+        self.assertEqual(counts(second), {"a": 20, "b": 20, "c": 20})
+        self.assertEqual(counts(next_slices(first, servers, set())), {"a": 60})
