--- a/src/tarragonramp/daemon.py
+++ b/src/tarragonramp/daemon.py
@@ -5,6 +5,11 @@
 
 monkey.patch_all()
 
+import os  # noqa: E402
+
+# gRPC's core writes lines of its own form to standard error.
+os.environ.setdefault("GRPC_VERBOSITY", "NONE")
+
 import argparse  # noqa: E402
 import collections  # noqa: E402
 import json  # noqa: E402
@@ -15,12 +20,17 @@
 import attrs  # noqa: E402
 import gevent  # noqa: E402
 import grpc.experimental.gevent as grpc_gevent  # noqa: E402
+import logbook  # noqa: E402
 from gevent.event import Event  # noqa: E402
 from returns.pipeline import is_successful  # noqa: E402
 
 from .adapters.backends import HttpBackends  # noqa: E402
 from .adapters.http import HttpPools  # noqa: E402
-from .adapters.logs import log_event, set_up_logs  # noqa: E402
+from .adapters.logs import (  # noqa: E402
+    log_event,
+    log_lines_suppressed,
+    set_up_logs,
+)  # noqa: E402
 from .adapters.metrics import Metrics  # noqa: E402
 from .adapters.peers import (  # noqa: E402
     GrpcPeers,
@@ -29,10 +39,12 @@
     news_question,
 )
 from .adapters.platform import HttpPlatform  # noqa: E402
-from .adapters.process import CpuMeter  # noqa: E402
-from .adapters.web import REASONS, WebServer, json_reply  # noqa: E402
+from .adapters.process import CpuMeter, LoopWatch  # noqa: E402
+from .adapters.serving import DaemonServer  # noqa: E402
+from .adapters.web import REASONS, json_reply  # noqa: E402
 from .clock import Clock  # noqa: E402
 from .credentials import Secrets  # noqa: E402
+from .errors import AddressError  # noqa: E402
 from .meters import RequestMeter, TrafficMeter  # noqa: E402
 from .model import Member  # noqa: E402
 from .roles.audit import AuditTrail  # noqa: E402
@@ -41,10 +53,11 @@
 from .roles.membership import Membership  # noqa: E402
 from .roles.news import News  # noqa: E402
 from .roles.operators import Operators  # noqa: E402
+from .roles.overview import Overview  # noqa: E402
 from .roles.planner import Planners  # noqa: E402
 from .roles.status import IN_FORCE_TARGET, StatusReporter  # noqa: E402
 from .roles.steward import Stewards  # noqa: E402
-from .roles.tasks import keep_running  # noqa: E402
+from .roles.tasks import keep_running, task_failures  # noqa: E402
 from .roles.terms import TermKeeper  # noqa: E402
 from .settings import load_settings  # noqa: E402
 from .spreading import PLATFORM  # noqa: E402
@@ -52,7 +65,10 @@
 
 __all__ = ["Daemon", "main"]
 
+EXIT_ADDRESS = 1
 EXIT_SETTINGS = 2
+WAITING_LOG_MS = 5000
+CONTROL_IDLE_MS = 200
 
 
 @attrs.define(eq=False, repr=False)
@@ -80,8 +96,12 @@
     cpu: object
     metrics: object
     gatekeeper: object = None
+    peer_server: object = None
+    control: object = None
+    callers: object = None
     ready: bool = False
     stopped: Event = attrs.Factory(Event)
+    loop_watch: LoopWatch = attrs.Factory(lambda: LoopWatch(_log_blocked))
 
     @classmethod
     def from_config(cls, settings):
@@ -105,9 +125,12 @@
         membership = Membership(me, view, platform, peers, clock, timing)
         keeper = TermKeeper(view, platform, membership, clock, timing)
         membership.on_word = keeper.on_word
+        membership.named = keeper.named
         news = News(me, view, platform, watcher, peers, clock, timing)
         membership.on_newest = news.heard
         backends = HttpBackends(HttpPools(traffic=traffic))
+        stewards = Stewards(me, view, keeper, platform, backends, peers, clock, timing)
+        planners = Planners(view, keeper, platform, peers, clock, timing)
         daemon = cls(
             settings=settings,
             me=me,
@@ -119,19 +142,18 @@
                 timing,
                 settings.limits,
                 requests,
+                backends,
             ),
             membership=membership,
             news=news,
             keeper=keeper,
-            stewards=Stewards(
-                me, view, keeper, platform, backends, peers, clock, timing
-            ),
-            planners=Planners(view, keeper, platform, peers, timing),
+            stewards=stewards,
+            planners=planners,
             operators=Operators(
                 me,
                 view,
                 platform,
-                pools,
+                Overview(me, view, platform, pools),
                 clock,
                 AuditTrail(me, platform, clock, settings.audit.keep_entries),
                 operator_secrets,
@@ -155,13 +177,13 @@
         )
         forwarder = Forwarder(me, view, peers, daemon.gatekeeper)
         daemon.entry.forward = forwarder.send
+        daemon._add_servers()
         daemon._add_gauges()
         return daemon
 
-    def run(self):
-        """Serve until a signal says stop, then drain."""
-        settings = self.settings
-        peer_server = PeerServer(
+    def _add_servers(self):
+        settings, clock = self.settings, self.entry.clock
+        self.peer_server = PeerServer(
             settings.peer_address,
             self.planners.take_report,
             self.stewards.prove_release,
@@ -169,20 +191,41 @@
             self.peer_secrets,
             self.gatekeeper.serve,
         )
-        control = WebServer(
-            settings.control_address, self._control, traffic=self.traffic
+        self.control = DaemonServer(
+            settings.control_address, self._control, clock, self.traffic
         )
-        callers = WebServer(
+        self.callers = DaemonServer(
             settings.caller_address,
             self.entry,
+            clock,
             reuse_port=True,
             limits=settings.limits,
         )
+
+    def run(self):
+        """Serve until a signal says stop, then drain.
+
+        The platform may be down at the start: the daemon then comes up without a
+        view, says that it is not ready, and goes on trying.
+        """
         self.cpu.start()
-        peer_server.start()
-        control.start()
+        self.peer_server.start()
+        self.control.start()
+        keep_running(self.loop_watch.run)
         keep_running(self.news.run)
         keep_running(self.news.run_vm_list)
+        starting = [keep_running(self._join_fleet), keep_running(self._open)]
+        self.stopped.wait()
+        gevent.killall(starting)
+        self._drain()
+
+    def stop(self):
+        """Begin to drain; a second call changes nothing."""
+        log_event("daemon-told-to-stop", again=self.stopped.is_set())
+        self.stopped.set()
+
+    def _join_fleet(self):
+        """Register, then begin to act in the roles of control."""
         self.news.wait_started()
         self.membership.register()
         for task in (
@@ -193,18 +236,52 @@
             self.status.run,
         ):
             keep_running(task)
-        callers.start()
+
+    def _open(self):
+        """Take callers once there is a view to route by."""
+        while not self.news.synced.wait(WAITING_LOG_MS / 1000.0):
+            log_event("daemon-waiting", reason="platform not read yet")
+        self.callers.start()
         self.ready = True
-        log_event("daemon-ready", name=self.me.identity)
-        self.stopped.wait()
-        self.ready = False
-        log_event("daemon-draining", name=self.me.identity)
-        callers.stop(timeout=settings.timing.drain_ms / 1000.0)
-        if self.keeper.hand_over_all():
-            self.membership.unregister()
-        control.stop(timeout=1)
-        peer_server.stop()
-        log_event("daemon-stopped", name=self.me.identity)
+        log_event("daemon-ready", identity=self.me.identity)
+
+    def _drain(self):
+        """Leave in the order that costs callers and neighbours nothing.
+
+        First "not ready", while still serving, so that the balancer sends new callers
+        elsewhere; then no new connections; then what is held is finished; only then
+        are terms handed over, since until then requests may need their steward here.
+        """
+        timing = self.settings.timing
+        was_ready, self.ready = self.ready, False
+        log_event("daemon-draining", was_ready=was_ready)
+        self.keeper.leave()
+        self.callers.leave()
+        if was_ready:
+            gevent.sleep(timing.unready_ms / 1000.0)
+        drained = self.callers.drain(timing.drain_idle_ms, timing.drain_ms)
+        all_handed = self.keeper.hand_over_all(timing.handover_ms)
+        unregistered = all_handed and self.membership.unregister()
+        self.control.drain(CONTROL_IDLE_MS, timing.control_timeout_ms * 2)
+        # Requests that other daemons forwarded here are callers' requests, too.
+        self.peer_server.stop(timing.drain_ms)
+        log_event(
+            "daemon-stopped",
+            requests_cut=drained.cut,
+            all_terms_handed_over=all_handed,
+            unregistered=unregistered,
+        )
+
+    def _readiness(self):
+        """Say why callers should, or should not, be sent here.
+
+        Not when the platform is out of reach later on: the daemon then serves what it
+        knows, and so do all the others. Were that "not ready", an outage would take
+        the whole site from behind its balancer.
+        """
+        if self.ready:
+            return "serving"
+        return "stopping" if self.stopped.is_set() else "no view of the platform yet"
 
     def _add_gauges(self):
         add = self.metrics.add_gauge
@@ -219,6 +296,25 @@
             "condition",
         )
 
+        add(
+            "event_loop.blocked_longest",
+            "Longest time the event loop stood still.",
+            lambda: self.loop_watch.longest_ms,
+            unit="ms",
+        )
+        count = self.metrics.add_counter
+        count(
+            "event_loop.blocked",
+            "How often the event loop stood still.",
+            lambda: self.loop_watch.count,
+        )
+        count("tasks.failures", "Failed rounds of a task.", task_failures, "task")
+        count(
+            "log.lines_suppressed",
+            "Log lines left out because there were too many.",
+            log_lines_suppressed,
+        )
+
     def _watching(self):
         return int(self.news.source == PLATFORM)
 
@@ -246,6 +342,7 @@
                 "identity": self.me.identity,
                 "taken": self.keeper.taken_from(asked),
                 "newest": self.view.newest,
+                "leaving": self.stopped.is_set(),
             }
             return json_reply(start_response, 200, word)
         if path == "/peer/news":
@@ -258,15 +355,26 @@
             start_response(REASONS[200], headers)
             return [page]
         if path == "/healthy":
+            # That it is answered at all is the news: the event loop turns.
             return json_reply(start_response, 200, {"healthy": True})
         if path == "/ready":
             status = 200 if self.ready else 503
-            return json_reply(start_response, status, {"ready": self.ready})
+            state = {"ready": self.ready, "reason": self._readiness()}
+            return json_reply(start_response, status, state)
         if path.startswith("/operator/"):
             return self.operators(environ, start_response)
         return json_reply(start_response, 404, {"error": "no such path"})
 
 
+def _log_blocked(blocked_ms, cpu_ms):
+    log_event(
+        "event-loop-blocked",
+        level=logbook.WARNING,
+        blocked_ms=round(blocked_ms),
+        cpu_ms=round(cpu_ms),
+    )
+
+
 def main(argv=None):
     """Run the daemon from the command line.
 
@@ -278,7 +386,8 @@
     Returns
     -------
     exit_code : int
-        0 after a graceful stop, 2 for settings that cannot be used.
+        0 after a graceful stop, 1 if an address is taken, 2 for settings that cannot
+        be used.
     """
     parser = argparse.ArgumentParser("tarragonrampd", description=__doc__)
     parser.add_argument("--settings", required=True, help="YAML settings file")
@@ -288,11 +397,16 @@
         for fault in loaded.failure().faults:
             print(f"tarragonrampd: {fault}", file=sys.stderr)
         return EXIT_SETTINGS
+    settings = loaded.unwrap()
     grpc_gevent.init_gevent()
-    set_up_logs()
-    daemon = Daemon.from_config(loaded.unwrap())
+    set_up_logs(settings.name, settings.log_level)
+    try:
+        daemon = Daemon.from_config(settings)
+    except AddressError as error:
+        log_event("daemon-not-started", error=error)
+        return EXIT_ADDRESS
     for number in (signal.SIGTERM, signal.SIGINT):
-        gevent.signal_handler(number, daemon.stopped.set)
+        gevent.signal_handler(number, daemon.stop)
     daemon.run()
     return 0
 
--- a/src/tarragonramp/errors.py
+++ b/src/tarragonramp/errors.py
@@ -8,6 +8,7 @@
 
 __all__ = [
     "AbandonedError",
+    "AddressError",
     "ConflictError",
     "DocumentError",
     "ExchangeError",
@@ -30,6 +31,10 @@
     """Base of all errors of this project."""
 
 
+class AddressError(TarragonError):
+    """An address of this daemon that cannot be bound."""
+
+
 class FaultsError(TarragonError):
     """Input that cannot be used.
 
--- a/src/tarragonramp/roles/entry.py
+++ b/src/tarragonramp/roles/entry.py
@@ -1,6 +1,7 @@
 """Takes callers' requests and brings back whole answers."""
 
 import collections
+import functools
 import itertools
 import random
 import uuid
@@ -23,6 +24,7 @@
 from ..gates import Order
 from ..meters import ANSWERED, NOT_RUN, UNKNOWN
 from ..passes import Passes
+from ..reachability import Reachability
 from ..request import (
     COLD_HEADER,
     DIRECT_HEADER,
@@ -45,6 +47,7 @@
 __all__ = ["Entry"]
 
 RETRY_AFTER_S = 1.0
+SERVER_SILENT = "server does not answer"
 STALE_OWNER = 409
 
 # A connection that cannot be opened costs the server nothing, so it draws on no
@@ -76,6 +79,8 @@
     timing : Timing
     limits : Limits
     meter : RequestMeter
+    backends : Backends
+        Asked whether a server that seems silent is there.
     forward : callable
         ``forward(Order) -> Result``: to a server that takes orders from nobody but
         its steward.
@@ -87,10 +92,12 @@
     timing: object
     limits: object
     meter: object
+    backends: object
     forward: object = None
     _routes: Routes = attrs.field(init=False)
     _gates: dict = attrs.Factory(dict)
     _passes: Passes = attrs.Factory(Passes)
+    _reach: dict = attrs.Factory(lambda: collections.defaultdict(Reachability))
     _ejections: dict = attrs.Factory(lambda: collections.defaultdict(Ejections))
     _rng: random.Random = attrs.Factory(random.Random)
     _changed: Event = attrs.Factory(Event)
@@ -190,9 +197,9 @@
         budget.earn()
         for pause_ms in (*OWNER_PAUSES_MS, None):
             route = self._owner(team, service, index, request)
-            gate, waited = self._admit(route, service, request)
-            if waited and self._routes.owner(team, service.name, index) != route:
-                _tell(gate.leave(Outcome.CANCELLED, 0.0, self.clock.now_ms()))
+            is_current = functools.partial(self._is_owner, team, service, route)
+            gate = self._admit(route, service, request, is_current)
+            if gate is None:
                 continue
             result = self._exchange(route, request, gate)
             if not is_successful(result):
@@ -211,6 +218,9 @@
                 self._await_newer(team, service, route, pause_ms)
         raise request.refusal(503, "owner is changing", self._retry_after_s())
 
+    def _is_owner(self, team, service, route):
+        return self._routes.owner(team, service.name, route.slice_index) == route
+
     def _owner(self, team, service, index, request):
         """Return the route to a slice's owner, waiting a moment while it moves.
 
@@ -248,7 +258,7 @@
             if route is None:
                 break
             tried.add(route.server)
-            gate, _ = self._admit(route, service, request)
+            gate = self._admit(route, service, request)
             result = self._exchange(route, request, gate, ejections)
             if is_successful(result):
                 answer = result.unwrap()
@@ -265,6 +275,7 @@
         routes = ejections.usable(routes, self.clock.now_ms())
         if tried:
             routes = [route for route in routes if route.server not in tried]
+        routes = [r for r in routes if not self._reach[r.server].down] or routes
         if not routes:
             return None
         routes = self._without_busy_gates(routes)
@@ -285,36 +296,63 @@
             gate.resize(slots, connections, n_entries)
         return gate
 
-    def _admit(self, route, service, request):
+    def _admit(self, route, service, request, is_current=None):
         """Pass the gate before a server, waiting if there is hope.
 
         Returns
         -------
-        gate : Gate
-            Which the request has to leave.
-        waited : bool
-            Whether the route may have changed meanwhile.
+        gate : Gate or None
+            Which the request has to leave; None if the route changed meanwhile: a
+            key that moves away from a frozen owner takes its callers with it.
         """
+        reach = self._reach[route.server]
+        if not route.gated_at and reach.should_probe(self.clock.now_ms()):
+            gevent.spawn(self._probe, route, reach)
+        if reach.down:
+            raise request.refusal(503, SERVER_SILENT, self._retry_after_s())
         gate = self._gate(route.server, service)
         ticket = Ticket(request.caller_class.priority, request.deadline_at_ms)
         _tell(gate.arrive(ticket, self.clock.now_ms()))
         if ticket.state == ADMITTED:
-            return gate, False
+            return gate
         if ticket.state == WAITING:
-            self._wait(gate, ticket, request)
+            self._wait(gate, ticket, request, reach, is_current)
+        if is_current is not None and not is_current():
+            if ticket.state == ADMITTED:
+                _tell(gate.leave(Outcome.CANCELLED, 0.0, self.clock.now_ms()))
+            return None
         if ticket.state == ADMITTED:
-            return gate, True
+            return gate
+        if reach.down:
+            raise request.refusal(503, SERVER_SILENT, self._retry_after_s())
         retry_after_s = ticket.retry_after_ms / 1000.0
         raise request.refusal(503, "server is busy", retry_after_s)
 
-    def _wait(self, gate, ticket, request):
+    def _probe(self, route, reach):
+        """Ask a server that seems silent until it answers, or is another's business."""
+        while True:
+            asked_ms = self.clock.now_ms()
+            timeout_ms = self.timing.control_timeout_ms
+            result = self.backends.probe(route.address, timeout_ms)
+            if reach.probed(is_successful(result), self.clock.now_ms()):
+                return
+            vm = self.view.vms.get(route.server)
+            if vm is None or vm.address != route.address:
+                self._reach.pop(route.server, None)
+                return
+            left_ms = timeout_ms - (self.clock.now_ms() - asked_ms)
+            gevent.sleep(max(0.0, left_ms) / 1000.0)
+
+    def _wait(self, gate, ticket, request, reach, is_current):
         """Wait until a ticket is admitted or refused, or until nothing is to be won."""
         moved = Event()
         ticket.on_change = moved.set
         try:
             while ticket.state == WAITING:
                 left_ms = gate.latest_start_ms(ticket) - self.clock.now_ms()
-                if left_ms <= 0 or not request.is_wanted():
+                if left_ms <= 0 or reach.down or not request.is_wanted():
+                    break
+                if is_current is not None and not is_current():
                     break
                 moved.wait(min(left_ms, CANCELLATION_CHECK_MS) / 1000.0)
         except BaseException:
@@ -330,15 +368,19 @@
         """Send a request that has been admitted, once, and leave the gate."""
         sent_ms = self.clock.now_ms()
         outcome = Outcome.CANCELLED
+        reach = self._reach[route.server]
+        number, answered = reach.sent(sent_ms), False
         try:
             result = self._send(route, request, sent_ms)
             self._note_warmth(route, result)
+            answered = is_successful(result)
             outcome = _outcome_of(result)
             return result
         finally:
             now_ms = self.clock.now_ms()
             took_ms = now_ms - sent_ms
             request.times.service_ms += took_ms
+            reach.ended(number, answered, now_ms)
             _tell(gate.leave(outcome, took_ms, now_ms))
             if ejections is not None and outcome == Outcome.ANSWERED:
                 ejections.note_answer(route.server, took_ms, now_ms)
--- a/src/tarragonramp/roles/steward.py
+++ b/src/tarragonramp/roles/steward.py
@@ -19,7 +19,14 @@
 __all__ = ["Stewards"]
 
 TICK_MS = 50
-SERVER_SILENCE_MS = 400
+STEWARD_PREFIX = "steward."
+SILENCE_SHARE = 0.75
+"""How much of a grant's length a server may be silent before its keys are moved.
+
+Load: a machine or a link that is slow for a moment, with probes that time out. Harm
+prevented: keys taken from a server that is there. Its last grant runs for longer than
+this in any case, so that waiting costs callers nothing; a whole length would.
+"""
 REPORT_RETRY_MS = 100
 
 
@@ -37,6 +44,7 @@
     answered_ms: float = 0.0
     reported: tuple = ()
     reporting: bool = False
+    seen_version: int = 0
     changed: Event = attrs.Factory(Event)
 
 
@@ -70,7 +78,10 @@
         """Start and stop the task of each server, for ever."""
         self.view.on_change(self._wake)
         while True:
-            for vm in list(self.view.vms.values()):
+            # Looks through the VMs only for a term that has no task yet: there may be
+            # thousands of VMs, and a tick is short.
+            begun = all(role in self._charges for role in self._held())
+            for vm in () if begun else list(self.view.vms.values()):
                 role = steward_role(vm.team, vm.service, vm.name)
                 service = self.view.services().get((vm.team, vm.service))
                 wanted = service is not None and self.keeper.holding(role)
@@ -79,6 +90,9 @@
                     gevent.spawn(self._attend, self._charges[role])
             gevent.sleep(TICK_MS / 1000.0)
 
+    def _held(self):
+        return [r for r in self.keeper.holdings if r.startswith(STEWARD_PREFIX)]
+
     def conditions(self):
         """Return how many backend servers looked after here are in each condition."""
         counts = dict.fromkeys((UP, SILENT, UNKNOWN), 0)
@@ -200,7 +214,8 @@
             return
         if grant is not None and isinstance(result.failure(), NotSentError):
             charge.ledger.not_sent()
-        if self.clock.now_ms() - charge.answered_ms > SERVER_SILENCE_MS:
+        quiet_ms = self.clock.now_ms() - charge.answered_ms
+        if quiet_ms > charge.service.grant_ms * SILENCE_SHARE:
             self._set_condition(charge, SILENT)
 
     def _next_grant(self, charge, now_ms):
@@ -291,5 +306,14 @@
             charge.reporting = False
 
     def _wake(self):
+        """Look at once at servers whose assignment has changed.
+
+        Load: terms, members and VM lists of a large fleet change all the time. Harm
+        prevented: a renewal to every server for each of these changes.
+        """
         for charge in self._charges.values():
-            charge.changed.set()
+            name = assignment_name(charge.vm.team, charge.vm.service)
+            version = self.view.version_of(KIND_ASSIGNMENT, name)
+            if version != charge.seen_version:
+                charge.seen_version = version
+                charge.changed.set()
