--- a/tests/faults.py
+++ b/tests/faults.py
@@ -70,10 +70,18 @@
     def check_recovered(self, outcomes):
         """Fail unless everything is answered well for a second from now on."""
         after = self.load_during(1.0)
+        if any(o.result != "well" for o in after):
+            self.show_daemons()
         self.assertGreater(len(after), 20)
         self.assertEqual([o for o in after if o.result != "well"][:3], [])
         self.check_promises([*outcomes, *after])
 
+    def show_daemons(self):
+        """Print what each daemon did last: a run that fails once may not fail again."""
+        for name in ALL_DAEMONS:
+            lines = self.site.daemon_log(name).splitlines()
+            print("\n".join([f"last events of {name}:", *lines[-20:]]))
+
     def steward_of(self, server):
         """Return the name of the daemon that is steward of a server."""
         return holder_of(self.site, f"steward.fraser-valley.records.{server}")
