--- a/src/tarragonramp/daemon.py
+++ b/src/tarragonramp/daemon.py
@@ -12,7 +12,6 @@
 
 import argparse  # noqa: E402
 import collections  # noqa: E402
-import json  # noqa: E402
 import signal  # noqa: E402
 import sys  # noqa: E402
 import uuid  # noqa: E402
@@ -32,22 +31,17 @@
     set_up_logs,
 )  # noqa: E402
 from .adapters.metrics import Metrics  # noqa: E402
-from .adapters.peers import (  # noqa: E402
-    GrpcPeers,
-    PeerServer,
-    news_payload,
-    news_question,
-)
+from .adapters.peers import GrpcPeers, PeerServer  # noqa: E402
 from .adapters.platform import HttpPlatform  # noqa: E402
 from .adapters.process import CpuMeter, LoopWatch  # noqa: E402
 from .adapters.serving import DaemonServer  # noqa: E402
-from .adapters.web import REASONS, json_reply  # noqa: E402
 from .clock import Clock  # noqa: E402
 from .credentials import Secrets  # noqa: E402
 from .errors import AddressError  # noqa: E402
 from .meters import RequestMeter, TrafficMeter  # noqa: E402
 from .model import Member  # noqa: E402
 from .roles.audit import AuditTrail  # noqa: E402
+from .roles.control import Control  # noqa: E402
 from .roles.entry import Entry  # noqa: E402
 from .roles.gatekeeper import Forwarder, GateKeeper  # noqa: E402
 from .roles.membership import Membership  # noqa: E402
@@ -55,7 +49,7 @@
 from .roles.operators import Operators  # noqa: E402
 from .roles.overview import Overview  # noqa: E402
 from .roles.planner import Planners  # noqa: E402
-from .roles.status import IN_FORCE_TARGET, StatusReporter  # noqa: E402
+from .roles.status import StatusReporter  # noqa: E402
 from .roles.steward import Stewards  # noqa: E402
 from .roles.tasks import keep_running, task_failures  # noqa: E402
 from .roles.terms import TermKeeper  # noqa: E402
@@ -191,8 +185,21 @@
             self.peer_secrets,
             self.gatekeeper.serve,
         )
+        application = Control(
+            self.me,
+            self.view,
+            self.membership,
+            self.news,
+            self.keeper,
+            self.status,
+            self.operators,
+            self.metrics,
+            self.peer_secrets,
+            lambda: (self.ready, self._readiness()),
+            self.stopped.is_set,
+        )
         self.control = DaemonServer(
-            settings.control_address, self._control, clock, self.traffic
+            settings.control_address, application, clock, self.traffic
         )
         self.callers = DaemonServer(
             settings.caller_address,
@@ -324,47 +331,6 @@
         )
         return {kind: kinds[kind] for kind in ("planner", "steward")}
 
-    def _control(self, environ, start_response):
-        path = environ["PATH_INFO"]
-        is_peer = self.peer_secrets.admits(environ.get("HTTP_AUTHORIZATION"))
-        if path.startswith("/peer/") and not is_peer:
-            return json_reply(start_response, 401, {"error": "peer secret is wrong"})
-        if path == IN_FORCE_TARGET:
-            told = json.loads(environ["wsgi.input"].read())
-            self.status.take(told["identity"], told["version"])
-            return json_reply(start_response, 200, {})
-        if path == "/peer/ping":
-            question = json.loads(environ["wsgi.input"].read())
-            asked = question["identity"]
-            self.membership.heard(asked)
-            self.news.heard(asked.partition("#")[0], question.get("newest", 0))
-            word = {
-                "identity": self.me.identity,
-                "taken": self.keeper.taken_from(asked),
-                "newest": self.view.newest,
-                "leaving": self.stopped.is_set(),
-            }
-            return json_reply(start_response, 200, word)
-        if path == "/peer/news":
-            question = news_question(environ["wsgi.input"].read())
-            news = news_payload(self.news.answer(question))
-            return json_reply(start_response, 200, news)
-        if path == "/metrics":
-            page, content_type = self.metrics.page()
-            headers = [("Content-Type", content_type)]
-            start_response(REASONS[200], headers)
-            return [page]
-        if path == "/healthy":
-            # That it is answered at all is the news: the event loop turns.
-            return json_reply(start_response, 200, {"healthy": True})
-        if path == "/ready":
-            status = 200 if self.ready else 503
-            state = {"ready": self.ready, "reason": self._readiness()}
-            return json_reply(start_response, status, state)
-        if path.startswith("/operator/"):
-            return self.operators(environ, start_response)
-        return json_reply(start_response, 404, {"error": "no such path"})
-
 
 def _log_blocked(blocked_ms, cpu_ms):
     log_event(
--- /dev/null
+++ b/src/tarragonramp/roles/control.py
@@ -0,0 +1,98 @@
+"""What the control port answers: other daemons, probes, metrics and operators."""
+
+import json
+
+import attrs
+
+from ..adapters.peers import news_payload, news_question
+from ..adapters.web import REASONS, json_reply
+from .status import IN_FORCE_TARGET
+
+__all__ = ["Control"]
+
+PEER_PREFIX = "/peer/"
+OPERATOR_PREFIX = "/operator/"
+
+
+@attrs.define(eq=False, repr=False)
+class Control:
+    """The control port's WSGI application.
+
+    Parameters
+    ----------
+    me : Member
+    view : View
+    membership : Membership
+    news : News
+    keeper : TermKeeper
+    status : StatusReporter
+    operators : Operators
+    metrics : Metrics
+    peer_secrets : Secrets
+    readiness : callable
+        ``readiness() -> (bool, str)``: whether callers should be sent here, and why.
+    is_leaving : callable
+        ``is_leaving() -> bool``
+    """
+
+    me: object
+    view: object
+    membership: object
+    news: object
+    keeper: object
+    status: object
+    operators: object
+    metrics: object
+    peer_secrets: object
+    readiness: object
+    is_leaving: object
+
+    def __call__(self, environ, start_response):
+        """Serve one call."""
+        path = environ["PATH_INFO"]
+        if path.startswith(OPERATOR_PREFIX):
+            return self.operators(environ, start_response)
+        if path == "/metrics":
+            return self._metrics(start_response)
+        if path.startswith(PEER_PREFIX):
+            return self._peer(path, environ, start_response)
+        if path == "/healthy":
+            # That it is answered at all is the news: the event loop turns.
+            return json_reply(start_response, 200, {"healthy": True})
+        if path == "/ready":
+            ready, reason = self.readiness()
+            state = {"ready": ready, "reason": reason}
+            return json_reply(start_response, 200 if ready else 503, state)
+        return json_reply(start_response, 404, {"error": "no such path"})
+
+    def _metrics(self, start_response):
+        page, content_type = self.metrics.page()
+        start_response(REASONS[200], [("Content-Type", content_type)])
+        return [page]
+
+    def _peer(self, path, environ, start_response):
+        if not self.peer_secrets.admits(environ.get("HTTP_AUTHORIZATION")):
+            return json_reply(start_response, 401, {"error": "peer secret is wrong"})
+        body = environ["wsgi.input"].read()
+        if path == IN_FORCE_TARGET:
+            told = json.loads(body)
+            self.status.take(told["identity"], told["version"])
+            return json_reply(start_response, 200, {})
+        if path == "/peer/ping":
+            return json_reply(start_response, 200, self._word(json.loads(body)))
+        if path == "/peer/news":
+            news = news_payload(self.news.answer(news_question(body)))
+            return json_reply(start_response, 200, news)
+        return json_reply(start_response, 404, {"error": "no such path"})
+
+    def _word(self, question):
+        """Return this daemon's word to a neighbour that pings it."""
+        asked = question["identity"]
+        self.membership.heard(asked)
+        self.news.heard(asked.partition("#")[0], question.get("newest", 0))
+        return {
+            "identity": self.me.identity,
+            "taken": self.keeper.taken_from(asked),
+            "newest": self.view.newest,
+            "leaving": self.is_leaving(),
+        }
