Tests that see an older version taken, and a new owner before the old one's grant ended

Cause: with the guard against older versions removed, and with the proof of release left out, all tests passed: the platform's stand-in never repeated what it had told, and no entry in the tests had a lagging view while its owner was well. The stand-in's frozen reads now repeat everything, and an entry is cut off from all news while a steward is cut off from its server.

--- a/standins/platform.py
+++ b/standins/platform.py
@@ -15,6 +15,7 @@
 
 from tarragonramp.adapters.web import WebServer, json_reply  # noqa: E402
 
+REPLAY_MS = 200.0
 MAX_VALUE_BYTES = 1_048_576
 
 
@@ -31,7 +32,8 @@
     lose_answers : int
         So many writes take effect without an answer.
     freeze_reads : bool
-        Watches and lists show what they showed when this was set.
+        Watches and lists show what they showed when this was set; a watch shows all of
+        it again and again, as a replica does that has forgotten what it told.
     """
 
     down: bool = False
@@ -130,6 +132,9 @@
 
     def _watch(self, since, wait_ms, kinds):
         until_s = time.monotonic() + wait_ms / 1000.0
+        if self.faults.freeze_reads:
+            since = -1
+            gevent.sleep(min(wait_ms, REPLAY_MS) / 1000.0)
         self.waiting_watches += 1
         try:
             while True:
--- a/tests/test_faults_cuts.py
+++ b/tests/test_faults_cuts.py
@@ -1,6 +1,6 @@
 """Networks that are cut, in both directions or in one."""
 
-from tests.faults import IN_DOMAIN, FaultTestCase, cut
+from tests.faults import ALL_DAEMONS, IN_DOMAIN, FaultTestCase, cut
 
 
 class CutTest(FaultTestCase):
@@ -42,6 +42,22 @@
         self.check_promises(outcomes)
         self.check_recovered(outcomes)
 
+    def test_an_entry_with_an_old_route_and_a_steward_without_its_server(self):
+        """A steward loses its server, and an entry elsewhere loses all news.
+
+        The entry goes on sending to the old owner, which is well and takes requests
+        until its grant ends. Only then may the new owner begin.
+        """
+        steward = self.steward_of("records1")
+        others = [name for name in ALL_DAEMONS if name != "d4"]
+        faults = (*cut([steward], ["records1"]), *cut(["d4"], [*others, "platform"]))
+        outcomes = self.load_during(
+            5.0,
+            (1.0, lambda: self.site.set_faults(*faults)),
+            (4.0, self.site.set_faults),
+        )
+        self.check_promises(outcomes)
+
     def test_answers_to_a_steward_are_cut(self):
         """Renewals reach the server but its answers do not come back.
 
--- a/tests/test_spreading_site.py
+++ b/tests/test_spreading_site.py
@@ -117,22 +117,15 @@
     def test_a_platform_that_shows_the_past_reverts_nobody(self):
         """The platform's reads go back to an old state while operators write on.
 
-        A daemon that took what it reads for the truth would bring a failure domain
-        back that was taken out. Its peers' newer versions
-        have to win, and to reach everybody.
+        A daemon that took what it reads for the truth would bring a failure domain back
+        that was taken out. Its peers' newer versions have to win, and to reach
+        everybody.
         """
+        before = self.order_domain("in", 0)
+        self.wait_in_force(before)
         self.site.platform("faults", {"freeze_reads": True})
         self.wait_watches(2)
-        address = self.site.settings[self.names[0]]["control_address"]
-        answer = HttpPool(address).exchange(
-            "PUT",
-            "/operator/objects/FailureDomain/a?version=0",
-            [("Tarragon-Actor", "test")],
-            json.dumps({"state": "out"}).encode(),
-            5000,
-        )
-        self.assertEqual(answer.unwrap().status, 200, answer.unwrap().body)
-        written = json.loads(answer.unwrap().body)["version"]
+        written = self.order_domain("out", before)
         versions = dict.fromkeys(self.names, 0)
         until_s = time.monotonic() + IN_FORCE_LIMIT_S
         while min(versions.values()) < written and time.monotonic() < until_s:
@@ -143,3 +136,16 @@
         self.assertEqual(set(versions.values()), {written})
         self.site.platform("faults", {"freeze_reads": False})
         self.wait_in_force(written)
+
+    def order_domain(self, state, version):
+        """Order failure domain a in or out; return the version written."""
+        address = self.site.settings[self.names[0]]["control_address"]
+        answer = HttpPool(address).exchange(
+            "PUT",
+            f"/operator/objects/FailureDomain/a?version={version}",
+            [("Tarragon-Actor", "test")],
+            json.dumps({"state": state}).encode(),
+            5000,
+        )
+        self.assertEqual(answer.unwrap().status, 200, answer.unwrap().body)
+        return json.loads(answer.unwrap().body)["version"]
--- a/tests/test_view.py
+++ b/tests/test_view.py
@@ -19,6 +19,13 @@
 class ViewTest(unittest.TestCase):
     """Objects as they come from the platform."""
 
+    def test_an_older_version_is_dropped(self):
+        """A lagging watch shows a failure domain as it was before it was taken out."""
+        view = View()
+        view.apply(Stored("FailureDomain", "a", 7, {"state": "out"}))
+        self.assertFalse(view.apply(Stored("FailureDomain", "a", 5, {"state": "in"})))
+        self.assertFalse(view.domain_in("a"))
+
     def test_fields_of_a_newer_version_are_passed_over(self):
         """A rolling upgrade is under way, and then taken back.
 
