--- a/tests/faults.py
+++ b/tests/faults.py
@@ -39,7 +39,9 @@
         self.addCleanup(self.site.stop)
         start_small(self.site, self.checks, **self.changes)
 
-    def load_during(self, seconds, *events, daemons=ALL_DAEMONS, calls=CALLS):
+    def load_during(
+        self, seconds, *events, daemons=ALL_DAEMONS, calls=CALLS, n_keys=200
+    ):
         """Put load on and let things happen meanwhile.
 
         Parameters
@@ -50,13 +52,14 @@
         daemons : list of str
             Whose caller ports the load is put on.
         calls : sequence of Call
+        n_keys : int
 
         Returns
         -------
         outcomes : list of Outcome
         """
         addresses = [self.site.caller_address(name) for name in daemons]
-        load = Load(addresses, list(calls), n_callers=12, pause_ms=PAUSE_MS)
+        load = Load(addresses, list(calls), n_keys, n_callers=12, pause_ms=PAUSE_MS)
         tasks = [gevent.spawn_later(at_s, event) for at_s, event in events]
         load.run(seconds)
         gevent.joinall(tasks, raise_error=True)
--- a/tests/test_faults_cuts.py
+++ b/tests/test_faults_cuts.py
@@ -1,7 +1,10 @@
 """Networks that are cut, in both directions or in one."""
 
+from standins.layouts import CALLS
 from tests.faults import ALL_DAEMONS, IN_DOMAIN, FaultTestCase, cut
 
+RECORD_CALLS = [call for call in CALLS if call.key_header]
+
 
 class CutTest(FaultTestCase):
     """A failure domain, or a part of it, is cut off."""
@@ -55,6 +58,8 @@
             5.0,
             (1.0, lambda: self.site.set_faults(*faults)),
             (4.0, self.site.set_faults),
+            calls=RECORD_CALLS,
+            n_keys=8,
         )
         self.check_promises(outcomes)
 
