--- a/tests/faults.py
+++ b/tests/faults.py
@@ -40,7 +40,13 @@
         start_small(self.site, self.checks, **self.changes)
 
     def load_during(
-        self, seconds, *events, daemons=ALL_DAEMONS, calls=CALLS, n_keys=200
+        self,
+        seconds,
+        *events,
+        daemons=ALL_DAEMONS,
+        calls=CALLS,
+        n_keys=200,
+        n_callers=12,
     ):
         """Put load on and let things happen meanwhile.
 
@@ -52,14 +58,14 @@
         daemons : list of str
             Whose caller ports the load is put on.
         calls : sequence of Call
-        n_keys : int
+        n_keys, n_callers : int
 
         Returns
         -------
         outcomes : list of Outcome
         """
         addresses = [self.site.caller_address(name) for name in daemons]
-        load = Load(addresses, list(calls), n_keys, n_callers=12, pause_ms=PAUSE_MS)
+        load = Load(addresses, list(calls), n_keys, n_callers, PAUSE_MS)
         tasks = [gevent.spawn_later(at_s, event) for at_s, event in events]
         load.run(seconds)
         gevent.joinall(tasks, raise_error=True)
--- a/tests/test_faults_cuts.py
+++ b/tests/test_faults_cuts.py
@@ -49,7 +49,8 @@
         """A steward loses its server, and an entry elsewhere loses all news.
 
         The entry goes on sending to the old owner, which is well and takes requests
-        until its grant ends. Only then may the new owner begin.
+        until its grant ends. Only then may the new owner begin. There are enough
+        callers for some to go on while others wait for the cut-off steward's daemon.
         """
         steward = self.steward_of("records1")
         others = [name for name in ALL_DAEMONS if name != "d4"]
@@ -60,6 +61,7 @@
             (4.0, self.site.set_faults),
             calls=RECORD_CALLS,
             n_keys=8,
+            n_callers=40,
         )
         self.check_promises(outcomes)
 
