A grant that never left puts off no end of its slices

Cause: a killed server refuses its steward's connections; each renewal was counted as sent although no byte left, so that the proof of release came a grant's length after the last try (900 ms of silence and 1200 ms) and not after the last grant.

--- a/src/tarragonramp/leases.py
+++ b/src/tarragonramp/leases.py
@@ -119,6 +119,7 @@
     _reading: _Reading | None = None
     _sent: list[_SentSet] = attrs.Factory(list)
     _waiting: bool = False
+    _until_before_ms: float = 0.0
 
     @property
     def in_doubt(self):
@@ -161,6 +162,7 @@
             self._sent.append(_SentSet(self._sequence, self.boot_id, dict(tokens), 0.0))
         until_ms = self._earliest_server_clock(now_ms) + self.grant_ms
         latest = self._sent[-1]
+        self._until_before_ms = latest.until_ms
         latest.until_ms = max(latest.until_ms, until_ms)
         self._waiting = True
         return Grant(self.term, latest.sequence, self.boot_id, latest.tokens, until_ms)
@@ -218,7 +220,13 @@
         self.earlier_right_ends_ms = max([self.earlier_right_ends_ms, now_ms, *ends_ms])
 
     def not_sent(self):
-        """Note that the latest grant never left this process."""
+        """Note that the latest grant never left this process.
+
+        Its end does not count then: a server that was killed refuses connections, and
+        each try would put off the moment when its grants have surely run out.
+        """
+        if self._waiting and self._sent:
+            self._sent[-1].until_ms = self._until_before_ms
         self._waiting = False
 
     def released(self, slice_index, now_ms):
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -41,6 +41,22 @@
         self.assertEqual(ledger.released(0, first.until_ms - 100.0), "")
         self.assertEqual(ledger.released(0, first.until_ms + 10.0), "expired")
 
+    def test_a_grant_that_never_left_puts_off_no_end(self):
+        """A backend server is killed, and refuses its steward's connections.
+
+        Its keys are free once the last grant that it was sent has run out; counting
+        those that could not be sent keeps callers waiting for nine tenths of a second.
+        """
+        ledger = GrantLedger(1, GRANT_MS, 0.0)
+        answered(ledger, clock_ms=100.0, now_ms=0.0)
+        ledger.next_grant({0: 1}, 0.0)
+        answered(ledger, clock_ms=100.0, now_ms=0.0, sequence=1)
+        for now_ms in (250.0, 500.0, 750.0):
+            self.assertIsNotNone(ledger.next_grant({0: 1}, now_ms))
+            ledger.not_sent()
+        self.assertEqual(ledger.released(0, GRANT_MS - 10.0), "")
+        self.assertEqual(ledger.released(0, GRANT_MS + 10.0), "expired")
+
 
 class ReleaseTest(unittest.TestCase):
     """What counts as proof."""
