--- a/demo/run.py
+++ b/demo/run.py
@@ -25,14 +25,14 @@
     Backend("claims2", "b", "fraser-valley", "claims", divided=False, slots=3),
     Backend("jobs1", "a", "cooperative", "jobs"),
     Backend("jobs2", "b", "cooperative", "jobs"),
-    Backend("catalogue1", "a", "cooperative", "catalogue", divided=False),
+    Backend("catalogue1", "a", "cooperative", "catalogue"),
 )
 CALLS = [
     Call("record lookup", "GET", lambda key: "/records/status", "X-Grant-Record"),
     Call("record claim", "POST", lambda key: "/records", "X-Grant-Record", 200),
     Call("claim check", "GET", lambda key: "/claims/check"),
     Call("job booking", "POST", lambda key: f"/jobs/{key}/book", "", 200),
-    Call("catalogue page", "GET", lambda key: "/catalogue/trays"),
+    Call("catalogue page", "GET", lambda key: f"/catalogue/page/{key}"),
 ]
 KILLED = "records1"
 
