--- a/src/tarragonramp/roles/steward.py
+++ b/src/tarragonramp/roles/steward.py
@@ -27,7 +27,6 @@
 prevented: keys taken from a server that is there. Its last grant runs for longer than
 this in any case, so that waiting costs callers nothing; a whole length would.
 """
-REPORT_RETRY_MS = 100
 
 
 @attrs.define
--- a/tests/test_faults_cuts.py
+++ b/tests/test_faults_cuts.py
@@ -16,11 +16,7 @@
         other side's keys are refused as not run. Nobody takes them over.
         """
         faults = cut(IN_DOMAIN["b"], [*IN_DOMAIN["a"], "platform"])
-        outcomes = self.load_during(
-            7.0,
-            (1.0, lambda: self.site.set_faults(*faults)),
-            (4.0, self.site.set_faults),
-        )
+        outcomes = self.load_through(faults, 7.0)
         self.check_promises(outcomes)
         self.check_recovered(outcomes)
         during = self.during(outcomes, 2.5, 3.9)
@@ -37,11 +33,7 @@
         """
         steward = self.steward_of("records1")
         faults = cut([steward], ["records1"])
-        outcomes = self.load_during(
-            6.0,
-            (1.0, lambda: self.site.set_faults(*faults)),
-            (4.0, self.site.set_faults),
-        )
+        outcomes = self.load_through(faults, 6.0)
         self.check_promises(outcomes)
         self.check_recovered(outcomes)
 
@@ -55,13 +47,8 @@
         steward = self.steward_of("records1")
         others = [name for name in ALL_DAEMONS if name != "d4"]
         faults = (*cut([steward], ["records1"]), *cut(["d4"], [*others, "platform"]))
-        outcomes = self.load_during(
-            5.0,
-            (1.0, lambda: self.site.set_faults(*faults)),
-            (4.0, self.site.set_faults),
-            calls=RECORD_CALLS,
-            n_keys=8,
-            n_callers=40,
+        outcomes = self.load_through(
+            faults, 5.0, calls=RECORD_CALLS, n_keys=8, n_callers=40
         )
         self.check_promises(outcomes)
 
@@ -73,11 +60,7 @@
         """
         steward = self.steward_of("records1")
         faults = cut([steward], ["records1"], "cut-answers")
-        outcomes = self.load_during(
-            6.0,
-            (1.0, lambda: self.site.set_faults(*faults)),
-            (4.0, self.site.set_faults),
-        )
+        outcomes = self.load_through(faults, 6.0)
         self.check_promises(outcomes)
         self.check_recovered(outcomes)
 
@@ -88,13 +71,18 @@
         the old holder's right is over before the new one relies on it.
         """
         faults = cut(["d1"], ["d2"])
-        outcomes = self.load_during(
-            7.0,
+        outcomes = self.load_through(faults, 7.0)
+        self.check_promises(outcomes)
+        self.check_recovered(outcomes)
+
+    def load_through(self, faults, seconds, **options):
+        """Put load on while a cut begins after one second and heals after four."""
+        return self.load_during(
+            seconds,
             (1.0, lambda: self.site.set_faults(*faults)),
             (4.0, self.site.set_faults),
+            **options,
         )
-        self.check_promises(outcomes)
-        self.check_recovered(outcomes)
 
     def during(self, outcomes, from_s, to_s):
         """Return what began in a part of the run."""
