A successor counts a holder's silence from when it was named

Cause: a holder that renames its successor pinged that daemon once in 1.2 s until then, which is longer than the silence after which a successor takes over. So a daemon that was just named took the term from a live steward (trace of a failed run: d4 named d1 as lasting outsider as d3 died, d1 took over 0.2 s later); the new steward of a server that died in that moment could prove no release by time, and its keys stayed without owner. Ruled out: the planner's takeover (its term was taken and its writes went through).

--- a/src/tarragonramp/roles/terms.py
+++ b/src/tarragonramp/roles/terms.py
@@ -46,6 +46,7 @@
     _changed: bool = True
     _states: dict = attrs.Factory(dict)
     _unheld_since_ms: dict = attrs.Factory(dict)
+    _named_since_ms: dict = attrs.Factory(dict)
     _busy: set = attrs.Factory(set)
 
     @property
@@ -230,10 +231,26 @@
         if self.leaving or (not self._is_near(vm) and not named):
             return False
         departed = lambda holder: self.membership.departed(holder, version)
-        if not may_claim(term, identity, departed, self.membership.silent):
+        silent = lambda holder: self._is_silent(role, holder)
+        if not may_claim(term, identity, departed, silent):
             return False
         return named or self._is_turn(role, vm)
 
+    def _is_silent(self, role, holder):
+        """Tell whether a holder has been silent since it named this daemon.
+
+        Guards against a takeover from a holder that has just renamed its successor: it
+        pinged this daemon rarely until then, and its next ping is on its way.
+        """
+        now_ms = self.clock.now_ms()
+        version = self.view.version_of(KIND_TERM, role)
+        seen_version, since_ms = self._named_since_ms.get(role, (0, now_ms))
+        if seen_version != version:
+            since_ms = now_ms
+            self._named_since_ms[role] = (version, since_ms)
+        waited = now_ms - since_ms > self.timing.silence_ms
+        return waited and self.membership.silent(holder)
+
     def _is_near(self, vm):
         return vm is None or vm.failure_domain == self.membership.me.failure_domain
 
