--- a/src/tarragonramp/adapters/http.py
+++ b/src/tarragonramp/adapters/http.py
@@ -91,13 +91,36 @@
     unsent_ms : float, default=0.0
         How long the kernel may try to deliver what was sent, also after the
         connection was closed; 0 for as long as it likes.
+    echoed_headers : tuple of str
+        Lower-case names of headers whose value, where an answer has them, must be
+        the one that was sent.
+    max_idle : int
+        Most connections kept for later.
+    max_idle_ms : float
+        A connection unused for longer is closed and not used again: the server may
+        be about to close it. 0 for no limit.
+    takes_unframed : bool
+        Whether an answer without a length that ends with its connection is whole;
+        one that ends with a reset never is.
+    keepalive : bool
+        Whether the kernel asks a silent peer now and then, so that a connection
+        that has gone silent for good fails after a few seconds.
+    connect_ms : float
+        Longest time to open a connection; 0 for the whole timeout.
     """
 
     address: str
     answer_bytes: int = 8_388_608
     traffic: object = None
     unsent_ms: float = 0.0
+    echoed_headers: tuple = ECHOED_HEADERS
+    max_idle: int = MAX_IDLE_CONNECTIONS
+    max_idle_ms: float = 0.0
+    takes_unframed: bool = False
+    keepalive: bool = False
+    connect_ms: float = 0.0
     _idle: list = attrs.Factory(list)
+    _idle_since_s: dict = attrs.Factory(dict)
 
     def exchange(
         self, method, target, headers, body, timeout_ms, is_wanted=None
@@ -138,7 +161,7 @@
             if self.traffic is not None:
                 self.traffic.sent(kind_of(method, target), len(data))
             response, n_received = self._read(connection, method, deadline_s, is_wanted)
-            _check_echo(response, headers)
+            _check_echo(response, headers, self.echoed_headers)
         except AbandonedError as error:
             connection.close()
             return Failure(error)
@@ -177,19 +200,28 @@
         """Close idle connections."""
         while self._idle:
             self._idle.pop().close()
+        self._idle_since_s.clear()
 
     def _take(self, deadline_s):
+        oldest_s = time.monotonic() - self.max_idle_ms / 1000.0
         while self._idle:
             connection = self._idle.pop()
-            if _is_quiet(connection):
+            since_s = self._idle_since_s.pop(connection, 0.0)
+            is_stale = self.max_idle_ms and since_s < oldest_s
+            if not is_stale and _is_quiet(connection):
                 return connection
             connection.close()
+        timeout_s = _remaining_s(deadline_s)
+        if self.connect_ms:
+            timeout_s = min(timeout_s, self.connect_ms / 1000.0)
         connection = socket.create_connection(
-            split_address(self.address), timeout=_remaining_s(deadline_s)
+            split_address(self.address), timeout=timeout_s
         )
         connection.setsockopt(plain_socket.IPPROTO_TCP, plain_socket.TCP_NODELAY, 1)
         if self.unsent_ms:
             _forget_unsent(connection, self.unsent_ms)
+        if self.keepalive:
+            _keep_alive(connection)
         return connection
 
     def _read(self, connection, method, deadline_s, is_wanted):
@@ -198,6 +230,8 @@
         while not response.is_final:
             data = _receive(connection, deadline_s, is_wanted)
             if not data:
+                if self.takes_unframed and response.ends_with_connection():
+                    break
                 # Also an answer that ends with the connection: it cannot be told
                 # from one that was cut short.
                 raise HTTPParseError("connection closed before the answer was whole")
@@ -210,19 +244,30 @@
         return response, n_received
 
     def _give_back(self, connection, response):
-        if response.should_close() or len(self._idle) >= MAX_IDLE_CONNECTIONS:
+        closes = response.should_close() or not response.is_final
+        if closes or len(self._idle) >= self.max_idle:
             connection.close()
             return
         self._idle.append(connection)
+        self._idle_since_s[connection] = time.monotonic()
 
 
 @attrs.define(eq=False, repr=False)
 class HttpPools:
-    """One pool an address, made when first needed."""
+    """One pool an address, made when first needed.
+
+    Parameters
+    ----------
+    answer_bytes, traffic, unsent_ms
+        As for :class:`HttpPool`.
+    options : dict
+        Further arguments of :class:`HttpPool`.
+    """
 
     answer_bytes: int = 8_388_608
     traffic: object = None
     unsent_ms: float = 0.0
+    options: dict = attrs.Factory(dict)
     _pools: dict = attrs.Factory(dict)
 
     def at(self, address):
@@ -230,10 +275,20 @@
         pool = self._pools.get(address)
         if pool is None:
             pool = self._pools[address] = HttpPool(
-                address, self.answer_bytes, self.traffic, self.unsent_ms
+                address,
+                self.answer_bytes,
+                self.traffic,
+                self.unsent_ms,
+                **self.options,
             )
         return pool
 
+    def drop(self, address):
+        """Close and forget the idle connections to an address."""
+        pool = self._pools.pop(address, None)
+        if pool is not None:
+            pool.close()
+
 
 def _forget_unsent(connection, unsent_ms):
     """Guard against a request that arrives long after it was given up on.
@@ -249,6 +304,21 @@
     connection.setsockopt(plain_socket.SOL_SOCKET, plain_socket.SO_LINGER, linger)
 
 
+def _keep_alive(connection):
+    """Guard against a connection that goes silent without a reset.
+
+    It shows as an answer that never comes, and neither side would notice. Probes each
+    second end it after three unanswered ones.
+    """
+    connection.setsockopt(plain_socket.SOL_SOCKET, plain_socket.SO_KEEPALIVE, 1)
+    for option, value in (
+        (plain_socket.TCP_KEEPIDLE, 1),
+        (plain_socket.TCP_KEEPINTVL, 1),
+        (plain_socket.TCP_KEEPCNT, 3),
+    ):
+        connection.setsockopt(plain_socket.IPPROTO_TCP, option, value)
+
+
 class _StrictResponse(HTTPResponse):
     """Ends with its first final answer; bytes after that are an error.
 
@@ -265,6 +335,14 @@
             raise HTTPProtocolViolationError("bytes after the end of the answer")
         super()._on_message_begin()
 
+    def ends_with_connection(self):
+        """Tell whether the answer has no length, so that its end is the stream's."""
+        return (
+            self.headers_complete
+            and self.get("content-length") is None
+            and "chunked" not in (self.get("transfer-encoding") or "").lower()
+        )
+
     def _flush_header(self):
         if not self.headers_complete:
             super()._flush_header()
@@ -292,11 +370,11 @@
                 raise AbandonedError("the caller has gone") from None
 
 
-def _check_echo(response, headers):
+def _check_echo(response, headers, echoed_headers):
     """Refuse an answer that names another request than the one it should be for."""
     for name, sent in headers:
         lower = name.lower()
-        if sent and lower in ECHOED_HEADERS and response.get(lower, sent) != sent:
+        if sent and lower in echoed_headers and response.get(lower, sent) != sent:
             raise HTTPParseError(f"answer names another request in {name}")
 
 
@@ -328,7 +406,9 @@
         raise ValueError("invalid method")
     if not _TARGET.match(target):
         raise ValueError("invalid request target")
-    lines = [f"{method} {target} HTTP/1.1\r\nHost: {host}\r\n"]
+    lines = [f"{method} {target} HTTP/1.1\r\n"]
+    if not any(name.lower() == "host" for name, _ in headers):
+        lines.append(f"Host: {host}\r\n")
     for name, value in headers:
         if not _TOKEN.match(name) or not _VALUE.match(value):
             raise ValueError(f"invalid header {name!r}")
--- a/src/tarragonramp/adapters/metrics.py
+++ b/src/tarragonramp/adapters/metrics.py
@@ -19,7 +19,7 @@
 from prometheus_client.exposition import CONTENT_TYPE_LATEST
 
 from ..meters import BOUNDS_MS
-from .process import resident_bytes
+from .usage import resident_bytes
 
 __all__ = ["Metrics"]
 
--- a/src/tarragonramp/adapters/serving.py
+++ b/src/tarragonramp/adapters/serving.py
@@ -8,8 +8,8 @@
 import gevent
 
 from ..meters import kind_of
-from .process import mark_request_path
-from .web import SOCKET_KEY, WebHandler, WebServer
+from .usage import mark_request_path
+from .web import ARRIVED_KEY, SOCKET_KEY, WebHandler, WebServer
 
 __all__ = ["DaemonServer", "Drained"]
 
@@ -49,6 +49,7 @@
     busy = False
     hung_up = False
     idle_since_ms = 0.0
+    arrived_ms = 0.0
 
     def handle(self):
         """Serve the connection until it ends."""
@@ -63,11 +64,13 @@
         """Wait for the next request."""
         line = super().read_requestline()
         self.busy = bool(line)
+        self.arrived_ms = self.server.clock.now_ms()
         return line
 
     def get_environ(self):
         """Return the WSGI environment of a request."""
         environ = super().get_environ()
+        environ[ARRIVED_KEY] = self.arrived_ms
         if self.hung_up:
             # The end of the stream that the socket shows is of this side's making.
             del environ[SOCKET_KEY]
--- a/src/tarragonramp/adapters/web.py
+++ b/src/tarragonramp/adapters/web.py
@@ -2,9 +2,11 @@
 
 import json
 import re
+import select
 import socket
 
 import gevent
+from gevent import monkey
 from gevent.pywsgi import Input, WSGIHandler, WSGIServer, unquote_latin1
 
 from ..errors import AddressError, RequestError
@@ -13,6 +15,7 @@
 from .http import split_address
 
 __all__ = [
+    "ARRIVED_KEY",
     "HEADERS_KEY",
     "REASONS",
     "TARGET_KEY",
@@ -23,6 +26,10 @@
 ]
 
 BACKLOG = 1024
+
+# The library's own waits for the loop; this one only looks.
+_poll = monkey.get_original("select", "poll")
+_GONE = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 REASONS = {
     200: "200 OK",
     201: "201 Created",
@@ -48,10 +55,12 @@
 JOINED_BYTES = 16_384
 
 # Beside the usual WSGI keys: header lines as (lower-case name, value) in the caller's
-# order, the request target as it was sent, and the caller's socket.
+# order, the request target as it was sent, the caller's socket, and when the request
+# arrived (milliseconds on the server's clock; only of servers that have one).
 HEADERS_KEY = "tarragon.headers"
 TARGET_KEY = "tarragon.target"
 SOCKET_KEY = "tarragon.socket"
+ARRIVED_KEY = "tarragon.arrived_ms"
 
 # An unread body is read this far before the connection is closed, since a close with
 # bytes unread resets the connection and can take the answer with it.
@@ -347,16 +356,14 @@
     sock = environ.get(SOCKET_KEY)
     if sock is None:
         return False
-    timeout_s = sock.gettimeout()
-    sock.settimeout(0)
+    # Asked for its state and not for its bytes: a caller may have sent a further
+    # request behind this one and then gone, and only reading past it would show that.
+    poll = _poll()
     try:
-        return not sock.recv(1, socket.MSG_PEEK)
-    except BlockingIOError:
-        return False
-    except OSError:
+        poll.register(sock.fileno(), _GONE)
+    except (OSError, ValueError):
         return True
-    finally:
-        sock.settimeout(timeout_s)
+    return bool(poll.poll(0))
 
 
 def json_reply(start_response, status, payload):
--- /dev/null
+++ b/src/tarragonramp/balancing.py
@@ -0,0 +1,334 @@
+"""Which backend server a request goes to, and whether it is sent at all.
+
+Pure decisions on what one daemon has seen: its own requests under way, and what
+servers said of their load with their latest answers. Nothing here sends or waits.
+"""
+
+import math
+import random
+
+import attrs
+
+__all__ = ["Chosen", "LoadReport", "Loads", "Refused", "Wanted"]
+
+MEAN_WEIGHT = 0.15
+"""Weight of the newest answer in a server's mean: some ten answers move it, so that one
+long piece of work among short ones does not look like a slow server."""
+
+ROUTE_WEIGHT = 0.05
+"""Weight of the newest answer in a route's mean, which all its servers share."""
+
+REPORT_MS = 400.0
+"""Age at which a load report counts for half. Load: other daemons' requests at the
+same server, which end within some hundred milliseconds. Harm prevented: passing over
+a server for work that has long been done."""
+
+FORGET_MS = 2500.0
+"""Time in which half of what is held against a server without answers is forgotten.
+Load: a server slowed by a neighbour for seconds. Harm prevented: never finding out
+that it is quick again, as nobody asks it."""
+
+FAILURE_MS = 1000.0
+"""How long a server is passed over after a connection failed, while others are there.
+Load: a server that is gone. Harm prevented: each request trying it first. A second
+finds one that is back soon enough."""
+
+AWAY_COST = 0.35
+"""What a server of another failure domain costs, as part of the request's usual time.
+Load: calm times. Harm prevented: bytes between failure domains, which are paid for.
+A third of the usual time keeps work at home until home has about one more waiting."""
+
+LATE_SHARE = 0.95
+"""Part of the time left that the expected answer may take. Load: bursts. Harm
+prevented: work for callers that give up before it is done."""
+
+LOWER_QUEUE = 0.6
+"""Part of the room for waiting that is open to all but the most urgent requests of a
+service. Load: more requests than the servers can take. Harm prevented: claims refused
+because lookups came first."""
+
+MIN_RETRY_S = 0.05
+MAX_RETRY_S = 5.0
+FIRST_WORK_MS = 150.0
+
+
+@attrs.frozen
+class LoadReport:
+    """What a server says of its load with an answer.
+
+    Parameters
+    ----------
+    running, waiting, slots : float
+        Requests from all callers together.
+    slowness : float
+        How long work takes there at this moment; 1 as usual.
+    """
+
+    running: float
+    waiting: float
+    slots: float
+    slowness: float = 1.0
+
+
+@attrs.frozen
+class Wanted:
+    """What a request needs.
+
+    Parameters
+    ----------
+    route : str
+        Requests of one route are alike in how long they take.
+    left_ms : float
+        Until the caller or the route gives up.
+    target_left_ms : float
+        Until the answer loses most of its value; may be past.
+    urgent : bool
+        Whether no other route of the service is more urgent.
+    """
+
+    route: str
+    left_ms: float
+    target_left_ms: float
+    urgent: bool = True
+
+
+@attrs.frozen
+class Chosen:
+    """The server that a request goes to.
+
+    Parameters
+    ----------
+    server : BackendServer
+    expected_ms : float
+        Until its answer, waiting included.
+    wait_ms : float
+        Until it is expected to begin.
+    """
+
+    server: object
+    expected_ms: float
+    wait_ms: float = 0.0
+
+
+@attrs.frozen
+class Refused:
+    """Why no server gets a request, and when to come back."""
+
+    reason: str
+    retry_after_s: float
+
+
+@attrs.define(eq=False)
+class _Seen:
+    """What one daemon has seen of one server."""
+
+    in_flight: int = 0
+    speed: float = 1.0
+    failures: float = 0.0
+    report: object = None
+    report_ms: float = -math.inf
+    own_at_report: int = 0
+    changed_ms: float = -math.inf
+    passed_over_until_ms: float = -math.inf
+
+    def others(self, now_ms):
+        """Requests of other daemons that are probably there now."""
+        if self.report is None:
+            return 0.0
+        at_report = self.report.running + self.report.waiting - self.own_at_report
+        age = (now_ms - self.report_ms) / REPORT_MS
+        return max(0.0, at_report) * 0.5**age
+
+    def decayed(self, value, calm, now_ms):
+        """Return a mean that moves back to calm while nothing is heard."""
+        age = max(0.0, now_ms - self.changed_ms) / FORGET_MS
+        return calm + (value - calm) * 0.5**age
+
+
+@attrs.define(eq=False, repr=False)
+class Loads:
+    """What one daemon knows of the load of all servers.
+
+    Parameters
+    ----------
+    failure_domain : str
+        The daemon's own.
+    rng : random.Random
+    """
+
+    failure_domain: str
+    rng: random.Random = attrs.Factory(random.Random)
+    _seen: dict = attrs.Factory(dict)
+    _work_ms: dict = attrs.Factory(dict)
+
+    def choose(self, servers, wanted, now_ms):
+        """Choose the server from which the answer should come first, or none.
+
+        Load: servers whose speed differs two or three times, and that slow down for
+        moments. Harm prevented: a queue before a slow server beside idle quick ones;
+        and requests queued where they cannot be answered in time.
+
+        Parameters
+        ----------
+        servers : sequence of BackendServer
+        wanted : Wanted
+        now_ms : float
+
+        Returns
+        -------
+        choice : Chosen or Refused
+        """
+        usable = [s for s in servers if not self.is_passed_over(s.name, now_ms)]
+        usable = usable or list(servers)
+        if not usable:
+            return Refused("no server", 0.5)
+        work_ms = self.work_ms(wanted.route)
+        best, best_cost, best_ms = None, math.inf, math.inf
+        for server in usable:
+            expected_ms = self.expected_ms(server, wanted.route, now_ms)
+            cost = expected_ms * (1.0 + 0.1 * self.rng.random())
+            if server.failure_domain != self.failure_domain:
+                cost += AWAY_COST * work_ms
+            if cost < best_cost:
+                best, best_cost, best_ms = server, cost, expected_ms
+        wait_ms = self.wait_ms(best, wanted.route, now_ms)
+        if not self._is_worth(wanted, wait_ms, best_ms):
+            return Refused("servers are busy", self._retry_after_s(wait_ms, work_ms))
+        return Chosen(best, best_ms, wait_ms)
+
+    def expected_ms(self, server, route, now_ms):
+        """Return how long an answer from a server should take, waiting included."""
+        seen = self._of(server.name)
+        work_ms = self._server_work_ms(seen, route, now_ms)
+        failures = min(0.9, seen.decayed(seen.failures, 0.0, now_ms))
+        wait_ms = self.wait_ms(server, route, now_ms)
+        return (work_ms + wait_ms) / (1.0 - failures)
+
+    def wait_ms(self, server, route, now_ms):
+        """Return how long a request would wait for one of a server's slots."""
+        seen = self._of(server.name)
+        ahead = self.in_hand(server.name, now_ms) - server.slots + 1.0
+        if ahead <= 0:
+            return 0.0
+        return ahead * self._server_work_ms(seen, route, now_ms) / server.slots
+
+    def in_hand(self, name, now_ms):
+        """Return how many requests a server probably has, from all daemons."""
+        seen = self._of(name)
+        return seen.in_flight + seen.others(now_ms)
+
+    def in_flight(self, name):
+        """Return how many requests of this daemon a server has."""
+        return self._of(name).in_flight
+
+    def is_passed_over(self, name, now_ms):
+        """Tell whether a server failed a moment ago."""
+        return self._of(name).passed_over_until_ms > now_ms
+
+    def work_ms(self, route):
+        """Return how long a server of usual speed works on a request of a route."""
+        return self._work_ms.get(route, FIRST_WORK_MS)
+
+    def sent(self, name):
+        """Take in that a request was sent to a server."""
+        self._of(name).in_flight += 1
+
+    def answered(self, chosen, route, took_ms, report, now_ms):
+        """Take in an answer of a request that ran.
+
+        Parameters
+        ----------
+        chosen : Chosen
+            As it was chosen.
+        route : str
+        took_ms : float
+        report : LoadReport or None
+        now_ms : float
+        """
+        seen = self._done(chosen.server.name, report, now_ms)
+        speed = seen.decayed(seen.speed, 1.0, now_ms)
+        # Waiting and work can't be told apart, so both are taken to have been off by
+        # the same factor.
+        expected_ms = max(1.0, chosen.wait_ms + self.work_ms(route) * speed)
+        ratio = min(4.0, max(0.25, took_ms / expected_ms))
+        seen.speed = min(20.0, max(0.1, speed * ratio**MEAN_WEIGHT))
+        seen.failures = seen.decayed(seen.failures, 0.0, now_ms) * (1.0 - MEAN_WEIGHT)
+        seen.changed_ms = now_ms
+        if not chosen.wait_ms:
+            usual_ms = self._work_ms.get(route, took_ms)
+            own_ms = took_ms / speed
+            self._work_ms[route] = usual_ms + ROUTE_WEIGHT * (own_ms - usual_ms)
+
+    def shed(self, name, report, now_ms):
+        """Take in that a server refused a request without running it."""
+        seen = self._done(name, report, now_ms)
+        self._note_failure(seen, now_ms)
+
+    def failed(self, name, now_ms, at_connect=False):
+        """Take in that an exchange failed; whether not even a connection came up."""
+        seen = self._done(name, None, now_ms)
+        self._note_failure(seen, now_ms)
+        if at_connect:
+            seen.passed_over_until_ms = now_ms + FAILURE_MS
+
+    def cancelled(self, name):
+        """Take in that nobody waits for an answer any more."""
+        self._of(name).in_flight -= 1
+
+    def forget(self, names):
+        """Forget all servers but some, and those with requests under way."""
+        for name in set(self._seen) - set(names):
+            if not self._seen[name].in_flight:
+                del self._seen[name]
+
+    def _is_worth(self, wanted, wait_ms, expected_ms):
+        """Tell whether a request should be sent although it may have to wait.
+
+        An answer after its target is worth a fraction, and the time it takes is
+        missing to others; but a request that would not wait at all costs nobody.
+        """
+        if expected_ms > wanted.left_ms * LATE_SHARE and wait_ms > 0:
+            return False
+        if wait_ms <= 0:
+            return True
+        room_ms = wanted.target_left_ms * LATE_SHARE - (expected_ms - wait_ms)
+        if not wanted.urgent:
+            room_ms *= LOWER_QUEUE
+        return wait_ms <= room_ms
+
+    def _retry_after_s(self, wait_ms, work_ms):
+        """Return when a refused caller should come back: when the queue has drained.
+
+        Load: many refused at once. Harm prevented: all of them coming back at once,
+        so it is spread over as long again.
+        """
+        retry_s = max(wait_ms, work_ms / 2) * (0.5 + self.rng.random()) / 1000.0
+        return min(MAX_RETRY_S, max(MIN_RETRY_S, retry_s))
+
+    def _of(self, name):
+        seen = self._seen.get(name)
+        if seen is None:
+            seen = self._seen[name] = _Seen()
+        return seen
+
+    def _done(self, name, report, now_ms):
+        seen = self._of(name)
+        seen.in_flight -= 1
+        if report is not None:
+            seen.report, seen.report_ms = report, now_ms
+            # The answered request is counted in the report no more.
+            seen.own_at_report = seen.in_flight
+        return seen
+
+    def _note_failure(self, seen, now_ms):
+        failures = seen.decayed(seen.failures, 0.0, now_ms)
+        seen.failures = failures + 0.25 * (1.0 - failures)
+        seen.changed_ms = now_ms
+
+    def _server_work_ms(self, seen, route, now_ms):
+        speed = seen.decayed(seen.speed, 1.0, now_ms)
+        if seen.report is not None:
+            # Of this very moment only: it changes many times a second.
+            age = (now_ms - seen.report_ms) / (REPORT_MS / 2)
+            speed *= 1.0 + (seen.report.slowness - 1.0) * 0.5**age
+        return self.work_ms(route) * speed
--- a/src/tarragonramp/clock.py
+++ b/src/tarragonramp/clock.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-__all__ = ["Clock", "ManualClock"]
+__all__ = ["Clock", "ManualClock", "SuspendAwareClock"]
 
 
 class Clock:
@@ -23,6 +23,18 @@
         return time.monotonic() * 1000.0
 
 
+class SuspendAwareClock(Clock):
+    """A clock that goes on while the VM is suspended.
+
+    The monotonic clock stands still meanwhile: a daemon that wakes would take a right
+    that has long ended for one that is still good.
+    """
+
+    def now_ms(self):
+        """Return milliseconds since an arbitrary start."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME) * 1000.0
+
+
 @attrs.define
 class ManualClock(Clock):
     """A clock that moves only when told to.
--- /dev/null
+++ b/src/tarragonramp/cold.py
@@ -0,0 +1,80 @@
+"""How much each daemon may send to a cold server. Pure decisions.
+
+A server in a cold start bears a few requests a second from all daemons together, and
+falls over beyond. Daemons that do not talk to each other have to keep within that.
+"""
+
+import collections
+
+import attrs
+import xxhash
+
+__all__ = ["ColdShares"]
+
+USED_SHARE = 0.8
+"""Part of the bound that is used. Load: daemons that see the number of daemons change
+at different moments. Harm prevented: one more sender than there should be."""
+
+WINDOW_MS = 1250.0
+"""Longer than the second in which servers count: messages sent apart may arrive close
+together."""
+
+UNKNOWN_DAEMONS = 16
+"""How many daemons a daemon counts with before it has heard how many there are."""
+
+
+@attrs.define(eq=False, repr=False)
+class ColdShares:
+    """This daemon's share of what cold servers bear.
+
+    Load: a failure domain comes back, all its servers cold, while callers press. Harm
+    prevented: servers that fall over and begin their cold start anew. Where the bound
+    is less than one request a daemon, only some daemons send to a server, chosen by a
+    hash of both names, so that all agree without a word.
+
+    Parameters
+    ----------
+    name : str
+        Of this daemon.
+    """
+
+    name: str
+    _sent_ms: dict = attrs.Factory(dict)
+
+    def take(self, server, bound_per_s, daemons, now_ms):
+        """Take one request's place at a cold server, if there is one.
+
+        Parameters
+        ----------
+        server : str
+        bound_per_s : float
+            What the server bears in any second, from all daemons together.
+        daemons : sequence of str
+            Names of all daemons; empty if they are not known.
+        now_ms : float
+
+        Returns
+        -------
+        taken : bool
+        """
+        room = int(bound_per_s * USED_SHARE)
+        n_daemons = max(len(daemons), 1) if daemons else UNKNOWN_DAEMONS
+        each = room // n_daemons
+        if not each:
+            if not daemons or not self._is_sender(server, daemons, room):
+                return False
+            each = 1
+        sent = self._sent_ms.setdefault(server, collections.deque())
+        while sent and sent[0] <= now_ms - WINDOW_MS:
+            sent.popleft()
+        if len(sent) >= each:
+            return False
+        sent.append(now_ms)
+        return True
+
+    def _is_sender(self, server, daemons, n_senders):
+        def rank(daemon):
+            return xxhash.xxh64_intdigest(f"{server} {daemon}")
+
+        mine = rank(self.name)
+        return sum(rank(daemon) < mine for daemon in daemons) < n_senders
--- a/src/tarragonramp/daemon.py
+++ b/src/tarragonramp/daemon.py
@@ -33,8 +33,8 @@
 from .adapters.metrics import Metrics  # noqa: E402
 from .adapters.peers import GrpcPeers, PeerServer  # noqa: E402
 from .adapters.platform import HttpPlatform  # noqa: E402
-from .adapters.process import CpuMeter, LoopWatch  # noqa: E402
 from .adapters.serving import DaemonServer  # noqa: E402
+from .adapters.usage import CpuMeter, LoopWatch  # noqa: E402
 from .clock import Clock  # noqa: E402
 from .credentials import Secrets  # noqa: E402
 from .errors import AddressError  # noqa: E402
--- a/src/tarragonramp/errors.py
+++ b/src/tarragonramp/errors.py
@@ -11,11 +11,15 @@
     "AddressError",
     "ConflictError",
     "DocumentError",
+    "EntryError",
     "ExchangeError",
     "FaultsError",
+    "HistoryGoneError",
     "NotFoundError",
     "NotSentError",
     "OvertakenError",
+    "OvertakenGrantError",
+    "PlatformBusyError",
     "PlatformError",
     "PlatformNotSentError",
     "PlatformUnreachableError",
@@ -76,6 +80,10 @@
     """
 
 
+class OvertakenGrantError(ExchangeError):
+    """A server refused a grant: it has seen a higher fencing token."""
+
+
 class AbandonedError(UnansweredError):
     """The exchange was cancelled because nobody waits for its answer any more."""
 
@@ -92,6 +100,18 @@
     """No byte of the call left this process: a write did not run."""
 
 
+class PlatformBusyError(PlatformNotSentError):
+    """The platform turned the call away: nothing was done."""
+
+
+class HistoryGoneError(PlatformError):
+    """The changes since a version are no longer known; read everything anew."""
+
+
+class EntryError(PlatformError):
+    """An object that another writer made and that can't be understood."""
+
+
 class NotFoundError(PlatformError):
     """The object does not exist."""
 
--- /dev/null
+++ b/src/tarragonramp/fleet.py
@@ -0,0 +1,372 @@
+"""The daemon of a fleet whose servers check fencing tokens and register themselves."""
+
+import signal
+import sys
+import uuid
+
+import attrs
+import gevent
+import logbook
+from gevent.event import Event
+from returns.pipeline import is_successful
+
+from .adapters.fleet_peers import FleetPeers, PeerApplication
+from .adapters.http import HttpPools
+from .adapters.logs import log_event, log_lines_suppressed, set_up_logs
+from .adapters.metrics import Metrics
+from .adapters.pipelining import PipeliningServer
+from .adapters.serving import DaemonServer
+from .adapters.usage import CpuMeter
+from .adapters.web import json_reply
+from .balancing import Loads
+from .clock import SuspendAwareClock
+from .cold import ColdShares
+from .errors import AddressError
+from .fleet_view import FleetView
+from .meters import RequestMeter, TrafficMeter
+from .roles.follower import FOLLOWED_KINDS, Follower
+from .roles.granter import Granter
+from .roles.leadership import Leadership
+from .roles.router import Router
+from .roles.tasks import keep_running, task_failures
+from .settings import Limits
+
+__all__ = ["FleetBounds", "FleetDaemon", "FleetPorts", "FleetSettings", "run_daemon"]
+
+EXIT_ADDRESS = 1
+
+UNREADY_MS = 2600.0
+"""How long a stopping daemon is not ready and still takes connections: callers are
+sent here until two looks a second apart have found it not ready."""
+
+LEAST_DRAIN_MS = 500.0
+GRACE_MARGIN_MS = 400.0
+"""Left of the time before a stopping process is killed, for its own end."""
+
+IDLE_ON_STOP_MS = 100.0
+SERVER_IDLE_MS = 6000.0
+"""How long a connection to a server is kept unused. Servers close theirs after some
+ten seconds, and a request sent at that moment would be lost."""
+
+SERVER_CONNECT_MS = 700.0
+UNSENT_MS = 1500.0
+"""How long the kernel tries to deliver what a server does not acknowledge."""
+
+HEADER_LINES = 100
+
+
+@attrs.frozen
+class FleetBounds:
+    """What the users of a fleet ask of every daemon, in ms where a name says so.
+
+    Parameters
+    ----------
+    drain_ms : float
+        How long a server that leaves may still be sent requests.
+    grace_ms : float
+        Between the signal to stop and the kill.
+    longest_hold_ms : float
+        Longest time that a server takes a grant for.
+    retry_window_ms, retry_ratio, retry_slack : float
+        Further sends allowed in a window, all daemons together.
+    cold_burst_factor, cold_slack : float
+        A cold server takes this factor of its rate, and so many more, in a second.
+    """
+
+    drain_ms: float = 2000.0
+    grace_ms: float = 6000.0
+    longest_hold_ms: float = 10_000.0
+    retry_window_ms: float = 10_000.0
+    retry_ratio: float = 0.2
+    retry_slack: float = 50.0
+    cold_burst_factor: float = 1.5
+    cold_slack: float = 5.0
+
+
+@attrs.frozen
+class FleetSettings:
+    """Where a daemon runs and whom it asks; addresses are ``ip:port``.
+
+    Parameters
+    ----------
+    name, failure_domain : str
+    caller_address, ready_address, peer_address : str
+        Where it serves callers, the balancer's question, and other daemons.
+    platform_address : str
+    bounds : FleetBounds
+    """
+
+    name: str
+    failure_domain: str
+    caller_address: str
+    ready_address: str
+    peer_address: str
+    platform_address: str
+    bounds: FleetBounds = FleetBounds()
+
+
+@attrs.frozen
+class FleetPorts:
+    """What the daemon needs of the platform it runs on.
+
+    Parameters
+    ----------
+    store : Platform
+    grants : Grants
+    dialect : Dialect
+    read_server, read_manifest : callable
+        Decode what others wrote into a BackendServer and a Manifest; Results.
+    read_settings : callable
+        Reads the settings anew; a Result.
+    ready_path : str
+        What the balancer asks for.
+    """
+
+    store: object
+    grants: object
+    dialect: object
+    read_server: object
+    read_manifest: object
+    read_settings: object
+    ready_path: str
+
+
+@attrs.define(eq=False, repr=False)
+class FleetDaemon:
+    """One running daemon of a fleet.
+
+    Parameters
+    ----------
+    settings : FleetSettings
+    ports : FleetPorts
+    """
+
+    settings: FleetSettings
+    ports: FleetPorts
+    view: FleetView
+    follower: Follower
+    leadership: Leadership
+    granter: Granter
+    router: Router
+    requests: RequestMeter
+    clock: object
+    callers: object = None
+    ready: object = None
+    peers: object = None
+    is_ready: bool = False
+    stopped: Event = attrs.Factory(Event)
+
+    @classmethod
+    def from_config(cls, settings, ports):
+        """Join roles and adapters as the settings say."""
+        clock = SuspendAwareClock()
+        view = FleetView(clock)
+        peers = FleetPeers(view, settings.name)
+        leadership = Leadership(
+            settings.name,
+            uuid.uuid4().hex[:12],
+            settings.peer_address,
+            view,
+            ports.store,
+            peers,
+            clock,
+        )
+        requests = RequestMeter()
+        options = {
+            "echoed_headers": ports.dialect.echoed_headers,
+            "max_idle": 8,
+            "max_idle_ms": SERVER_IDLE_MS,
+            "takes_unframed": True,
+            "keepalive": True,
+            "connect_ms": SERVER_CONNECT_MS,
+        }
+        router = Router(
+            view,
+            Loads(settings.failure_domain),
+            ColdShares(settings.name),
+            HttpPools(32 << 20, unsent_ms=UNSENT_MS, options=options),
+            ports.dialect,
+            settings.bounds,
+            requests,
+            clock,
+        )
+        daemon = cls(
+            settings=settings,
+            ports=ports,
+            view=view,
+            follower=Follower(view, ports.store, peers, ports, clock),
+            leadership=leadership,
+            granter=Granter(view, leadership, ports.store, ports.grants, clock),
+            router=router,
+            requests=requests,
+            clock=clock,
+        )
+        daemon._add_servers()
+        return daemon
+
+    def _add_servers(self):
+        settings, clock = self.settings, self.clock
+        self.callers = PipeliningServer(settings.caller_address, self.router, clock)
+        self.ready = DaemonServer(
+            settings.ready_address, self._say_ready, clock, TrafficMeter()
+        )
+        application = PeerApplication(
+            self.leadership, self.follower, self._metrics().page
+        )
+        self.peers = DaemonServer(
+            settings.peer_address, application, clock, TrafficMeter()
+        )
+
+    def run(self):
+        """Serve until a signal says stop, then drain."""
+        self.ready.start()
+        self.peers.start()
+        for kind in FOLLOWED_KINDS:
+            keep_running(lambda kind=kind: self.follower.run(kind))
+        keep_running(self.follower.run_missing)
+        leading = keep_running(self.leadership.run)
+        keep_running(self.granter.run)
+        opening = keep_running(self._open)
+        keep_running(self._tidy)
+        self.stopped.wait()
+        gevent.killall([opening, leading])
+        self._drain()
+
+    def stop(self):
+        """Begin to drain; a second call changes nothing."""
+        log_event("daemon-told-to-stop", again=self.stopped.is_set())
+        self.stopped.set()
+
+    def reload(self):
+        """Read the settings anew; what can't be used leaves the old ones in force."""
+        loaded = self.ports.read_settings()
+        if not is_successful(loaded):
+            reason = "; ".join(map(str, loaded.failure().faults))
+            log_event("settings-refused", level=logbook.WARNING, reason=reason)
+            return
+        bounds = loaded.unwrap().bounds
+        self.router.bounds = bounds
+        self.settings = attrs.evolve(self.settings, bounds=bounds)
+        log_event("settings-reloaded")
+
+    def _open(self):
+        """Take callers once it is known where their requests go."""
+        while not self._knows_enough():
+            self.view.wait(500.0)
+        self._follow_limits()
+        self.callers.start()
+        self.is_ready = True
+        log_event("daemon-ready", boot_id=self.leadership.boot_id)
+        while True:
+            self.view.wait(60_000.0)
+            self._follow_limits()
+
+    def _knows_enough(self):
+        manifest = self.view.manifest
+        if manifest is None or not self.follower.is_synced:
+            return False
+        divided = [name for name, s in manifest.services.items() if s.divided]
+        return all(name in self.view.tables for name in divided)
+
+    def _follow_limits(self):
+        limits = self.view.manifest.limits
+        wanted = Limits(
+            header_line_bytes=min(limits.header_bytes, 65_536),
+            header_block_bytes=limits.header_bytes,
+            header_count=HEADER_LINES,
+            idle_ms=int(limits.idle_timeout_ms),
+            body_bytes=limits.body_bytes,
+        )
+        if wanted != self.callers.limits:
+            self.callers.limits = wanted
+
+    def _tidy(self):
+        """Forget now and then what is known of servers that are gone."""
+        while True:
+            gevent.sleep(10.0)
+            self.router.loads.forget(self.view.directory.servers)
+
+    def _say_ready(self, environ, start_response):
+        if environ["PATH_INFO"] != self.ports.ready_path:
+            return json_reply(start_response, 404, {})
+        return json_reply(start_response, 200 if self.is_ready else 503, {})
+
+    def _drain(self):
+        """Leave in the order that costs callers nothing.
+
+        First not ready while still serving, so that no new callers are sent here; then
+        each answer closes its connection; then what is held is finished.
+        """
+        began_ms = self.clock.now_ms()
+        was_ready, self.is_ready = self.is_ready, False
+        log_event("daemon-draining", was_ready=was_ready)
+        gevent.spawn(self.leadership.resign)
+        self.callers.leave()
+        if was_ready:
+            gevent.sleep(UNREADY_MS / 1000.0)
+        end_ms = began_ms + self.settings.bounds.grace_ms - GRACE_MARGIN_MS
+        left_ms = max(LEAST_DRAIN_MS, end_ms - self.clock.now_ms())
+        drained = self.callers.drain(IDLE_ON_STOP_MS, left_ms)
+        log_event("daemon-stopped", requests_cut=drained.cut)
+
+    def _metrics(self):
+        metrics = Metrics(self.settings.name, self.requests, TrafficMeter(), CpuMeter())
+        count, gauge = metrics.add_counter, metrics.add_gauge
+        gauge("ready", "1 if callers may be sent here.", lambda: int(self.is_ready))
+        gauge("leads", "1 if it gives out keys.", lambda: int(self.leadership.leads))
+        gauge("daemons", "Daemons heard of.", lambda: len(self.view.daemons))
+        gauge(
+            "servers",
+            "Backend servers known.",
+            lambda: len(self.view.directory.servers),
+        )
+        gauge("manifest.version", "Manifest in force.", self._manifest_version)
+        gauge(
+            "store.failing",
+            "Kinds of objects that can't be followed.",
+            lambda: len(self.follower.failing_since_ms),
+        )
+        count("grants", "Grants sent.", lambda: self.granter.n_grants)
+        count("moves", "Ranges moved.", lambda: self.granter.n_moves)
+        count("handovers", "Moves with handover.", lambda: self.granter.n_handovers)
+        count(
+            "store.calls",
+            "Calls to the store.",
+            lambda: self.ports.store.calls,
+            "purpose",
+        )
+        count("refusals", "Failed tries and refusals.", self._reasons, "reason")
+        count("tasks.failures", "Failed rounds of a task.", task_failures, "task")
+        count("log.lines_suppressed", "Log lines left out.", log_lines_suppressed)
+        return metrics
+
+    def _manifest_version(self):
+        return self.view.manifest.version if self.view.manifest else 0
+
+    def _reasons(self):
+        return {f"{service}: {why}": n for (service, why), n in self._counts()}
+
+    def _counts(self):
+        return list(self.router.counts.items())
+
+
+def run_daemon(settings, ports):
+    """Run a daemon until it is told to stop; return the exit code.
+
+    Parameters
+    ----------
+    settings : FleetSettings
+    ports : FleetPorts
+    """
+    set_up_logs(settings.name, "info", sys.stdout)
+    log_event("daemon-starting", domain=settings.failure_domain)
+    try:
+        daemon = FleetDaemon.from_config(settings, ports)
+    except AddressError as error:
+        log_event("daemon-not-started", error=error)
+        return EXIT_ADDRESS
+    for number in (signal.SIGTERM, signal.SIGINT):
+        gevent.signal_handler(number, daemon.stop)
+    gevent.signal_handler(signal.SIGHUP, daemon.reload)
+    daemon.run()
+    return 0
--- /dev/null
+++ b/src/tarragonramp/fleet_view.py
@@ -0,0 +1,95 @@
+"""What one daemon knows of the fleet: routes, servers, owners and daemons."""
+
+import attrs
+from gevent.event import Event
+
+from .directory import Directory
+from .manifest import FleetService
+
+__all__ = ["FleetView"]
+
+
+@attrs.define(eq=False, repr=False)
+class FleetView:
+    """State that the roles of one daemon share.
+
+    Versions only go up: whatever is older than what is here is left out.
+
+    Parameters
+    ----------
+    clock : Clock
+    routes : RouteTable or None
+        None until a manifest has been read.
+    tables : dict of str to RangeTable
+        By service.
+    daemons : dict of str to str
+        Addresses of all daemons heard of lately, by name.
+    leader_address : str
+        Where the daemon that gives out keys is asked; empty if unknown.
+    """
+
+    clock: object
+    directory: Directory = attrs.field(init=False)
+    routes: object = None
+    tables: dict = attrs.Factory(dict)
+    daemons: dict = attrs.Factory(dict)
+    leader_address: str = ""
+    servers_read: bool = False
+    heat: dict = attrs.Factory(dict)
+    _table_versions: dict = attrs.Factory(dict)
+    _changed: Event = attrs.Factory(Event)
+
+    def __attrs_post_init__(self):
+        """Begin with no servers."""
+        self.directory = Directory(self.clock)
+
+    @property
+    def manifest(self):
+        """The manifest in force, or None."""
+        return self.routes.manifest if self.routes else None
+
+    def service(self, name):
+        """Return the FleetService of a name; one with defaults if it is unknown."""
+        found = self.manifest.services.get(name) if self.manifest else None
+        return found or FleetService(name)
+
+    def take_routes(self, routes):
+        """Take in a manifest's routes; False if they are not newer."""
+        current = self.manifest
+        if current is not None and routes.manifest.version <= current.version:
+            return False
+        self.routes = routes
+        self.wake()
+        return True
+
+    def take_table(self, table, version):
+        """Take in who owns a service's keys; False if it is not newer."""
+        if version <= self._table_versions.get(table.service, 0):
+            return False
+        self.tables[table.service] = table
+        self._table_versions[table.service] = version
+        self.wake()
+        return True
+
+    def table_version(self, service):
+        """Return the store's version of a service's table; 0 if there is none."""
+        return self._table_versions.get(service, 0)
+
+    def note_request(self, service, first):
+        """Count a request for the range of keys that begins at ``first``."""
+        counts = self.heat.setdefault(service, {})
+        counts[first] = counts.get(first, 0) + 1
+
+    def take_heat(self):
+        """Return the counts of requests since the last call, and begin anew."""
+        heat, self.heat = self.heat, {}
+        return heat
+
+    def wait(self, timeout_ms):
+        """Wait until something changes; for the given time at most."""
+        self._changed.wait(max(0.0, timeout_ms) / 1000.0)
+
+    def wake(self):
+        """Let everybody who waits for a change look again."""
+        changed, self._changed = self._changed, Event()
+        changed.set()
--- /dev/null
+++ b/src/tarragonramp/ranges.py
@@ -0,0 +1,155 @@
+"""Who owns which keys: ranges of numeric keys with owners and fencing tokens."""
+
+import bisect
+
+import attrs
+
+__all__ = ["KeyRange", "RangeTable"]
+
+GAP = 2
+"""By how much a move raises the token. The one between fences the old owner: given to
+it before its release, it makes the server refuse grants of the old token that are
+still on their way."""
+
+
+@attrs.frozen
+class KeyRange:
+    """Neighbouring keys with one owner.
+
+    Parameters
+    ----------
+    first, last : int
+        Both inclusive.
+    owner : str
+        Empty while nobody has been given the keys.
+    life : int
+        The owner's life.
+    token : int
+        Fencing token of the latest owner, or of the one it is moving to.
+    old_owner, old_life, old_token : str, int, int
+        Set while the range is on its way from an earlier owner, which may still
+        hold it.
+    """
+
+    first: int
+    last: int
+    owner: str = ""
+    life: int = 0
+    token: int = 0
+    old_owner: str = ""
+    old_life: int = 0
+    old_token: int = 0
+
+    @property
+    def is_moving(self):
+        """Whether an earlier owner may still hold the keys."""
+        return bool(self.old_owner)
+
+    @property
+    def n_keys(self):
+        """How many keys there are."""
+        return self.last - self.first + 1
+
+    def moved_to(self, owner, life):
+        """Return the range on its way to another owner.
+
+        A range that is on its way already keeps its earlier owner as the one to
+        release, and gets a token above the one that may have been given out.
+        """
+        return KeyRange(
+            self.first,
+            self.last,
+            owner,
+            life,
+            self.token + GAP,
+            self.owner,
+            self.life,
+            self.token,
+        )
+
+    def settled(self):
+        """Return the range with its earlier owner forgotten."""
+        return attrs.evolve(self, old_owner="", old_life=0, old_token=0)
+
+
+@attrs.define(eq=False, repr=False)
+class RangeTable:
+    """The ranges of one service, in the order of their keys.
+
+    Parameters
+    ----------
+    service : str
+    ranges : tuple of KeyRange
+    addresses : dict of str to str
+        Where the owners are, also those whose entries are gone.
+    """
+
+    service: str
+    ranges: tuple[KeyRange, ...] = ()
+    addresses: dict = attrs.Factory(dict)
+    _firsts: list = attrs.field(init=False)
+
+    def __attrs_post_init__(self):
+        """Index the ranges."""
+        self._firsts = [item.first for item in self.ranges]
+
+    def find(self, key):
+        """Return the KeyRange of a key, or None."""
+        at = bisect.bisect_right(self._firsts, key) - 1
+        if at < 0 or self.ranges[at].last < key:
+            return None
+        return self.ranges[at]
+
+    def with_ranges(self, changed, addresses=()):
+        """Return a table in which some ranges are replaced by newer ones.
+
+        Parameters
+        ----------
+        changed : iterable of KeyRange
+        addresses : dict of str to str
+            Of new owners.
+        """
+        by_first = {item.first: item for item in changed}
+        ranges = tuple(by_first.get(item.first, item) for item in self.ranges)
+        named = {n for r in ranges for n in (r.owner, r.old_owner)}
+        known = {**self.addresses, **dict(addresses)}
+        kept = {name: known[name] for name in named if name in known}
+        return RangeTable(self.service, ranges, kept)
+
+    def to_spec(self):
+        """Return the table as plain data for the store."""
+        names = sorted({n for r in self.ranges for n in (r.owner, r.old_owner)})
+        index = {name: at for at, name in enumerate(names)}
+        rows = [
+            [r.first, r.last, index[r.owner], r.life, r.token]
+            + ([index[r.old_owner], r.old_life, r.old_token] if r.is_moving else [])
+            for r in self.ranges
+        ]
+        servers = [[name, self.addresses.get(name, "")] for name in names]
+        return {"service": self.service, "servers": servers, "ranges": rows}
+
+    @classmethod
+    def from_spec(cls, spec):
+        """Return the table that plain data of the store describe.
+
+        Raises
+        ------
+        ValueError
+            If they do not.
+        """
+        try:
+            names = [name for name, _ in spec["servers"]]
+            ranges = tuple(
+                KeyRange(
+                    row[0],
+                    row[1],
+                    names[row[2]],
+                    row[3],
+                    row[4],
+                    *((names[row[5]], row[6], row[7]) if len(row) > 5 else ()),
+                )
+                for row in spec["ranges"]
+            )
+            return cls(spec["service"], ranges, dict(spec["servers"]))
+        except (KeyError, IndexError, TypeError, ValueError) as error:
+            raise ValueError(f"no range table: {error!r}") from error
--- a/src/tarragonramp/request.py
+++ b/src/tarragonramp/request.py
@@ -21,6 +21,7 @@
     "deadline_ms",
     "end_to_end",
     "key_of",
+    "named_by_connection",
     "request_id",
 ]
 
@@ -221,7 +222,7 @@
     headers : list of (str, str)
         Names in lower case, without underscores.
     """
-    dropped = _REQUEST_DROPPED | _named_by_connection(headers)
+    dropped = _REQUEST_DROPPED | named_by_connection(headers)
     return [
         item
         for item in headers
@@ -242,7 +243,7 @@
     dropped = HOP_HEADERS
     if answer.header("Connection"):
         lower = [(name.lower(), value) for name, value in answer.headers]
-        dropped = HOP_HEADERS | _named_by_connection(lower)
+        dropped = HOP_HEADERS | named_by_connection(lower)
     echoed = False
     for name, value in answer.headers:
         lower_name = name.lower().replace("_", "-")
@@ -255,7 +256,8 @@
     return kept
 
 
-def _named_by_connection(headers):
+def named_by_connection(headers):
+    """Return the names of headers that a ``Connection`` header keeps to one hop."""
     named = set()
     for name, value in headers:
         if name == "connection" and value.lower() not in _PLAIN_CONNECTION:
--- /dev/null
+++ b/src/tarragonramp/roles/follower.py
@@ -0,0 +1,271 @@
+"""Keeps a daemon's view up with the store, or with its peers while the store fails."""
+
+import random
+
+import attrs
+import gevent
+import logbook
+from returns.pipeline import is_successful
+
+from ..adapters.logs import log_event
+from ..errors import HistoryGoneError
+from ..manifest import RouteTable
+from ..model import Stored
+from ..ranges import RangeTable
+
+__all__ = ["FOLLOWED_KINDS", "RANGES", "Follower"]
+
+MANIFEST, SERVER, EVACUATION, RANGES = "manifest", "server", "evacuation", "ramp-ranges"
+FOLLOWED_KINDS = (MANIFEST, SERVER, EVACUATION, RANGES)
+MANIFEST_NAME = "main"
+
+WATCH_MS = 25_000
+FIRST_PAUSE_MS, LAST_PAUSE_MS = 100.0, 800.0
+"""Between calls to a store that fails. The first is short, since most failures are
+single lost answers; the last is what a daemon may add to the load of a store that is
+coming back."""
+
+TROUBLE_MS = 6000.0
+"""How long after the store failed a server's entry that disappears may come back."""
+
+MASS_LOSS = 3
+"""As many entries that disappear at once point to an outage of the store that this
+daemon did not see; single servers leave one by one."""
+
+
+@attrs.define(eq=False, repr=False)
+class Follower:
+    """Follows the kinds of objects that a daemon's view is made of.
+
+    Parameters
+    ----------
+    view : FleetView
+    store : Platform
+        With ``snapshot`` and ``watch`` by kind.
+    peers : FleetPeers
+        Asked while the store fails.
+    ports : FleetPorts
+        Decodes what others write.
+    clock : Clock
+    """
+
+    view: object
+    store: object
+    peers: object
+    ports: object
+    clock: object
+    versions: dict = attrs.Factory(dict)
+    objects: dict = attrs.Factory(dict)
+    failing_since_ms: dict = attrs.Factory(dict)
+    _trouble_ms: float = float("-inf")
+    _unread: set = attrs.Factory(set)
+    _rng: random.Random = attrs.Factory(random.Random)
+
+    def run(self, kind):
+        """Follow one kind, for ever."""
+        pause_ms = FIRST_PAUSE_MS
+        while True:
+            if self._advance(kind):
+                pause_ms = FIRST_PAUSE_MS
+                continue
+            self._ask_peer(kind)
+            gevent.sleep(pause_ms * (0.5 + self._rng.random()) / 1000.0)
+            pause_ms = min(LAST_PAUSE_MS, pause_ms * 2)
+
+    def run_missing(self):
+        """Drop servers that did not come back after an outage, for ever."""
+        while True:
+            gevent.sleep(0.25)
+            for name in self.view.directory.drop_missing():
+                log_event("server-gone", server=name, reason="not back after outage")
+                self.view.wake()
+
+    @property
+    def is_synced(self):
+        """Whether everything was read at least once."""
+        return all(kind in self.versions for kind in FOLLOWED_KINDS)
+
+    def news(self, kind, since_version):
+        """Return ``(version, objects)`` of a kind if there is something newer."""
+        version = self.versions.get(kind, 0)
+        if version <= since_version:
+            return None
+        return version, list(self.objects[kind].values())
+
+    def _advance(self, kind):
+        version = self.versions.get(kind)
+        if version is None:
+            result = self.store.snapshot(kind)
+        else:
+            result = self.store.watch(kind, version, WATCH_MS)
+        if is_successful(result):
+            self._note_success(kind)
+            newer, items = result.unwrap()
+            if version is None:
+                self._replace(kind, newer, items)
+            else:
+                self._change(kind, newer, items)
+            return True
+        error = result.failure()
+        if isinstance(error, HistoryGoneError):
+            log_event("history-gone", kind=kind, version=version)
+            return self._reread(kind)
+        self._note_failure(kind, error)
+        return False
+
+    def _reread(self, kind):
+        result = self.store.snapshot(kind)
+        if not is_successful(result):
+            self._note_failure(kind, result.failure())
+            return False
+        self._replace(kind, *result.unwrap())
+        return True
+
+    def _ask_peer(self, kind):
+        since = self.versions.get(kind, 0)
+        news = self.peers.news(kind, since)
+        if news is None:
+            return
+        version, rows = news
+        items = [Stored(kind, *row) for row in rows]
+        log_event("news-from-peer", kind=kind, version=version)
+        self._replace(kind, version, items)
+
+    def _note_success(self, kind):
+        since_ms = self.failing_since_ms.pop(kind, None)
+        if since_ms is not None:
+            now_ms = self.clock.now_ms()
+            self._trouble_ms = now_ms
+            log_event("store-regained", kind=kind, after_ms=round(now_ms - since_ms))
+
+    def _note_failure(self, kind, error):
+        now_ms = self.clock.now_ms()
+        self._trouble_ms = now_ms
+        if kind not in self.failing_since_ms:
+            self.failing_since_ms[kind] = now_ms
+            log_event("store-lost", level=logbook.WARNING, kind=kind, reason=str(error))
+
+    def _may_return(self):
+        return self.clock.now_ms() < self._trouble_ms + TROUBLE_MS
+
+    def _replace(self, kind, version, items):
+        """Take in a whole list, unless it is older than what is known."""
+        if version < self.versions.get(kind, 0):
+            return
+        before = self.objects.get(kind, {})
+        self.versions[kind] = version
+        self.objects[kind] = {item.name: item for item in items}
+        gone = set(before) - set(self.objects[kind])
+        if kind == SERVER:
+            self._lose(gone)
+        for item in items:
+            if before.get(item.name) != item:
+                self._take(item)
+        if kind == EVACUATION:
+            self._take_evacuations()
+        if kind == SERVER:
+            self.view.servers_read = True
+        self.view.wake()
+
+    def _change(self, kind, version, items):
+        if version < self.versions[kind]:
+            return
+        self.versions[kind] = version
+        known, gone = self.objects[kind], set()
+        for item in items:
+            if item.spec is None:
+                if known.pop(item.name, None) is not None:
+                    gone.add(item.name)
+            else:
+                gone.discard(item.name)
+                known[item.name] = item
+                self._take(item)
+        if kind == SERVER:
+            self._lose(gone)
+        if kind == EVACUATION:
+            self._take_evacuations()
+        if items:
+            self.view.wake()
+
+    def _lose(self, names):
+        may_return = self._may_return() or len(names) >= MASS_LOSS
+        for name in names:
+            if name in self.view.directory.servers:
+                log_event("server-gone", server=name, may_return=may_return)
+            self.view.directory.lose(name, may_return)
+
+    def _take(self, item):
+        if item.kind == MANIFEST and item.name == MANIFEST_NAME:
+            self._take_manifest(item)
+        elif item.kind == SERVER:
+            self._take_server(item)
+        elif item.kind == RANGES:
+            self._take_ranges(item)
+
+    def _take_manifest(self, item):
+        result = self.ports.read_manifest(item.spec)
+        if not is_successful(result):
+            self._log_unread(item, result.failure())
+            return
+        manifest = result.unwrap()
+        if self.view.take_routes(RouteTable(manifest)):
+            log_event(
+                "manifest-in-force",
+                manifest=manifest.version,
+                routes=len(manifest.routes),
+                store_version=item.version,
+            )
+
+    def _take_server(self, item):
+        result = self.ports.read_server(item)
+        if not is_successful(result):
+            self._log_unread(item, result.failure())
+            return
+        server, directory = result.unwrap(), self.view.directory
+        before = directory.servers.get(server.name)
+        directory.take(server)
+        if before is None or before.life != server.life:
+            log_event(
+                "server-found",
+                server=server.name,
+                life=server.life,
+                service=server.service,
+                address=server.address,
+                domain=server.failure_domain,
+                cold_ms=round(server.cold_ms),
+                draining=server.draining,
+            )
+        elif before.draining != server.draining:
+            log_event("server-draining", server=server.name, draining=server.draining)
+
+    def _take_ranges(self, item):
+        try:
+            table = RangeTable.from_spec(item.spec)
+        except ValueError as error:
+            self._log_unread(item, error)
+            return
+        self.view.take_table(table, item.version)
+
+    def _take_evacuations(self):
+        domains = set(self.objects.get(EVACUATION, {}))
+        before = self.view.directory.evacuated
+        if domains == before:
+            return
+        self.view.directory.set_evacuated(
+            domains, lambda name: self.view.service(name).warmup_ms
+        )
+        log_event("domains-taken-out", domains=",".join(sorted(domains)) or "none")
+
+    def _log_unread(self, item, error):
+        """Say once for each version that an object can't be understood."""
+        if (item.kind, item.name, item.version) in self._unread:
+            return
+        self._unread.add((item.kind, item.name, item.version))
+        log_event(
+            "entry-not-understood",
+            level=logbook.WARNING,
+            kind=item.kind,
+            name=item.name,
+            version=item.version,
+            reason=str(error),
+        )
--- /dev/null
+++ b/src/tarragonramp/roles/leadership.py
@@ -0,0 +1,297 @@
+"""Which daemon gives keys to servers: one at a time, named in the store."""
+
+import random
+
+import attrs
+import gevent
+import logbook
+from returns.pipeline import is_successful
+
+from ..adapters.logs import log_event
+from ..errors import ConflictError, NotFoundError
+from ..leading import LeaderRecord, LeaseTiming, Standing
+
+__all__ = ["Leadership"]
+
+LEADER, LEADER_NAME = "ramp-leader", "leader"
+NOBODY = LeaderRecord("", "", "", 0)
+
+PING_MS = 600.0
+"""Between two pings of the leader; they carry counts of requests by key, too."""
+
+SILENT_PINGS = 2
+"""Unanswered pings after which a daemon looks at the record in the store."""
+
+LOOK_MS = 500.0
+"""Between two looks at a record that may stand still."""
+
+STALE_MS = 3000.0
+"""A leader that answers, but has not been heard by the store for so long, is cut off
+from it; it is replaced by a daemon that the store does hear."""
+
+HEARD_MS = 15_000.0
+"""How long a daemon that is not heard any more counts as one of the fleet. Long, as
+its share of what cold servers bear is only free once it has surely stopped."""
+
+HEAT_MS = 1500.0
+"""Time in which half of the counted requests for a key are forgotten: keys become busy
+within seconds."""
+
+
+@attrs.define(eq=False, repr=False)
+class Leadership:
+    """Takes, keeps and hands over leadership, and knows the daemons of the fleet.
+
+    Parameters
+    ----------
+    name, boot_id, address : str
+        Of this daemon; peers ask it at the address.
+    view : FleetView
+    store : Platform
+    peers : FleetPeers
+    clock : Clock
+    timing : LeaseTiming
+    """
+
+    name: str
+    boot_id: str
+    address: str
+    view: object
+    store: object
+    peers: object
+    clock: object
+    timing: LeaseTiming = LeaseTiming()
+    standing: Standing = attrs.field(init=False)
+    stopping: bool = False
+    others_stopped_ms: float = 0.0
+    heat: dict = attrs.Factory(dict)
+    _heard_ms: dict = attrs.Factory(dict)
+    _silent: int = 0
+    _heat_ms: float = 0.0
+    _rng: random.Random = attrs.Factory(random.Random)
+
+    def __attrs_post_init__(self):
+        """Begin without knowing who leads."""
+        self.standing = Standing(self.address, self.boot_id, self.timing)
+        self.view.daemons[self.name] = self.address
+
+    @property
+    def leads(self):
+        """Whether this daemon may renew grants now."""
+        return self.standing.may_renew(self.clock.now_ms())
+
+    @property
+    def may_move(self):
+        """Whether this daemon may move keys now."""
+        return not self.stopping and self.standing.may_move(self.clock.now_ms())
+
+    def run(self):
+        """Lead, or follow the leader, for ever."""
+        while True:
+            if self.standing.is_named:
+                self._keep()
+                gevent.sleep(self.timing.renew_ms / 1000.0)
+            elif self.standing.record is None or self._silent >= SILENT_PINGS:
+                self._look()
+                gevent.sleep(LOOK_MS * (0.8 + 0.4 * self._rng.random()) / 1000.0)
+            else:
+                self._ping()
+                gevent.sleep(PING_MS * (0.9 + 0.2 * self._rng.random()) / 1000.0)
+
+    def resign(self):
+        """Hand leadership back, so that another daemon takes it at once."""
+        self.stopping = True
+        if not self.standing.is_named:
+            return
+        version = self.standing.version
+        term = self.standing.record.term
+        self.standing.give_up()
+        record = attrs.evolve(NOBODY, term=term)
+        result = self.store.put(LEADER, LEADER_NAME, record.to_spec(), version)
+        log_event("leader-resigned", told_store=is_successful(result))
+
+    def heard(self, message):
+        """Take in a peer's ping and say who leads; the answer is plain data."""
+        name, address = message["name"], message["address"]
+        if name not in self.view.daemons:
+            log_event("daemon-heard", peer=name, address=address)
+        self._note_daemon(name, address)
+        if self.leads:
+            self.add_heat(message.get("heat", {}))
+        now_ms = self.clock.now_ms()
+        return {
+            "name": self.name,
+            "boot_id": self.boot_id,
+            "leads": self.leads and not self.stopping,
+            "store_age_ms": min(1e9, self.standing.confirmed_age_ms(now_ms)),
+            "daemons": self.view.daemons,
+        }
+
+    def told_to_step_down(self, term):
+        """Stop leading, as another daemon has a later term."""
+        record = self.standing.record
+        if self.standing.is_named and record is not None and term > record.term:
+            log_event("leader-superseded", term=term)
+            self.standing.give_up()
+            self._silent = SILENT_PINGS
+        return {"boot_id": self.boot_id, "leads": self.standing.is_named}
+
+    def add_heat(self, counts):
+        """Add counts of requests, by service and first key of their range."""
+        now_ms = self.clock.now_ms()
+        kept = 0.5 ** ((now_ms - self._heat_ms) / HEAT_MS)
+        self._heat_ms = now_ms
+        for by_first in self.heat.values():
+            for first in by_first:
+                by_first[first] *= kept
+        for service, by_first in counts.items():
+            mine = self.heat.setdefault(service, {})
+            for first, count in by_first.items():
+                mine[int(first)] = mine.get(int(first), 0.0) + count
+
+    def _note_daemon(self, name, address):
+        now_ms = self.clock.now_ms()
+        self.view.daemons[name] = address
+        self._heard_ms[name] = now_ms
+        late_ms = now_ms - HEARD_MS
+        for other, heard_ms in list(self._heard_ms.items()):
+            if heard_ms < late_ms:
+                del self._heard_ms[other]
+                self.view.daemons.pop(other, None)
+                log_event("daemon-lost", peer=other)
+
+    def _keep(self):
+        """Write the record again: the others see that it does not stand still."""
+        sent_ms = self.clock.now_ms()
+        version = self.standing.version
+        record = self.standing.record
+        spec = {**record.to_spec(), "beat": round(sent_ms)}
+        result = self.store.put(LEADER, LEADER_NAME, spec, version)
+        if is_successful(result):
+            self.standing.confirmed(record, result.unwrap().version, sent_ms)
+            self.add_heat(self.view.take_heat())
+            return
+        error = result.failure()
+        if isinstance(error, ConflictError):
+            self._lost_to(error.current)
+        else:
+            log_event("leader-unconfirmed", reason=str(error))
+            self._find_own_write()
+
+    def _find_own_write(self):
+        """Read back after a write without an answer: it may have taken effect."""
+        result = self.store.get(LEADER, LEADER_NAME)
+        if is_successful(result):
+            self._lost_to(result.unwrap())
+
+    def _lost_to(self, stored):
+        """Take in a record that is not the one last written."""
+        record = None if stored is None else _record(stored)
+        if record is not None and record.boot_id == self.boot_id:
+            # The own write, whose answer was lost.
+            self.standing.version = stored.version
+            return
+        log_event("leader-superseded", by=record.name if record else "nobody")
+        self.standing.give_up()
+        self._saw(record, stored.version if stored else 0)
+
+    def _look(self):
+        """Read the record, and take it over if it stands still."""
+        result = self.store.get(LEADER, LEADER_NAME)
+        now_ms = self.clock.now_ms()
+        if is_successful(result):
+            stored = result.unwrap()
+            self._saw(_record(stored), stored.version)
+        elif isinstance(result.failure(), NotFoundError):
+            self._saw(None, 0)
+        else:
+            self._ping()
+            return
+        if not self.stopping and self.standing.may_take_over(now_ms):
+            self._take_over()
+        else:
+            self._ping()
+
+    def _saw(self, record, version):
+        if version != self.standing.version:
+            self._silent = 0
+        self.standing.saw(record, version, self.clock.now_ms())
+        if record is not None:
+            self.view.leader_address = record.address
+
+    def _take_over(self):
+        before = self.standing.record
+        sent_ms = self.clock.now_ms()
+        term = before.term + 1 if before else 1
+        record = LeaderRecord(self.name, self.boot_id, self.address, term)
+        spec = record.to_spec()
+        # Also right if the write takes effect and its answer is lost.
+        self.others_stopped_ms = max(self.others_stopped_ms, self._right_end_ms())
+        result = self.store.put(LEADER, LEADER_NAME, spec, self.standing.version)
+        if not is_successful(result):
+            error = result.failure()
+            if isinstance(error, ConflictError) and error.current is not None:
+                self._saw(_record(error.current), error.current.version)
+            return
+        self._silent = 0
+        for name in self.view.daemons:
+            self._heard_ms.setdefault(name, sent_ms)
+        self.others_stopped_ms = self._stopped_ms(before, term)
+        self.standing.confirmed(record, result.unwrap().version, sent_ms)
+        self.view.leader_address = self.address
+        log_event(
+            "leader-taken-over",
+            level=logbook.NOTICE,
+            term=term,
+            before=before.name if before else "nobody",
+            stopped_in_ms=round(self.others_stopped_ms - self.clock.now_ms()),
+        )
+        self.view.wake()
+
+    def _right_end_ms(self):
+        """Return when a leader confirmed until now would have to stop."""
+        right_ms = self.timing.right_ms * self.timing.drift + self.timing.margin_ms
+        return self.clock.now_ms() + right_ms
+
+    def _stopped_ms(self, before, term):
+        """Return when the leader before has surely stopped renewing grants.
+
+        At once if it resigned, if it was an earlier process at this address, or if it
+        or its successor at its address says so. Else once its right has ended, which
+        the store can have confirmed for the last time just before this daemon's write.
+        """
+        if before is None or not before.name or before.address == self.address:
+            return self.clock.now_ms()
+        result = self.peers.step_down(before.address, term)
+        if is_successful(result):
+            told = result.unwrap()
+            if told.get("boot_id") != before.boot_id or not told.get("leads", True):
+                return self.clock.now_ms()
+        return self._right_end_ms()
+
+    def _ping(self):
+        record = self.standing.record
+        if record is None or not record.address or record.address == self.address:
+            self._silent = SILENT_PINGS
+            return
+        heat = self.view.take_heat()
+        message = {"name": self.name, "address": self.address, "heat": heat}
+        result = self.peers.ping(record.address, message)
+        told = result.unwrap() if is_successful(result) else {}
+        if not told.get("leads"):
+            self._silent += 1 if not told else SILENT_PINGS
+            return
+        self.view.leader_address = record.address
+        daemons = told.get("daemons")
+        if isinstance(daemons, dict) and self.name in daemons:
+            self.view.daemons = dict(daemons)
+        self._silent = 0
+        if told.get("store_age_ms", 0) > STALE_MS:
+            self._silent = SILENT_PINGS
+
+
+def _record(stored):
+    try:
+        return LeaderRecord.from_spec(stored.spec)
+    except (ValueError, TypeError):
+        return None
--- /dev/null
+++ b/src/tarragonramp/roles/router.py
@@ -0,0 +1,467 @@
+"""Takes callers' requests on a fleet and brings back whole answers."""
+
+import collections
+import random
+
+import attrs
+import gevent
+import logbook
+from returns.pipeline import is_successful
+
+from ..adapters.logs import log_event
+from ..adapters.web import (
+    ARRIVED_KEY,
+    HEADERS_KEY,
+    REASONS,
+    TARGET_KEY,
+    caller_is_gone,
+)
+from ..balancing import Refused, Wanted
+from ..errors import AbandonedError, NotSentError, RequestError
+from ..meters import ANSWERED, NOT_RUN, UNKNOWN
+from ..request import HOP_HEADERS, named_by_connection
+from ..retries import RetryBudget
+
+__all__ = ["Router"]
+
+OWNER_WAIT_MS = 300.0
+"""How long a request waits for keys that are on their way between two servers that
+live: a release and a grant take some milliseconds, unless work has to end first."""
+
+OWNER_GONE_RETRY_S = 0.6
+NO_ROUTES_RETRY_S = 0.3
+COLD_RETRY_S = 0.5
+SHORTEST_TRY_MS = 20.0
+"""A request with less time left is not sent (again): no answer could come in time, and
+the server would work for nobody."""
+
+RETRY_SHARE = 0.12
+RETRY_RESERVE = 4.0
+"""Further sends of one daemon, as a part of first ones, and how many may be saved up.
+Load: a service that fails as a whole. Harm prevented: the daemons together sending
+more than the servers' owners allow. Nine daemons with four each stay below two thirds
+of what is allowed beside a fifth of the requests."""
+
+CONNECTION_SHARE = 0.75
+"""Part of a server's connections that the daemons divide among them, firmly: a
+connection beyond what a server takes is reset, with whatever was sent on it."""
+
+CLOSING_STATUSES = frozenset((408, 413))
+BODILESS_STATUSES = frozenset((204, 304))
+FAILED_STATUS = 500
+SUCCESSES = range(200, 300)
+
+
+@attrs.define
+class _Order:
+    """A caller's request on its way through the router."""
+
+    named: str
+    method: str
+    target: str
+    headers: list
+    body: bytes
+    route: object
+    service: str
+    key: object
+    arrived_ms: float
+    until_ms: float
+    is_wanted: object
+    tried: list = attrs.Factory(list)
+    in_doubt: bool = False
+    reason: str = ""
+
+    def refusal(self, status, reason, retry_after_s=None):
+        """Return the error of a request that is not sent (again).
+
+        "Not run" only if no earlier try may have run.
+        """
+        if self.in_doubt:
+            return RequestError(502, UNKNOWN, reason)
+        return RequestError(status, NOT_RUN, reason, retry_after_s)
+
+
+@attrs.define(eq=False, repr=False)
+class Router:
+    """A WSGI application for callers.
+
+    Parameters
+    ----------
+    view : FleetView
+    loads : Loads
+    cold : ColdShares
+    pools : HttpPools
+    dialect : Dialect
+    bounds : FleetBounds
+    meter : RequestMeter
+    clock : Clock
+    """
+
+    view: object
+    loads: object
+    cold: object
+    pools: object
+    dialect: object
+    bounds: object
+    meter: object
+    clock: object
+    counts: collections.Counter = attrs.Factory(collections.Counter)
+    _budgets: dict = attrs.Factory(
+        lambda: collections.defaultdict(lambda: RetryBudget(RETRY_SHARE, RETRY_RESERVE))
+    )
+    _rng: random.Random = attrs.Factory(random.Random)
+
+    def __call__(self, environ, start_response):
+        """Serve one request of a caller."""
+        times = self.meter.begin(environ.get(ARRIVED_KEY) or self.clock.now_ms())
+        outcome, named = UNKNOWN, ""
+        try:
+            facts = self._read_facts(environ)
+            named = facts.request_id
+            answer = self._serve(environ, facts, times)
+            outcome = ANSWERED
+        except RequestError as error:
+            outcome = error.outcome
+            self._log_refusal(named, error, times)
+            return self._refuse(start_response, error, named)
+        finally:
+            self.meter.finish(times, outcome, self.clock.now_ms())
+        return _reply(start_response, environ["REQUEST_METHOD"], answer)
+
+    def _read_facts(self, environ):
+        try:
+            return self.dialect.read_request(environ[HEADERS_KEY])
+        except ValueError as error:
+            raise RequestError(400, NOT_RUN, "malformed header") from error
+
+    def _serve(self, environ, facts, times):
+        routes = self.view.routes
+        if routes is None:
+            raise RequestError(503, NOT_RUN, "no manifest yet", NO_ROUTES_RETRY_S)
+        route = routes.find(facts.host, environ["PATH_INFO"])
+        if route is None:
+            raise RequestError(404, NOT_RUN, "no route")
+        times.service = routes.part_of(route, self._rng.random())
+        patience_ms = route.timeout_ms
+        if facts.patience_ms is not None:
+            patience_ms = min(patience_ms, facts.patience_ms)
+        order = _Order(
+            named=facts.request_id,
+            method=environ["REQUEST_METHOD"],
+            target=environ[TARGET_KEY],
+            headers=environ[HEADERS_KEY],
+            body=self._read_body(environ, patience_ms),
+            route=route,
+            service=times.service,
+            key=facts.key,
+            arrived_ms=times.began_ms,
+            until_ms=times.began_ms + patience_ms,
+            is_wanted=lambda: not caller_is_gone(environ),
+        )
+        return self._deliver(order, times)
+
+    def _read_body(self, environ, patience_ms):
+        limit = self.view.manifest.limits.body_bytes
+        length = environ.get("CONTENT_LENGTH")
+        if length is None and "HTTP_TRANSFER_ENCODING" not in environ:
+            return b""
+        if int(length or 0) > limit:
+            raise RequestError(413, NOT_RUN, "body longer than the limit")
+        body = None
+        try:
+            with gevent.Timeout(patience_ms / 1000.0, False):
+                body = environ["wsgi.input"].read(limit + 1)
+        except (OSError, ValueError):
+            raise RequestError(400, NOT_RUN, "malformed or incomplete body") from None
+        if body is None:
+            raise RequestError(408, NOT_RUN, "body not received in time")
+        if len(body) > limit:
+            raise RequestError(413, NOT_RUN, "body longer than the limit")
+        return body
+
+    def _deliver(self, order, times):
+        """Send a request until it is answered or may not be sent again."""
+        budget = self._budgets[order.service]
+        budget.earn()
+        while True:
+            chosen = self._choose(order)
+            order.tried.append(chosen.server.name)
+            result, took_ms = self._exchange(order, chosen)
+            times.service_ms += took_ms
+            if is_successful(result):
+                answer, facts = result.unwrap()
+                if self._is_final(order, answer, facts, budget):
+                    return answer
+                continue
+            self._after_failure(order, chosen, result.failure(), budget)
+
+    def _choose(self, order):
+        now_ms = self.clock.now_ms()
+        left_ms = order.until_ms - now_ms
+        if left_ms < SHORTEST_TRY_MS:
+            raise order.refusal(503, "no time left", 0.0)
+        if self.view.service(order.service).divided:
+            servers = [self._owner(order)]
+            now_ms = self.clock.now_ms()
+        else:
+            servers = self._candidates(order)
+        wanted = Wanted(
+            order.route.name,
+            order.until_ms - now_ms,
+            order.arrived_ms + order.route.target_ms - now_ms,
+            self.view.routes.is_urgent(order.route),
+        )
+        choice = self.loads.choose(servers, wanted, now_ms)
+        if isinstance(choice, Refused):
+            raise order.refusal(
+                503, choice.reason, self._retry_after_s(order, choice.retry_after_s)
+            )
+        self._take_cold_share(order, choice.server, now_ms)
+        return choice
+
+    def _candidates(self, order):
+        """Return the servers of a shared service that may get a request now.
+
+        Cold ones only if there are no others: what they bear is little.
+        """
+        directory = self.view.directory
+        servers = directory.usable(order.service)
+        untried = [s for s in servers if s.name not in order.tried]
+        room = [s for s in untried if self._has_connections(s)]
+        warm = [s for s in room if not directory.is_cold(s.name)]
+        if not servers:
+            reason = "service has no servers"
+        elif not untried:
+            reason = "all servers tried"
+        else:
+            reason = "no connection left"
+        if not room:
+            raise order.refusal(503, reason, self._retry_after_s(order, 0.3))
+        return warm or room
+
+    def _owner(self, order):
+        """Return the owner of a request's key, waiting a moment while it changes."""
+        if order.key is None:
+            raise RequestError(400, NOT_RUN, "the request carries no key")
+        until_ms = min(self.clock.now_ms() + OWNER_WAIT_MS, order.until_ms)
+        while True:
+            item = self._owned_range(order)
+            server = self._server_of(item)
+            if server is not None and not item.is_moving:
+                break
+            left_ms = until_ms - self.clock.now_ms()
+            is_brief = item is not None and item.is_moving and server is not None
+            if left_ms <= 0 or not is_brief or not order.is_wanted():
+                reason = "key is moving" if is_brief else "key has no owner"
+                retry_s = self._retry_after_s(order, OWNER_GONE_RETRY_S)
+                raise order.refusal(503, reason, retry_s)
+            self.view.wait(min(left_ms, 50.0))
+        self.view.note_request(order.service, item.first)
+        if not self._has_connections(server):
+            retry_s = self._retry_after_s(order, 0.3)
+            raise order.refusal(503, "no connection left", retry_s)
+        return server
+
+    def _owned_range(self, order):
+        table = self.view.tables.get(order.service)
+        return table.find(order.key) if table is not None else None
+
+    def _server_of(self, item):
+        if item is None or not item.owner:
+            return None
+        directory = self.view.directory
+        server = directory.servers.get(item.owner)
+        if server is None or server.life != item.life:
+            return None
+        return server if directory.may_serve(server) else None
+
+    def _has_connections(self, server):
+        n_daemons = max(8, len(self.view.daemons))
+        most = self.view.service(server.service).connections * CONNECTION_SHARE
+        return self.loads.in_flight(server.name) < max(1, int(most / n_daemons))
+
+    def _take_cold_share(self, order, server, now_ms):
+        if not self.view.directory.is_cold(server.name):
+            return
+        per_s = self.view.service(order.service).cold_per_s
+        bound = per_s * self.bounds.cold_burst_factor + self.bounds.cold_slack
+        daemons = sorted(self.view.daemons)
+        if not self.cold.take(server.name, bound, daemons, now_ms):
+            retry_s = self._retry_after_s(order, COLD_RETRY_S)
+            raise order.refusal(503, "server is cold", retry_s)
+
+    def _exchange(self, order, chosen):
+        """Send a request to a server once; return the result and how long it took."""
+        server, began_ms = chosen.server, self.clock.now_ms()
+        left_ms = order.until_ms - began_ms
+        headers = self.dialect.server_headers(order.headers, server.name, left_ms)
+        pool = self.pools.at(server.address)
+        self.loads.sent(server.name)
+        try:
+            result = pool.exchange(
+                order.method,
+                order.target,
+                headers,
+                order.body,
+                left_ms,
+                order.is_wanted,
+            )
+        except BaseException:
+            self.loads.cancelled(server.name)
+            raise
+        now_ms = self.clock.now_ms()
+        took_ms = now_ms - began_ms
+        if not is_successful(result):
+            self._note_failure(order, server, result.failure(), now_ms)
+            return result, took_ms
+        result = result.map(lambda answer: (answer, self.dialect.read_answer(answer)))
+        _, facts = result.unwrap()
+        if facts.not_run:
+            self.loads.shed(server.name, facts.load, now_ms)
+        else:
+            self.loads.answered(chosen, order.route.name, took_ms, facts.load, now_ms)
+        return result, took_ms
+
+    def _note_failure(self, order, server, error, now_ms):
+        if isinstance(error, AbandonedError) or now_ms >= order.until_ms:
+            self.loads.cancelled(server.name)
+            return
+        at_connect = isinstance(error, NotSentError)
+        self.loads.failed(server.name, now_ms, at_connect)
+        if at_connect and "refused" in str(error):
+            # Nothing listens there: the server has ended, and will be cold if it
+            # starts again, before its entry says so.
+            warmup_ms = self.view.service(server.service).warmup_ms
+            self.view.directory.note_cold(server.name, warmup_ms)
+
+    def _is_final(self, order, answer, facts, budget):
+        """Tell whether an answer goes to the caller, or another try is to come."""
+        if facts.not_run:
+            self._after_refusal(order, facts, budget)
+            return False
+        if answer.status in SUCCESSES and not facts.genuine:
+            self._log_try(order, "answer without the server's mark")
+            order.in_doubt = True
+            self._check_retry(order, budget)
+            return False
+        if answer.status < FAILED_STATUS or not order.route.idempotent:
+            return True
+        order.in_doubt = True
+        if len(order.tried) >= order.route.attempts or not self._has_time(order):
+            return True
+        if not budget.spend():
+            return True
+        self._log_try(order, f"server answered {answer.status}")
+        return False
+
+    def _after_refusal(self, order, facts, budget):
+        """Return if a request that a server did not run may be sent again."""
+        self._log_try(order, "misdirected" if facts.misdirected else "shed")
+        if facts.misdirected and self.view.service(order.service).divided:
+            self._await_owner(order)
+        if len(order.tried) > order.route.attempts or not budget.spend():
+            reason = "owner changes" if facts.misdirected else "server is busy"
+            raise order.refusal(503, reason, self._retry_after_s(order, 0.2))
+
+    def _await_owner(self, order):
+        """Wait a moment for a newer owner, or for a new owner's grant to arrive."""
+        before = self._owned_range(order)
+        until_ms = min(self.clock.now_ms() + OWNER_WAIT_MS, order.until_ms)
+        while (left_ms := until_ms - self.clock.now_ms()) > 0 and order.is_wanted():
+            self.view.wait(min(left_ms, 50.0))
+            if self._owned_range(order) != before:
+                return
+
+    def _after_failure(self, order, chosen, error, budget):
+        """Return if a request may be sent again after a failed exchange; else raise.
+
+        A reused connection may have been closed by the server just before the send:
+        the failure then looks as if nothing had arrived, but it looks the same if the
+        server died after running the request. So only an exchange of which no byte
+        left counts as not run.
+        """
+        if isinstance(error, AbandonedError):
+            raise RequestError(499, UNKNOWN, "caller has gone")
+        self._log_try(order, str(error))
+        if isinstance(error, NotSentError):
+            if self.view.service(order.service).divided or len(order.tried) > 3:
+                retry_s = self._retry_after_s(order, OWNER_GONE_RETRY_S)
+                raise order.refusal(503, "server not reached", retry_s)
+            return
+        order.in_doubt = True
+        if self.clock.now_ms() >= order.until_ms:
+            raise RequestError(504, UNKNOWN, "no whole answer in time")
+        self._check_retry(order, budget)
+
+    def _check_retry(self, order, budget):
+        """Raise unless a request whose outcome is unknown may be sent again."""
+        may_repeat = order.route.idempotent and len(order.tried) < order.route.attempts
+        if not may_repeat or not self._has_time(order) or not budget.spend():
+            raise RequestError(502, UNKNOWN, "no whole answer from the server")
+
+    def _has_time(self, order):
+        left_ms = order.until_ms - self.clock.now_ms()
+        return left_ms > self.loads.work_ms(order.route.name) / 2
+
+    def _retry_after_s(self, order, wanted_s):
+        """Return when to come back: within the third of its time a caller waits."""
+        left_s = (order.until_ms - self.clock.now_ms()) / 1000.0
+        return max(0.02, min(wanted_s, left_s / 3.2))
+
+    def _log_try(self, order, reason):
+        self.counts[order.service, "try failed"] += 1
+        log_event(
+            "try-failed",
+            id=order.named,
+            service=order.service,
+            server=order.tried[-1],
+            key=order.key,
+            tries=len(order.tried),
+            left_ms=round(order.until_ms - self.clock.now_ms()),
+            reason=reason,
+        )
+
+    def _log_refusal(self, named, error, times):
+        self.counts[times.service, error.reason] += 1
+        if error.status == 499:
+            return
+        log_event(
+            "request-refused",
+            level=logbook.INFO,
+            id=named,
+            service=times.service,
+            status=error.status,
+            outcome=error.outcome,
+            reason=error.reason,
+            retry_after_s=error.retry_after_s,
+            held_ms=round(self.clock.now_ms() - times.began_ms),
+        )
+
+    def _refuse(self, start_response, error, named):
+        body = f'{{"outcome": "{error.outcome}", "reason": "{error.reason}"}}\n'
+        headers = [
+            ("Content-Type", "application/json"),
+            ("Content-Length", str(len(body))),
+            *self.dialect.refusal_headers(named, error.retry_after_s),
+        ]
+        if error.status in CLOSING_STATUSES:
+            headers.append(("Connection", "close"))
+        start_response(REASONS[error.status], headers)
+        return [body.encode()]
+
+
+def _reply(start_response, method, answer):
+    dropped = HOP_HEADERS
+    if answer.header("Connection"):
+        lower = [(name.lower(), value) for name, value in answer.headers]
+        dropped = HOP_HEADERS | named_by_connection(lower)
+    headers = [item for item in answer.headers if item[0].lower() not in dropped]
+    if answer.status not in BODILESS_STATUSES:
+        length = str(len(answer.body))
+        if method == "HEAD":
+            length = answer.header("Content-Length", None)
+        if length is not None:
+            headers.append(("Content-Length", length))
+    reason = REASONS.get(answer.status, f"{answer.status} Status")
+    start_response(reason, headers)
+    return [answer.body]
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -15,7 +15,7 @@
 from standins.site import DaemonSpec, Site
 from tarragonramp.adapters.http import HttpPool
 from tarragonramp.adapters.logs import LogLimiter, log_event, set_up_logs
-from tarragonramp.adapters.process import LoopWatch
+from tarragonramp.adapters.usage import LoopWatch
 from tarragonramp.roles.tasks import keep_running, task_failures
 
 LINE = re.compile(
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -9,7 +9,7 @@
 from standins.site import Backend, DaemonSpec, Site
 from tarragonramp.adapters.http import HttpPool
 from tarragonramp.adapters.metrics import Metrics
-from tarragonramp.adapters.process import CpuMeter, mark_request_path
+from tarragonramp.adapters.usage import CpuMeter, mark_request_path
 from tarragonramp.meters import RequestMeter, TrafficMeter, kind_of
 
 
