--- a/src/tarragonramp/errors.py
+++ b/src/tarragonramp/errors.py
@@ -28,6 +28,7 @@
     "TarragonError",
     "TeamError",
     "UnansweredError",
+    "WrongServerError",
 ]
 
 
@@ -84,6 +85,10 @@
     """A server refused a grant: it has seen a higher fencing token."""
 
 
+class WrongServerError(ExchangeError):
+    """Another server has the address that the message went to."""
+
+
 class AbandonedError(UnansweredError):
     """The exchange was cancelled because nobody waits for its answer any more."""
 
--- a/src/tarragonramp/roles/follower.py
+++ b/src/tarragonramp/roles/follower.py
@@ -19,7 +19,10 @@
 FOLLOWED_KINDS = (MANIFEST, SERVER, EVACUATION, RANGES)
 MANIFEST_NAME = "main"
 
-WATCH_MS = 25_000
+WATCH_MS = 15_000
+"""Longest wait for changes. Shorter than the store keeps its history, or each quiet
+kind would have to be read anew."""
+
 FIRST_PAUSE_MS, LAST_PAUSE_MS = 100.0, 800.0
 """Between calls to a store that fails. The first is short, since most failures are
 single lost answers; the last is what a daemon may add to the load of a store that is
--- a/src/tarragonramp/roles/granter.py
+++ b/src/tarragonramp/roles/granter.py
@@ -18,9 +18,15 @@
 
 from ..adapters.logs import log_event
 from ..dealing import Candidate, first_deal, plan_moves
-from ..errors import ConflictError, NotSentError, OvertakenGrantError
+from ..errors import (
+    ConflictError,
+    NotFoundError,
+    NotSentError,
+    OvertakenGrantError,
+    WrongServerError,
+)
 from ..ranges import RangeTable
-from .follower import RANGES
+from .follower import RANGES, SERVER
 from .tasks import keep_running
 
 __all__ = ["Granter"]
@@ -29,9 +35,10 @@
 """Between two looks at who should own what. Short, since keys of a server that leaves
 are refused until they have moved."""
 
-FIRST_DEAL_MS = 1500.0
-"""How long servers are collected before keys are dealt for the first time. All start
-within some hundred milliseconds; whoever is late has to be given keys by moves."""
+FIRST_DEAL_MS = 2500.0
+"""How long no further server has to come before keys are dealt for the first time.
+Servers register within some seconds of each other; whoever is late has to be given
+keys by moves, which cost more than the wait."""
 
 ANSWER_MS = 1000.0
 """Timeout of a grant. A server answers in a millisecond."""
@@ -50,7 +57,10 @@
 prevented: a connection each, beyond what the server takes, so that it resets renewals
 and callers. More than its slots, so that idle ranges do not wait for running work."""
 
-RETRY_MS = 250.0
+RETRY_MS, LAST_RETRY_MS = 250.0, 1000.0
+"""Between two tries at a server that does not answer; each first asks the store whether
+the server has started again."""
+
 UNREACHABLE_MS = 1500.0
 """Grants of a server that go unanswered for so long count it as unreachable."""
 
@@ -58,6 +68,7 @@
 """How long ended moves are gathered before they are written: a write is seen by every
 daemon, and ranges of one server end their moves within milliseconds of each other."""
 
+UNGRANTED = (NotSentError, OvertakenGrantError, WrongServerError)
 NO_ADDRESS = Failure(NotSentError("address not known"))
 
 
@@ -75,6 +86,7 @@
     """How grants to one server have fared."""
 
     failing_since_ms: float | None = None
+    has_broken: bool = False
 
 
 @attrs.define(eq=False, repr=False)
@@ -88,6 +100,8 @@
     store : Platform
     grants : Grants
         ``grant`` and ``release``.
+    read_server : callable
+        Decodes a server's entry; a Result.
     clock : Clock
     """
 
@@ -95,6 +109,7 @@
     leadership: object
     store: object
     grants: object
+    read_server: object
     clock: object
     n_moves: int = 0
     n_handovers: int = 0
@@ -105,7 +120,7 @@
     _settled: dict = attrs.Factory(lambda: collections.defaultdict(dict))
     _contacts: dict = attrs.Factory(lambda: collections.defaultdict(_Contact))
     _refused: set = attrs.Factory(set)
-    _first_seen_ms: dict = attrs.Factory(dict)
+    _waiting: dict = attrs.Factory(dict)
     _calls: dict = attrs.Factory(
         lambda: collections.defaultdict(lambda: BoundedSemaphore(CALLS_PER_SERVER))
     )
@@ -125,7 +140,7 @@
                     self._advance(service)
             else:
                 self._held.clear()
-                self._first_seen_ms.clear()
+                self._waiting.clear()
             if self._work.wait(PLAN_MS / 1000.0):
                 gevent.sleep(GATHER_MS / 1000.0)
             self._work.clear()
@@ -218,8 +233,11 @@
 
     def _deal(self, service, candidates):
         now_ms = self.clock.now_ms()
-        first_ms = self._first_seen_ms.setdefault(service, now_ms)
-        if not candidates or now_ms < first_ms + FIRST_DEAL_MS:
+        n_before, since_ms = self._waiting.get(service, (0, now_ms))
+        if len(candidates) != n_before:
+            since_ms = now_ms
+        self._waiting[service] = len(candidates), since_ms
+        if not candidates or now_ms < since_ms + FIRST_DEAL_MS:
             return None
         log_event("keys-dealt", service=service, servers=len(candidates))
         return self._write(service, first_deal(service, candidates))
@@ -252,22 +270,43 @@
     def _renew_all(self, service, identity):
         """Renew all that one server holds, until it holds nothing or others lead."""
         key = service, identity
-        contact = self._contacts[identity]
+        contact, retry_ms = self._contacts[identity], RETRY_MS
         while self.leadership.leads:
             began_ms = self.clock.now_ms()
             ranges = self._owned(service, identity)
             if not ranges:
                 break
+            if contact.has_broken and not self._is_same_life(identity):
+                break
+            contact.has_broken = False
             for item in ranges:
                 if not self._renew(service, item, contact):
                     break
             took_ms = self.clock.now_ms() - began_ms
             pause_ms = self.timing.regrant_ms * (0.9 + 0.1 * self._rng.random())
             if contact.failing_since_ms is not None:
-                pause_ms = RETRY_MS
+                retry_ms = min(LAST_RETRY_MS, retry_ms * 2)
+                pause_ms = retry_ms
+            else:
+                retry_ms = RETRY_MS
             gevent.sleep(max(RETRY_MS, pause_ms - took_ms) / 1000.0)
+        gevent.sleep(LAST_RETRY_MS / 1000.0)
         self._renewing.pop(key, None)
 
+    def _is_same_life(self, identity):
+        """Ask the store whether a server that broke a connection still lives.
+
+        It may have started again under its name, and would take the old grant as a
+        new one, with a token that another server has had. If the store can't say, the
+        server's entry counts as it was.
+        """
+        name, life = identity
+        found = self.store.get(SERVER, name)
+        if not is_successful(found):
+            return not isinstance(found.failure(), NotFoundError)
+        server = self.read_server(found.unwrap())
+        return is_successful(server) and server.unwrap().life == life
+
     def _owned(self, service, identity):
         table = self.view.tables.get(service)
         if table is None:
@@ -303,6 +342,7 @@
         if contact.failing_since_ms is None:
             contact.failing_since_ms = self.clock.now_ms()
             log_event("server-lost", server=item.owner, reason=str(error))
+        contact.has_broken = True
         return False
 
     def _is_current(self, service, item):
@@ -320,7 +360,14 @@
         held.under_way += 1
         try:
             result = self.grants.grant(
-                address, item.first, item.last, token, hold_ms, handover, ANSWER_MS
+                owner,
+                address,
+                item.first,
+                item.last,
+                token,
+                hold_ms,
+                handover,
+                ANSWER_MS,
             )
         finally:
             held.under_way -= 1
@@ -328,7 +375,7 @@
         if is_successful(result):
             # Counted from the answer: it can't have arrived later.
             held.sent_ms = self.clock.now_ms()
-        elif not isinstance(result.failure(), NotSentError | OvertakenGrantError):
+        elif not isinstance(result.failure(), UNGRANTED):
             held.sent_ms = self.clock.now_ms()
             held.in_doubt_until_ms = sent_ms + LATE_GRANT_MS
         return result
@@ -397,6 +444,9 @@
             result = self._release(service, item)
             if is_successful(result):
                 return "released", result.unwrap()
+            if isinstance(result.failure(), WrongServerError):
+                # An address is given to another server only after the end of this.
+                return "address reused", ""
             gevent.sleep(RETRY_MS / 1000.0)
         return None, ""
 
@@ -420,7 +470,7 @@
                 if not is_successful(result):
                     return result
             return self.grants.release(
-                address, item.first, item.last, token, RELEASE_MS
+                item.old_owner, address, item.first, item.last, token, RELEASE_MS
             )
 
     def _give(self, service, item, handover):
--- a/src/tarragonramp/roles/leadership.py
+++ b/src/tarragonramp/roles/leadership.py
@@ -155,7 +155,7 @@
         self._heard_ms[name] = now_ms
         late_ms = now_ms - HEARD_MS
         for other, heard_ms in list(self._heard_ms.items()):
-            if heard_ms < late_ms:
+            if heard_ms < late_ms and other != self.name:
                 del self._heard_ms[other]
                 self.view.daemons.pop(other, None)
                 log_event("daemon-lost", peer=other)
