--- a/src/tarragonramp/dealing.py
+++ b/src/tarragonramp/dealing.py
@@ -1,13 +1,14 @@
 """Which server each range of keys should have. Pure decisions, without I/O."""
 
 import heapq
+import math
 
 import attrs
 
 from .manifest import N_KEYS
 from .ranges import KeyRange, RangeTable
 
-__all__ = ["MAX_MOVES", "Candidate", "first_deal", "plan_moves"]
+__all__ = ["MAX_MOVES", "Candidate", "first_deal", "plan_moves", "spread_heat"]
 
 RANGES_PER_SERVER = 24
 """Load: busy keys that lie side by side. Harm prevented: one server owning all of
@@ -19,6 +20,13 @@
 of all keys. Harm prevented: hundreds of releases at once, each of which waits for
 running work, hold up the ones that are free at once."""
 
+MAX_SPREAD = 3
+"""Most busy ranges moved at a time; each is refused for some milliseconds."""
+
+EXCESS_SHARE, EXCESS_DEVIATIONS = 0.6, 3.0
+"""By how much of the mean, and by how many standard deviations of a count, a server has
+to have more requests than the mean before its keys move."""
+
 FAIR_SHARE = 0.6
 """A server with less than this part of its fair share of keys gets some. Load: servers
 are added one by one. Harm prevented: keys that move at each small difference; each
@@ -68,11 +76,11 @@
     return RangeTable(service, tuple(ranges), addresses)
 
 
-def plan_moves(table, candidates, stays, heat=None, n_moving=0):
+def plan_moves(table, candidates, stays, n_moving=0):
     """Return the ranges that should change their owner now, as they should be.
 
-    First those whose owner may not have them any more, the busiest first; then some
-    for a server that has far less than its share.
+    First those whose owner may not have them any more; then some for a server that
+    has far less than its share.
 
     Parameters
     ----------
@@ -81,8 +89,6 @@
         Servers that may be given keys now.
     stays : callable
         ``stays(KeyRange) -> bool``: whether its owner may keep it.
-    heat : dict of int to float, optional
-        Requests a second by first key; without it, ranges count by their keys.
     n_moving : int
         How many are on their way already.
 
@@ -95,14 +101,9 @@
         return []
     lives = {candidate.name: candidate.life for candidate in candidates}
     weight = {candidate.name: candidate.weight for candidate in candidates}
-    total_keys = sum(item.n_keys for item in table.ranges)
-    total_heat = sum(heat.values()) if heat else 0.0
 
     def cost(item):
-        share = item.n_keys / total_keys
-        if total_heat:
-            share = 0.5 * share + 0.5 * heat.get(item.first, 0.0) / total_heat
-        return share
+        return item.n_keys / N_KEYS
 
     loads = dict.fromkeys(lives, 0.0)
     orphans = []
@@ -126,6 +127,60 @@
     return _fill_up(table, lives, weight, loads, cost, room)
 
 
+def spread_heat(table, candidates, heat):
+    """Return busy ranges that should move to servers that have less to do.
+
+    Load: keys become busy within seconds, and many of them may have one owner. Harm
+    prevented: a queue before one server while others are idle. Chasing noise would
+    cost more than it brings, so only what stands out from chance is moved, and only
+    ranges whose move leaves the new owner with less than the old one had.
+
+    Parameters
+    ----------
+    table : RangeTable
+    candidates : sequence of Candidate
+    heat : dict of int to float
+        Recent requests by first key.
+
+    Returns
+    -------
+    moved : list of KeyRange
+    """
+    lives = {candidate.name: candidate.life for candidate in candidates}
+    by_owner = {name: [] for name in lives}
+    for item in table.ranges:
+        if lives.get(item.owner) == item.life and not item.is_moving:
+            by_owner[item.owner].append(item)
+    weight = {candidate.name: candidate.weight for candidate in candidates}
+
+    def heat_of(item):
+        return heat.get(item.first, 0.0)
+
+    loads = {
+        name: sum(map(heat_of, ranges)) / weight[name]
+        for name, ranges in by_owner.items()
+    }
+    moved = []
+    for _ in range(MAX_SPREAD):
+        if len(loads) < 2:
+            break
+        mean = sum(loads.values()) / len(loads)
+        fullest, emptiest = max(loads, key=loads.get), min(loads, key=loads.get)
+        excess = loads[fullest] - mean
+        if excess <= max(EXCESS_SHARE * mean, EXCESS_DEVIATIONS * math.sqrt(mean)):
+            break
+        most = 0.6 * (loads[fullest] - loads[emptiest])
+        fitting = [r for r in by_owner[fullest] if 0 < heat_of(r) <= most]
+        if not fitting:
+            break
+        item = max(fitting, key=heat_of)
+        by_owner[fullest].remove(item)
+        loads[fullest] -= heat_of(item) / weight[fullest]
+        loads[emptiest] += heat_of(item) / weight[emptiest]
+        moved.append(item.moved_to(emptiest, lives[emptiest]))
+    return moved
+
+
 def _fill_up(table, lives, weight, loads, cost, room):
     """Give servers that have far less than their share some ranges of the fullest."""
     fair = 1.0 / sum(weight.values())
--- a/src/tarragonramp/directory.py
+++ b/src/tarragonramp/directory.py
@@ -13,6 +13,12 @@
 """After an outage of the store, entries that lapsed meanwhile come back within two
 seconds; a server still missing then is gone. The half second is for the way here."""
 
+MISSING_USE_MS = 1400.0
+"""How long a server whose entry is missing is still sent requests. Load: the store
+returns, and with it the news that entries lapsed. Harm prevented: a service without
+servers until they are back. Short of the two seconds after which a server that has
+really left may get nothing more."""
+
 
 @attrs.frozen
 class BackendServer:
@@ -131,12 +137,15 @@
 
     def may_serve(self, server):
         """Tell whether a server may be sent new requests, cold or not."""
-        return not server.draining and server.failure_domain not in self.evacuated
+        if server.draining or server.failure_domain in self.evacuated:
+            return False
+        missing_ms = self._missing_since_ms.get(server.name)
+        return missing_ms is None or self.clock.now_ms() < missing_ms + MISSING_USE_MS
 
     def usable(self, service):
         """Return a tuple of the servers of a service that may be sent requests."""
         found = self._by_service.get(service)
-        if found is None:
+        if found is None or self._missing_since_ms:
             found = self._by_service[service] = tuple(
                 server
                 for server in self.servers.values()
--- a/src/tarragonramp/fleet.py
+++ b/src/tarragonramp/fleet.py
@@ -162,6 +162,7 @@
         clock = SuspendAwareClock()
         view = FleetView(clock)
         peers = FleetPeers(view, settings.name)
+        follower = Follower(view, ports.store, peers, ports, clock)
         leadership = Leadership(
             settings.name,
             uuid.uuid4().hex[:12],
@@ -169,6 +170,7 @@
             view,
             ports.store,
             peers,
+            follower,
             clock,
         )
         requests = RequestMeter()
@@ -194,7 +196,7 @@
             settings=settings,
             ports=ports,
             view=view,
-            follower=Follower(view, ports.store, peers, ports, clock),
+            follower=follower,
             leadership=leadership,
             granter=Granter(
                 view,
--- a/src/tarragonramp/fleet_view.py
+++ b/src/tarragonramp/fleet_view.py
@@ -1,6 +1,7 @@
 """What one daemon knows of the fleet: routes, servers, owners and daemons."""
 
 import attrs
+import xxhash
 from gevent.event import Event
 
 from .directory import Directory
@@ -75,6 +76,26 @@
         """Return the store's version of a service's table; 0 if there is none."""
         return self._table_versions.get(service, 0)
 
+    def digest(self):
+        """Return in few words what is known here, to compare with other daemons.
+
+        Returns
+        -------
+        digest : dict of str to object
+            By kind of what was read: plain data, equal if the same was read.
+        """
+        servers = [
+            f"{server.name} {server.life} {server.draining}"
+            for server in self.directory.servers.values()
+        ]
+        tables = [f"{name} {n}" for name, n in self._table_versions.items()]
+        return {
+            "manifest": self.manifest.version if self.manifest else 0,
+            "server": xxhash.xxh64_hexdigest(" ".join(sorted(servers))),
+            "evacuation": " ".join(sorted(self.directory.evacuated)),
+            "ranges": " ".join(sorted(tables)),
+        }
+
     def note_request(self, service, first):
         """Count a request for the range of keys that begins at ``first``."""
         counts = self.heat.setdefault(service, {})
--- a/src/tarragonramp/roles/follower.py
+++ b/src/tarragonramp/roles/follower.py
@@ -31,6 +31,11 @@
 TROUBLE_MS = 6000.0
 """How long after the store failed a server's entry that disappears may come back."""
 
+DIFFERING_MS = 500.0
+"""How long a peer may know something else before this daemon reads anew. Longer than
+changes take to arrive everywhere, and short beside the two seconds in which they have
+to be in force."""
+
 MASS_LOSS = 3
 """As many entries that disappear at once point to an outage of the store that this
 daemon did not see; single servers leave one by one."""
@@ -62,6 +67,9 @@
     failing_since_ms: dict = attrs.Factory(dict)
     _trouble_ms: float = float("-inf")
     _unread: set = attrs.Factory(set)
+    _to_reread: set = attrs.Factory(set)
+    _reading: dict = attrs.Factory(dict)
+    _differs_since_ms: dict = attrs.Factory(dict)
     _rng: random.Random = attrs.Factory(random.Random)
 
     def run(self, kind):
@@ -95,32 +103,57 @@
             return None
         return version, list(self.objects[kind].values())
 
+    def compare(self, peer, digest):
+        """Take in what a peer knows; read anew what has differed for some time.
+
+        Guards against a watch whose answer was lost: it waits on a connection that
+        seems to be alive, and this daemon would go on with what it knew.
+        """
+        own, now_ms = self.view.digest(), self.clock.now_ms()
+        for kind, known in own.items():
+            if digest.get(kind, known) == known:
+                self._differs_since_ms.pop((kind, peer), None)
+                continue
+            since_ms = self._differs_since_ms.setdefault((kind, peer), now_ms)
+            task = self._reading.get(RANGES if kind == "ranges" else kind)
+            if now_ms - since_ms >= DIFFERING_MS and task is not None:
+                log_event("peer-differs", kind=kind, peer=peer)
+                self._differs_since_ms[kind, peer] = now_ms + DIFFERING_MS
+                task.kill(block=False)
+
     def _advance(self, kind):
+        """Learn what is new of a kind: by a watch, or by reading everything."""
         version = self.versions.get(kind)
-        if version is None:
-            result = self.store.snapshot(kind)
-        else:
-            result = self.store.watch(kind, version, WATCH_MS)
+        if version is None or kind in self._to_reread:
+            return self._reread(kind)
+        task = gevent.spawn(self.store.watch, kind, version, WATCH_MS)
+        self._reading[kind] = task
+        result = task.get()
+        self._reading.pop(kind)
+        if isinstance(result, gevent.GreenletExit):
+            # A peer knows something else.
+            return self._reread(kind)
         if is_successful(result):
-            self._note_success(kind)
-            newer, items = result.unwrap()
-            if version is None:
-                self._replace(kind, newer, items)
-            else:
-                self._change(kind, newer, items)
+            self._change(kind, *result.unwrap())
             return True
         error = result.failure()
+        # Not from where the watch was: a store in trouble may have heard of changes
+        # that it tells no watch about.
+        self._to_reread.add(kind)
         if isinstance(error, HistoryGoneError):
             log_event("history-gone", kind=kind, version=version)
-            return self._reread(kind)
+            return True
         self._note_failure(kind, error)
         return False
 
     def _reread(self, kind):
         result = self.store.snapshot(kind)
         if not is_successful(result):
+            self._to_reread.add(kind)
             self._note_failure(kind, result.failure())
             return False
+        self._to_reread.discard(kind)
+        self._note_success(kind)
         self._replace(kind, *result.unwrap())
         return True
 
--- a/src/tarragonramp/roles/granter.py
+++ b/src/tarragonramp/roles/granter.py
@@ -17,7 +17,7 @@
 from returns.result import Failure
 
 from ..adapters.logs import log_event
-from ..dealing import Candidate, first_deal, plan_moves
+from ..dealing import Candidate, first_deal, plan_moves, spread_heat
 from ..errors import (
     ConflictError,
     NotFoundError,
@@ -40,6 +40,9 @@
 Servers register within some seconds of each other; whoever is late has to be given
 keys by moves, which cost more than the wait."""
 
+SPREAD_MS = 1000.0
+"""Between two looks at which keys are busy; they become so within seconds."""
+
 ANSWER_MS = 1000.0
 """Timeout of a grant. A server answers in a millisecond."""
 
@@ -121,6 +124,7 @@
     _contacts: dict = attrs.Factory(lambda: collections.defaultdict(_Contact))
     _refused: set = attrs.Factory(set)
     _waiting: dict = attrs.Factory(dict)
+    _spread_ms: dict = attrs.Factory(dict)
     _calls: dict = attrs.Factory(
         lambda: collections.defaultdict(lambda: BoundedSemaphore(CALLS_PER_SERVER))
     )
@@ -165,7 +169,8 @@
                 )
         for item in table.ranges:
             key = service, item.first, item.token
-            if item.is_moving and key not in self._moving:
+            is_done = self._settled[service].get(item.first) == item.token
+            if item.is_moving and not is_done and key not in self._moving:
                 self._moving[key] = gevent.spawn(self._move, service, item, key)
 
     # ------------------------------------------------------------------ planning
@@ -184,12 +189,10 @@
         newer = table.with_ranges(ended)
         n_moving = sum(item.is_moving for item in newer.ranges)
         moved = plan_moves(
-            newer,
-            candidates,
-            lambda item: self._stays(service, item),
-            self.leadership.heat.get(service),
-            n_moving,
+            newer, candidates, lambda item: self._stays(service, item), n_moving
         )
+        if not moved and not n_moving:
+            moved = self._spread(service, newer, candidates)
         if not ended and not moved:
             return table
         if moved:
@@ -206,6 +209,14 @@
         addresses = {candidate.name: candidate.address for candidate in candidates}
         return self._write(service, newer.with_ranges(moved, addresses)) or table
 
+    def _spread(self, service, table, candidates):
+        """Return busy ranges that should move, now and then."""
+        now_ms = self.clock.now_ms()
+        if now_ms < self._spread_ms.get(service, 0.0) + SPREAD_MS:
+            return []
+        self._spread_ms[service] = now_ms
+        return spread_heat(table, candidates, self.leadership.heat_of(service))
+
     def _candidates(self, service):
         directory = self.view.directory
         usable = directory.usable(service)
@@ -229,7 +240,7 @@
             return False
         if not self._is_unreachable(server.identity):
             return True
-        return not self._time_proves(service, item.first)
+        return not self._time_proves(service, item.first, item.token)
 
     def _deal(self, service, candidates):
         now_ms = self.clock.now_ms()
@@ -350,11 +361,17 @@
         table = self.view.tables.get(service)
         return self.leadership.leads and table.find(item.first) == item
 
-    def _grant(self, service, item, owner, token, handover="", hold_ms=None):
+    def _grant(
+        self, service, item, owner, token, handover="", hold_ms=None, record=None
+    ):
+        """Send one grant and note until when it may be held.
+
+        It is noted under the token of its owner, or under ``record``.
+        """
         address = self._address(service, owner)
         if not address:
             return NO_ADDRESS
-        held = self._held_of(service, item.first)
+        held = self._held_of(service, item.first, record or token)
         hold_ms = self.timing.hold_ms if hold_ms is None else hold_ms
         sent_ms = self.clock.now_ms()
         held.under_way += 1
@@ -380,8 +397,8 @@
             held.in_doubt_until_ms = sent_ms + LATE_GRANT_MS
         return result
 
-    def _held_of(self, service, first):
-        key = service, first
+    def _held_of(self, service, first, token):
+        key = service, first, token
         held = self._held.get(key)
         if held is None:
             # An earlier leader may have renewed it until it stopped.
@@ -414,10 +431,10 @@
             proof, handover = self._take_back(service, item)
             if proof is None:
                 return
-            self._forget_held(service, item)
             if not self._give(service, item, handover):
                 return
             self._settled[service][item.first] = item.token
+            self._held.pop((service, item.first, item.old_token), None)
             log_event(
                 "keys-moved",
                 service=service,
@@ -439,7 +456,7 @@
         while self._is_current(service, item):
             if self._life_ended(service, item.old_owner, item.old_life):
                 return "life ended", ""
-            if self._time_proves(service, item.first):
+            if self._time_proves(service, item.first, item.old_token):
                 return "time", ""
             result = self._release(service, item)
             if is_successful(result):
@@ -460,12 +477,17 @@
         if not address:
             return NO_ADDRESS
         token = item.old_token
-        held = self._held_of(service, item.first)
+        held = self._held_of(service, item.first, token)
         with self._calls[address]:
             if held.under_way or self.clock.now_ms() < held.in_doubt_until_ms:
                 token = item.token - 1
                 result = self._grant(
-                    service, item, item.old_owner, token, hold_ms=FENCE_HOLD_MS
+                    service,
+                    item,
+                    item.old_owner,
+                    token,
+                    hold_ms=FENCE_HOLD_MS,
+                    record=item.old_token,
                 )
                 if not is_successful(result):
                     return result
@@ -493,12 +515,9 @@
             gevent.sleep(RETRY_MS / 1000.0)
         return False
 
-    def _forget_held(self, service, item):
-        """Begin anew for the new owner, whom nobody has granted the range."""
-        self._held[service, item.first] = _Held()
-
-    def _time_proves(self, service, first):
-        held = self._held_of(service, first)
+    def _time_proves(self, service, first, token):
+        """Tell whether all grants of a range under a token must have ended."""
+        held = self._held_of(service, first, token)
         return self.clock.now_ms() > held.sent_ms + self.timing.longest_hold_ms
 
     def _life_ended(self, service, name, life):
--- a/src/tarragonramp/roles/leadership.py
+++ b/src/tarragonramp/roles/leadership.py
@@ -16,10 +16,10 @@
 LEADER, LEADER_NAME = "ramp-leader", "leader"
 NOBODY = LeaderRecord("", "", "", 0)
 
-PING_MS = 600.0
+PING_MS = 400.0
 """Between two pings of the leader; they carry counts of requests by key, too."""
 
-SILENT_PINGS = 2
+SILENT_PINGS = 3
 """Unanswered pings after which a daemon looks at the record in the store."""
 
 LOOK_MS = 500.0
@@ -33,7 +33,7 @@
 """How long a daemon that is not heard any more counts as one of the fleet. Long, as
 its share of what cold servers bear is only free once it has surely stopped."""
 
-HEAT_MS = 1500.0
+HEAT_MS = 3000.0
 """Time in which half of the counted requests for a key are forgotten: keys become busy
 within seconds."""
 
@@ -49,6 +49,8 @@
     view : FleetView
     store : Platform
     peers : FleetPeers
+    follower : Follower
+        Told what peers know.
     clock : Clock
     timing : LeaseTiming
     """
@@ -59,6 +61,7 @@
     view: object
     store: object
     peers: object
+    follower: object
     clock: object
     timing: LeaseTiming = LeaseTiming()
     standing: Standing = attrs.field(init=False)
@@ -118,6 +121,7 @@
         self._note_daemon(name, address)
         if self.leads:
             self.add_heat(message.get("heat", {}))
+        self.follower.compare(name, message.get("digest", {}))
         now_ms = self.clock.now_ms()
         return {
             "name": self.name,
@@ -125,6 +129,7 @@
             "leads": self.leads and not self.stopping,
             "store_age_ms": min(1e9, self.standing.confirmed_age_ms(now_ms)),
             "daemons": self.view.daemons,
+            "digest": self.view.digest(),
         }
 
     def told_to_step_down(self, term):
@@ -138,16 +143,24 @@
 
     def add_heat(self, counts):
         """Add counts of requests, by service and first key of their range."""
+        self._decay_heat()
+        for service, by_first in counts.items():
+            mine = self.heat.setdefault(service, {})
+            for first, count in by_first.items():
+                mine[int(first)] = mine.get(int(first), 0.0) + count
+
+    def heat_of(self, service):
+        """Return the counts of recent requests, by the first key of their range."""
+        self._decay_heat()
+        return self.heat.get(service, {})
+
+    def _decay_heat(self):
         now_ms = self.clock.now_ms()
         kept = 0.5 ** ((now_ms - self._heat_ms) / HEAT_MS)
         self._heat_ms = now_ms
         for by_first in self.heat.values():
             for first in by_first:
                 by_first[first] *= kept
-        for service, by_first in counts.items():
-            mine = self.heat.setdefault(service, {})
-            for first, count in by_first.items():
-                mine[int(first)] = mine.get(int(first), 0.0) + count
 
     def _note_daemon(self, name, address):
         now_ms = self.clock.now_ms()
@@ -275,7 +288,12 @@
             self._silent = SILENT_PINGS
             return
         heat = self.view.take_heat()
-        message = {"name": self.name, "address": self.address, "heat": heat}
+        message = {
+            "name": self.name,
+            "address": self.address,
+            "heat": heat,
+            "digest": self.view.digest(),
+        }
         result = self.peers.ping(record.address, message)
         told = result.unwrap() if is_successful(result) else {}
         if not told.get("leads"):
@@ -286,6 +304,7 @@
         if isinstance(daemons, dict) and self.name in daemons:
             self.view.daemons = dict(daemons)
         self._silent = 0
+        self.follower.compare(record.name, told.get("digest", {}))
         if told.get("store_age_ms", 0) > STALE_MS:
             self._silent = SILENT_PINGS
 
