--- a/src/tarragonramp/cold.py
+++ b/src/tarragonramp/cold.py
@@ -74,7 +74,7 @@
 
     def _is_sender(self, server, daemons, n_senders):
         def rank(daemon):
-            return xxhash.xxh64_intdigest(f"{server} {daemon}")
+            return xxhash.xxh64_intdigest(f"{server} {daemon}".encode())
 
         mine = rank(self.name)
         return sum(rank(daemon) < mine for daemon in daemons) < n_senders
--- a/src/tarragonramp/fleet_view.py
+++ b/src/tarragonramp/fleet_view.py
@@ -91,7 +91,7 @@
         tables = [f"{name} {n}" for name, n in self._table_versions.items()]
         return {
             "manifest": self.manifest.version if self.manifest else 0,
-            "server": xxhash.xxh64_hexdigest(" ".join(sorted(servers))),
+            "server": xxhash.xxh64_hexdigest(" ".join(sorted(servers)).encode()),
             "evacuation": " ".join(sorted(self.directory.evacuated)),
             "ranges": " ".join(sorted(tables)),
         }
