--- a/src/tarragonramp/adapters/fleet_peers.py
+++ b/src/tarragonramp/adapters/fleet_peers.py
@@ -1,8 +1,9 @@
-"""What daemons of a fleet say to each other, as JSON over HTTP."""
+"""What daemons of a fleet say to each other, as packed JSON over HTTP."""
 
 import json
 import random
 import urllib.parse
+import zlib
 
 import attrs
 from returns.pipeline import is_successful
@@ -11,7 +12,7 @@
 from ..errors import UnansweredError
 from ..meters import NOT_RUN
 from .http import HttpPools
-from .web import RequestError, error_reply, json_reply
+from .web import RequestError, error_reply
 
 __all__ = ["FleetPeers", "PeerApplication"]
 
@@ -21,7 +22,9 @@
     "/peer/news",
     "/metrics",
 )
-TIMEOUT_MS = 600.0
+TIMEOUT_MS = 450.0
+MESSAGE_BYTES = 16 << 20
+PACKED = ("Content-Encoding", "deflate")
 
 
 @attrs.define(eq=False, repr=False)
@@ -46,9 +49,15 @@
         options = {"max_idle": 2, "keepalive": True, "connect_ms": TIMEOUT_MS}
         self._pools = HttpPools(16 << 20, unsent_ms=TIMEOUT_MS, options=options)
 
-    def ping(self, address, message) -> Result:
-        """Send what this daemon says of itself; Success of what the other says."""
-        return self._exchange("POST", address, PING, message)
+    def ping(self, address, message, wait_ms) -> Result:
+        """Tell the leader of this daemon and wait for news, up to a time.
+
+        Returns
+        -------
+        told : Success of dict, or Failure of ExchangeError
+        """
+        timeout_ms = wait_ms + TIMEOUT_MS
+        return self._exchange("POST", address, PING, message, timeout_ms)
 
     def step_down(self, address, term) -> Result:
         """Tell an earlier leader that another daemon has its term."""
@@ -59,30 +68,42 @@
 
         Returns
         -------
-        news : tuple of (int, list) or None
-            The peer's version, and name, version and spec of each object.
+        news : dict
+            As ``Follower.news_since`` returns it; empty if there are none.
         """
         others = [a for name, a in self.view.daemons.items() if name != self.name]
         if not others:
-            return None
+            return {}
         query = urllib.parse.urlencode({"kind": kind, "since": since_version})
         address = self._rng.choice(others)
         result = self._exchange("GET", address, f"{NEWS}?{query}", None)
-        if not is_successful(result):
-            return None
-        raw = result.unwrap()
-        return (raw["version"], raw["objects"]) if raw.get("version") else None
+        return result.unwrap() if is_successful(result) else {}
 
-    def _exchange(self, method, address, target, message) -> Result:
-        data = b"" if message is None else json.dumps(message).encode()
+    def _exchange(self, method, address, target, message, timeout_ms=TIMEOUT_MS):
+        data = b"" if message is None else _dumped(message)
         pool = self._pools.at(address)
-        result = pool.exchange(method, target, (), data, TIMEOUT_MS)
+        headers = [PACKED] if data else []
+        result = pool.exchange(method, target, headers, data, timeout_ms)
         return result.bind(_read)
 
 
+def _dumped(message):
+    # Packed: what daemons tell each other crosses failure domains, which is paid for.
+    return zlib.compress(json.dumps(message, separators=(",", ":")).encode())
+
+
+def _loaded(data):
+    """Return what was packed by a peer; ValueError if it is not that."""
+    unpacking = zlib.decompressobj()
+    try:
+        return json.loads(unpacking.decompress(data, MESSAGE_BYTES))
+    except zlib.error as error:
+        raise ValueError("message not packed") from error
+
+
 def _read(answer):
     try:
-        raw = json.loads(answer.body)
+        raw = _loaded(answer.body)
     except ValueError:
         raw = None
     if answer.status != 200 or not isinstance(raw, dict):
@@ -125,16 +146,15 @@
             return error_reply(start_response, error)
         except RequestError as error:
             return error_reply(start_response, error)
-        return json_reply(start_response, 200, answer)
+        body = _dumped(answer)
+        start_response("200 OK", [PACKED, ("Content-Length", str(len(body)))])
+        return [body]
 
     def _news(self, environ):
         query = urllib.parse.parse_qs(environ["QUERY_STRING"])
-        news = self.follower.news(query["kind"][0], int(query["since"][0]))
-        if news is None:
-            return {}
-        version, items = news
-        rows = [[item.name, item.version, item.spec] for item in items]
-        return {"version": version, "objects": rows}
+        kind, since = query["kind"][0], int(query["since"][0])
+        news = self.follower.news_since({kind: since})
+        return {kind: news[kind]} if kind in news else {}
 
     def _metrics(self, start_response):
         page, content_type = self.metrics()
@@ -144,7 +164,7 @@
 
 
 def _body(environ):
-    raw = json.loads(environ["wsgi.input"].read())
+    raw = _loaded(environ["wsgi.input"].read())
     if not isinstance(raw, dict):
         raise ValueError("no mapping")
     return raw
--- a/src/tarragonramp/balancing.py
+++ b/src/tarragonramp/balancing.py
@@ -47,6 +47,11 @@
 service. Load: more requests than the servers can take. Harm prevented: claims refused
 because lookups came first."""
 
+UNSEEN_SPEED = 0.5
+"""How long work is expected to take at a server that was never asked, as a factor.
+Load: servers join while the others are not busy. Harm prevented: quick servers getting
+all work for ever, as the new ones are taken to be of usual speed."""
+
 MIN_RETRY_S = 0.05
 MAX_RETRY_S = 5.0
 FIRST_WORK_MS = 150.0
@@ -123,7 +128,7 @@
     """What one daemon has seen of one server."""
 
     in_flight: int = 0
-    speed: float = 1.0
+    speed: float = UNSEEN_SPEED
     failures: float = 0.0
     report: object = None
     report_ms: float = -math.inf
--- a/src/tarragonramp/dealing.py
+++ b/src/tarragonramp/dealing.py
@@ -10,10 +10,10 @@
 
 __all__ = ["MAX_MOVES", "Candidate", "first_deal", "plan_moves", "spread_heat"]
 
-RANGES_PER_SERVER = 24
+RANGES_PER_SERVER = 14
 """Load: busy keys that lie side by side. Harm prevented: one server owning all of
 them, at four times the mean load of its peers. Narrow ranges dealt in turn bring that
-to about twice at 16 a server; at 48 the renewals begin to cost more than they bring."""
+to about twice at 16 a server; each has to be renewed, mostly across failure domains."""
 
 MAX_MOVES = 48
 """Most ranges on their way at one time. Load: a failure domain leaves, with a quarter
--- a/src/tarragonramp/fleet.py
+++ b/src/tarragonramp/fleet.py
@@ -93,6 +93,8 @@
     caller_address, ready_address, peer_address : str
         Where it serves callers, the balancer's question, and other daemons.
     platform_address : str
+    seeds : tuple of str
+        Peer addresses of some daemons, which may be gone.
     bounds : FleetBounds
     """
 
@@ -102,6 +104,7 @@
     ready_address: str
     peer_address: str
     platform_address: str
+    seeds: tuple[str, ...] = ()
     bounds: FleetBounds = FleetBounds()
 
 
@@ -172,6 +175,7 @@
             peers,
             follower,
             clock,
+            settings.seeds,
         )
         requests = RequestMeter()
         options = {
@@ -233,12 +237,12 @@
         for kind in FOLLOWED_KINDS:
             keep_running(lambda kind=kind: self.follower.run(kind))
         keep_running(self.follower.run_missing)
-        leading = keep_running(self.leadership.run)
+        keep_running(self.leadership.run)
         keep_running(self.granter.run)
         opening = keep_running(self._open)
         keep_running(self._tidy)
         self.stopped.wait()
-        gevent.killall([opening, leading])
+        opening.kill()
         self._drain()
 
     def stop(self):
--- a/src/tarragonramp/fleet_view.py
+++ b/src/tarragonramp/fleet_view.py
@@ -91,9 +91,9 @@
         tables = [f"{name} {n}" for name, n in self._table_versions.items()]
         return {
             "manifest": self.manifest.version if self.manifest else 0,
-            "server": xxhash.xxh64_hexdigest(" ".join(sorted(servers)).encode()),
-            "evacuation": " ".join(sorted(self.directory.evacuated)),
-            "ranges": " ".join(sorted(tables)),
+            "server": _hash(servers),
+            "evacuation": _hash(self.directory.evacuated),
+            "ranges": _hash(tables),
         }
 
     def note_request(self, service, first):
@@ -114,3 +114,7 @@
         """Let everybody who waits for a change look again."""
         changed, self._changed = self._changed, Event()
         changed.set()
+
+
+def _hash(words):
+    return xxhash.xxh32_hexdigest(" ".join(sorted(words)).encode())
--- a/src/tarragonramp/leading.py
+++ b/src/tarragonramp/leading.py
@@ -38,8 +38,8 @@
     renew_ms: float = 800.0
     lease_ms: float = 2200.0
     right_ms: float = 9000.0
-    hold_ms: float = 5000.0
-    regrant_ms: float = 1500.0
+    hold_ms: float = 7000.0
+    regrant_ms: float = 2700.0
     drift: float = 1.02
     margin_ms: float = 300.0
 
--- a/src/tarragonramp/ranges.py
+++ b/src/tarragonramp/ranges.py
@@ -118,15 +118,17 @@
 
     def to_spec(self):
         """Return the table as plain data for the store."""
-        names = sorted({n for r in self.ranges for n in (r.owner, r.old_owner)})
-        index = {name: at for at, name in enumerate(names)}
+        owners = {(r.owner, r.life) for r in self.ranges}
+        owners |= {(r.old_owner, r.old_life) for r in self.ranges if r.is_moving}
+        servers = sorted(owners)
+        index = {identity: at for at, identity in enumerate(servers)}
         rows = [
-            [r.first, r.last, index[r.owner], r.life, r.token]
-            + ([index[r.old_owner], r.old_life, r.old_token] if r.is_moving else [])
+            [r.first, r.last, index[r.owner, r.life], r.token]
+            + ([index[r.old_owner, r.old_life], r.old_token] if r.is_moving else [])
             for r in self.ranges
         ]
-        servers = [[name, self.addresses.get(name, "")] for name in names]
-        return {"service": self.service, "servers": servers, "ranges": rows}
+        named = [[name, life, self.addresses.get(name, "")] for name, life in servers]
+        return {"service": self.service, "servers": named, "ranges": rows}
 
     @classmethod
     def from_spec(cls, spec):
@@ -138,18 +140,20 @@
             If they do not.
         """
         try:
-            names = [name for name, _ in spec["servers"]]
-            ranges = tuple(
-                KeyRange(
-                    row[0],
-                    row[1],
-                    names[row[2]],
-                    row[3],
-                    row[4],
-                    *((names[row[5]], row[6], row[7]) if len(row) > 5 else ()),
-                )
-                for row in spec["ranges"]
-            )
-            return cls(spec["service"], ranges, dict(spec["servers"]))
+            owners = [(name, life) for name, life, _ in spec["servers"]]
+            addresses = {name: address for name, _, address in spec["servers"]}
+            ranges = []
+            for first, last, owner, token, *old in spec["ranges"]:
+                item = KeyRange(first, last, *owners[owner], token)
+                if old:
+                    old_owner, old_life = owners[old[0]]
+                    item = attrs.evolve(
+                        item,
+                        old_owner=old_owner,
+                        old_life=old_life,
+                        old_token=old[1],
+                    )
+                ranges.append(item)
+            return cls(spec["service"], tuple(ranges), addresses)
         except (KeyError, IndexError, TypeError, ValueError) as error:
             raise ValueError(f"no range table: {error!r}") from error
--- a/src/tarragonramp/roles/follower.py
+++ b/src/tarragonramp/roles/follower.py
@@ -1,10 +1,17 @@
-"""Keeps a daemon's view up with the store, or with its peers while the store fails."""
+"""Keeps a daemon's view up with the store: itself, or through the leader.
+
+A watch costs a call for each daemon that waits, so most daemons lean on the leader,
+which passes on what it learns at once. A daemon that does not hear from the leader, or
+hears that the leader does not reach the store, turns to the store itself; and while the
+store fails it asks its peers.
+"""
 
 import random
 
 import attrs
 import gevent
 import logbook
+from gevent.event import Event
 from returns.pipeline import is_successful
 
 from ..adapters.logs import log_event
@@ -55,6 +62,14 @@
     ports : FleetPorts
         Decodes what others write.
     clock : Clock
+    versions : dict of str to int
+        By kind, the store's version up to which it was read.
+    changed : dict of str to int
+        By kind, the store's version at which something was last found changed.
+    objects : dict of str to dict
+        By kind and name, what was read.
+    failing_since_ms : dict of str to float
+        The kinds that could not be read, and since when.
     """
 
     view: object
@@ -63,9 +78,11 @@
     ports: object
     clock: object
     versions: dict = attrs.Factory(dict)
+    changed: dict = attrs.Factory(dict)
     objects: dict = attrs.Factory(dict)
     failing_since_ms: dict = attrs.Factory(dict)
     _trouble_ms: float = float("-inf")
+    _own: Event = attrs.Factory(Event)
     _unread: set = attrs.Factory(set)
     _to_reread: set = attrs.Factory(set)
     _reading: dict = attrs.Factory(dict)
@@ -76,6 +93,7 @@
         """Follow one kind, for ever."""
         pause_ms = FIRST_PAUSE_MS
         while True:
+            self._own.wait()
             if self._advance(kind):
                 pause_ms = FIRST_PAUSE_MS
                 continue
@@ -83,6 +101,34 @@
             gevent.sleep(pause_ms * (0.5 + self._rng.random()) / 1000.0)
             pause_ms = min(LAST_PAUSE_MS, pause_ms * 2)
 
+    @property
+    def uses_store(self):
+        """Whether this daemon follows the store itself."""
+        return self._own.is_set()
+
+    @property
+    def hears_store(self):
+        """Whether it does and nothing has failed since."""
+        return self.uses_store and self.is_synced and not self.failing_since_ms
+
+    def use_store(self, reason):
+        """Turn to the store; what is known is read anew."""
+        if self.uses_store:
+            return
+        log_event("store-followed", reason=reason)
+        self._to_reread.update(FOLLOWED_KINDS)
+        self._own.set()
+
+    def lean_on(self, leader):
+        """Leave the store to a leader that passes on what it learns."""
+        if not self.uses_store:
+            return
+        log_event("leader-followed", leader=leader)
+        self._own.clear()
+        self.failing_since_ms.clear()
+        for task in list(self._reading.values()):
+            task.kill(block=False)
+
     def run_missing(self):
         """Drop servers that did not come back after an outage, for ever."""
         while True:
@@ -96,12 +142,54 @@
         """Whether everything was read at least once."""
         return all(kind in self.versions for kind in FOLLOWED_KINDS)
 
-    def news(self, kind, since_version):
-        """Return ``(version, objects)`` of a kind if there is something newer."""
-        version = self.versions.get(kind, 0)
-        if version <= since_version:
-            return None
-        return version, list(self.objects[kind].values())
+    def news_since(self, versions):
+        """Return what has changed since some versions, as plain data.
+
+        Parameters
+        ----------
+        versions : dict of str to int
+            By kind, the version that the asking daemon has.
+
+        Returns
+        -------
+        news : dict of str to dict
+            By kind: the version here, whether what is missing may come back, the
+            names of all objects, and those objects that are newer.
+        """
+        return {
+            kind: {
+                "version": version,
+                "may_return": self._may_return(),
+                "names": list(self.objects[kind]),
+                "objects": [
+                    [item.name, item.version, item.spec]
+                    for item in self.objects[kind].values()
+                    if item.version > versions.get(kind, 0)
+                ],
+            }
+            for kind, version in self.changed.items()
+            if version > versions.get(kind, 0)
+        }
+
+    def take_news(self, news):
+        """Take in what another daemon has passed on; ValueError if malformed."""
+        for kind in FOLLOWED_KINDS:
+            found = news.get(kind)
+            if found is None or found["version"] < self.versions.get(kind, 0):
+                continue
+            if found.get("may_return"):
+                self._trouble_ms = self.clock.now_ms()
+            known = dict(self.objects.get(kind, {}))
+            items = [Stored(kind, *row) for row in found["objects"]]
+            known.update((item.name, item) for item in items)
+            names = set(found["names"])
+            if not names <= known.keys():
+                # It counted on something that this daemon does not have.
+                self.versions.pop(kind, None)
+                self.changed.pop(kind, None)
+                continue
+            kept = [item for name, item in known.items() if name in names]
+            self._replace(kind, found["version"], kept)
 
     def compare(self, peer, digest):
         """Take in what a peer knows; read anew what has differed for some time.
@@ -131,8 +219,9 @@
         result = task.get()
         self._reading.pop(kind)
         if isinstance(result, gevent.GreenletExit):
-            # A peer knows something else.
-            return self._reread(kind)
+            # A peer knows something else, or the leader is followed from here on.
+            self._to_reread.add(kind)
+            return True
         if is_successful(result):
             self._change(kind, *result.unwrap())
             return True
@@ -158,14 +247,12 @@
         return True
 
     def _ask_peer(self, kind):
-        since = self.versions.get(kind, 0)
+        """Ask another daemon, which the store may still serve."""
+        since = self.changed.get(kind, 0)
         news = self.peers.news(kind, since)
-        if news is None:
-            return
-        version, rows = news
-        items = [Stored(kind, *row) for row in rows]
-        log_event("news-from-peer", kind=kind, version=version)
-        self._replace(kind, version, items)
+        if news:
+            log_event("news-from-peer", kind=kind, version=news[kind]["version"])
+            self.take_news(news)
 
     def _note_success(self, kind):
         since_ms = self.failing_since_ms.pop(kind, None)
@@ -191,6 +278,8 @@
         before = self.objects.get(kind, {})
         self.versions[kind] = version
         self.objects[kind] = {item.name: item for item in items}
+        if kind not in self.changed or before != self.objects[kind]:
+            self.changed[kind] = version
         gone = set(before) - set(self.objects[kind])
         if kind == SERVER:
             self._lose(gone)
@@ -221,6 +310,7 @@
         if kind == EVACUATION:
             self._take_evacuations()
         if items:
+            self.changed[kind] = version
             self.view.wake()
 
     def _lose(self, names):
--- a/src/tarragonramp/roles/leadership.py
+++ b/src/tarragonramp/roles/leadership.py
@@ -16,15 +16,22 @@
 LEADER, LEADER_NAME = "ramp-leader", "leader"
 NOBODY = LeaderRecord("", "", "", 0)
 
-PING_MS = 400.0
-"""Between two pings of the leader; they carry counts of requests by key, too."""
+NEWS_WAIT_MS = 500.0
+"""How long a leader lets a daemon wait for news. Also how often the daemons are heard,
+and how soon a silent leader shows: within this and the timeout, so that what changes
+meanwhile can still be in force after two seconds."""
 
-SILENT_PINGS = 3
+LEAST_PING_MS = 30.0
+
+SILENT_PINGS = 2
 """Unanswered pings after which a daemon looks at the record in the store."""
 
 LOOK_MS = 500.0
 """Between two looks at a record that may stand still."""
 
+WATCHER_HEARD_MS = 2000.0
+"""How lately a daemon must have been heard to be the second that follows the store."""
+
 STALE_MS = 3000.0
 """A leader that answers, but has not been heard by the store for so long, is cut off
 from it; it is replaced by a daemon that the store does hear."""
@@ -52,6 +59,8 @@
     follower : Follower
         Told what peers know.
     clock : Clock
+    seeds : tuple of str
+        Addresses of some daemons, which may be gone; asked while the store is away.
     timing : LeaseTiming
     """
 
@@ -63,6 +72,7 @@
     peers: object
     follower: object
     clock: object
+    seeds: tuple = ()
     timing: LeaseTiming = LeaseTiming()
     standing: Standing = attrs.field(init=False)
     stopping: bool = False
@@ -99,7 +109,7 @@
                 gevent.sleep(LOOK_MS * (0.8 + 0.4 * self._rng.random()) / 1000.0)
             else:
                 self._ping()
-                gevent.sleep(PING_MS * (0.9 + 0.2 * self._rng.random()) / 1000.0)
+                gevent.sleep(LEAST_PING_MS / 1000.0)
 
     def resign(self):
         """Hand leadership back, so that another daemon takes it at once."""
@@ -114,23 +124,59 @@
         log_event("leader-resigned", told_store=is_successful(result))
 
     def heard(self, message):
-        """Take in a peer's ping and say who leads; the answer is plain data."""
+        """Take in what a daemon says of itself, and answer once there is news for it.
+
+        Returns
+        -------
+        answer : dict
+            Plain data: whether this daemon leads, and what the other should know.
+        """
         name, address = message["name"], message["address"]
+        if not self.leads or self.stopping:
+            record = self.standing.record
+            leader = record.address if record is not None else ""
+            return {"boot_id": self.boot_id, "leads": False, "leader": leader}
         if name not in self.view.daemons:
             log_event("daemon-heard", peer=name, address=address)
         self._note_daemon(name, address)
-        if self.leads:
-            self.add_heat(message.get("heat", {}))
+        self.add_heat(message.get("heat", {}))
         self.follower.compare(name, message.get("digest", {}))
+        versions = message["versions"]
+        until_ms = self.clock.now_ms() + NEWS_WAIT_MS
+        news = self.follower.news_since(versions)
+        while not news and self.leads and not self.stopping:
+            left_ms = until_ms - self.clock.now_ms()
+            if left_ms <= 0:
+                break
+            self.view.wait(left_ms)
+            news = self.follower.news_since(versions)
         now_ms = self.clock.now_ms()
-        return {
-            "name": self.name,
+        answer = {
             "boot_id": self.boot_id,
             "leads": self.leads and not self.stopping,
-            "store_age_ms": min(1e9, self.standing.confirmed_age_ms(now_ms)),
-            "daemons": self.view.daemons,
-            "digest": self.view.digest(),
+            "hears_store": self._hears_store(now_ms),
+            "watch": name == self._second_watcher(now_ms),
+            "news": news,
         }
+        if message.get("n_daemons") != len(self.view.daemons):
+            answer["daemons"] = self.view.daemons
+        if "digest" in message:
+            answer["digest"] = self.view.digest()
+        return answer
+
+    def _hears_store(self, now_ms):
+        age_ms = self.standing.confirmed_age_ms(now_ms)
+        return self.follower.hears_store and age_ms < STALE_MS
+
+    def _second_watcher(self, now_ms):
+        """Return the one other daemon that follows the store itself.
+
+        Were the leader the only one, a watch of its whose answer was lost would leave
+        all daemons with what they knew; the second one notices that they differ.
+        """
+        late_ms = now_ms - WATCHER_HEARD_MS
+        heard = [name for name, ms in self._heard_ms.items() if ms >= late_ms]
+        return min((name for name in heard if name != self.name), default="")
 
     def told_to_step_down(self, term):
         """Stop leading, as another daemon has a later term."""
@@ -218,13 +264,31 @@
         elif isinstance(result.failure(), NotFoundError):
             self._saw(None, 0)
         else:
-            self._ping()
+            self.follower.use_store("leader not known")
+            self._ask_seeds()
             return
         if not self.stopping and self.standing.may_take_over(now_ms):
             self._take_over()
         else:
             self._ping()
 
+    def _ask_seeds(self):
+        """Ask who leads while the store can't say: after a start, or in an outage."""
+        if self.standing.record is not None:
+            self._ping()
+            return
+        message = {"name": self.name, "address": self.address, "versions": {}}
+        for address in self.seeds:
+            if address == self.address:
+                continue
+            result = self.peers.ping(address, message, 0.0)
+            told = result.unwrap() if is_successful(result) else {}
+            leader = address if told.get("leads") else told.get("leader")
+            if leader:
+                self.standing.record = LeaderRecord("(from a seed)", "", leader, 0)
+                self._ping()
+                return
+
     def _saw(self, record, version):
         if version != self.standing.version:
             self._silent = 0
@@ -252,6 +316,7 @@
         self.others_stopped_ms = self._stopped_ms(before, term)
         self.standing.confirmed(record, result.unwrap().version, sent_ms)
         self.view.leader_address = self.address
+        self.follower.use_store("leads")
         log_event(
             "leader-taken-over",
             level=logbook.NOTICE,
@@ -283,30 +348,53 @@
         return self._right_end_ms()
 
     def _ping(self):
+        """Tell the leader of this daemon and take in its news."""
         record = self.standing.record
-        if record is None or not record.address or record.address == self.address:
+        address = record.address if record is not None else ""
+        if not address or address == self.address:
             self._silent = SILENT_PINGS
+            self.follower.use_store("no leader")
             return
-        heat = self.view.take_heat()
         message = {
             "name": self.name,
             "address": self.address,
-            "heat": heat,
-            "digest": self.view.digest(),
+            "heat": self.view.take_heat(),
+            "versions": self.follower.changed,
+            "n_daemons": len(self.view.daemons),
         }
-        result = self.peers.ping(record.address, message)
-        told = result.unwrap() if is_successful(result) else {}
+        if self.follower.uses_store:
+            message["digest"] = self.view.digest()
+        result = self.peers.ping(address, message, NEWS_WAIT_MS)
+        if not is_successful(result):
+            self._silent += 1
+            self.follower.use_store("leader does not answer")
+            return
+        self._take_answer(record, result.unwrap())
+
+    def _take_answer(self, record, told):
         if not told.get("leads"):
-            self._silent += 1 if not told else SILENT_PINGS
+            self._silent = SILENT_PINGS
+            self.follower.use_store("nobody leads")
             return
+        self._silent = 0
         self.view.leader_address = record.address
         daemons = told.get("daemons")
         if isinstance(daemons, dict) and self.name in daemons:
             self.view.daemons = dict(daemons)
-        self._silent = 0
+        try:
+            self.follower.take_news(told.get("news", {}))
+        except (KeyError, TypeError, ValueError) as error:
+            log_event("news-not-understood", leader=record.name, reason=repr(error))
+            self.follower.use_store("news not understood")
+            return
         self.follower.compare(record.name, told.get("digest", {}))
-        if told.get("store_age_ms", 0) > STALE_MS:
+        if not told.get("hears_store"):
+            self.follower.use_store("leader does not hear the store")
             self._silent = SILENT_PINGS
+        elif told.get("watch"):
+            self.follower.use_store("second watcher")
+        elif self.follower.is_synced:
+            self.follower.lean_on(record.name)
 
 
 def _record(stored):
