--- a/src/tarragonramp/adapters/pipelining.py
+++ b/src/tarragonramp/adapters/pipelining.py
@@ -71,6 +71,10 @@
     def read_requestline(self):
         """Wait for the next request; none once an answer said that it was the last."""
         text = super().read_requestline()
+        if self.server.leaving and self.line.unanswered:
+            # A caller that always sends before it is answered would never see an
+            # answer that closes the connection, and would be cut at the end.
+            self.line.closing = True
         if self.line.closing:
             # Nobody may think that it was read: its caller sends it again.
             text = ""
--- a/src/tarragonramp/balancing.py
+++ b/src/tarragonramp/balancing.py
@@ -18,10 +18,15 @@
 ROUTE_WEIGHT = 0.05
 """Weight of the newest answer in a route's mean, which all its servers share."""
 
-REPORT_MS = 400.0
-"""Age at which a load report counts for half. Load: other daemons' requests at the
-same server, which end within some hundred milliseconds. Harm prevented: passing over
-a server for work that has long been done."""
+REPORT_SHARE, LEAST_REPORT_MS = 1.0, 150.0
+"""Age at which a load report counts for half, as part of the time that work takes.
+Load: other daemons' requests at the same server, which end in that time. Harm
+prevented: passing over a server for work that has long been done, or queueing behind
+work that has only begun."""
+
+SLOWNESS_MS = 200.0
+"""Age at which a report of how long work takes counts for half; it changes many times a
+second."""
 
 FORGET_MS = 2500.0
 """Time in which half of what is held against a server without answers is forgotten.
@@ -136,12 +141,12 @@
     changed_ms: float = -math.inf
     passed_over_until_ms: float = -math.inf
 
-    def others(self, now_ms):
+    def others(self, work_ms, now_ms):
         """Requests of other daemons that are probably there now."""
         if self.report is None:
             return 0.0
         at_report = self.report.running + self.report.waiting - self.own_at_report
-        age = (now_ms - self.report_ms) / REPORT_MS
+        age = (now_ms - self.report_ms) / max(LEAST_REPORT_MS, REPORT_SHARE * work_ms)
         return max(0.0, at_report) * 0.5**age
 
     def decayed(self, value, calm, now_ms):
@@ -212,15 +217,9 @@
     def wait_ms(self, server, route, now_ms):
         """Return how long a request would wait for one of a server's slots."""
         seen = self._of(server.name)
-        ahead = self.in_hand(server.name, now_ms) - server.slots + 1.0
-        if ahead <= 0:
-            return 0.0
-        return ahead * self._server_work_ms(seen, route, now_ms) / server.slots
-
-    def in_hand(self, name, now_ms):
-        """Return how many requests a server probably has, from all daemons."""
-        seen = self._of(name)
-        return seen.in_flight + seen.others(now_ms)
+        work_ms = self._server_work_ms(seen, route, now_ms)
+        in_hand = seen.in_flight + seen.others(work_ms, now_ms)
+        return max(0.0, in_hand - server.slots + 1.0) * work_ms / server.slots
 
     def in_flight(self, name):
         """Return how many requests of this daemon a server has."""
@@ -333,7 +332,6 @@
     def _server_work_ms(self, seen, route, now_ms):
         speed = seen.decayed(seen.speed, 1.0, now_ms)
         if seen.report is not None:
-            # Of this very moment only: it changes many times a second.
-            age = (now_ms - seen.report_ms) / (REPORT_MS / 2)
+            age = (now_ms - seen.report_ms) / SLOWNESS_MS
             speed *= 1.0 + (seen.report.slowness - 1.0) * 0.5**age
         return self.work_ms(route) * speed
--- a/src/tarragonramp/dealing.py
+++ b/src/tarragonramp/dealing.py
@@ -8,7 +8,7 @@
 from .manifest import N_KEYS
 from .ranges import KeyRange, RangeTable
 
-__all__ = ["MAX_MOVES", "Candidate", "first_deal", "plan_moves", "spread_heat"]
+__all__ = ["Candidate", "Heat", "first_deal", "plan_moves", "spread_heat"]
 
 RANGES_PER_SERVER = 14
 """Load: busy keys that lie side by side. Harm prevented: one server owning all of
@@ -27,10 +27,14 @@
 """By how much of the mean, and by how many standard deviations of a count, a server has
 to have more requests than the mean before its keys move."""
 
-FAIR_SHARE = 0.6
-"""A server with less than this part of its fair share of keys gets some. Load: servers
-are added one by one. Harm prevented: keys that move at each small difference; each
-move costs callers a moment and the new owner its caches."""
+BUSY_SHARE = 0.5
+"""Part of its slots that a server must have had in use to give busy ranges away; below
+that few of its requests wait."""
+
+FAIR_SHARE, FILLED_SHARE = 0.2, 0.7
+"""A server with less than the first part of its fair share of keys gets as much as the
+second. Load: servers are added one by one. Harm prevented: keys that move at each small
+difference, or back to a server that was relieved of busy ones."""
 
 
 @attrs.frozen
@@ -42,14 +46,33 @@
     name : str
     life : int
     address : str
-    weight : float
-        Its capacity relative to its peers.
+    slots : int
+        Requests that it works on at once.
     """
 
     name: str
     life: int
     address: str = ""
-    weight: float = 1.0
+    slots: int = 1
+
+
+@attrs.frozen
+class Heat:
+    """Recent work of the servers of one service.
+
+    Parameters
+    ----------
+    by_first : dict of int to float
+        Time that requests spent at servers, in ms, by the first key of their range.
+    request_ms : float
+        What one of them spent on average.
+    window_ms : float
+        Over which time the work was summed.
+    """
+
+    by_first: dict
+    request_ms: float
+    window_ms: float
 
 
 def first_deal(service, candidates):
@@ -100,7 +123,7 @@
     if not candidates or room <= 0:
         return []
     lives = {candidate.name: candidate.life for candidate in candidates}
-    weight = {candidate.name: candidate.weight for candidate in candidates}
+    slots = {candidate.name: candidate.slots for candidate in candidates}
 
     def cost(item):
         return item.n_keys / N_KEYS
@@ -109,7 +132,7 @@
     orphans = []
     for item in table.ranges:
         if lives.get(item.owner) == item.life:
-            loads[item.owner] += cost(item) / weight[item.owner]
+            loads[item.owner] += cost(item) / slots[item.owner]
         elif not item.is_moving and not stays(item):
             orphans.append(item)
     orphans.sort(key=cost, reverse=True)
@@ -119,45 +142,42 @@
     for item in orphans[:room]:
         load, name = heapq.heappop(heap)
         moved.append(item.moved_to(name, lives[name]))
-        load += cost(item) / weight[name]
-        loads[name] = load
+        load += cost(item) / slots[name]
         heapq.heappush(heap, (load, name))
     if orphans:
         return moved
-    return _fill_up(table, lives, weight, loads, cost, room)
+    return _fill_up(table, candidates, cost, room)
 
 
 def spread_heat(table, candidates, heat):
     """Return busy ranges that should move to servers that have less to do.
 
-    Load: keys become busy within seconds, and many of them may have one owner. Harm
-    prevented: a queue before one server while others are idle. Chasing noise would
-    cost more than it brings, so only what stands out from chance is moved, and only
-    ranges whose move leaves the new owner with less than the old one had.
+    Load: keys become busy within seconds, and many of them may have one owner; servers
+    differ in speed, and some turn slow. Harm prevented: a queue before one server while
+    others are idle. Chasing noise would cost more than it brings, so only a server that
+    is busy itself and stands out from chance gives ranges away, and only ranges whose
+    move leaves the new owner with less than the old one had.
 
     Parameters
     ----------
     table : RangeTable
     candidates : sequence of Candidate
-    heat : dict of int to float
-        Recent requests by first key.
+    heat : Heat
+        Recent work.
 
     Returns
     -------
     moved : list of KeyRange
     """
+    by_owner = _by_owner(table, candidates)
     lives = {candidate.name: candidate.life for candidate in candidates}
-    by_owner = {name: [] for name in lives}
-    for item in table.ranges:
-        if lives.get(item.owner) == item.life and not item.is_moving:
-            by_owner[item.owner].append(item)
-    weight = {candidate.name: candidate.weight for candidate in candidates}
+    slots = {candidate.name: candidate.slots for candidate in candidates}
 
     def heat_of(item):
-        return heat.get(item.first, 0.0)
+        return heat.by_first.get(item.first, 0.0)
 
     loads = {
-        name: sum(map(heat_of, ranges)) / weight[name]
+        name: sum(map(heat_of, ranges)) / slots[name]
         for name, ranges in by_owner.items()
     }
     moved = []
@@ -166,37 +186,55 @@
             break
         mean = sum(loads.values()) / len(loads)
         fullest, emptiest = max(loads, key=loads.get), min(loads, key=loads.get)
+        chance = math.sqrt(mean * heat.request_ms / slots[fullest])
         excess = loads[fullest] - mean
-        if excess <= max(EXCESS_SHARE * mean, EXCESS_DEVIATIONS * math.sqrt(mean)):
+        if excess <= max(EXCESS_SHARE * mean, EXCESS_DEVIATIONS * chance):
             break
-        most = 0.6 * (loads[fullest] - loads[emptiest])
+        if loads[fullest] < BUSY_SHARE * heat.window_ms:
+            break
+        most = 0.6 * (loads[fullest] - loads[emptiest]) * slots[fullest]
         fitting = [r for r in by_owner[fullest] if 0 < heat_of(r) <= most]
         if not fitting:
             break
         item = max(fitting, key=heat_of)
         by_owner[fullest].remove(item)
-        loads[fullest] -= heat_of(item) / weight[fullest]
-        loads[emptiest] += heat_of(item) / weight[emptiest]
+        loads[fullest] -= heat_of(item) / slots[fullest]
+        loads[emptiest] += heat_of(item) / slots[emptiest]
         moved.append(item.moved_to(emptiest, lives[emptiest]))
     return moved
 
 
-def _fill_up(table, lives, weight, loads, cost, room):
-    """Give servers that have far less than their share some ranges of the fullest."""
-    fair = 1.0 / sum(weight.values())
-    by_owner = {}
+def _by_owner(table, candidates):
+    """Return the settled ranges of each candidate."""
+    lives = {candidate.name: candidate.life for candidate in candidates}
+    by_owner = {name: [] for name in lives}
     for item in table.ranges:
         if lives.get(item.owner) == item.life and not item.is_moving:
-            by_owner.setdefault(item.owner, []).append(item)
+            by_owner[item.owner].append(item)
+    return by_owner
+
+
+def _fill_up(table, candidates, cost, room):
+    """Give servers that have far less than their share some ranges of the fullest."""
+    by_owner = _by_owner(table, candidates)
+    lives = {candidate.name: candidate.life for candidate in candidates}
+    slots = {candidate.name: candidate.slots for candidate in candidates}
+    loads = dict.fromkeys(lives, 0.0)
+    for item in table.ranges:
+        if lives.get(item.owner) == item.life:
+            loads[item.owner] += cost(item) / slots[item.owner]
+    fair = 1.0 / sum(slots.values())
     moved = []
     for name in sorted(loads, key=loads.get):
-        while loads[name] < FAIR_SHARE * fair and len(moved) < room:
+        if loads[name] >= FAIR_SHARE * fair:
+            break
+        while loads[name] < FILLED_SHARE * fair and len(moved) < room:
             fullest = max(loads, key=loads.get)
-            ranges = by_owner.get(fullest)
-            if fullest == name or not ranges or len(ranges) < 2:
+            ranges = by_owner[fullest]
+            if fullest == name or len(ranges) < 2:
                 return moved
             item = ranges.pop()
             moved.append(item.moved_to(name, lives[name]))
-            loads[fullest] -= cost(item) / weight[fullest]
-            loads[name] += cost(item) / weight[name]
+            loads[fullest] -= cost(item) / slots[fullest]
+            loads[name] += cost(item) / slots[name]
     return moved
--- a/src/tarragonramp/fleet_view.py
+++ b/src/tarragonramp/fleet_view.py
@@ -96,13 +96,21 @@
             "ranges": _hash(tables),
         }
 
-    def note_request(self, service, first):
-        """Count a request for the range of keys that begins at ``first``."""
-        counts = self.heat.setdefault(service, {})
-        counts[first] = counts.get(first, 0) + 1
+    def note_work(self, service, first, took_ms):
+        """Add what a request for the range of keys that begins at ``first`` took."""
+        work = self.heat.setdefault(service, {}).setdefault(first, [0, 0])
+        work[0] += 1
+        work[1] += round(took_ms)
 
     def take_heat(self):
-        """Return the counts of requests since the last call, and begin anew."""
+        """Return work since the last call, and begin anew.
+
+        Returns
+        -------
+        heat : dict of str to dict
+            By service and first key of a range: number of requests, and their time
+            at servers in ms.
+        """
         heat, self.heat = self.heat, {}
         return heat
 
--- a/src/tarragonramp/roles/granter.py
+++ b/src/tarragonramp/roles/granter.py
@@ -223,7 +223,7 @@
         warm = [server for server in usable if not directory.is_cold(server.name)]
         reached = [s for s in warm or usable if not self._is_unreachable(s.identity)]
         return [
-            Candidate(server.name, server.life, server.address)
+            Candidate(server.name, server.life, server.address, server.slots)
             for server in reached or warm or usable
         ]
 
--- a/src/tarragonramp/roles/leadership.py
+++ b/src/tarragonramp/roles/leadership.py
@@ -1,5 +1,6 @@
 """Which daemon gives keys to servers: one at a time, named in the store."""
 
+import math
 import random
 
 import attrs
@@ -8,6 +9,7 @@
 from returns.pipeline import is_successful
 
 from ..adapters.logs import log_event
+from ..dealing import Heat
 from ..errors import ConflictError, NotFoundError
 from ..leading import LeaderRecord, LeaseTiming, Standing
 
@@ -77,7 +79,7 @@
     standing: Standing = attrs.field(init=False)
     stopping: bool = False
     others_stopped_ms: float = 0.0
-    heat: dict = attrs.Factory(dict)
+    _heat: dict = attrs.Factory(dict)
     _heard_ms: dict = attrs.Factory(dict)
     _silent: int = 0
     _heat_ms: float = 0.0
@@ -187,26 +189,33 @@
             self._silent = SILENT_PINGS
         return {"boot_id": self.boot_id, "leads": self.standing.is_named}
 
-    def add_heat(self, counts):
-        """Add counts of requests, by service and first key of their range."""
+    def add_heat(self, work):
+        """Add what daemons have counted; as ``FleetView.take_heat`` returns it."""
         self._decay_heat()
-        for service, by_first in counts.items():
-            mine = self.heat.setdefault(service, {})
-            for first, count in by_first.items():
-                mine[int(first)] = mine.get(int(first), 0.0) + count
+        for service, by_first in work.items():
+            mine = self._heat.setdefault(service, {})
+            for first, (count, took_ms) in by_first.items():
+                entry = mine.setdefault(int(first), [0.0, 0.0])
+                entry[0] += count
+                entry[1] += took_ms
 
     def heat_of(self, service):
-        """Return the counts of recent requests, by the first key of their range."""
+        """Return the Heat of a service."""
         self._decay_heat()
-        return self.heat.get(service, {})
+        entries = self._heat.get(service, {})
+        total_ms = sum(took_ms for _, took_ms in entries.values())
+        count = sum(count for count, _ in entries.values())
+        by_first = {first: took_ms for first, (_, took_ms) in entries.items()}
+        return Heat(by_first, total_ms / max(1.0, count), HEAT_MS / math.log(2.0))
 
     def _decay_heat(self):
         now_ms = self.clock.now_ms()
         kept = 0.5 ** ((now_ms - self._heat_ms) / HEAT_MS)
         self._heat_ms = now_ms
-        for by_first in self.heat.values():
-            for first in by_first:
-                by_first[first] *= kept
+        for by_first in self._heat.values():
+            for entry in by_first.values():
+                entry[0] *= kept
+                entry[1] *= kept
 
     def _note_daemon(self, name, address):
         now_ms = self.clock.now_ms()
--- a/src/tarragonramp/roles/router.py
+++ b/src/tarragonramp/roles/router.py
@@ -67,6 +67,7 @@
     arrived_ms: float
     until_ms: float
     is_wanted: object
+    first: int | None = None
     tried: list = attrs.Factory(list)
     in_doubt: bool = False
     reason: str = ""
@@ -256,7 +257,7 @@
                 retry_s = self._retry_after_s(order, OWNER_GONE_RETRY_S)
                 raise order.refusal(503, reason, retry_s)
             self.view.wait(min(left_ms, 50.0))
-        self.view.note_request(order.service, item.first)
+        order.first = item.first
         if not self._has_connections(server):
             retry_s = self._retry_after_s(order, 0.3)
             raise order.refusal(503, "no connection left", retry_s)
@@ -311,6 +312,8 @@
             raise
         now_ms = self.clock.now_ms()
         took_ms = now_ms - began_ms
+        if order.first is not None:
+            self.view.note_work(order.service, order.first, took_ms)
         if not is_successful(result):
             self._note_failure(order, server, result.failure(), now_ms)
             return result, took_ms
