--- /dev/null
+++ b/tests/test_fleet_path.py
@@ -0,0 +1,299 @@
+"""The whole path on the users' platform, with real processes over ``platform/``."""
+
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+import unittest
+
+import gevent
+
+from standins.fleet_site import FleetSite, manifest
+
+DAEMONS = ("d1", "d2", "d3")
+KEYS = range(0, 65_536, 4096)
+
+
+def calm_site(case):
+    """Start a fleet of three daemons in two failure domains and wait for it."""
+    site = FleetSite()
+    case.addClassCleanup(site.close)
+    site.start_store()
+    site.order(write=["config", "main", manifest(1), None])
+    for i in range(3):
+        site.start_server(f"desk{i}", "desk", "ab"[i % 2])
+        site.start_server(f"parts{i}", "parts", "ab"[i % 2])
+    for name, domain in zip(DAEMONS, "abb", strict=True):
+        site.start_daemon(name, domain)
+    site.wait_ready(*DAEMONS)
+    site.wait(lambda: all_keys_served(site), "all keys served")
+    return site
+
+
+def all_keys_served(site):
+    """Tell whether each key is served through the first daemon."""
+    return all(
+        (answer := site.call("d1", "/parts/", f"k{key}-{time.monotonic()}", key))
+        and answer.status == 200
+        for key in KEYS
+    )
+
+
+def leader_of(site):
+    """Return the name of the daemon that the store names as leader."""
+    objects = site.order()["objects"]
+    return objects["ramp-leader"]["leader"]["spec"]["name"]
+
+
+class CalmFleetTest(unittest.TestCase):
+    """Nothing fails."""
+
+    @classmethod
+    def setUpClass(cls):
+        cls.site = calm_site(cls)
+
+    def test_answers_come_back_as_servers_gave_them(self):
+        for daemon in DAEMONS:
+            answer = self.site.call(daemon, "/view/7", f"v-{daemon}")
+            self.assertEqual(answer.status, 200)
+            self.assertEqual(answer.header("Upstream-Stamp"), f"mark.v-{daemon}")
+            self.assertEqual(answer.header("Request-Id"), f"v-{daemon}")
+            self.assertTrue(answer.body.endswith(b"/view/7 0"))
+
+    def test_an_unknown_route_is_not_found_and_the_longest_prefix_wins(self):
+        self.assertEqual(self.site.call("d1", "/nowhere/", "n1").status, 404)
+        self.assertEqual(self.site.call("d1", "/view", "n2").status, 404)
+
+    def test_servers_get_what_is_left_of_the_deadline(self):
+        self.site.call("d2", "/view/", "left-1", patience_ms=700)
+        runs = [
+            entry
+            for name in self.site.servers
+            for entry in self.site.log_of(name)
+            if entry[0] == "run" and entry[2] == "left-1"
+        ]
+        self.assertEqual(len(runs), 1)
+        self.assertLessEqual(int(runs[0][5]), 700)
+        self.assertGreater(int(runs[0][5]), 500)
+
+    def test_every_key_has_one_owner_and_a_grant_for_a_time(self):
+        """Grants of one key to two servers overlap nowhere."""
+        holds = {}
+        for name in ("parts0", "parts1", "parts2"):
+            for entry in self.site.log_of(name):
+                if entry[0] == "grant":
+                    holds.setdefault((entry[2], entry[3]), set()).add((name, entry[4]))
+        self.assertGreater(len(holds), 20)
+        for keys, owners in holds.items():
+            tokens = {token for _, token in owners}
+            self.assertEqual(len(tokens), len(owners), keys)
+
+    def test_a_new_manifest_is_in_force_everywhere_within_two_seconds(self):
+        self.site.order(write=["config", "main", manifest(5, late="desk"), None])
+        time.sleep(2.0)
+        for daemon in DAEMONS:
+            self.assertEqual(self.site.call(daemon, "/late/", "l1").status, 200)
+        # An older one written later changes nothing.
+        self.site.order(write=["config", "main", manifest(3), None])
+        time.sleep(1.0)
+        for daemon in DAEMONS:
+            self.assertEqual(self.site.call(daemon, "/late/", "l2").status, 200)
+        # Neither does one that can't be read.
+        self.site.order(write=["config", "main", {"version": "r9"}, None])
+        time.sleep(1.0)
+        for daemon in DAEMONS:
+            self.assertEqual(self.site.call(daemon, "/late/", "l3").status, 200)
+
+    def test_entries_of_other_writers_hurt_nobody(self):
+        for name, entry in (
+            ("x1", {"addr": 7}),
+            ("x2", {"info": {}, "status": None}),
+            ("x3", {"addr": "a:b", "born": "soon", "info": {}, "status": {}}),
+        ):
+            self.site.order(write=["servers", name, entry, None])
+        time.sleep(0.5)
+        self.assertEqual(self.site.call("d1", "/view/", "after-bad").status, 200)
+
+    def test_only_two_daemons_follow_the_store(self):
+        """A watch costs a call for each daemon that waits."""
+        before = self.site.order()["calls"]
+        self.site.order(write=["evacuations", "nowhere", {}, None])
+        time.sleep(1.5)
+        after = self.site.order()["calls"]
+        asked = after["watch evacuations"] - before["watch evacuations"]
+        self.assertIn(asked, (2, 3))
+        self.site.order(delete=["evacuations", "nowhere"])
+
+
+class FaultyServersTest(unittest.TestCase):
+    """Servers refuse, lose and garble; what callers get and how often it ran."""
+
+    @classmethod
+    def setUpClass(cls):
+        cls.site = calm_site(cls)
+
+    def strike_all(self, **faults):
+        """Let the next requests of every server of the shared service fail."""
+        for name in ("desk0", "desk1", "desk2"):
+            self.site.break_server(name, **faults)
+
+    def tearDown(self):
+        none = dict.fromkeys(("shed", "lose", "truncate", "foreign", "unmarked"), 0)
+        self.strike_all(**none)
+
+    def test_an_unsafe_request_whose_answer_is_lost_runs_once(self):
+        self.strike_all(lose=5)
+        for i in range(3):
+            answer = self.site.call("d1", "/book/", f"book-{i}", method="POST")
+            self.assertIn(answer.status, (502, 504))
+        runs = self.site.runs()
+        self.assertEqual([runs.get(f"book-{i}") for i in range(3)], [1, 1, 1])
+
+    def test_a_safe_request_is_sent_to_a_second_server(self):
+        self.strike_all(lose=1)
+        answer = self.site.call("d2", "/view/", "again-1")
+        # Both tries may meet a server that loses one; then it is told as unknown.
+        self.assertIn(answer.status, (200, 502))
+        self.assertEqual(self.site.call("d2", "/view/", "again-2").status, 200)
+
+    def test_a_shed_request_is_refused_as_not_run_only_if_it_did_not_run(self):
+        self.strike_all(shed=50)
+        answer = self.site.call("d3", "/book/", "shed-1", method="POST")
+        self.assertEqual(answer.status, 503)
+        self.assertTrue(answer.header("Retry-After"))
+        self.assertNotIn("shed-1", self.site.runs())
+
+    def test_garbled_answers_reach_nobody(self):
+        for fault in ("truncate", "foreign", "unmarked"):
+            with self.subTest(fault):
+                self.strike_all(**{fault: 9})
+                answer = self.site.call("d1", "/book/", f"{fault}-1", method="POST")
+                self.assertIn(answer.status, (502, 504))
+                self.strike_all(**{fault: 0})
+
+    def test_a_grant_without_an_answer_costs_no_key(self):
+        for name in ("parts0", "parts1", "parts2"):
+            self.site.break_server(name, silent_grants=3)
+        time.sleep(6.0)
+        self.assertTrue(all_keys_served(self.site))
+
+
+class LossTest(unittest.TestCase):
+    """Processes end, freeze and come back."""
+
+    @classmethod
+    def setUpClass(cls):
+        cls.site = calm_site(cls)
+
+    def test_a_killed_leader_is_replaced_and_no_key_is_lost(self):
+        before = leader_of(self.site)
+        self.site.kill(before)
+        others = [name for name in DAEMONS if name != before]
+        self.site.wait(lambda: leader_of(self.site) != before, "another leader")
+        for key in KEYS:
+            answer = self.site.call(others[0], "/parts/", f"lost-leader-{key}", key)
+            self.assertEqual(answer.status, 200)
+        self.site.start_daemon(before, "a")
+        self.site.wait_ready(before)
+
+    def test_a_draining_server_keeps_no_key(self):
+        """Its keys have another owner soon, with what it handed over."""
+        self.site.start_server("parts9", "parts", "a")
+        time.sleep(4.0)
+        self.site.signal("parts9", signal.SIGUSR1)
+        time.sleep(2.0)
+        started = time.time() * 1000.0
+        for key in KEYS:
+            self.site.call("d2", "/parts/", f"drained-{key}", key)
+        late = [
+            entry
+            for entry in self.site.log_of("parts9")
+            if entry[0] == "run" and entry[1] > started
+        ]
+        self.assertEqual(late, [])
+        self.assertTrue(all_keys_served(self.site))
+        self.site.kill("parts9")
+        self.site.order(delete=["servers", "parts9"])
+
+    def test_an_outage_of_the_store_stops_nobody(self):
+        self.site.order(faults={"down": True})
+        until_s = time.monotonic() + 8.0
+        i = 0
+        while time.monotonic() < until_s:
+            i += 1
+            key = KEYS[i % len(KEYS)]
+            answer = self.site.call("d3", "/parts/", f"away-{i}", key)
+            self.assertEqual(answer.status, 200)
+            gevent.sleep(0.1)
+        self.site.order(faults={"down": False})
+
+    def test_a_watch_whose_answer_is_lost_hides_no_manifest(self):
+        """The store's answers to the watches are lost, on connections that stay open.
+
+        Daemons would go on with the old manifest until their watches end. They differ
+        from each other only if one hears; here the leader's own peer does.
+        """
+        self.site.order(faults={"lose_watches": 1})
+        self.site.order(write=["config", "main", manifest(20, fresh="desk"), None])
+        time.sleep(3.0)
+        for daemon in DAEMONS:
+            self.assertEqual(self.site.call(daemon, "/fresh/", "f1").status, 200)
+
+    def test_forgotten_history_is_read_anew(self):
+        self.site.order(forget_history=True)
+        self.site.order(write=["config", "main", manifest(30, again="desk"), None])
+        time.sleep(2.0)
+        for daemon in DAEMONS:
+            self.assertEqual(self.site.call(daemon, "/again/", "g1").status, 200)
+
+    def test_a_stop_cuts_off_no_request(self):
+        """Callers go on calling while one daemon after the other is told to stop."""
+        for name in DAEMONS:
+            callers = [
+                gevent.spawn(self.site.call, name, "/view/", f"stop-{name}-{i}")
+                for i in range(10)
+            ]
+            gevent.sleep(0.002)
+            self.site.signal(name, signal.SIGTERM)
+            answers = [caller.get() for caller in callers]
+            self.assertEqual([a.status for a in answers if a], [200] * len(answers))
+            self.assertEqual(self.site.processes[name].wait(10.0), 0)
+            self.assertIn("event=daemon-stopped", self.site.log_text(name))
+            self.site.start_daemon(name, "a")
+            self.site.wait_ready(name)
+
+
+class SettingsTest(unittest.TestCase):
+    """What a daemon says of settings that can't be used."""
+
+    def test_every_fault_is_told_at_once(self):
+        with tempfile.NamedTemporaryFile("w", suffix=".toml") as stream:
+            stream.write('[self]\nnode = 3\n[terms.bounds]\ndrain = "soon"\n')
+            stream.flush()
+            environment = {**os.environ, "TARRAGONRAMP_CONFIG": stream.name}
+            done = subprocess.run(
+                [sys.executable, "platform/run.py"],
+                env=environment,
+                capture_output=True,
+                text=True,
+                check=False,
+                timeout=30,
+            )
+        self.assertEqual(done.returncode, 2)
+        for path in ("self.node", "self.zone", "network.listen.front", "bounds.drain"):
+            self.assertIn(path, done.stderr)
+
+    def test_the_folder_hides_no_standard_module(self):
+        """A package called platform would hide the library of that name."""
+        code = "import platform; print(platform.python_implementation())"
+        for folder in (".", "platform"):
+            done = subprocess.run(
+                [sys.executable, "-c", code],
+                cwd=folder,
+                capture_output=True,
+                text=True,
+                check=False,
+            )
+            self.assertIn("Python", done.stdout, done.stderr)
