--- a/src/tarragonramp/balancing.py
+++ b/src/tarragonramp/balancing.py
@@ -24,6 +24,14 @@
 prevented: passing over a server for work that has long been done, or queueing behind
 work that has only begun."""
 
+FRESH_SHARE = 0.4
+"""Part of the time that work takes for which a server's own report goes before what
+other daemons told. Load: many servers, each asked now and then by each daemon. Harm
+prevented: queueing at the owner of busy keys because this daemon has not asked it."""
+
+TOLD_MS = 1500.0
+"""How long what other daemons told is used: three times as long as it takes to come."""
+
 SLOWNESS_MS = 200.0
 """Age at which a report of how long work takes counts for half; it changes many times a
 second."""
@@ -138,11 +146,20 @@
     report: object = None
     report_ms: float = -math.inf
     own_at_report: int = 0
+    told: float = 0.0
+    told_ms: float = -math.inf
     changed_ms: float = -math.inf
     passed_over_until_ms: float = -math.inf
 
     def others(self, work_ms, now_ms):
-        """Requests of other daemons that are probably there now."""
+        """Requests of other daemons that are probably there now.
+
+        From the server's own last word while that is fresh, else from what the other
+        daemons told; both get old.
+        """
+        is_fresh = now_ms - self.report_ms <= FRESH_SHARE * work_ms
+        if not is_fresh and now_ms - self.told_ms < TOLD_MS:
+            return self.told
         if self.report is None:
             return 0.0
         at_report = self.report.running + self.report.waiting - self.own_at_report
@@ -279,6 +296,24 @@
         """Take in that nobody waits for an answer any more."""
         self._of(name).in_flight -= 1
 
+    def in_hand(self):
+        """Return this daemon's requests under way by server, for the other daemons."""
+        return {n: seen.in_flight for n, seen in self._seen.items() if seen.in_flight}
+
+    def take_told(self, totals, now_ms):
+        """Take in the other daemons' requests under way.
+
+        Parameters
+        ----------
+        totals : dict of str to int
+            By server; servers that are not named have none.
+        now_ms : float
+        """
+        for name in totals:
+            self._of(name)
+        for name, seen in self._seen.items():
+            seen.told, seen.told_ms = totals.get(name, 0), now_ms
+
     def forget(self, names):
         """Forget all servers but some, and those with requests under way."""
         for name in set(self._seen) - set(names):
--- a/src/tarragonramp/fleet.py
+++ b/src/tarragonramp/fleet.py
@@ -166,6 +166,7 @@
         view = FleetView(clock)
         peers = FleetPeers(view, settings.name)
         follower = Follower(view, ports.store, peers, ports, clock)
+        loads = Loads(settings.failure_domain)
         leadership = Leadership(
             settings.name,
             uuid.uuid4().hex[:12],
@@ -174,6 +175,7 @@
             ports.store,
             peers,
             follower,
+            loads,
             clock,
             settings.seeds,
         )
@@ -188,7 +190,7 @@
         }
         router = Router(
             view,
-            Loads(settings.failure_domain),
+            loads,
             ColdShares(settings.name),
             HttpPools(32 << 20, unsent_ms=UNSENT_MS, options=options),
             ports.dialect,
--- a/src/tarragonramp/roles/leadership.py
+++ b/src/tarragonramp/roles/leadership.py
@@ -31,6 +31,9 @@
 LOOK_MS = 500.0
 """Between two looks at a record that may stand still."""
 
+LOADS_MS = 1500.0
+"""How long a daemon's count of its requests under way is passed on."""
+
 WATCHER_HEARD_MS = 2000.0
 """How lately a daemon must have been heard to be the second that follows the store."""
 
@@ -60,6 +63,8 @@
     peers : FleetPeers
     follower : Follower
         Told what peers know.
+    loads : Loads
+        Shared among the daemons.
     clock : Clock
     seeds : tuple of str
         Addresses of some daemons, which may be gone; asked while the store is away.
@@ -73,6 +78,7 @@
     store: object
     peers: object
     follower: object
+    loads: object
     clock: object
     seeds: tuple = ()
     timing: LeaseTiming = LeaseTiming()
@@ -80,6 +86,7 @@
     stopping: bool = False
     others_stopped_ms: float = 0.0
     _heat: dict = attrs.Factory(dict)
+    _told_loads: dict = attrs.Factory(dict)
     _heard_ms: dict = attrs.Factory(dict)
     _silent: int = 0
     _heat_ms: float = 0.0
@@ -142,6 +149,7 @@
             log_event("daemon-heard", peer=name, address=address)
         self._note_daemon(name, address)
         self.add_heat(message.get("heat", {}))
+        self._told_loads[name] = message.get("loads", {}), self.clock.now_ms()
         self.follower.compare(name, message.get("digest", {}))
         versions = message["versions"]
         until_ms = self.clock.now_ms() + NEWS_WAIT_MS
@@ -162,10 +170,21 @@
         }
         if message.get("n_daemons") != len(self.view.daemons):
             answer["daemons"] = self.view.daemons
+        answer["loads"] = self._loads_beside(name, now_ms)
         if "digest" in message:
             answer["digest"] = self.view.digest()
         return answer
 
+    def _loads_beside(self, name, now_ms):
+        """Return the requests under way of all daemons but one, by server."""
+        totals = dict(self.loads.in_hand()) if name != self.name else {}
+        for other, (loads, at_ms) in self._told_loads.items():
+            if other == name or at_ms < now_ms - LOADS_MS:
+                continue
+            for server, count in loads.items():
+                totals[server] = totals.get(server, 0) + count
+        return totals
+
     def _hears_store(self, now_ms):
         age_ms = self.standing.confirmed_age_ms(now_ms)
         return self.follower.hears_store and age_ms < STALE_MS
@@ -238,6 +257,8 @@
         if is_successful(result):
             self.standing.confirmed(record, result.unwrap().version, sent_ms)
             self.add_heat(self.view.take_heat())
+            now_ms = self.clock.now_ms()
+            self.loads.take_told(self._loads_beside(self.name, now_ms), now_ms)
             return
         error = result.failure()
         if isinstance(error, ConflictError):
@@ -370,6 +391,7 @@
             "heat": self.view.take_heat(),
             "versions": self.follower.changed,
             "n_daemons": len(self.view.daemons),
+            "loads": self.loads.in_hand(),
         }
         if self.follower.uses_store:
             message["digest"] = self.view.digest()
@@ -387,6 +409,7 @@
             return
         self._silent = 0
         self.view.leader_address = record.address
+        self.loads.take_told(told.get("loads", {}), self.clock.now_ms())
         daemons = told.get("daemons")
         if isinstance(daemons, dict) and self.name in daemons:
             self.view.daemons = dict(daemons)
