--- a/src/tarragonramp/dealing.py
+++ b/src/tarragonramp/dealing.py
@@ -10,7 +10,7 @@
 
 __all__ = ["Candidate", "Heat", "first_deal", "plan_moves", "spread_heat"]
 
-RANGES_PER_SERVER = 14
+RANGES_PER_SERVER = 18
 """Load: busy keys that lie side by side. Harm prevented: one server owning all of
 them, at four times the mean load of its peers. Narrow ranges dealt in turn bring that
 to about twice at 16 a server; each has to be renewed, mostly across failure domains."""
@@ -20,14 +20,14 @@
 of all keys. Harm prevented: hundreds of releases at once, each of which waits for
 running work, hold up the ones that are free at once."""
 
-MAX_SPREAD = 3
+MAX_SPREAD = 4
 """Most busy ranges moved at a time; each is refused for some milliseconds."""
 
-EXCESS_SHARE, EXCESS_DEVIATIONS = 0.6, 3.0
+EXCESS_SHARE, EXCESS_DEVIATIONS = 0.4, 2.0
 """By how much of the mean, and by how many standard deviations of a count, a server has
 to have more requests than the mean before its keys move."""
 
-BUSY_SHARE = 0.5
+BUSY_SHARE = 0.4
 """Part of its slots that a server must have had in use to give busy ranges away; below
 that few of its requests wait."""
 
--- a/src/tarragonramp/roles/granter.py
+++ b/src/tarragonramp/roles/granter.py
@@ -40,7 +40,7 @@
 Servers register within some seconds of each other; whoever is late has to be given
 keys by moves, which cost more than the wait."""
 
-SPREAD_MS = 1000.0
+SPREAD_MS = 700.0
 """Between two looks at which keys are busy; they become so within seconds."""
 
 ANSWER_MS = 1000.0
@@ -73,6 +73,7 @@
 
 UNGRANTED = (NotSentError, OvertakenGrantError, WrongServerError)
 NO_ADDRESS = Failure(NotSentError("address not known"))
+NO_LONGER_LEADS = Failure(NotSentError("another daemon may lead"))
 
 
 @attrs.define(eq=False)
@@ -117,6 +118,7 @@
     n_moves: int = 0
     n_handovers: int = 0
     n_grants: int = 0
+    _term: int = 0
     _held: dict = attrs.Factory(dict)
     _renewing: dict = attrs.Factory(dict)
     _moving: dict = attrs.Factory(dict)
@@ -140,15 +142,25 @@
         """Plan and start moves and renewals, for ever."""
         while True:
             if self.leadership.leads:
+                self.begin_term()
                 for service in self._services():
                     self._advance(service)
-            else:
-                self._held.clear()
-                self._waiting.clear()
             if self._work.wait(PLAN_MS / 1000.0):
                 gevent.sleep(GATHER_MS / 1000.0)
             self._work.clear()
 
+    def begin_term(self):
+        """Forget what was known of grants if others may have led since.
+
+        Only then: a leader that the store did not confirm for a while, and that no
+        other has replaced, still knows all grants, and others gave none.
+        """
+        term = self.leadership.term
+        if term != self._term:
+            self._term = term
+            self._held.clear()
+            self._waiting.clear()
+
     def _services(self):
         manifest = self.view.manifest
         if manifest is None or not self.view.servers_read:
@@ -170,7 +182,8 @@
         for item in table.ranges:
             key = service, item.first, item.token
             is_done = self._settled[service].get(item.first) == item.token
-            if item.is_moving and not is_done and key not in self._moving:
+            is_due = item.is_moving and not is_done and self.leadership.may_move
+            if is_due and key not in self._moving:
                 self._moving[key] = gevent.spawn(self._move, service, item, key)
 
     # ------------------------------------------------------------------ planning
@@ -451,9 +464,18 @@
         finally:
             self._moving.pop(key, None)
 
+    def _may_act(self, service, item):
+        """Tell whether a move may be carried on: by one daemon only.
+
+        A leader that the store has not confirmed lately still renews, but its successor
+        may already carry on the same moves: a fencing grant of the one would give the
+        old owner keys that the other has just given to the new one.
+        """
+        return self.leadership.may_move and self._is_current(service, item)
+
     def _take_back(self, service, item):
         """Return how it is known that the old owner has let go, and its handover."""
-        while self._is_current(service, item):
+        while self._may_act(service, item):
             if self._life_ended(service, item.old_owner, item.old_life):
                 return "life ended", ""
             if self._time_proves(service, item.first, item.old_token):
@@ -479,6 +501,8 @@
         token = item.old_token
         held = self._held_of(service, item.first, token)
         with self._calls[address]:
+            if not self._may_act(service, item):
+                return NO_LONGER_LEADS
             if held.under_way or self.clock.now_ms() < held.in_doubt_until_ms:
                 token = item.token - 1
                 result = self._grant(
@@ -491,13 +515,15 @@
                 )
                 if not is_successful(result):
                     return result
+                if not self._may_act(service, item):
+                    return NO_LONGER_LEADS
             return self.grants.release(
                 item.old_owner, address, item.first, item.last, token, RELEASE_MS
             )
 
     def _give(self, service, item, handover):
         """Give a range to its new owner; also done if the owner has gone meanwhile."""
-        while self._is_current(service, item):
+        while self._may_act(service, item):
             result = self._grant(service, item, item.owner, item.token, handover)
             if is_successful(result):
                 return True
--- a/src/tarragonramp/roles/leadership.py
+++ b/src/tarragonramp/roles/leadership.py
@@ -102,6 +102,11 @@
         """Whether this daemon may renew grants now."""
         return self.standing.may_renew(self.clock.now_ms())
 
+    @property
+    def term(self):
+        """The term of the record that this daemon knows; 0 if there is none."""
+        return self.standing.record.term if self.standing.record else 0
+
     @property
     def may_move(self):
         """Whether this daemon may move keys now."""
