--- a/src/tarragonramp/directory.py
+++ b/src/tarragonramp/directory.py
@@ -61,13 +61,13 @@
     clock : Clock
     servers : dict of str to BackendServer
         All that may still be alive, draining ones among them.
-    evacuated : frozenset of str
+    taken_out : frozenset of str
         Failure domains that get no work.
     """
 
     clock: object
     servers: dict = attrs.Factory(dict)
-    evacuated: frozenset = frozenset()
+    taken_out: frozenset = frozenset()
     _cold_until_ms: dict = attrs.Factory(dict)
     _seen_cold: set = attrs.Factory(set)
     _missing_since_ms: dict = attrs.Factory(dict)
@@ -112,14 +112,14 @@
             self.lose(name)
         return late
 
-    def set_evacuated(self, domains, warmup_of):
+    def set_taken_out(self, domains, warmup_of):
         """Take in which failure domains get no work.
 
         Servers of a domain that is taken back may have become cold unsaid, so they
         count as cold for their service's whole warm-up.
         """
-        returned = self.evacuated - frozenset(domains)
-        self.evacuated = frozenset(domains)
+        returned = self.taken_out - frozenset(domains)
+        self.taken_out = frozenset(domains)
         self._by_service.clear()
         for server in self.servers.values():
             if server.failure_domain in returned:
@@ -137,7 +137,7 @@
 
     def may_serve(self, server):
         """Tell whether a server may be sent new requests, cold or not."""
-        if server.draining or server.failure_domain in self.evacuated:
+        if server.draining or server.failure_domain in self.taken_out:
             return False
         missing_ms = self._missing_since_ms.get(server.name)
         return missing_ms is None or self.clock.now_ms() < missing_ms + MISSING_USE_MS
--- a/src/tarragonramp/fleet_view.py
+++ b/src/tarragonramp/fleet_view.py
@@ -92,7 +92,7 @@
         return {
             "manifest": self.manifest.version if self.manifest else 0,
             "server": _hash(servers),
-            "evacuation": _hash(self.directory.evacuated),
+            "domain-out": _hash(self.directory.taken_out),
             "ranges": _hash(tables),
         }
 
--- a/src/tarragonramp/roles/follower.py
+++ b/src/tarragonramp/roles/follower.py
@@ -22,8 +22,8 @@
 
 __all__ = ["FOLLOWED_KINDS", "RANGES", "Follower"]
 
-MANIFEST, SERVER, EVACUATION, RANGES = "manifest", "server", "evacuation", "ramp-ranges"
-FOLLOWED_KINDS = (MANIFEST, SERVER, EVACUATION, RANGES)
+MANIFEST, SERVER, TAKEN_OUT, RANGES = "manifest", "server", "domain-out", "ramp-ranges"
+FOLLOWED_KINDS = (MANIFEST, SERVER, TAKEN_OUT, RANGES)
 MANIFEST_NAME = "main"
 
 WATCH_MS = 15_000
@@ -286,8 +286,8 @@
         for item in items:
             if before.get(item.name) != item:
                 self._take(item)
-        if kind == EVACUATION:
-            self._take_evacuations()
+        if kind == TAKEN_OUT:
+            self._take_domains()
         if kind == SERVER:
             self.view.servers_read = True
         self.view.wake()
@@ -307,8 +307,8 @@
                 self._take(item)
         if kind == SERVER:
             self._lose(gone)
-        if kind == EVACUATION:
-            self._take_evacuations()
+        if kind == TAKEN_OUT:
+            self._take_domains()
         if items:
             self.changed[kind] = version
             self.view.wake()
@@ -372,12 +372,12 @@
             return
         self.view.take_table(table, item.version)
 
-    def _take_evacuations(self):
-        domains = set(self.objects.get(EVACUATION, {}))
-        before = self.view.directory.evacuated
+    def _take_domains(self):
+        domains = set(self.objects.get(TAKEN_OUT, {}))
+        before = self.view.directory.taken_out
         if domains == before:
             return
-        self.view.directory.set_evacuated(
+        self.view.directory.set_taken_out(
             domains, lambda name: self.view.service(name).warmup_ms
         )
         log_event("domains-taken-out", domains=",".join(sorted(domains)) or "none")
--- a/src/tarragonramp/roles/granter.py
+++ b/src/tarragonramp/roles/granter.py
@@ -474,11 +474,16 @@
         return self.leadership.may_move and self._is_current(service, item)
 
     def _take_back(self, service, item):
-        """Return how it is known that the old owner has let go, and its handover."""
+        """Return how it is known that the old owner has let go, and its handover.
+
+        It is asked first, also if time has proved it: what it hands over spares the new
+        owner a cold start.
+        """
+        is_silent = self.view.directory.servers.get(item.old_owner) is None
         while self._may_act(service, item):
             if self._life_ended(service, item.old_owner, item.old_life):
                 return "life ended", ""
-            if self._time_proves(service, item.first, item.old_token):
+            if is_silent and self._time_proves(service, item.first, item.old_token):
                 return "time", ""
             result = self._release(service, item)
             if is_successful(result):
@@ -486,6 +491,7 @@
             if isinstance(result.failure(), WrongServerError):
                 # An address is given to another server only after the end of this.
                 return "address reused", ""
+            is_silent = True
             gevent.sleep(RETRY_MS / 1000.0)
         return None, ""
 
--- /dev/null
+++ b/tests/test_dealing.py
@@ -0,0 +1,146 @@
+"""Which server gets which keys, judged by what callers of busy keys meet."""
+
+import random
+import unittest
+
+from tarragonramp.dealing import (
+    MAX_MOVES,
+    Candidate,
+    Heat,
+    first_deal,
+    plan_moves,
+    spread_heat,
+)
+from tarragonramp.manifest import N_KEYS
+from tarragonramp.ranges import GAP, KeyRange, RangeTable
+
+WINDOW_MS = 4300.0
+
+
+def servers(n, slots=3):
+    """Return n candidates."""
+    return [Candidate(f"s{i}", 1, f"10.0.0.{i}:80", slots) for i in range(n)]
+
+
+def load_of(table, work):
+    """Return the work that each owner has, by its ranges' first keys."""
+    loads = {}
+    for item in table.ranges:
+        loads[item.owner] = loads.get(item.owner, 0.0) + work.get(item.first, 0.0)
+    return loads
+
+
+class FirstDealTest(unittest.TestCase):
+    """Nobody has keys yet."""
+
+    def test_every_key_has_one_owner_and_all_have_as_many(self):
+        table = first_deal("parts", servers(13))
+        self.assertEqual(table.ranges[0].first, 0)
+        self.assertEqual(table.ranges[-1].last, N_KEYS - 1)
+        for one, other in zip(table.ranges, table.ranges[1:], strict=False):
+            self.assertEqual(one.last + 1, other.first)
+        keys = load_of(table, {r.first: r.n_keys for r in table.ranges})
+        self.assertLess(max(keys.values()) / min(keys.values()), 1.05)
+
+    def test_busy_neighbours_have_different_owners(self):
+        """A dealer promotion: four neighbouring ranges take half of all requests."""
+        table = first_deal("parts", servers(13))
+        owners = {item.owner for item in table.ranges[40:44]}
+        self.assertEqual(len(owners), 4)
+
+
+class PlanMovesTest(unittest.TestCase):
+    """Owners leave and join."""
+
+    def stays(self, names):
+        """Return whether an owner is among names."""
+        return lambda item: item.owner in names
+
+    def test_a_leaving_servers_keys_are_spread_over_all_others(self):
+        table = first_deal("parts", servers(13))
+        others = servers(13)[1:]
+        moved = plan_moves(table, others, self.stays({c.name for c in others}))
+        self.assertTrue(all(item.old_owner == "s0" for item in moved))
+        self.assertEqual({item.token for item in moved}, {1 + GAP})
+        self.assertGreater(len({item.owner for item in moved}), 10)
+        self.assertLessEqual(len(moved), MAX_MOVES)
+
+    def test_a_range_on_its_way_is_not_moved_again(self):
+        """Its first owner would be forgotten, and with it what it still holds."""
+        moving = KeyRange(0, N_KEYS - 1, "gone", 1, 5, "s0", 1, 3)
+        table = RangeTable("parts", (moving,))
+        self.assertEqual(plan_moves(table, servers(3), self.stays(set())), [])
+
+    def test_another_life_of_the_owner_gets_a_higher_token(self):
+        table = RangeTable("parts", (KeyRange(0, N_KEYS - 1, "s0", 1, 5),))
+        again = [Candidate("s0", 2, "10.0.0.0:80", 3)]
+        moved = plan_moves(table, again, self.stays(set()))
+        self.assertEqual([(r.owner, r.life, r.token) for r in moved], [("s0", 2, 7)])
+
+    def test_a_new_server_gets_keys_and_none_go_back(self):
+        table = first_deal("parts", servers(6))
+        names = {c.name for c in servers(7)}
+        moved = plan_moves(table, servers(7), self.stays(names))
+        self.assertTrue(moved)
+        self.assertEqual({item.owner for item in moved}, {"s6"})
+        settled = table.with_ranges([item.settled() for item in moved])
+        self.assertEqual(plan_moves(settled, servers(7), self.stays(names)), [])
+
+    def test_without_candidates_nothing_moves(self):
+        table = first_deal("parts", servers(2))
+        self.assertEqual(plan_moves(table, [], self.stays(set())), [])
+
+
+class SpreadHeatTest(unittest.TestCase):
+    """Keys become busy, and servers slow."""
+
+    def spread(self, table, work, request_ms=600.0, rounds=12):
+        """Move busy ranges until nothing is left to move; return table and moves."""
+        n_moved = 0
+        for _ in range(rounds):
+            heat = Heat(work, request_ms, WINDOW_MS)
+            moved = spread_heat(table, servers(15), heat)
+            if not moved:
+                break
+            n_moved += len(moved)
+            table = table.with_ranges([item.settled() for item in moved])
+        return table, n_moved
+
+    def test_busy_keys_of_one_owner_are_spread(self):
+        """Five busy ranges have one owner: its callers wait while others are idle."""
+        table = first_deal("parts", servers(15))
+        own = [item for item in table.ranges if item.owner == "s3"][:5]
+        work = {item.first: 400.0 for item in table.ranges[:150]}
+        work |= {item.first: 8000.0 for item in own}
+        before = load_of(table, work)
+        after, n_moved = self.spread(table, work)
+        loads = load_of(after, work)
+        self.assertLess(max(loads.values()), 0.4 * max(before.values()))
+        # The five, and some of what else their owners have to do.
+        self.assertLess(n_moved, 24)
+
+    def test_chance_moves_nothing(self):
+        """Even demand: counts of a few requests differ by chance alone."""
+        rng = random.Random(7)
+        table = first_deal("parts", servers(15))
+        n_moved = 0
+        for _ in range(20):
+            work = {}
+            for _ in range(120):
+                first = rng.choice(table.ranges).first
+                work[first] = work.get(first, 0.0) + 600.0
+            heat = Heat(work, 600.0, WINDOW_MS)
+            n_moved += len(spread_heat(table, servers(15), heat))
+        self.assertLess(n_moved, 20)
+
+    def test_idle_servers_keep_their_keys(self):
+        """A server that is hardly busy gains nothing by giving keys away."""
+        table = first_deal("parts", servers(15))
+        work = {table.ranges[0].first: 900.0}
+        self.assertEqual(self.spread(table, work)[1], 0)
+
+    def test_a_single_busy_range_is_not_passed_around(self):
+        """Whoever has it is the busiest: moving it would only cost."""
+        table = first_deal("parts", servers(15))
+        work = {table.ranges[0].first: 12_000.0}
+        self.assertEqual(self.spread(table, work)[1], 0)
--- /dev/null
+++ b/tests/test_fleet_routes.py
@@ -0,0 +1,76 @@
+"""Where requests go: longest prefixes, shares of a split, the manifest's version."""
+
+import collections
+import unittest
+
+from tarragonramp import ManualClock
+from tarragonramp.fleet_view import FleetView
+from tarragonramp.manifest import Manifest, Part, Route, RouteTable
+
+
+def route(prefix, *parts, host="h.example", priority=1):
+    """Return a route to services with weights."""
+    made = tuple(Part(name, weight) for name, weight in parts)
+    return Route(host, prefix, made, True, 1000.0, 500.0, priority=priority)
+
+
+class RouteTableTest(unittest.TestCase):
+    """Requests by host and path."""
+
+    def setUp(self):
+        self.table = RouteTable(
+            Manifest(
+                1,
+                (
+                    route("/a/", ("one", 1)),
+                    route("/a/b/", ("two", 1), priority=0),
+                    route("/", ("rest", 1), host="other.example"),
+                    route("/s/", ("one", 9), ("two", 1)),
+                ),
+            )
+        )
+
+    def test_the_longest_prefix_that_ends_at_a_slash_wins(self):
+        for path, wanted in (
+            ("/a/x", "/a/"),
+            ("/a/b/x", "/a/b/"),
+            ("/a/b", "/a/"),
+            ("/a/bc/x", "/a/"),
+            ("/a", None),
+            ("/c/", None),
+        ):
+            found = self.table.find("h.example", path)
+            self.assertEqual(found and found.path_prefix, wanted, path)
+
+    def test_hosts_are_kept_apart_and_a_port_is_no_part_of_one(self):
+        self.assertIsNone(self.table.find("none.example", "/a/"))
+        found = self.table.find("other.example:8080", "/a/")
+        self.assertEqual(found.path_prefix, "/")
+
+    def test_a_split_is_kept_within_a_few_requests(self):
+        """Nine daemons with some tens of requests each are judged by their sum."""
+        found = self.table.find("h.example", "/s/")
+        counts = collections.Counter(
+            RouteTable(self.table.manifest).part_of(found, turn / 9.0)
+            for turn in range(9)
+        )
+        for _ in range(100):
+            counts[self.table.part_of(found, 0.3)] += 1
+        self.assertAlmostEqual(counts["two"] / sum(counts.values()), 0.1, delta=0.03)
+
+    def test_the_most_urgent_route_of_a_service(self):
+        urgent = self.table.find("h.example", "/a/b/x")
+        other = self.table.find("h.example", "/a/x")
+        self.assertTrue(self.table.is_urgent(urgent))
+        self.assertTrue(self.table.is_urgent(other))
+
+
+class VersionTest(unittest.TestCase):
+    """A manifest in force is never followed by an older one."""
+
+    def test_older_ones_are_left_out(self):
+        view = FleetView(ManualClock())
+        self.assertTrue(view.take_routes(RouteTable(Manifest(7))))
+        self.assertFalse(view.take_routes(RouteTable(Manifest(5))))
+        self.assertFalse(view.take_routes(RouteTable(Manifest(7))))
+        self.assertEqual(view.manifest.version, 7)
--- /dev/null
+++ b/tests/test_granter.py
@@ -0,0 +1,290 @@
+"""Keys move only when the earlier owner has let go, with servers that are scripted.
+
+The store is a dict and the clock stands until a test moves it; only the short pauses
+between tries are real.
+"""
+
+import types
+import unittest
+
+import attrs
+import gevent
+from returns.result import Failure, Success
+
+from tarragonramp import ManualClock
+from tarragonramp.dealing import Heat
+from tarragonramp.directory import BackendServer
+from tarragonramp.errors import (
+    ConflictError,
+    NotFoundError,
+    NotSentError,
+    UnansweredError,
+    WrongServerError,
+)
+from tarragonramp.fleet_view import FleetView
+from tarragonramp.leading import LeaseTiming
+from tarragonramp.manifest import N_KEYS, FleetService, Manifest, RouteTable
+from tarragonramp.model import Stored
+from tarragonramp.ranges import KeyRange, RangeTable
+from tarragonramp.roles.granter import Granter
+
+TIMING = LeaseTiming()
+SILENT = Failure(UnansweredError("no answer"))
+GONE = Failure(NotSentError("refused"))
+
+
+class Store:
+    """Objects under versions, in memory."""
+
+    def __init__(self):
+        self.objects, self.version = {}, 0
+
+    def get(self, kind, name):
+        """Return an object."""
+        found = self.objects.get((kind, name))
+        return Success(found) if found else Failure(NotFoundError("none"))
+
+    def put(self, kind, name, spec, expected_version):
+        """Write an object if it is at a version."""
+        current = self.objects.get((kind, name))
+        if (current.version if current else 0) != expected_version:
+            return Failure(ConflictError(expected_version, current))
+        self.version += 1
+        stored = Stored(kind, name, self.version, spec)
+        self.objects[kind, name] = stored
+        return Success(stored)
+
+
+class Servers:
+    """Servers that note what they are told and answer as a test says."""
+
+    def __init__(self):
+        self.calls, self.answers = [], {}
+
+    def grant(self, server, address, first, last, token, hold_ms, handover, timeout_ms):
+        """Note a grant."""
+        self.calls.append(("grant", server, token))
+        return self.answers.get(("grant", server), Success(None))
+
+    def release(self, server, address, first, last, token, timeout_ms):
+        """Note a release."""
+        self.calls.append(("release", server, token))
+        return self.answers.get(("release", server), Success("handover"))
+
+
+def server(name, life=1):
+    """Return a backend server of the divided service."""
+    return BackendServer(name, life, "parts", f"{name}:80", "a", 3)
+
+
+class GranterTest(unittest.TestCase):
+    """One leader, one range of all keys, and two servers."""
+
+    def setUp(self):
+        self.clock = ManualClock(100_000.0)
+        self.view = FleetView(self.clock)
+        services = {"parts": FleetService("parts", divided=True)}
+        self.view.take_routes(RouteTable(Manifest(1, (), services)))
+        self.view.servers_read = True
+        self.store, self.servers = Store(), Servers()
+        self.leader = types.SimpleNamespace(
+            timing=TIMING,
+            leads=True,
+            may_move=True,
+            term=1,
+            others_stopped_ms=-1e9,
+            heat_of=lambda service: Heat({}, 0.0, 1.0),
+        )
+        self.granter = Granter(
+            self.view,
+            self.leader,
+            self.store,
+            self.servers,
+            lambda stored: Success(stored.spec),
+            self.clock,
+        )
+        self.tasks = []
+        self.addCleanup(lambda: gevent.killall(self.tasks))
+
+    def own(self, owner="old", token=1, life=1):
+        """Give all keys to a server, as the store says."""
+        item = KeyRange(0, N_KEYS - 1, owner, life, token)
+        table = RangeTable("parts", (item,), {owner: f"{owner}:80"})
+        stored = self.store.put("ramp-ranges", "parts", table.to_spec(), 0).unwrap()
+        self.view.take_table(table, stored.version)
+
+    def list_servers(self, *servers):
+        """Make servers known to the store and the leader."""
+        for item in servers:
+            self.view.directory.take(item)
+            self.store.objects["server", item.name] = Stored("server", "", 1, item)
+
+    def start(self):
+        """Let the leader work."""
+        self.tasks.append(gevent.spawn(self.granter.run))
+
+    def wait(self, condition, timeout_s=3.0):
+        """Wait until a condition holds; return whether it does."""
+        with gevent.Timeout(timeout_s, False):
+            while not condition():
+                gevent.sleep(0.01)
+        return condition()
+
+    def grants_to(self, name):
+        """Return the tokens of the grants that a server got."""
+        return [
+            token
+            for kind, n, token in self.servers.calls
+            if (kind, n) == ("grant", name)
+        ]
+
+    def test_a_living_owner_is_released_before_the_next_gets_its_keys(self):
+        self.own()
+        self.list_servers(attrs.evolve(server("old"), draining=True), server("new"))
+        self.start()
+        self.assertTrue(self.wait(lambda: self.grants_to("new")))
+        names = [(kind, name) for kind, name, _ in self.servers.calls]
+        self.assertIn(("release", "old"), names)
+        self.assertLess(names.index(("release", "old")), names.index(("grant", "new")))
+        self.assertEqual(set(self.grants_to("new")), {3})
+        settled = self.wait(lambda: not self.view.tables["parts"].find(0).is_moving)
+        self.assertTrue(settled)
+
+    def test_a_silent_owner_keeps_its_keys_until_time_proves_their_end(self):
+        self.own()
+        self.list_servers(server("old"), server("new"))
+        self.start()
+        self.assertTrue(self.wait(lambda: self.grants_to("old")))
+        self.servers.answers |= {("grant", "old"): SILENT, ("release", "old"): SILENT}
+        self.view.directory.lose("old")
+        self.assertFalse(self.wait(lambda: self.grants_to("new"), 0.7))
+        self.clock.advance(TIMING.hold_ms)
+        self.assertFalse(self.wait(lambda: self.grants_to("new"), 0.7))
+        self.clock.advance(TIMING.longest_hold_ms)
+        self.assertTrue(self.wait(lambda: self.grants_to("new")))
+
+    def test_a_late_grant_is_fenced_before_the_release(self):
+        """A renewal gets no answer, and the server is applied it seconds later.
+
+        Applied after the release it would give the old owner its keys back while the
+        new one has them. The server has seen a higher token by then, and refuses it.
+        """
+        self.own()
+        self.list_servers(server("old"), server("new"))
+        self.servers.answers["grant", "old"] = SILENT
+        self.start()
+        self.assertTrue(self.wait(lambda: self.grants_to("old")))
+        self.servers.answers.clear()
+        self.view.directory.lose("old")
+        self.assertTrue(self.wait(lambda: self.grants_to("new")))
+        calls = [c for c in self.servers.calls if c[1] == "old"]
+        at = calls.index(("release", "old", 2))
+        self.assertEqual(calls[at - 1], ("grant", "old", 2))
+
+    def test_a_new_leader_fences_what_the_one_before_may_have_sent(self):
+        self.leader.others_stopped_ms = self.clock.now_ms() + 9000.0
+        self.own()
+        self.list_servers(server("new"))
+        self.start()
+        self.assertTrue(self.wait(lambda: self.grants_to("new")))
+        self.assertIn(("release", "old", 2), self.servers.calls)
+
+    def test_an_address_that_another_server_has_proves_the_end(self):
+        """55 keys went to a server at a reused address, with the token of the old."""
+        self.own()
+        self.list_servers(server("new"))
+        wrong = Failure(WrongServerError("another server"))
+        self.leader.others_stopped_ms = self.clock.now_ms()
+        self.servers.answers |= {("grant", "old"): wrong, ("release", "old"): wrong}
+        self.start()
+        self.assertTrue(self.wait(lambda: self.grants_to("new")))
+        self.assertEqual(self.grants_to("new")[0], 3)
+
+    def test_another_life_of_the_owner_gets_a_higher_token(self):
+        self.own()
+        self.list_servers(server("old", life=2))
+        self.start()
+        self.assertTrue(self.wait(lambda: 3 in self.grants_to("old")))
+        self.assertNotIn(1, self.grants_to("old"))
+
+    def test_a_server_that_broke_its_connection_is_looked_up_before_a_renewal(self):
+        """It may have started again under its name, which no entry has told yet.
+
+        The old grant would be taken as a new one, with a token that was had before.
+        """
+        self.own()
+        self.list_servers(server("old"))
+        self.servers.answers["grant", "old"] = GONE
+        self.start()
+        self.assertTrue(self.wait(lambda: self.grants_to("old")))
+        again = server("old", life=2)
+        self.store.objects["server", "old"] = Stored("server", "", 2, again)
+        self.servers.answers.clear()
+        before = len(self.grants_to("old"))
+        gevent.sleep(1.5)
+        self.assertEqual(len(self.grants_to("old")), before)
+
+    def test_only_a_confirmed_leader_carries_on_moves(self):
+        """A thawed leader and its successor carry on the same move.
+
+        The fencing grant of the one came after the other had given the keys away: the
+        old owner had them again.
+        """
+        self.own()
+        self.list_servers(server("new"))
+        self.servers.answers["release", "old"] = SILENT
+        self.leader.others_stopped_ms = self.clock.now_ms()
+        self.start()
+        self.assertTrue(self.wait(lambda: ("release", "old", 1) in self.servers.calls))
+        self.leader.may_move = False
+        gevent.sleep(0.4)
+        before = len(self.servers.calls)
+        gevent.sleep(0.8)
+        self.assertEqual(len(self.servers.calls), before)
+        self.servers.answers.clear()
+        self.leader.may_move = True
+        self.assertTrue(self.wait(lambda: self.grants_to("new")))
+
+    def test_a_leader_that_was_not_replaced_keeps_what_it_knows(self):
+        """The store confirms a leader for nine seconds not, and then again.
+
+        It had forgotten its grants: a hold that had seconds to run counted as ended,
+        and its keys got a second owner.
+        """
+        self.own()
+        self.list_servers(server("old"), server("new"))
+        self.start()
+        self.assertTrue(self.wait(lambda: self.grants_to("old")))
+        self.leader.leads = self.leader.may_move = False
+        gevent.sleep(0.4)
+        self.servers.answers |= {("grant", "old"): SILENT, ("release", "old"): SILENT}
+        self.view.directory.lose("old")
+        self.leader.leads = self.leader.may_move = True
+        self.assertFalse(self.wait(lambda: self.grants_to("new"), 0.8))
+        self.clock.advance(TIMING.longest_hold_ms + 100.0)
+        self.assertTrue(self.wait(lambda: self.grants_to("new")))
+
+    def test_a_move_is_not_begun_twice(self):
+        """The second run forgot the new owner's grant; the next move trusted time."""
+        self.own()
+        self.list_servers(attrs.evolve(server("old"), draining=True), server("new"))
+        self.start()
+        self.assertTrue(self.wait(lambda: self.grants_to("new")))
+        self.wait(lambda: not self.view.tables["parts"].find(0).is_moving)
+        self.servers.answers |= {("grant", "new"): SILENT, ("release", "new"): SILENT}
+        self.list_servers(server("third"))
+        self.view.directory.lose("new")
+        self.assertFalse(self.wait(lambda: self.grants_to("third"), 1.0))
+        releases = [c for c in self.servers.calls if c[:2] == ("release", "old")]
+        self.assertEqual(len(releases), 1)
+
+    def test_a_table_that_others_have_written_is_taken_in(self):
+        self.own()
+        item = KeyRange(0, N_KEYS - 1, "old", 1, 9)
+        other = RangeTable("parts", (item,), {"old": "old:80"})
+        version = self.view.table_version("parts")
+        self.store.put("ramp-ranges", "parts", other.to_spec(), version)
+        self.list_servers(server("new"))
+        self.start()
+        self.assertTrue(self.wait(lambda: self.grants_to("new")))
+        self.assertEqual(self.grants_to("new")[0], 11)
--- /dev/null
+++ b/tests/test_leading.py
@@ -0,0 +1,57 @@
+"""When a daemon may lead, on its own clock only."""
+
+import unittest
+
+from tarragonramp.leading import LeaderRecord, LeaseTiming, Standing
+
+TIMING = LeaseTiming()
+OWN = LeaderRecord("d1", "b1", "10.0.0.1:1", 3)
+OTHER = LeaderRecord("d2", "b9", "10.0.0.2:1", 2)
+
+
+class StandingTest(unittest.TestCase):
+    """One daemon and the record in the store."""
+
+    def setUp(self):
+        self.standing = Standing("10.0.0.1:1", "b1", TIMING)
+
+    def test_a_living_leaders_record_is_not_taken_over(self):
+        now_ms = 0.0
+        for version in range(1, 20):
+            self.standing.saw(OTHER, version, now_ms)
+            now_ms += TIMING.renew_ms
+            self.assertFalse(self.standing.may_take_over(now_ms))
+
+    def test_a_record_that_stands_still_is_taken_over_after_the_lease(self):
+        self.standing.saw(OTHER, 5, 0.0)
+        self.standing.saw(OTHER, 5, TIMING.lease_ms - 1)
+        self.assertFalse(self.standing.may_take_over(TIMING.lease_ms - 1))
+        self.assertTrue(self.standing.may_take_over(TIMING.lease_ms))
+
+    def test_an_earlier_process_at_this_address_has_ended(self):
+        self.standing.saw(LeaderRecord("d1", "b0", "10.0.0.1:1", 2), 5, 0.0)
+        self.assertTrue(self.standing.may_take_over(1.0))
+        self.assertFalse(self.standing.is_named)
+
+    def test_a_record_that_names_nobody_is_free(self):
+        self.standing.saw(LeaderRecord("", "", "", 4), 5, 0.0)
+        self.assertTrue(self.standing.may_take_over(1.0))
+
+    def test_moves_end_before_anybody_can_have_taken_over(self):
+        """A leader that the store does not confirm renews, but moves nothing."""
+        self.standing.confirmed(OWN, 7, 1000.0)
+        self.assertTrue(self.standing.may_move(1000.0 + TIMING.lease_ms / 2 - 1))
+        self.assertFalse(self.standing.may_move(1000.0 + TIMING.lease_ms))
+        self.assertTrue(self.standing.may_renew(1000.0 + TIMING.right_ms - 1))
+        self.assertFalse(self.standing.may_renew(1000.0 + TIMING.right_ms))
+
+    def test_a_leader_that_was_told_stops_at_once(self):
+        self.standing.confirmed(OWN, 7, 1000.0)
+        self.standing.give_up()
+        self.assertFalse(self.standing.may_renew(1001.0))
+
+    def test_what_is_no_record_is_an_error(self):
+        self.assertEqual(LeaderRecord.from_spec(OWN.to_spec()), OWN)
+        for spec in ({}, {"name": "x"}, None, {**OWN.to_spec(), "term": "many"}):
+            with self.assertRaises((ValueError, TypeError)):
+                LeaderRecord.from_spec(spec)
--- /dev/null
+++ b/tests/test_platform_folder.py
@@ -0,0 +1,169 @@
+"""``platform/`` translates, and nothing outside it knows the platform's names."""
+
+import glob
+import os
+import re
+import sys
+import unittest
+
+from returns.pipeline import is_successful
+
+from tarragonramp.adapters.http import Answer
+from tarragonramp.model import Stored
+
+sys.path.insert(0, os.path.join(os.path.dirname(__file__), os.pardir, "platform"))
+
+from bridge.headers import HttpDialect  # noqa: E402
+from bridge.manifest import read_manifest  # noqa: E402
+from bridge.servers import read_server  # noqa: E402
+from bridge.settings import duration_ms  # noqa: E402
+
+from standins.fleet_site import manifest  # noqa: E402
+
+MOST_LINES = 1000
+
+# Headers, kinds, paths and fields of the platform. Words that the field uses as well,
+# such as "service" or "state", are not among them.
+WIRE_NAMES = re.compile(
+    r"upstream-|shard-key|deadline-ms|not-executed|warmup|hold_time|/-/|pathprefix"
+    r"|storerevision|createrevision|finalizers|sharded|maxconns|healthpath"
+    r"|evacuations\b|hasmore|staleok|waitms|configapply|holdmax|retryslack",
+    re.IGNORECASE,
+)
+# Of the product's own: how long a server is cold after a start, and its own headers.
+OWN_WORDS = re.compile(r"warmup_(ms|of)|Tarragon-[A-Za-z-]+")
+ENTRY = {
+    "addr": "10.0.0.1:80",
+    "born": 1000,
+    "info": {"service": "desk", "zone": "a", "slots": 3, "version": "v1"},
+    "status": {"state": "ready", "seq": 4, "warmupLeft": "1.5s"},
+}
+
+
+class FolderTest(unittest.TestCase):
+    """What stands where."""
+
+    def test_no_name_of_the_platform_stands_outside(self):
+        for path in glob.glob("src/tarragonramp/**/*.py", recursive=True):
+            with open(path, encoding="utf-8") as stream:
+                for number, line in enumerate(stream, 1):
+                    found = WIRE_NAMES.search(OWN_WORDS.sub("", line))
+                    self.assertIsNone(found, f"{path}:{number}: {line.strip()}")
+
+    def test_the_folder_stays_small(self):
+        n_lines = 0
+        for path in glob.glob("platform/**/*.py", recursive=True):
+            with open(path, encoding="utf-8") as stream:
+                n_lines += sum(1 for _ in stream)
+        self.assertLess(n_lines, MOST_LINES)
+
+
+class ServerEntryTest(unittest.TestCase):
+    """Entries of servers, and of other writers."""
+
+    def test_an_entry_is_read(self):
+        server = read_server(Stored("server", "i-1", 5, ENTRY)).unwrap()
+        self.assertEqual(
+            (server.name, server.life, server.service, server.failure_domain),
+            ("i-1", 1000, "desk", "a"),
+        )
+        self.assertEqual((server.slots, server.cold_ms), (3, 1500.0))
+        self.assertFalse(server.draining)
+
+    def test_whatever_is_no_entry_is_an_error(self):
+        broken = [None, [], "x", 7, {}]
+        for path, value in (
+            ("addr", "nowhere"),
+            ("addr", "10.0.0.1:99999"),
+            ("born", True),
+            ("born", "1000"),
+            ("info", None),
+            ("info.slots", 0),
+            ("info.slots", "3"),
+            ("info.service", 7),
+            ("status.state", "asleep"),
+            ("status.warmupLeft", "soon"),
+        ):
+            entry = {**ENTRY, "info": {**ENTRY["info"]}, "status": {**ENTRY["status"]}}
+            place, *below = path.split(".")
+            if below:
+                entry[place][below[0]] = value
+            else:
+                entry[place] = value
+            broken.append(entry)
+        for entry in broken:
+            result = read_server(Stored("server", "i-1", 5, entry))
+            self.assertFalse(is_successful(result), entry)
+
+
+class ManifestTest(unittest.TestCase):
+    """The operators' manifest."""
+
+    def test_a_manifest_is_read(self):
+        found = read_manifest(manifest(12)).unwrap()
+        self.assertEqual(found.version, 12)
+        self.assertTrue(found.services["parts"].divided)
+        by_prefix = {route.path_prefix: route for route in found.routes}
+        self.assertFalse(by_prefix["/book/"].idempotent)
+        self.assertEqual(by_prefix["/view/"].timeout_ms, 1500.0)
+
+    def test_whatever_is_no_manifest_is_an_error(self):
+        for broken in (None, {}, {"version": "12"}, {**manifest(3), "clusters": 7}):
+            self.assertFalse(is_successful(read_manifest(broken)), broken)
+
+    def test_durations(self):
+        self.assertEqual(duration_ms("2.5s"), 2500.0)
+        self.assertEqual(duration_ms("870ms"), 870.0)
+        for text in ("", "5", "5m", "-1s", None, 7, "1e3ms"):
+            with self.assertRaises(ValueError):
+                duration_ms(text)
+
+
+class HeadersTest(unittest.TestCase):
+    """Headers of requests and answers."""
+
+    def setUp(self):
+        self.dialect = HttpDialect()
+
+    def test_what_a_caller_sets_does_not_reach_a_server(self):
+        """A caller's own expectation or time limit would pass for the router's."""
+        headers = [
+            ("host", "h.example"),
+            ("request-id", "r1"),
+            ("deadline-ms", "99999"),
+            ("expect-upstream", "i-other"),
+            ("connection", "x-hop"),
+            ("x-hop", "1"),
+            ("x-kept", "2"),
+        ]
+        sent = self.dialect.server_headers(headers, "i-1", 321.9)
+        self.assertEqual(
+            sent,
+            [
+                ("host", "h.example"),
+                ("request-id", "r1"),
+                ("x-kept", "2"),
+                ("Expect-Upstream", "i-1"),
+                ("Deadline-Ms", "321"),
+            ],
+        )
+
+    def test_a_request_is_read(self):
+        facts = self.dialect.read_request([("shard-key", "7"), ("deadline-ms", "5")])
+        self.assertEqual((facts.key, facts.patience_ms, facts.request_id), (7, 5.0, ""))
+        with self.assertRaises(ValueError):
+            self.dialect.read_request([("shard-key", "seven")])
+
+    def test_an_answer_is_read(self):
+        def facts(status, *headers):
+            return self.dialect.read_answer(Answer(status, headers, b""))
+
+        self.assertTrue(facts(503, ("Not-Executed", "1")).not_run)
+        self.assertFalse(facts(503).not_run)
+        self.assertTrue(facts(421).misdirected)
+        self.assertFalse(facts(200).genuine)
+        load = facts(200, ("Upstream-Load", "2,1,3,150")).load
+        self.assertEqual((load.running, load.waiting, load.slots), (2, 1, 3))
+        self.assertEqual(load.slowness, 1.5)
+        for text in ("", "1", "a,b,c"):
+            self.assertIsNone(facts(200, ("Upstream-Load", text)).load)
