--- a/src/tarragonramp/balancing.py
+++ b/src/tarragonramp/balancing.py
@@ -130,10 +130,19 @@
 
 @attrs.frozen
 class Refused:
-    """Why no server gets a request, and when to come back."""
+    """Why no server gets a request, and when to come back.
+
+    Parameters
+    ----------
+    reason : str
+    retry_after_s : float
+    inputs : dict
+        What decided it, for the log.
+    """
 
     reason: str
     retry_after_s: float
+    inputs: dict = attrs.Factory(dict)
 
 
 @attrs.define(eq=False)
@@ -220,7 +229,15 @@
                 best, best_cost, best_ms = server, cost, expected_ms
         wait_ms = self.wait_ms(best, wanted.route, now_ms)
         if not self._is_worth(wanted, wait_ms, best_ms):
-            return Refused("servers are busy", self._retry_after_s(wait_ms, work_ms))
+            retry_after_s = self._retry_after_s(wait_ms, work_ms)
+            inputs = {
+                "least_busy": best.name,
+                "wait_ms": round(wait_ms),
+                "expected_ms": round(best_ms),
+                "target_left_ms": round(wanted.target_left_ms),
+                "servers": len(usable),
+            }
+            return Refused("servers are busy", retry_after_s, inputs)
         return Chosen(best, best_ms, wait_ms)
 
     def expected_ms(self, server, route, now_ms):
--- a/src/tarragonramp/errors.py
+++ b/src/tarragonramp/errors.py
@@ -167,12 +167,15 @@
         One short clause.
     retry_after_s : float or None
         When the caller should come back.
+    inputs : dict
+        What decided it, for the log.
     """
 
     status: int
     outcome: str
     reason: str
     retry_after_s: float | None = None
+    inputs: dict = attrs.Factory(dict)
 
     def __str__(self):
         """Give outcome and reason."""
--- a/src/tarragonramp/roles/router.py
+++ b/src/tarragonramp/roles/router.py
@@ -72,14 +72,14 @@
     in_doubt: bool = False
     reason: str = ""
 
-    def refusal(self, status, reason, retry_after_s=None):
+    def refusal(self, status, reason, retry_after_s=None, **inputs):
         """Return the error of a request that is not sent (again).
 
-        "Not run" only if no earlier try may have run.
+        "Not run" only if no earlier try may have run. The inputs are what decided it.
         """
         if self.in_doubt:
-            return RequestError(502, UNKNOWN, reason)
-        return RequestError(status, NOT_RUN, reason, retry_after_s)
+            return RequestError(502, UNKNOWN, reason, None, inputs)
+        return RequestError(status, NOT_RUN, reason, retry_after_s, inputs)
 
 
 @attrs.define(eq=False, repr=False)
@@ -216,9 +216,8 @@
         )
         choice = self.loads.choose(servers, wanted, now_ms)
         if isinstance(choice, Refused):
-            raise order.refusal(
-                503, choice.reason, self._retry_after_s(order, choice.retry_after_s)
-            )
+            retry_s = self._retry_after_s(order, choice.retry_after_s)
+            raise order.refusal(503, choice.reason, retry_s, **choice.inputs)
         self._take_cold_share(order, choice.server, now_ms)
         return choice
 
@@ -257,7 +256,7 @@
             if left_ms <= 0 or not is_brief or not order.is_wanted():
                 reason = "key is moving" if is_brief else "key has no owner"
                 retry_s = self._retry_after_s(order, OWNER_GONE_RETRY_S)
-                raise order.refusal(503, reason, retry_s)
+                raise order.refusal(503, reason, retry_s, **self._owner_inputs(order))
             self.view.wait(min(left_ms, 50.0))
         order.first = item.first
         if not self._has_connections(server):
@@ -265,6 +264,21 @@
             raise order.refusal(503, "no connection left", retry_s)
         return server
 
+    def _owner_inputs(self, order):
+        """Return what is known of a key's owner, for the log."""
+        item = self._owned_range(order)
+        version = self.view.table_version(order.service)
+        if item is None:
+            return {"key": order.key, "table_version": version}
+        return {
+            "key": order.key,
+            "table_version": version,
+            "first": item.first,
+            "token": item.token,
+            "owner": item.owner,
+            "owner_before": item.old_owner,
+        }
+
     def _owned_range(self, order):
         table = self.view.tables.get(order.service)
         return table.find(order.key) if table is not None else None
@@ -450,8 +464,9 @@
             status=error.status,
             outcome=error.outcome,
             reason=error.reason,
-            retry_after_s=error.retry_after_s,
+            retry_after_s=round(error.retry_after_s or 0.0, 3),
             held_ms=round(self.clock.now_ms() - times.began_ms),
+            **error.inputs,
         )
 
     def _refuse(self, start_response, error, named):
