--- a/src/tarragonramp/roles/router.py
+++ b/src/tarragonramp/roles/router.py
@@ -24,9 +24,10 @@
 
 __all__ = ["Router"]
 
-OWNER_WAIT_MS = 300.0
+OWNER_WAIT_MS = 200.0
 """How long a request waits for keys that are on their way between two servers that
-live: a release and a grant take some milliseconds, unless work has to end first."""
+live: a release and a grant take some milliseconds, unless work has to end first. After
+that the new owner is asked: it may have its grant while the store is slow to say so."""
 
 OWNER_GONE_RETRY_S = 0.6
 NO_ROUTES_RETRY_S = 0.3
@@ -249,14 +250,13 @@
         while True:
             item = self._owned_range(order)
             server = self._server_of(item)
-            if server is not None and not item.is_moving:
-                break
-            left_ms = until_ms - self.clock.now_ms()
-            is_brief = item is not None and item.is_moving and server is not None
-            if left_ms <= 0 or not is_brief or not order.is_wanted():
-                reason = "key is moving" if is_brief else "key has no owner"
+            if server is None or not order.is_wanted():
                 retry_s = self._retry_after_s(order, OWNER_GONE_RETRY_S)
-                raise order.refusal(503, reason, retry_s, **self._owner_inputs(order))
+                inputs = self._owner_inputs(order)
+                raise order.refusal(503, "key has no owner", retry_s, **inputs)
+            left_ms = until_ms - self.clock.now_ms()
+            if not item.is_moving or left_ms <= 0:
+                break
             self.view.wait(min(left_ms, 50.0))
         order.first = item.first
         if not self._has_connections(server):
