--- a/src/tarragonramp/roles/leadership.py
+++ b/src/tarragonramp/roles/leadership.py
@@ -31,6 +31,9 @@
 LOOK_MS = 500.0
 """Between two looks at a record that may stand still."""
 
+RESIGN_MS = 200.0
+"""Between two looks whether the store answers a leader that is to stop."""
+
 LOADS_MS = 1500.0
 """How long a daemon's count of its requests under way is passed on."""
 
@@ -126,17 +129,29 @@
                 gevent.sleep(LEAST_PING_MS / 1000.0)
 
     def resign(self):
-        """Hand leadership back, so that another daemon takes it at once."""
+        """Hand leadership back, so that another daemon takes it at once.
+
+        Not while the store does not answer: nobody could take over, and the servers'
+        grants would end for want of renewals. Renewing goes on until it answers again
+        or this process ends.
+        """
         self.stopping = True
+        while self.standing.is_named and not self._is_confirmed():
+            gevent.sleep(RESIGN_MS / 1000.0)
         if not self.standing.is_named:
             return
         version = self.standing.version
         term = self.standing.record.term
+        # First, as the successor takes the record's word that nothing more is sent.
         self.standing.give_up()
         record = attrs.evolve(NOBODY, term=term)
         result = self.store.put(LEADER, LEADER_NAME, record.to_spec(), version)
         log_event("leader-resigned", told_store=is_successful(result))
 
+    def _is_confirmed(self):
+        age_ms = self.standing.confirmed_age_ms(self.clock.now_ms())
+        return age_ms < 2 * self.timing.renew_ms
+
     def heard(self, message):
         """Take in what a daemon says of itself, and answer once there is news for it.
 
--- /dev/null
+++ b/tests/test_leadership.py
@@ -0,0 +1,188 @@
+"""One daemon leads; what the others learn, and what becomes of it in an outage."""
+
+import types
+import unittest
+
+import gevent
+from returns.result import Failure, Success
+
+from tarragonramp import ManualClock
+from tarragonramp.balancing import Loads
+from tarragonramp.errors import ConflictError, NotFoundError, PlatformBusyError
+from tarragonramp.fleet_view import FleetView
+from tarragonramp.model import Stored
+from tarragonramp.roles.leadership import Leadership
+
+
+class Store:
+    """One record under a version, and whether it answers."""
+
+    def __init__(self):
+        self.stored, self.is_down = None, False
+
+    def get(self, kind, name):
+        """Return the record."""
+        if self.is_down:
+            return Failure(PlatformBusyError("down"))
+        return Success(self.stored) if self.stored else Failure(NotFoundError("none"))
+
+    def put(self, kind, name, spec, expected_version):
+        """Write the record if it is at a version."""
+        if self.is_down:
+            return Failure(PlatformBusyError("down"))
+        version = self.stored.version if self.stored else 0
+        if version != expected_version:
+            return Failure(ConflictError(expected_version, self.stored))
+        self.stored = Stored(kind, name, version + 1, spec)
+        return Success(self.stored)
+
+
+class Follower:
+    """Stands for what follows the store."""
+
+    changed = {}
+    is_synced = uses_store = hears_store = True
+
+    def __init__(self):
+        self.reasons = []
+
+    def use_store(self, reason):
+        """Note why."""
+        self.reasons.append(reason)
+
+    def lean_on(self, leader):
+        """Note whom."""
+        self.reasons.append(f"lean {leader}")
+
+    def compare(self, peer, digest):
+        """Compare nothing."""
+
+    def news_since(self, versions):
+        """Return no news."""
+        return {}
+
+    def take_news(self, news):
+        """Take nothing."""
+
+
+class LeadershipTest(unittest.TestCase):
+    """Two daemons, one store, and one clock."""
+
+    def setUp(self):
+        self.clock, self.store = ManualClock(10_000.0), Store()
+        self.daemons = {}
+        self.one, self.other = self.daemon("d1"), self.daemon("d2")
+
+    def daemon(self, name, boot="b"):
+        """Return a daemon's leadership; peers reach each other by address."""
+        address = f"{name}:1"
+        peers = types.SimpleNamespace(
+            ping=lambda to, message, wait_ms: self.exchange(to, "heard", message),
+            step_down=lambda to, term: self.exchange(to, "told_to_step_down", term),
+        )
+        made = Leadership(
+            name,
+            f"{name}{boot}",
+            address,
+            FleetView(self.clock),
+            self.store,
+            peers,
+            Follower(),
+            Loads("a"),
+            self.clock,
+        )
+        self.daemons[address] = made
+        return made
+
+    def exchange(self, address, method, argument):
+        """Carry a message to a daemon, if there is one."""
+        daemon = self.daemons.get(address)
+        if daemon is None:
+            return Failure(PlatformBusyError("nobody there"))
+        # The clock stands while somebody waits for news.
+        with gevent.Timeout(0.05, False):
+            return Success(getattr(daemon, method)(argument))
+        return Failure(PlatformBusyError("waits"))
+
+    def stand_still(self, daemon):
+        """Let a daemon see the record stand still for a whole lease."""
+        daemon._look()
+        self.clock.advance(daemon.timing.lease_ms + 1)
+        daemon._look()
+
+    def test_the_first_takes_the_record_and_the_second_does_not(self):
+        self.one._look()
+        self.other._look()
+        self.assertTrue(self.one.leads)
+        self.assertFalse(self.other.leads)
+        self.one._keep()
+        self.assertTrue(self.one.may_move)
+
+    def test_a_silent_leader_is_replaced_and_told_so(self):
+        self.one._look()
+        self.stand_still(self.other)
+        self.assertTrue(self.other.leads)
+        self.assertFalse(self.one.leads)
+        self.assertLessEqual(self.other.others_stopped_ms, self.clock.now_ms())
+        self.one._keep()
+        self.assertFalse(self.one.leads)
+
+    def test_a_leader_that_cannot_be_asked_is_waited_for(self):
+        """It may be frozen, and renew once it wakes, until its right has ended."""
+        self.one._look()
+        del self.daemons["d1:1"]
+        self.stand_still(self.other)
+        self.assertTrue(self.other.leads)
+        right_ms = self.other.timing.right_ms
+        self.assertGreater(self.other.others_stopped_ms, self.clock.now_ms() + right_ms)
+
+    def test_the_next_process_at_the_address_takes_over_at_once(self):
+        self.one._look()
+        again = self.daemon("d1", boot="c")
+        again._look()
+        self.assertTrue(again.leads)
+        self.assertLessEqual(again.others_stopped_ms, self.clock.now_ms())
+
+    def test_a_leader_that_stops_is_followed_without_a_wait(self):
+        self.one._look()
+        self.one.resign()
+        self.assertFalse(self.one.leads)
+        self.other._look()
+        self.assertTrue(self.other.leads)
+        self.assertLessEqual(self.other.others_stopped_ms, self.clock.now_ms())
+
+    def test_a_leader_that_stops_in_an_outage_goes_on_renewing(self):
+        """The store is away while the leader is told to stop.
+
+        It gave up at once, and nobody could take over: seven seconds later no server
+        held a key any more, and all their callers were refused.
+        """
+        self.one._look()
+        self.store.is_down = True
+        self.clock.advance(3 * self.one.timing.renew_ms)
+        task = gevent.spawn(self.one.resign)
+        self.addCleanup(task.kill)
+        gevent.sleep(0.5)
+        self.assertTrue(self.one.leads)
+        self.assertFalse(self.one.may_move)
+        self.store.is_down = False
+        self.one._keep()
+        task.join(2.0)
+        self.assertFalse(self.one.leads)
+        self.other._look()
+        self.assertTrue(self.other.leads)
+
+    def test_a_lost_answer_to_the_own_write_costs_nothing(self):
+        self.one._look()
+        spec = {**self.store.stored.spec, "beat": 1}
+        self.store.stored = Stored("", "", self.store.stored.version + 1, spec)
+        self.one._keep()
+        self.one._keep()
+        self.assertTrue(self.one.may_move)
+
+    def test_loads_of_the_others_are_passed_on(self):
+        self.one._look()
+        self.other.loads.sent("s1")
+        self.other._look()
+        self.assertEqual(self.one._loads_beside("d1", self.clock.now_ms()), {"s1": 1})
+        self.assertEqual(self.one._loads_beside("d2", self.clock.now_ms()), {})
