--- a/src/tarragonramp/fleet.py
+++ b/src/tarragonramp/fleet.py
@@ -341,9 +341,11 @@
             "Kinds of objects that can't be followed.",
             lambda: len(self.follower.failing_since_ms),
         )
-        count("grants", "Grants sent.", lambda: self.granter.n_grants)
+        count("grants", "Grants sent.", lambda: self.granter.keeper.n_grants)
         count("moves", "Ranges moved.", lambda: self.granter.n_moves)
-        count("handovers", "Moves with handover.", lambda: self.granter.n_handovers)
+        count(
+            "handovers", "Moves with handover.", lambda: self.granter.mover.n_handovers
+        )
         count(
             "store.calls",
             "Calls to the store.",
--- /dev/null
+++ b/src/tarragonramp/roles/grants.py
@@ -0,0 +1,253 @@
+"""What servers were granted, and how it is known that they have let go.
+
+Late, lost and doubled messages are all settled here: each grant is noted before anybody
+relies on its end, and an owner that may still get an old one is fenced first.
+"""
+
+import collections
+
+import attrs
+import gevent
+from gevent.lock import BoundedSemaphore
+from returns.pipeline import is_successful
+from returns.result import Failure
+
+from ..adapters.logs import log_event
+from ..errors import NotSentError, OvertakenGrantError, WrongServerError
+
+__all__ = ["GrantKeeper"]
+
+ANSWER_MS = 1000.0
+"""Timeout of a grant. A server answers in a millisecond."""
+
+RELEASE_MS = 8000.0
+"""Timeout of a release, which is answered once running work has ended."""
+
+FENCE_HOLD_MS = 300.0
+"""What a fencing grant is given for: it only has to be seen."""
+
+FENCE_DOUBT_MS = 600.0
+"""How long after a fencing grant without an answer the next one is sent. The first may
+be applied late, but its time counts from its arrival, which was before it was given up:
+so much later it gives the old owner nothing any more."""
+
+LATE_GRANT_MS = 15_000.0
+"""How long a grant without an answer may still be on its way to be applied."""
+
+CALLS_PER_SERVER = 6
+"""Releases under way at one server at a time. Load: all its ranges leave at once. Harm
+prevented: a connection each, beyond what the server takes, so that it resets renewals
+and callers. More than its slots, so that idle ranges do not wait for running work."""
+
+UNREACHABLE_MS = 1500.0
+"""Grants of a server that go unanswered for so long count it as unreachable."""
+
+UNGRANTED = (NotSentError, OvertakenGrantError, WrongServerError)
+NO_ADDRESS = Failure(NotSentError("address not known"))
+NO_LONGER_LEADS = Failure(NotSentError("another daemon may lead"))
+
+
+@attrs.define(eq=False)
+class _Held:
+    """What is known of the grants of one range to its owner."""
+
+    sent_ms: float = float("-inf")
+    in_doubt_until_ms: float = float("-inf")
+    under_way: int = 0
+
+
+@attrs.define(eq=False)
+class _Contact:
+    """How grants to one server have fared."""
+
+    failing_since_ms: float | None = None
+    has_broken: bool = False
+
+
+@attrs.define(eq=False, repr=False)
+class GrantKeeper:
+    """Sends grants and releases, and notes until when each may be held.
+
+    Parameters
+    ----------
+    view : FleetView
+    leadership : Leadership
+    grants : Grants
+        ``grant`` and ``release``.
+    clock : Clock
+    refused : set of (str, int, int)
+        Service, first key and token of grants that a server has seen a higher token
+        for; they are not sent again.
+    n_grants : int
+    """
+
+    view: object
+    leadership: object
+    grants: object
+    clock: object
+    refused: set = attrs.Factory(set)
+    n_grants: int = 0
+    _term: int = 0
+    _held: dict = attrs.Factory(dict)
+    _contacts: dict = attrs.Factory(lambda: collections.defaultdict(_Contact))
+    _calls: dict = attrs.Factory(
+        lambda: collections.defaultdict(lambda: BoundedSemaphore(CALLS_PER_SERVER))
+    )
+
+    @property
+    def timing(self):
+        """Times of grants."""
+        return self.leadership.timing
+
+    def begin_term(self):
+        """Forget what was known of grants if others may have led since; tell whether.
+
+        Only then: a leader that the store did not confirm for a while, and that no
+        other has replaced, still knows all grants, and others gave none.
+        """
+        term = self.leadership.term
+        if term == self._term:
+            return False
+        self._term = term
+        self._held.clear()
+        return True
+
+    def is_current(self, service, item):
+        """Tell whether a range is still this owner's, and this daemon the leader."""
+        table = self.view.tables.get(service)
+        return self.leadership.leads and table.find(item.first) == item
+
+    def may_act(self, service, item):
+        """Tell whether a move may be carried on: by one daemon only.
+
+        A leader that the store has not confirmed lately still renews, but its successor
+        may already carry on the same moves: a fencing grant of the one would give the
+        old owner keys that the other has just given to the new one.
+        """
+        return self.leadership.may_move and self.is_current(service, item)
+
+    def grant(
+        self, service, item, owner, token, handover="", hold_ms=None, record=None
+    ):
+        """Send one grant and note until when it may be held.
+
+        It is noted under the token of its owner, or under ``record``.
+        """
+        address = self._address(service, owner)
+        if not address:
+            return NO_ADDRESS
+        held = self._held_of(service, item.first, record or token)
+        hold_ms = self.timing.hold_ms if hold_ms is None else hold_ms
+        sent_ms = self.clock.now_ms()
+        held.under_way += 1
+        try:
+            result = self.grants.grant(
+                owner,
+                address,
+                item.first,
+                item.last,
+                token,
+                hold_ms,
+                handover,
+                ANSWER_MS,
+            )
+        finally:
+            held.under_way -= 1
+        self.n_grants += 1
+        if is_successful(result):
+            # Counted from the answer: it can't have arrived later.
+            held.sent_ms = self.clock.now_ms()
+        elif not isinstance(result.failure(), UNGRANTED):
+            held.sent_ms = self.clock.now_ms()
+            held.in_doubt_until_ms = sent_ms + LATE_GRANT_MS
+        return result
+
+    def _held_of(self, service, first, token):
+        key = service, first, token
+        held = self._held.get(key)
+        if held is None:
+            # An earlier leader may have renewed it until it stopped.
+            stopped_ms = self.leadership.others_stopped_ms
+            held = self._held[key] = _Held(stopped_ms, stopped_ms)
+        return held
+
+    def _address(self, service, name):
+        server = self.view.directory.servers.get(name)
+        if server is not None:
+            return server.address
+        return self.view.tables[service].addresses.get(name, "")
+
+    def forget(self, service, first, token):
+        """Forget the grants of a range under a token whose end is proved."""
+        self._held.pop((service, first, token), None)
+
+    def contact(self, identity):
+        """Return how grants to a server have fared."""
+        return self._contacts[identity]
+
+    def note_reached(self, name, contact):
+        if contact.failing_since_ms is not None:
+            after_ms = round(self.clock.now_ms() - contact.failing_since_ms)
+            log_event("server-regained", server=name, after_ms=after_ms)
+            contact.failing_since_ms = None
+
+    def is_unreachable(self, identity):
+        since_ms = self._contacts[identity].failing_since_ms
+        return since_ms is not None and since_ms + UNREACHABLE_MS < self.clock.now_ms()
+
+    def release(self, service, item):
+        """Fence the old owner, if a grant may still be on its way to it, and release.
+
+        A grant of the old token that is applied after the release would give the old
+        owner the keys back; once the server has seen a higher token it refuses it.
+        """
+        address = self._address(service, item.old_owner)
+        if not address:
+            return NO_ADDRESS
+        token = item.old_token
+        held = self._held_of(service, item.first, token)
+        with self._calls[address]:
+            if not self.may_act(service, item):
+                return NO_LONGER_LEADS
+            if held.under_way or self.clock.now_ms() < held.in_doubt_until_ms:
+                token = item.token - 1
+                result = self.grant(
+                    service,
+                    item,
+                    item.old_owner,
+                    token,
+                    hold_ms=FENCE_HOLD_MS,
+                    record=item.old_token,
+                )
+                if not is_successful(result):
+                    if not isinstance(result.failure(), UNGRANTED):
+                        gevent.sleep(FENCE_DOUBT_MS / 1000.0)
+                    return result
+                log_event(
+                    "owner-fenced",
+                    service=service,
+                    server=item.old_owner,
+                    first=item.first,
+                    token=token,
+                )
+                if not self.may_act(service, item):
+                    return NO_LONGER_LEADS
+            return self.grants.release(
+                item.old_owner, address, item.first, item.last, token, RELEASE_MS
+            )
+
+    def time_proves(self, service, first, token):
+        """Tell whether all grants of a range under a token must have ended."""
+        held = self._held_of(service, first, token)
+        return self.clock.now_ms() > held.sent_ms + self.timing.longest_hold_ms
+
+    def life_ended(self, service, name, life):
+        """Tell whether a later process was seen under the same name or address."""
+        server = self.view.directory.servers.get(name)
+        if server is not None and server.life > life:
+            return True
+        address = self.view.tables[service].addresses.get(name)
+        return any(
+            other.address == address and other.life > life
+            for other in self.view.directory.servers.values()
+        )
--- a/tests/test_granter.py
+++ b/tests/test_granter.py
@@ -27,6 +27,7 @@
 from tarragonramp.model import Stored
 from tarragonramp.ranges import KeyRange, RangeTable
 from tarragonramp.roles.granter import Granter
+from tarragonramp.roles.grants import FENCE_DOUBT_MS
 
 TIMING = LeaseTiming()
 SILENT = Failure(UnansweredError("no answer"))
@@ -181,6 +182,22 @@
         at = calls.index(("release", "old", 2))
         self.assertEqual(calls[at - 1], ("grant", "old", 2))
 
+    def test_a_fencing_grant_without_an_answer_is_waited_out(self):
+        """The fencing grant itself is held up, and applied after the keys have moved.
+
+        A failure domain was cut off; as the cut healed, the fence reached the old owner
+        when the new one had its grant already: both held the keys for a moment.
+        """
+        self.own()
+        self.list_servers(attrs.evolve(server("old"), draining=True), server("new"))
+        self.leader.others_stopped_ms = self.clock.now_ms() + 9000.0
+        self.servers.answers["grant", "old"] = SILENT
+        self.start()
+        self.assertTrue(self.wait(lambda: self.grants_to("old")))
+        self.servers.answers.clear()
+        self.assertFalse(self.wait(lambda: self.grants_to("new"), FENCE_DOUBT_MS / 2e3))
+        self.assertTrue(self.wait(lambda: self.grants_to("new")))
+
     def test_a_new_leader_fences_what_the_one_before_may_have_sent(self):
         self.leader.others_stopped_ms = self.clock.now_ms() + 9000.0
         self.own()
