A new owner is granted only what the store calls free; each fence has a token of its own

Three causes, from logs: a fence sent again under the same token and applied late (now each has its own); grants of a killed leader taken for applied (now in doubt for 15 s); a new leader that fenced owners of ranges which its predecessor had already given away (now the store says first what is free).

--- a/src/tarragonramp/ranges.py
+++ b/src/tarragonramp/ranges.py
@@ -4,12 +4,32 @@
 
 import attrs
 
-__all__ = ["KeyRange", "RangeTable"]
+__all__ = ["KeyRange", "RangeTable", "fence_token"]
 
-GAP = 2
-"""By how much a move raises the token. The one between fences the old owner: given to
-it before its release, it makes the server refuse grants of the old token that are
-still on their way."""
+GAP = 1 << 16
+"""By how much a move raises the token. Those between fence the old owner: given to it
+before its release, they make it refuse grants of lower tokens that are still on their
+way. Each try needs one above the last, as an unanswered one may be on its way, too."""
+
+FENCES_A_TERM = 8
+"""Tries that one leader has for a move; its successors' are above them."""
+
+
+def fence_token(old_token, term, attempt):
+    """Return the token of a try to fence an old owner; None if there are no more.
+
+    Parameters
+    ----------
+    old_token : int
+        Under which it has the keys.
+    term : int
+        Of the leader.
+    attempt : int
+        How many it has made for this move.
+    """
+    if attempt >= FENCES_A_TERM:
+        return None
+    return old_token + 1 + (term * FENCES_A_TERM + attempt) % (GAP - 1)
 
 
 @attrs.frozen
--- a/src/tarragonramp/roles/granter.py
+++ b/src/tarragonramp/roles/granter.py
@@ -120,26 +120,29 @@
         if self.leadership.may_move:
             for item in table.ranges:
                 if item.is_moving:
-                    self.mover.start(service, item)
+                    self.mover.take_back(service, item)
 
     def _write_due(self, service, table):
-        """Write moves that have ended and those that should begin; return the table."""
+        """Write which ranges are free and which should move; return the table.
+
+        A range is granted to its new owner only once the store says that it is free.
+        """
         candidates = self._candidates(service)
         if table is None:
             return self._deal(service, candidates)
-        ended = [
+        freed = [
             item.settled()
             for item in table.ranges
-            if item.is_moving and self.mover.has_arrived(service, item)
+            if item.is_moving and self.mover.is_released(service, item)
         ]
-        newer = table.with_ranges(ended)
+        newer = table.with_ranges(freed)
         n_moving = sum(item.is_moving for item in newer.ranges)
         moved = plan_moves(
             newer, candidates, lambda item: self._stays(service, item), n_moving
         )
         if not moved and not n_moving:
             moved = self._spread(service, newer, candidates)
-        if not ended and not moved:
+        if not freed and not moved:
             return table
         if moved:
             log_event(
@@ -153,7 +156,12 @@
             )
             self.n_moves += len(moved)
         addresses = {candidate.name: candidate.address for candidate in candidates}
-        return self._write(service, newer.with_ranges(moved, addresses)) or table
+        written = self._write(service, newer.with_ranges(moved, addresses))
+        if written is None:
+            return self.view.tables.get(service, table)
+        for item in freed:
+            self.mover.give(service, item)
+        return written
 
     def _spread(self, service, table, candidates):
         """Return busy ranges that should move, now and then."""
@@ -280,6 +288,8 @@
         """Renew one range; False if the server can't be reached."""
         if not self.keeper.is_current(service, item):
             return True
+        if self.mover.is_released(service, item):
+            return True
         if (service, item.first, item.token) in self.keeper.refused:
             return True
         result = self.keeper.grant(service, item, item.owner, item.token)
--- a/src/tarragonramp/roles/grants.py
+++ b/src/tarragonramp/roles/grants.py
@@ -7,13 +7,18 @@
 import collections
 
 import attrs
-import gevent
 from gevent.lock import BoundedSemaphore
 from returns.pipeline import is_successful
 from returns.result import Failure
 
 from ..adapters.logs import log_event
-from ..errors import NotSentError, OvertakenGrantError, WrongServerError
+from ..errors import (
+    NotSentError,
+    OvertakenGrantError,
+    UnansweredError,
+    WrongServerError,
+)
+from ..ranges import fence_token
 
 __all__ = ["GrantKeeper"]
 
@@ -26,11 +31,6 @@
 FENCE_HOLD_MS = 300.0
 """What a fencing grant is given for: it only has to be seen."""
 
-FENCE_DOUBT_MS = 600.0
-"""How long after a fencing grant without an answer the next one is sent. The first may
-be applied late, but its time counts from its arrival, which was before it was given up:
-so much later it gives the old owner nothing any more."""
-
 LATE_GRANT_MS = 15_000.0
 """How long a grant without an answer may still be on its way to be applied."""
 
@@ -44,6 +44,7 @@
 
 UNGRANTED = (NotSentError, OvertakenGrantError, WrongServerError)
 NO_ADDRESS = Failure(NotSentError("address not known"))
+NO_FENCE_LEFT = Failure(UnansweredError("no fencing token left; time has to prove it"))
 NO_LONGER_LEADS = Failure(NotSentError("another daemon may lead"))
 
 
@@ -54,6 +55,7 @@
     sent_ms: float = float("-inf")
     in_doubt_until_ms: float = float("-inf")
     under_way: int = 0
+    fences: int = 0
 
 
 @attrs.define(eq=False)
@@ -166,9 +168,10 @@
         key = service, first, token
         held = self._held.get(key)
         if held is None:
-            # An earlier leader may have renewed it until it stopped.
+            # An earlier leader may have renewed it until it stopped, and not all it
+            # has sent need have been applied.
             stopped_ms = self.leadership.others_stopped_ms
-            held = self._held[key] = _Held(stopped_ms, stopped_ms)
+            held = self._held[key] = _Held(stopped_ms, stopped_ms + LATE_GRANT_MS)
         return held
 
     def _address(self, service, name):
@@ -196,10 +199,11 @@
         return since_ms is not None and since_ms + UNREACHABLE_MS < self.clock.now_ms()
 
     def release(self, service, item):
-        """Fence the old owner, if a grant may still be on its way to it, and release.
+        """Take a range back from its old owner; a Result with what it hands over.
 
-        A grant of the old token that is applied after the release would give the old
-        owner the keys back; once the server has seen a higher token it refuses it.
+        If a grant may still be on its way to it, it is fenced first: a grant that is
+        applied after the release would give it the keys back, but once it has seen a
+        higher token it refuses it.
         """
         address = self._address(service, item.old_owner)
         if not address:
@@ -210,32 +214,45 @@
             if not self.may_act(service, item):
                 return NO_LONGER_LEADS
             if held.under_way or self.clock.now_ms() < held.in_doubt_until_ms:
-                token = item.token - 1
-                result = self.grant(
-                    service,
-                    item,
-                    item.old_owner,
-                    token,
-                    hold_ms=FENCE_HOLD_MS,
-                    record=item.old_token,
-                )
-                if not is_successful(result):
-                    if not isinstance(result.failure(), UNGRANTED):
-                        gevent.sleep(FENCE_DOUBT_MS / 1000.0)
-                    return result
-                log_event(
-                    "owner-fenced",
-                    service=service,
-                    server=item.old_owner,
-                    first=item.first,
-                    token=token,
-                )
+                fenced = self._fence(service, item, held)
+                if not is_successful(fenced):
+                    return fenced
+                token = fenced.unwrap()
                 if not self.may_act(service, item):
                     return NO_LONGER_LEADS
             return self.grants.release(
                 item.old_owner, address, item.first, item.last, token, RELEASE_MS
             )
 
+    def _fence(self, service, item, held):
+        """Show the old owner a token above all that it may yet be granted under.
+
+        Each try has a higher one: of one without an answer nobody knows when it is
+        applied, and after the keys have moved it would give them back.
+        """
+        token = fence_token(item.old_token, self.leadership.term, held.fences)
+        if token is None:
+            return NO_FENCE_LEFT
+        held.fences += 1
+        result = self.grant(
+            service,
+            item,
+            item.old_owner,
+            token,
+            hold_ms=FENCE_HOLD_MS,
+            record=item.old_token,
+        )
+        if is_successful(result):
+            log_event(
+                "owner-fenced",
+                service=service,
+                server=item.old_owner,
+                first=item.first,
+                token=token,
+                fences=held.fences,
+            )
+        return result.map(lambda _: token)
+
     def time_proves(self, service, first, token):
         """Tell whether all grants of a range under a token must have ended."""
         held = self._held_of(service, first, token)
--- a/src/tarragonramp/roles/mover.py
+++ b/src/tarragonramp/roles/mover.py
@@ -1,6 +1,10 @@
-"""Moves ranges of keys from one server to another, each in a task of its own."""
+"""Takes ranges of keys back from servers, and gives them to the next ones.
 
-import collections
+In between stands a write to the store: that the earlier owner has let go. Only then is
+the next one granted the range, so that whoever leads next knows what each may hold.
+Granted before, a new leader would fence the earlier owner under a token below that of
+the next, and both would hold the keys.
+"""
 
 import attrs
 import gevent
@@ -15,6 +19,15 @@
 """Between two tries to release or to grant a range."""
 
 
+@attrs.frozen
+class _Release:
+    """How a range was taken back."""
+
+    proof: str
+    handover: str
+    began_ms: float
+
+
 @attrs.define(eq=False, repr=False)
 class Mover:
     """Carries on the moves that the store says are under way.
@@ -24,8 +37,8 @@
     view : FleetView
     keeper : GrantKeeper
     clock : Clock
-    on_moved : callable
-        Called without arguments whenever a range has arrived.
+    on_released : callable
+        Called without arguments whenever an owner has let go of a range.
     n_handovers : int
         Moves whose new owner got what the old one knew.
     """
@@ -33,49 +46,42 @@
     view: object
     keeper: object
     clock: object
-    on_moved: object
+    on_released: object
     n_handovers: int = 0
-    _moving: dict = attrs.Factory(dict)
-    _arrived: dict = attrs.Factory(lambda: collections.defaultdict(dict))
+    _taking: dict = attrs.Factory(dict)
+    _released: dict = attrs.Factory(dict)
 
-    def start(self, service, item):
-        """Begin to move a range, unless that is under way or done."""
+    def take_back(self, service, item):
+        """Begin to take a range back, unless that is under way or done."""
         key = service, item.first, item.token
-        if key not in self._moving and not self.has_arrived(service, item):
-            self._moving[key] = gevent.spawn(self._move, service, item, key)
+        if key not in self._taking and key not in self._released:
+            self._taking[key] = gevent.spawn(self._take_back, service, item, key)
+
+    def is_released(self, service, item):
+        """Tell whether a range's earlier owner has let go of it.
 
-    def has_arrived(self, service, item):
-        """Tell whether a range's new owner has it, which the store may not say yet."""
-        return self._arrived[service].get(item.first) == item.token
+        True until the range was granted to its new owner, which nobody else should do
+        meanwhile: what the earlier owner handed over is for the first grant.
+        """
+        return (service, item.first, item.token) in self._released
+
+    def give(self, service, item):
+        """Grant a range, of which the store says that it is free, to its new owner."""
+        gevent.spawn(self._give, service, item, (service, item.first, item.token))
 
-    def _move(self, service, item, key):
-        """Take a range from its old owner and give it to the new one."""
+    def _take_back(self, service, item, key):
         began_ms = self.clock.now_ms()
         try:
-            proof, handover = self._take_back(service, item)
+            proof, handover = self._prove_release(service, item)
             if proof is None:
                 return
-            if not self._give(service, item, handover):
-                return
-            self._arrived[service][item.first] = item.token
+            self._released[key] = _Release(proof, handover, began_ms)
             self.keeper.forget(service, item.first, item.old_token)
-            log_event(
-                "keys-moved",
-                service=service,
-                first=item.first,
-                token=item.token,
-                owner_before=item.old_owner,
-                owner=item.owner,
-                proof=proof,
-                handover=bool(handover),
-                took_ms=round(self.clock.now_ms() - began_ms),
-            )
-            self.n_handovers += bool(handover)
-            self.on_moved()
+            self.on_released()
         finally:
-            self._moving.pop(key, None)
+            self._taking.pop(key, None)
 
-    def _take_back(self, service, item):
+    def _prove_release(self, service, item):
         """Return how it is known that the old owner has let go, and its handover.
 
         It is asked first, also if time has proved it: what it hands over spares the new
@@ -99,22 +105,42 @@
             gevent.sleep(RETRY_MS / 1000.0)
         return None, ""
 
-    def _give(self, service, item, handover):
-        """Give a range to its new owner; also done if the owner has gone meanwhile."""
-        while self.keeper.may_act(service, item):
+    def _give(self, service, item, key):
+        """Grant a range first; later its owner's renewals do, also if this fails."""
+        release = self._released[key]
+        try:
+            if not self._grant_first(service, item, release.handover):
+                return
+            log_event(
+                "keys-moved",
+                service=service,
+                first=item.first,
+                token=item.token,
+                owner=item.owner,
+                proof=release.proof,
+                handover=bool(release.handover),
+                took_ms=round(self.clock.now_ms() - release.began_ms),
+            )
+            self.n_handovers += bool(release.handover)
+        finally:
+            self._released.pop(key, None)
+
+    def _grant_first(self, service, item, handover):
+        """Tell whether the new owner has taken the range; False if it has gone."""
+        while self.keeper.is_current(service, item):
             result = self.keeper.grant(service, item, item.owner, item.token, handover)
             if is_successful(result):
                 return True
             if isinstance(result.failure(), OvertakenGrantError):
                 self.keeper.refused.add((service, item.first, item.token))
-                return True
+                return False
             server = self.view.directory.servers.get(item.owner)
             if server is None or server.life != item.life or server.draining:
-                return True
-            if self.keeper.is_unreachable((item.owner, item.life)):
-                return True
+                return False
             contact = self.keeper.contact((item.owner, item.life))
             if contact.failing_since_ms is None:
                 contact.failing_since_ms = self.clock.now_ms()
+            if self.keeper.is_unreachable((item.owner, item.life)):
+                return False
             gevent.sleep(RETRY_MS / 1000.0)
         return False
--- a/src/tarragonramp/roles/router.py
+++ b/src/tarragonramp/roles/router.py
@@ -29,6 +29,10 @@
 live: a release and a grant take some milliseconds, unless work has to end first. After
 that the new owner is asked: it may have its grant while the store is slow to say so."""
 
+GRANT_WAIT_MS = 30.0
+"""How long a request that its key's owner refused waits, and twice as long after the
+second time: a new owner's grant comes some milliseconds after its naming."""
+
 OWNER_GONE_RETRY_S = 0.6
 NO_ROUTES_RETRY_S = 0.3
 COLD_RETRY_S = 0.5
@@ -385,9 +389,10 @@
     def _await_owner(self, order):
         """Wait a moment for a newer owner, or for a new owner's grant to arrive."""
         before = self._owned_range(order)
-        until_ms = min(self.clock.now_ms() + OWNER_WAIT_MS, order.until_ms)
+        pause_ms = GRANT_WAIT_MS * len(order.tried)
+        until_ms = min(self.clock.now_ms() + pause_ms, order.until_ms)
         while (left_ms := until_ms - self.clock.now_ms()) > 0 and order.is_wanted():
-            self.view.wait(min(left_ms, 50.0))
+            self.view.wait(left_ms)
             if self._owned_range(order) != before:
                 return
 
