--- a/src/tarragonramp/adapters/web.py
+++ b/src/tarragonramp/adapters/web.py
@@ -23,6 +23,7 @@
     "caller_is_gone",
     "error_reply",
     "json_reply",
+    "read_body",
 ]
 
 BACKLOG = 1024
@@ -366,6 +367,38 @@
     return bool(poll.poll(0))
 
 
+def read_body(environ, limit_bytes, patience_ms):
+    """Return the whole body of a request, within a limit and a time.
+
+    Parameters
+    ----------
+    environ : dict
+    limit_bytes : int
+    patience_ms : float
+
+    Raises
+    ------
+    RequestError
+        400, 408 or 413; the request did not run.
+    """
+    length = environ.get("CONTENT_LENGTH")
+    if length is None and "HTTP_TRANSFER_ENCODING" not in environ:
+        return b""
+    if int(length or 0) > limit_bytes:
+        raise RequestError(413, NOT_RUN, "body longer than the limit")
+    body = None
+    try:
+        with gevent.Timeout(patience_ms / 1000.0, False):
+            body = environ["wsgi.input"].read(limit_bytes + 1)
+    except (OSError, ValueError):
+        raise RequestError(400, NOT_RUN, "malformed or incomplete body") from None
+    if body is None:
+        raise RequestError(408, NOT_RUN, "body not received in time")
+    if len(body) > limit_bytes:
+        raise RequestError(413, NOT_RUN, "body longer than the limit")
+    return body
+
+
 def json_reply(start_response, status, payload):
     """Answer a WSGI request with JSON.
 
--- a/src/tarragonramp/roles/entry.py
+++ b/src/tarragonramp/roles/entry.py
@@ -18,6 +18,7 @@
     TARGET_KEY,
     caller_is_gone,
     error_reply,
+    read_body,
 )
 from ..admission import ADMITTED, WAITING, Gate, Outcome, Ticket
 from ..errors import AbandonedError, NotSentError, RequestError
@@ -157,7 +158,7 @@
             method=method,
             target=environ[TARGET_KEY],
             headers=end_to_end(headers),
-            body=self._read_body(environ, patience_ms),
+            body=read_body(environ, self.limits.body_bytes, patience_ms),
             request_id=named,
             deadline_at_ms=times.began_ms + patience_ms,
             caller_class=caller_class,
@@ -165,26 +166,6 @@
             times=times,
         )
 
-    def _read_body(self, environ, patience_ms):
-        """Return the whole body, within the limit and the caller's deadline."""
-        limit = self.limits.body_bytes
-        length = environ.get("CONTENT_LENGTH")
-        if length is None and "HTTP_TRANSFER_ENCODING" not in environ:
-            return b""
-        if int(length or 0) > limit:
-            raise RequestError(413, NOT_RUN, "body longer than the limit")
-        body = None
-        try:
-            with gevent.Timeout(patience_ms / 1000.0, False):
-                body = environ["wsgi.input"].read(limit + 1)
-        except (OSError, ValueError):
-            raise RequestError(400, NOT_RUN, "malformed or incomplete body") from None
-        if body is None:
-            raise RequestError(408, NOT_RUN, "body not received in time")
-        if len(body) > limit:
-            raise RequestError(413, NOT_RUN, "body longer than the limit")
-        return body
-
     def _serve_divided(self, team, service, key, request):
         """Send to the owner; again if that can do no harm.
 
--- a/src/tarragonramp/roles/router.py
+++ b/src/tarragonramp/roles/router.py
@@ -4,7 +4,6 @@
 import random
 
 import attrs
-import gevent
 import logbook
 from returns.pipeline import is_successful
 
@@ -15,6 +14,7 @@
     REASONS,
     TARGET_KEY,
     caller_is_gone,
+    read_body,
 )
 from ..balancing import Refused, Wanted
 from ..errors import AbandonedError, NotSentError, RequestError
@@ -156,7 +156,7 @@
             method=environ["REQUEST_METHOD"],
             target=environ[TARGET_KEY],
             headers=environ[HEADERS_KEY],
-            body=self._read_body(environ, patience_ms),
+            body=read_body(environ, self.view.manifest.limits.body_bytes, patience_ms),
             route=route,
             service=times.service,
             key=facts.key,
@@ -166,25 +166,6 @@
         )
         return self._deliver(order, times)
 
-    def _read_body(self, environ, patience_ms):
-        limit = self.view.manifest.limits.body_bytes
-        length = environ.get("CONTENT_LENGTH")
-        if length is None and "HTTP_TRANSFER_ENCODING" not in environ:
-            return b""
-        if int(length or 0) > limit:
-            raise RequestError(413, NOT_RUN, "body longer than the limit")
-        body = None
-        try:
-            with gevent.Timeout(patience_ms / 1000.0, False):
-                body = environ["wsgi.input"].read(limit + 1)
-        except (OSError, ValueError):
-            raise RequestError(400, NOT_RUN, "malformed or incomplete body") from None
-        if body is None:
-            raise RequestError(408, NOT_RUN, "body not received in time")
-        if len(body) > limit:
-            raise RequestError(413, NOT_RUN, "body longer than the limit")
-        return body
-
     def _deliver(self, order, times):
         """Send a request until it is answered or may not be sent again."""
         budget = self._budgets[order.service]
