--- a/Makefile
+++ b/Makefile
@@ -12,6 +12,7 @@
 
 demo: $(VENV)/.installed
 	$(BIN)/python -m demo.run
+	$(BIN)/python -m demo.fleet
 
 capacity: $(VENV)/.installed
 	$(BIN)/python -m bench.capacity
--- a/tests/test_demo.py
+++ b/tests/test_demo.py
@@ -60,3 +60,18 @@
         self.assertEqual(demo.wait(20), EXIT_INTERRUPTED)
         gone, alive = psutil.wait_procs(children, timeout=5)
         self.assertEqual(alive, [])
+
+
+class FleetDemoTest(unittest.TestCase):
+    """The demo of the users' platform judges what it has seen."""
+
+    def test_a_short_run_ends_with_a_verdict(self):
+        done = subprocess.run(
+            [sys.executable, "-m", "demo.fleet", "--seconds", "3"],
+            capture_output=True,
+            text=True,
+            timeout=120,
+        )
+        self.assertEqual(done.returncode, 0, done.stdout + done.stderr)
+        self.assertIn("killed the leader", done.stdout)
+        self.assertIn("bookings that ran twice: 0", done.stdout)
