--- a/src/tarragonramp/fleet.py
+++ b/src/tarragonramp/fleet.py
@@ -23,6 +23,7 @@
 from .cold import ColdShares
 from .errors import AddressError
 from .fleet_view import FleetView
+from .leading import LeaseTiming
 from .meters import RequestMeter, TrafficMeter
 from .roles.follower import FOLLOWED_KINDS, Follower
 from .roles.granter import Granter
@@ -61,22 +62,19 @@
 
     Parameters
     ----------
-    drain_ms : float
-        How long a server that leaves may still be sent requests.
     grace_ms : float
         Between the signal to stop and the kill.
     longest_hold_ms : float
         Longest time that a server takes a grant for.
-    retry_window_ms, retry_ratio, retry_slack : float
-        Further sends allowed in a window, all daemons together.
+    retry_ratio, retry_slack : float
+        Further sends allowed in ten seconds, all daemons together: this part of the
+        requests, and so many more.
     cold_burst_factor, cold_slack : float
         A cold server takes this factor of its rate, and so many more, in a second.
     """
 
-    drain_ms: float = 2000.0
     grace_ms: float = 6000.0
     longest_hold_ms: float = 10_000.0
-    retry_window_ms: float = 10_000.0
     retry_ratio: float = 0.2
     retry_slack: float = 50.0
     cold_burst_factor: float = 1.5
@@ -178,6 +176,7 @@
             loads,
             clock,
             settings.seeds,
+            LeaseTiming.from_bounds(settings.bounds),
         )
         requests = RequestMeter()
         options = {
@@ -361,10 +360,8 @@
         return self.view.manifest.version if self.view.manifest else 0
 
     def _reasons(self):
-        return {f"{service}: {why}": n for (service, why), n in self._counts()}
-
-    def _counts(self):
-        return list(self.router.counts.items())
+        counts = list(self.router.counts.items())
+        return {f"{service}: {why}": n for (service, why), n in counts}
 
 
 def run_daemon(settings, ports):
--- a/src/tarragonramp/leading.py
+++ b/src/tarragonramp/leading.py
@@ -43,6 +43,15 @@
     drift: float = 1.02
     margin_ms: float = 300.0
 
+    @classmethod
+    def from_bounds(cls, bounds):
+        """Return the times for servers that take grants only up to some length."""
+        usual = cls()
+        hold_ms = min(usual.hold_ms, bounds.longest_hold_ms)
+        return cls(
+            hold_ms=hold_ms, regrant_ms=usual.regrant_ms * hold_ms / usual.hold_ms
+        )
+
     @property
     def longest_hold_ms(self):
         """How long after its arrival a grant may run."""
--- a/src/tarragonramp/roles/router.py
+++ b/src/tarragonramp/roles/router.py
@@ -40,12 +40,14 @@
 """A request with less time left is not sent (again): no answer could come in time, and
 the server would work for nobody."""
 
-RETRY_SHARE = 0.12
-RETRY_RESERVE = 4.0
-"""Further sends of one daemon, as a part of first ones, and how many may be saved up.
-Load: a service that fails as a whole. Harm prevented: the daemons together sending
-more than the servers' owners allow. Nine daemons with four each stay below two thirds
-of what is allowed beside a fifth of the requests."""
+USED_RETRIES = 0.6
+"""Part that is used of the further sends that all daemons may add together. Load: a
+service that fails as a whole, while the number of daemons changes. Harm prevented: the
+daemons together sending more than the servers' owners allow."""
+
+LEAST_DAEMONS = 8
+"""As many daemons at least share what all may do together, before they know of each
+other."""
 
 CONNECTION_SHARE = 0.75
 """Part of a server's connections that the daemons divide among them, firmly: a
@@ -112,9 +114,7 @@
     meter: object
     clock: object
     counts: collections.Counter = attrs.Factory(collections.Counter)
-    _budgets: dict = attrs.Factory(
-        lambda: collections.defaultdict(lambda: RetryBudget(RETRY_SHARE, RETRY_RESERVE))
-    )
+    _budgets: dict = attrs.Factory(dict)
     _rng: random.Random = attrs.Factory(random.Random)
 
     def __call__(self, environ, start_response):
@@ -168,7 +168,7 @@
 
     def _deliver(self, order, times):
         """Send a request until it is answered or may not be sent again."""
-        budget = self._budgets[order.service]
+        budget = self._budget(order.service)
         budget.earn()
         while True:
             chosen = self._choose(order)
@@ -184,6 +184,18 @@
                 continue
             self._after_failure(order, chosen, result.failure(), budget)
 
+    def _budget(self, service):
+        """Return this daemon's part of the further sends to a service."""
+        budget = self._budgets.get(service)
+        if budget is None:
+            reserve = USED_RETRIES * self.bounds.retry_slack / self._n_daemons()
+            share = USED_RETRIES * self.bounds.retry_ratio
+            budget = self._budgets[service] = RetryBudget(share, max(1.0, reserve))
+        return budget
+
+    def _n_daemons(self):
+        return max(LEAST_DAEMONS, len(self.view.daemons))
+
     def _choose(self, order):
         now_ms = self.clock.now_ms()
         left_ms = order.until_ms - now_ms
@@ -278,9 +290,8 @@
         return server if directory.may_serve(server) else None
 
     def _has_connections(self, server):
-        n_daemons = max(8, len(self.view.daemons))
         most = self.view.service(server.service).connections * CONNECTION_SHARE
-        return self.loads.in_flight(server.name) < max(1, int(most / n_daemons))
+        return self.loads.in_flight(server.name) < max(1, int(most / self._n_daemons()))
 
     def _take_cold_share(self, order, server, now_ms):
         if not self.view.directory.is_cold(server.name):
--- a/tests/test_fleet_path.py
+++ b/tests/test_fleet_path.py
@@ -270,7 +270,7 @@
 
     def test_every_fault_is_told_at_once(self):
         with tempfile.NamedTemporaryFile("w", suffix=".toml") as stream:
-            stream.write('[self]\nnode = 3\n[terms.bounds]\ndrain = "soon"\n')
+            stream.write('[self]\nnode = 3\n[terms.bounds]\ngrace = "soon"\n')
             stream.flush()
             environment = {**os.environ, "TARRAGONRAMP_CONFIG": stream.name}
             done = subprocess.run(
@@ -282,7 +282,7 @@
                 timeout=30,
             )
         self.assertEqual(done.returncode, 2)
-        for path in ("self.node", "self.zone", "network.listen.front", "bounds.drain"):
+        for path in ("self.node", "self.zone", "network.listen.front", "bounds.grace"):
             self.assertIn(path, done.stderr)
 
     def test_the_folder_hides_no_standard_module(self):
--- a/tests/test_leading.py
+++ b/tests/test_leading.py
@@ -1,5 +1,6 @@
 """When a daemon may lead, on its own clock only."""
 
+import types
 import unittest
 
 from tarragonramp.leading import LeaderRecord, LeaseTiming, Standing
@@ -50,6 +51,14 @@
         self.standing.give_up()
         self.assertFalse(self.standing.may_renew(1001.0))
 
+    def test_holds_are_no_longer_than_servers_take(self):
+        """A server refuses a longer grant, and would hold no key at all."""
+        short = LeaseTiming.from_bounds(types.SimpleNamespace(longest_hold_ms=3500.0))
+        self.assertEqual(short.hold_ms, 3500.0)
+        self.assertLess(2 * short.regrant_ms, short.hold_ms)
+        usual = LeaseTiming.from_bounds(types.SimpleNamespace(longest_hold_ms=1e5))
+        self.assertEqual(usual, TIMING)
+
     def test_what_is_no_record_is_an_error(self):
         self.assertEqual(LeaderRecord.from_spec(OWN.to_spec()), OWN)
         for spec in ({}, {"name": "x"}, None, {**OWN.to_spec(), "term": "many"}):
