Time proves less of a server that takes connections and does not answer

What fits: an owner that answers too few of what it is sent; its hold was taken for ended 7.4 s after the last, though what it has not answered may be carried out up to 12 s late.

--- a/src/tarragonramp/roles/grants.py
+++ b/src/tarragonramp/roles/grants.py
@@ -253,10 +253,21 @@
             )
         return result.map(lambda _: token)
 
-    def time_proves(self, service, first, token):
-        """Tell whether all grants of a range under a token must have ended."""
+    def time_proves(self, service, first, token, may_be_late=False):
+        """Tell whether all grants of a range under a token must have ended.
+
+        Parameters
+        ----------
+        service : str
+        first, token : int
+        may_be_late : bool, default=False
+            Whether the server may still carry out what it has not answered.
+        """
         held = self._held_of(service, first, token)
-        return self.clock.now_ms() > held.sent_ms + self.timing.longest_hold_ms
+        now_ms = self.clock.now_ms()
+        if may_be_late and now_ms <= held.in_doubt_until_ms:
+            return False
+        return now_ms > held.sent_ms + self.timing.longest_hold_ms
 
     def life_ended(self, service, name, life):
         """Tell whether a later process was seen under the same name or address."""
