What stood twice stands once; metrics of control are fed

Read through the whole change: answers go back to callers by one function for both request paths, headers for one hop are dropped by one, refusals are made by one; errors of an exchange become the platform's in one place; kinds of objects are named in one place, so that a digest needs no translation; a stored table is taken in in one place. Gone: a field that nobody read, a method that nobody called. Mended: a docstring that told the opposite of the code, and metrics of control traffic and processor time, which were never fed. A refusal on the users' platform now bears Tarragon-Outcome, too.

--- a/src/tarragonramp/adapters/http.py
+++ b/src/tarragonramp/adapters/http.py
@@ -283,12 +283,6 @@
             )
         return pool
 
-    def drop(self, address):
-        """Close and forget the idle connections to an address."""
-        pool = self._pools.pop(address, None)
-        if pool is not None:
-            pool.close()
-
 
 def _forget_unsent(connection, unsent_ms):
     """Guard against a request that arrives long after it was given up on.
--- a/src/tarragonramp/adapters/platform.py
+++ b/src/tarragonramp/adapters/platform.py
@@ -17,7 +17,7 @@
 from ..model import Stored, Vm
 from .http import HttpPool
 
-__all__ = ["HttpPlatform"]
+__all__ = ["HttpPlatform", "platform_error"]
 
 _WATCH_GRACE_MS = 500
 
@@ -98,10 +98,11 @@
     def _exchange(self, method, target, body, wait_ms):
         headers = [("Content-Type", "application/json")]
         result = self.pool.exchange(method, target, headers, body, wait_ms)
-        return result.alt(_converted)
+        return result.alt(platform_error)
 
 
-def _converted(error: ExchangeError):
+def platform_error(error: ExchangeError):
+    """Return the PlatformError of an exchange without a whole answer."""
     if isinstance(error, NotSentError):
         return PlatformNotSentError(str(error))
     return PlatformUnreachableError(str(error))
--- a/src/tarragonramp/adapters/web.py
+++ b/src/tarragonramp/adapters/web.py
@@ -20,6 +20,7 @@
     "REASONS",
     "TARGET_KEY",
     "WebServer",
+    "answer_reply",
     "caller_is_gone",
     "error_reply",
     "json_reply",
@@ -50,6 +51,7 @@
     503: "503 Service Unavailable",
     504: "504 Gateway Timeout",
 }
+BODILESS_STATUSES = frozenset((204, 304))
 METHODS = frozenset(("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"))
 
 # Larger bodies are not copied behind their headers.
@@ -422,6 +424,33 @@
     return [body]
 
 
+def answer_reply(start_response, method, answer, headers):
+    """Answer a WSGI request with a server's answer.
+
+    Parameters
+    ----------
+    start_response : callable
+    method : str
+        Of the request.
+    answer : Answer
+    headers : list of (str, str)
+        Those of the answer that go on, without its length.
+
+    Returns
+    -------
+    body : list of bytes
+    """
+    if answer.status not in BODILESS_STATUSES:
+        length = len(answer.body)
+        if method == "HEAD":
+            length = answer.header("Content-Length", None)
+        if length is not None:
+            headers = [*headers, ("Content-Length", str(length))]
+    reason = REASONS.get(answer.status, f"{answer.status} Status")
+    start_response(reason, headers)
+    return [answer.body]
+
+
 def error_reply(start_response, error, headers=()):
     """Answer a WSGI request with a refusal.
 
--- a/src/tarragonramp/directory.py
+++ b/src/tarragonramp/directory.py
@@ -124,7 +124,6 @@
         for server in self.servers.values():
             if server.failure_domain in returned:
                 self.note_cold(server.name, warmup_of(server.service))
-        return returned
 
     def note_cold(self, name, for_ms):
         """Take in that a server is cold for some time from now."""
--- a/src/tarragonramp/fleet.py
+++ b/src/tarragonramp/fleet.py
@@ -22,10 +22,10 @@
 from .clock import SuspendAwareClock
 from .cold import ColdShares
 from .errors import AddressError
-from .fleet_view import FleetView
+from .fleet_view import FOLLOWED_KINDS, FleetView
 from .leading import LeaseTiming
 from .meters import RequestMeter, TrafficMeter
-from .roles.follower import FOLLOWED_KINDS, Follower
+from .roles.follower import Follower
 from .roles.granter import Granter
 from .roles.leadership import Leadership
 from .roles.router import Router
@@ -151,6 +151,8 @@
     router: Router
     requests: RequestMeter
     clock: object
+    traffic: TrafficMeter = attrs.Factory(TrafficMeter)
+    cpu: CpuMeter = attrs.Factory(CpuMeter)
     callers: object = None
     ready: object = None
     peers: object = None
@@ -222,17 +224,18 @@
         settings, clock = self.settings, self.clock
         self.callers = PipeliningServer(settings.caller_address, self.router, clock)
         self.ready = DaemonServer(
-            settings.ready_address, self._say_ready, clock, TrafficMeter()
+            settings.ready_address, self._say_ready, clock, self.traffic
         )
         application = PeerApplication(
             self.leadership, self.follower, self._metrics().page
         )
         self.peers = DaemonServer(
-            settings.peer_address, application, clock, TrafficMeter()
+            settings.peer_address, application, clock, self.traffic
         )
 
     def run(self):
         """Serve until a signal says stop, then drain."""
+        self.cpu.start()
         self.ready.start()
         self.peers.start()
         for kind in FOLLOWED_KINDS:
@@ -284,15 +287,13 @@
 
     def _follow_limits(self):
         limits = self.view.manifest.limits
-        wanted = Limits(
+        self.callers.limits = Limits(
             header_line_bytes=min(limits.header_bytes, 65_536),
             header_block_bytes=limits.header_bytes,
             header_count=HEADER_LINES,
             idle_ms=int(limits.idle_timeout_ms),
             body_bytes=limits.body_bytes,
         )
-        if wanted != self.callers.limits:
-            self.callers.limits = wanted
 
     def _tidy(self):
         """Forget now and then what is known of servers that are gone."""
@@ -324,7 +325,7 @@
         log_event("daemon-stopped", requests_cut=drained.cut)
 
     def _metrics(self):
-        metrics = Metrics(self.settings.name, self.requests, TrafficMeter(), CpuMeter())
+        metrics = Metrics(self.settings.name, self.requests, self.traffic, self.cpu)
         count, gauge = metrics.add_counter, metrics.add_gauge
         gauge("ready", "1 if callers may be sent here.", lambda: int(self.is_ready))
         gauge("leads", "1 if it gives out keys.", lambda: int(self.leadership.leads))
--- a/src/tarragonramp/fleet_view.py
+++ b/src/tarragonramp/fleet_view.py
@@ -6,8 +6,20 @@
 
 from .directory import Directory
 from .manifest import FleetService
+from .ranges import RangeTable
 
-__all__ = ["FleetView"]
+__all__ = [
+    "FOLLOWED_KINDS",
+    "MANIFEST",
+    "RANGES",
+    "SERVER",
+    "TAKEN_OUT",
+    "FleetView",
+]
+
+MANIFEST, SERVER, TAKEN_OUT, RANGES = "manifest", "server", "domain-out", "ramp-ranges"
+FOLLOWED_KINDS = (MANIFEST, SERVER, TAKEN_OUT, RANGES)
+"""Kinds of objects that a view is made of, as the product calls them."""
 
 
 @attrs.define(eq=False, repr=False)
@@ -25,8 +37,6 @@
         By service.
     daemons : dict of str to str
         Addresses of all daemons heard of lately, by name.
-    leader_address : str
-        Where the daemon that gives out keys is asked; empty if unknown.
     """
 
     clock: object
@@ -34,7 +44,6 @@
     routes: object = None
     tables: dict = attrs.Factory(dict)
     daemons: dict = attrs.Factory(dict)
-    leader_address: str = ""
     servers_read: bool = False
     heat: dict = attrs.Factory(dict)
     _table_versions: dict = attrs.Factory(dict)
@@ -72,6 +81,16 @@
         self.wake()
         return True
 
+    def take_stored_table(self, stored):
+        """Take in who owns a service's keys, as the store has it.
+
+        Raises
+        ------
+        ValueError
+            If that is no table.
+        """
+        self.take_table(RangeTable.from_spec(stored.spec), stored.version)
+
     def table_version(self, service):
         """Return the store's version of a service's table; 0 if there is none."""
         return self._table_versions.get(service, 0)
@@ -90,10 +109,10 @@
         ]
         tables = [f"{name} {n}" for name, n in self._table_versions.items()]
         return {
-            "manifest": self.manifest.version if self.manifest else 0,
-            "server": _hash(servers),
-            "domain-out": _hash(self.directory.taken_out),
-            "ranges": _hash(tables),
+            MANIFEST: self.manifest.version if self.manifest else 0,
+            SERVER: _hash(servers),
+            TAKEN_OUT: _hash(self.directory.taken_out),
+            RANGES: _hash(tables),
         }
 
     def note_work(self, service, first, took_ms):
--- a/src/tarragonramp/ranges.py
+++ b/src/tarragonramp/ranges.py
@@ -73,8 +73,8 @@
     def moved_to(self, owner, life):
         """Return the range on its way to another owner.
 
-        A range that is on its way already keeps its earlier owner as the one to
-        release, and gets a token above the one that may have been given out.
+        Only for one that is settled: of one on its way the earlier owner, which may
+        still hold it, would be forgotten.
         """
         return KeyRange(
             self.first,
--- a/src/tarragonramp/request.py
+++ b/src/tarragonramp/request.py
@@ -20,6 +20,7 @@
     "class_of",
     "deadline_ms",
     "end_to_end",
+    "end_to_end_answer",
     "key_of",
     "named_by_connection",
     "request_id",
@@ -239,15 +240,10 @@
     sent_request_id : str
         Added if the server did not echo it.
     """
-    kept = []
-    dropped = HOP_HEADERS
-    if answer.header("Connection"):
-        lower = [(name.lower(), value) for name, value in answer.headers]
-        dropped = HOP_HEADERS | named_by_connection(lower)
-    echoed = False
-    for name, value in answer.headers:
+    kept, echoed = [], False
+    for name, value in end_to_end_answer(answer):
         lower_name = name.lower().replace("_", "-")
-        if lower_name in dropped or lower_name.startswith(INNER_PREFIX):
+        if lower_name.startswith(INNER_PREFIX):
             continue
         echoed = echoed or lower_name == REQUEST_ID_HEADER
         kept.append((name, value))
@@ -256,6 +252,24 @@
     return kept
 
 
+def end_to_end_answer(answer):
+    """Return the headers of an answer without those for one hop.
+
+    Parameters
+    ----------
+    answer : Answer
+    """
+    dropped = HOP_HEADERS
+    if answer.header("Connection"):
+        lower = [(name.lower(), value) for name, value in answer.headers]
+        dropped = HOP_HEADERS | named_by_connection(lower)
+    return [
+        (name, value)
+        for name, value in answer.headers
+        if name.lower().replace("_", "-") not in dropped
+    ]
+
+
 def named_by_connection(headers):
     """Return the names of headers that a ``Connection`` header keeps to one hop."""
     named = set()
--- a/src/tarragonramp/roles/entry.py
+++ b/src/tarragonramp/roles/entry.py
@@ -14,8 +14,8 @@
 from ..adapters.http import CANCELLATION_CHECK_MS
 from ..adapters.web import (
     HEADERS_KEY,
-    REASONS,
     TARGET_KEY,
+    answer_reply,
     caller_is_gone,
     error_reply,
     read_body,
@@ -65,7 +65,6 @@
 # After these the caller's connection is not read any further: where its next request
 # begins is in doubt.
 CLOSING_STATUSES = frozenset((400, 408, 413))
-BODILESS_STATUSES = frozenset((204, 304))
 
 
 @attrs.define(eq=False, repr=False)
@@ -126,15 +125,7 @@
         finally:
             self.meter.finish(times, outcome, self.clock.now_ms())
         headers = answer_headers(answer, named)
-        if answer.status not in BODILESS_STATUSES:
-            length = len(answer.body)
-            if environ["REQUEST_METHOD"] == "HEAD":
-                length = answer.header("Content-Length", None)
-            if length is not None:
-                headers.append(("Content-Length", str(length)))
-        reason = REASONS.get(answer.status, f"{answer.status} Status")
-        start_response(reason, headers)
-        return [answer.body]
+        return answer_reply(start_response, environ["REQUEST_METHOD"], answer, headers)
 
     def _serve(self, environ, named, times):
         path = environ["PATH_INFO"]
--- a/src/tarragonramp/roles/follower.py
+++ b/src/tarragonramp/roles/follower.py
@@ -16,14 +16,12 @@
 
 from ..adapters.logs import log_event
 from ..errors import HistoryGoneError
+from ..fleet_view import FOLLOWED_KINDS, MANIFEST, RANGES, SERVER, TAKEN_OUT
 from ..manifest import RouteTable
 from ..model import Stored
-from ..ranges import RangeTable
 
-__all__ = ["FOLLOWED_KINDS", "RANGES", "Follower"]
+__all__ = ["Follower"]
 
-MANIFEST, SERVER, TAKEN_OUT, RANGES = "manifest", "server", "domain-out", "ramp-ranges"
-FOLLOWED_KINDS = (MANIFEST, SERVER, TAKEN_OUT, RANGES)
 MANIFEST_NAME = "main"
 
 WATCH_MS = 15_000
@@ -203,7 +201,7 @@
                 self._differs_since_ms.pop((kind, peer), None)
                 continue
             since_ms = self._differs_since_ms.setdefault((kind, peer), now_ms)
-            task = self._reading.get(RANGES if kind == "ranges" else kind)
+            task = self._reading.get(kind)
             if now_ms - since_ms >= DIFFERING_MS and task is not None:
                 log_event("peer-differs", kind=kind, peer=peer)
                 self._differs_since_ms[kind, peer] = now_ms + DIFFERING_MS
@@ -366,11 +364,9 @@
 
     def _take_ranges(self, item):
         try:
-            table = RangeTable.from_spec(item.spec)
+            self.view.take_stored_table(item)
         except ValueError as error:
             self._log_unread(item, error)
-            return
-        self.view.take_table(table, item.version)
 
     def _take_domains(self):
         domains = set(self.objects.get(TAKEN_OUT, {}))
--- a/src/tarragonramp/roles/granter.py
+++ b/src/tarragonramp/roles/granter.py
@@ -20,8 +20,7 @@
     NotFoundError,
     OvertakenGrantError,
 )
-from ..ranges import RangeTable
-from .follower import RANGES, SERVER
+from ..fleet_view import RANGES, SERVER
 from .grants import GrantKeeper
 from .mover import Mover
 from .tasks import keep_running
@@ -229,7 +228,7 @@
 
     def _take_stored(self, stored):
         try:
-            self.view.take_table(RangeTable.from_spec(stored.spec), stored.version)
+            self.view.take_stored_table(stored)
         except ValueError as error:
             log_event("entry-not-understood", kind=RANGES, reason=str(error))
 
--- a/src/tarragonramp/roles/leadership.py
+++ b/src/tarragonramp/roles/leadership.py
@@ -343,8 +343,6 @@
         if version != self.standing.version:
             self._silent = 0
         self.standing.saw(record, version, self.clock.now_ms())
-        if record is not None:
-            self.view.leader_address = record.address
 
     def _take_over(self):
         before = self.standing.record
@@ -365,7 +363,6 @@
             self._heard_ms.setdefault(name, sent_ms)
         self.others_stopped_ms = self._stopped_ms(before, term)
         self.standing.confirmed(record, result.unwrap().version, sent_ms)
-        self.view.leader_address = self.address
         self.follower.use_store("leads")
         log_event(
             "leader-taken-over",
@@ -428,7 +425,6 @@
             self.follower.use_store("nobody leads")
             return
         self._silent = 0
-        self.view.leader_address = record.address
         self.loads.take_told(told.get("loads", {}), self.clock.now_ms())
         daemons = told.get("daemons")
         if isinstance(daemons, dict) and self.name in daemons:
--- a/src/tarragonramp/roles/router.py
+++ b/src/tarragonramp/roles/router.py
@@ -11,15 +11,16 @@
 from ..adapters.web import (
     ARRIVED_KEY,
     HEADERS_KEY,
-    REASONS,
     TARGET_KEY,
+    answer_reply,
     caller_is_gone,
+    error_reply,
     read_body,
 )
 from ..balancing import Refused, Wanted
 from ..errors import AbandonedError, NotSentError, RequestError
 from ..meters import ANSWERED, NOT_RUN, UNKNOWN
-from ..request import HOP_HEADERS, named_by_connection
+from ..request import end_to_end_answer
 from ..retries import RetryBudget
 
 __all__ = ["Router"]
@@ -54,7 +55,6 @@
 connection beyond what a server takes is reset, with whatever was sent on it."""
 
 CLOSING_STATUSES = frozenset((408, 413))
-BODILESS_STATUSES = frozenset((204, 304))
 FAILED_STATUS = 500
 SUCCESSES = range(200, 300)
 
@@ -132,7 +132,8 @@
             return self._refuse(start_response, error, named)
         finally:
             self.meter.finish(times, outcome, self.clock.now_ms())
-        return _reply(start_response, environ["REQUEST_METHOD"], answer)
+        headers = end_to_end_answer(answer)
+        return answer_reply(start_response, environ["REQUEST_METHOD"], answer, headers)
 
     def _read_facts(self, environ):
         try:
@@ -467,30 +468,7 @@
         )
 
     def _refuse(self, start_response, error, named):
-        body = f'{{"outcome": "{error.outcome}", "reason": "{error.reason}"}}\n'
-        headers = [
-            ("Content-Type", "application/json"),
-            ("Content-Length", str(len(body))),
-            *self.dialect.refusal_headers(named, error.retry_after_s),
-        ]
+        headers = self.dialect.refusal_headers(named, error.retry_after_s)
         if error.status in CLOSING_STATUSES:
             headers.append(("Connection", "close"))
-        start_response(REASONS[error.status], headers)
-        return [body.encode()]
-
-
-def _reply(start_response, method, answer):
-    dropped = HOP_HEADERS
-    if answer.header("Connection"):
-        lower = [(name.lower(), value) for name, value in answer.headers]
-        dropped = HOP_HEADERS | named_by_connection(lower)
-    headers = [item for item in answer.headers if item[0].lower() not in dropped]
-    if answer.status not in BODILESS_STATUSES:
-        length = str(len(answer.body))
-        if method == "HEAD":
-            length = answer.header("Content-Length", None)
-        if length is not None:
-            headers.append(("Content-Length", length))
-    reason = REASONS.get(answer.status, f"{answer.status} Status")
-    start_response(reason, headers)
-    return [answer.body]
+        return error_reply(start_response, error, headers)
