A grant under way is no proof that its server holds nothing

Ruled out: fences (none was sent), releases (none), the new leader (the table already said so). The test fails without the change.

--- a/src/tarragonramp/roles/grants.py
+++ b/src/tarragonramp/roles/grants.py
@@ -256,10 +256,12 @@
     def time_proves(self, service, first, token):
         """Tell whether all grants of a range under a token must have ended.
 
-        Also those without an answer: a server that can't be reached now may have taken
-        one before, and carry it out later.
+        Also those without an answer, or without one yet: a server that can't be reached
+        now may have taken one before, and carry it out later.
         """
         held = self._held_of(service, first, token)
+        if held.under_way:
+            return False
         end_ms = held.sent_ms + self.timing.longest_hold_ms
         return self.clock.now_ms() > max(end_ms, held.in_doubt_until_ms)
 
--- a/tests/test_granter.py
+++ b/tests/test_granter.py
@@ -210,6 +210,32 @@
         self.clock.advance(LATE_GRANT_MS)
         self.assertTrue(self.wait(lambda: self.grants_to("new")))
 
+    def test_a_grant_under_way_is_no_proof(self):
+        """A range moves on while the first grant to its owner has no answer yet.
+
+        Nothing was noted of that grant before its answer: time seemed to have proved
+        long ago that the owner held nothing. The next one had the keys, and then the
+        server carried the grant out.
+        """
+        self.own()
+        self.list_servers(attrs.evolve(server("old"), draining=True), server("new"))
+        grant = self.servers.grant
+
+        def grant_slowly(name, *arguments):
+            result = grant(name, *arguments)
+            if name == "new":
+                gevent.sleep(1.5)
+                return SILENT
+            return result
+
+        self.servers.grant = grant_slowly
+        self.servers.answers["release", "new"] = GONE
+        self.start()
+        self.assertTrue(self.wait(lambda: self.grants_to("new")))
+        self.list_servers(server("third"))
+        self.view.directory.lose("new")
+        self.assertFalse(self.wait(lambda: self.grants_to("third"), 1.2))
+
     def test_a_late_grant_is_fenced_before_the_release(self):
         """A renewal gets no answer, and the server is applied it seconds later.
 
