Busy ranges are cut down to single keys

Hypothesis: the owner of keys that are busy side by side can't be relieved, as only whole ranges of some 280 keys move.

Daemons tell work by key (the 48 busiest a message, the rest by range), the leader keeps it with a half-life, and what moves is the run of keys that fits, down to one key. Pieces share what is known of the grants of the whole, so a late grant of the whole is fenced for each piece. Tables tell cuts only.

--- a/src/tarragonramp/dealing.py
+++ b/src/tarragonramp/dealing.py
@@ -1,14 +1,13 @@
 """Which server each range of keys should have. Pure decisions, without I/O."""
 
 import heapq
-import math
 
 import attrs
 
 from .manifest import N_KEYS
 from .ranges import KeyRange, RangeTable, even_bounds
 
-__all__ = ["Candidate", "Heat", "first_deal", "plan_moves", "spread_heat"]
+__all__ = ["Candidate", "first_deal", "plan_moves"]
 
 RANGES_PER_SERVER = 18
 """Load: busy keys that lie side by side. Harm prevented: one server owning all of
@@ -20,17 +19,6 @@
 of all keys. Harm prevented: hundreds of releases at once, each of which waits for
 running work, hold up the ones that are free at once."""
 
-MAX_SPREAD = 4
-"""Most busy ranges moved at a time; each is refused for some milliseconds."""
-
-EXCESS_SHARE, EXCESS_DEVIATIONS = 0.4, 2.0
-"""By how much of the mean, and by how many standard deviations of a count, a server has
-to have more requests than the mean before its keys move."""
-
-BUSY_SHARE = 0.4
-"""Part of its slots that a server must have had in use to give busy ranges away; below
-that few of its requests wait."""
-
 FAIR_SHARE, FILLED_SHARE = 0.2, 0.7
 """A server with less than the first part of its fair share of keys gets as much as the
 second. Load: servers are added one by one. Harm prevented: keys that move at each small
@@ -56,25 +44,6 @@
     slots: int = 1
 
 
-@attrs.frozen
-class Heat:
-    """Recent work of the servers of one service.
-
-    Parameters
-    ----------
-    by_first : dict of int to float
-        Time that requests spent at servers, in ms, by the first key of their range.
-    request_ms : float
-        What one of them spent on average.
-    window_ms : float
-        Over which time the work was summed.
-    """
-
-    by_first: dict
-    request_ms: float
-    window_ms: float
-
-
 def first_deal(service, candidates):
     """Return a table in which neighbouring ranges have different owners.
 
@@ -93,7 +62,7 @@
         owner = ordered[(place + turn) % len(ordered)]
         ranges.append(KeyRange(first, last, owner.name, owner.life, 1))
     addresses = {candidate.name: candidate.address for candidate in ordered}
-    return RangeTable(service, tuple(ranges), addresses)
+    return RangeTable(service, tuple(ranges), addresses, n_ranges)
 
 
 def plan_moves(table, candidates, stays, n_moving=0):
@@ -146,61 +115,6 @@
     return _fill_up(table, candidates, cost, room)
 
 
-def spread_heat(table, candidates, heat):
-    """Return busy ranges that should move to servers that have less to do.
-
-    Load: keys become busy within seconds, and many of them may have one owner; servers
-    differ in speed, and some turn slow. Harm prevented: a queue before one server while
-    others are idle. Chasing noise would cost more than it brings, so only a server that
-    is busy itself and stands out from chance gives ranges away, and only ranges whose
-    move leaves the new owner with less than the old one had.
-
-    Parameters
-    ----------
-    table : RangeTable
-    candidates : sequence of Candidate
-    heat : Heat
-        Recent work.
-
-    Returns
-    -------
-    moved : list of KeyRange
-    """
-    by_owner = _by_owner(table, candidates)
-    lives = {candidate.name: candidate.life for candidate in candidates}
-    slots = {candidate.name: candidate.slots for candidate in candidates}
-
-    def heat_of(item):
-        return heat.by_first.get(item.first, 0.0)
-
-    loads = {
-        name: sum(map(heat_of, ranges)) / slots[name]
-        for name, ranges in by_owner.items()
-    }
-    moved = []
-    for _ in range(MAX_SPREAD):
-        if len(loads) < 2:
-            break
-        mean = sum(loads.values()) / len(loads)
-        fullest, emptiest = max(loads, key=loads.get), min(loads, key=loads.get)
-        chance = math.sqrt(mean * heat.request_ms / slots[fullest])
-        excess = loads[fullest] - mean
-        if excess <= max(EXCESS_SHARE * mean, EXCESS_DEVIATIONS * chance):
-            break
-        if loads[fullest] < BUSY_SHARE * heat.window_ms:
-            break
-        most = 0.6 * (loads[fullest] - loads[emptiest]) * slots[fullest]
-        fitting = [r for r in by_owner[fullest] if 0 < heat_of(r) <= most]
-        if not fitting:
-            break
-        item = max(fitting, key=heat_of)
-        by_owner[fullest].remove(item)
-        loads[fullest] -= heat_of(item) / slots[fullest]
-        loads[emptiest] += heat_of(item) / slots[emptiest]
-        moved.append(item.moved_to(emptiest, lives[emptiest]))
-    return moved
-
-
 def _by_owner(table, candidates):
     """Return the settled ranges of each candidate."""
     lives = {candidate.name: candidate.life for candidate in candidates}
--- a/src/tarragonramp/fleet_view.py
+++ b/src/tarragonramp/fleet_view.py
@@ -5,6 +5,7 @@
 from gevent.event import Event
 
 from .directory import Directory
+from .heat import WorkCounts
 from .manifest import FleetService
 from .ranges import RangeTable
 
@@ -40,6 +41,8 @@
     watchers : frozenset of str
         Names of those that a leader has told to follow the store; empty if this
         daemon does not lead.
+    work : WorkCounts
+        Of requests with keys that this daemon sent.
     """
 
     clock: object
@@ -49,7 +52,7 @@
     daemons: dict = attrs.Factory(dict)
     watchers: frozenset = frozenset()
     servers_read: bool = False
-    heat: dict = attrs.Factory(dict)
+    work: WorkCounts = attrs.Factory(WorkCounts)
     _table_versions: dict = attrs.Factory(dict)
     _changed: Event = attrs.Factory(Event)
 
@@ -123,24 +126,6 @@
             RANGES: _hash(tables),
         }
 
-    def note_work(self, service, first, took_ms):
-        """Add what a request for the range of keys that begins at ``first`` took."""
-        work = self.heat.setdefault(service, {}).setdefault(first, [0, 0])
-        work[0] += 1
-        work[1] += round(took_ms)
-
-    def take_heat(self):
-        """Return work since the last call, and begin anew.
-
-        Returns
-        -------
-        heat : dict of str to dict
-            By service and first key of a range: number of requests, and their time
-            at servers in ms.
-        """
-        heat, self.heat = self.heat, {}
-        return heat
-
     def wait(self, timeout_ms):
         """Wait until something changes; for the given time at most."""
         self._changed.wait(max(0.0, timeout_ms) / 1000.0)
--- a/src/tarragonramp/ranges.py
+++ b/src/tarragonramp/ranges.py
@@ -106,11 +106,15 @@
     ranges : tuple of KeyRange
     addresses : dict of str to str
         Where the owners are, also those whose entries are gone.
+    n_dealt : int
+        Into how many even ranges all keys were divided before some were cut; 0 for a
+        table that is no whole one.
     """
 
     service: str
     ranges: tuple[KeyRange, ...] = ()
     addresses: dict = attrs.Factory(dict)
+    n_dealt: int = 0
     _firsts: list = attrs.field(init=False)
 
     def __attrs_post_init__(self):
@@ -125,53 +129,65 @@
         return self.ranges[at]
 
     def with_ranges(self, changed, addresses=()):
-        """Return a table in which some ranges are replaced by newer ones.
+        """Return a table in which newer ranges stand in place of those they cover.
 
         Parameters
         ----------
         changed : iterable of KeyRange
+            The pieces of a range that was cut come all together.
         addresses : dict of str to str
             Of new owners.
+
+        Raises
+        ------
+        ValueError
+            If they leave keys without a range, or reach into others.
         """
-        by_first = {item.first: item for item in changed}
-        ranges = tuple(by_first.get(item.first, item) for item in self.ranges)
+        changed = list(changed)
+        replaced = {at for item in changed for at in self._covered(item)}
+        n_before = sum(self.ranges[at].n_keys for at in replaced)
+        if n_before != sum(item.n_keys for item in changed):
+            raise ValueError("ranges do not fit in place of the earlier ones")
+        ranges = [r for at, r in enumerate(self.ranges) if at not in replaced]
+        ranges = tuple(sorted(ranges + changed, key=lambda item: item.first))
         named = {n for r in ranges for n in (r.owner, r.old_owner)}
         known = {**self.addresses, **dict(addresses)}
         kept = {name: known[name] for name in named if name in known}
-        return RangeTable(self.service, ranges, kept)
+        return RangeTable(self.service, ranges, kept, self.n_dealt)
+
+    def _covered(self, item):
+        """Return the indexes of the ranges that share keys with another one."""
+        begin = max(0, bisect.bisect_right(self._firsts, item.first) - 1)
+        return range(begin, bisect.bisect_right(self._firsts, item.last))
 
     def changed_from(self, earlier):
         """Return a table of only those ranges that differ from an earlier one's.
 
         Returns
         -------
-        changed : RangeTable or None
+        changed : RangeTable
             For ``earlier.with_ranges(changed.ranges, changed.addresses)``, which is
-            this table again; None if the ranges begin elsewhere.
+            this table again.
         """
-        if earlier._firsts != self._firsts:
-            return None
-        pairs = zip(earlier.ranges, self.ranges, strict=True)
-        ranges = tuple(new for old, new in pairs if new is not old and new != old)
+        before = {item.first: item for item in earlier.ranges}
+        ranges = tuple(r for r in self.ranges if before.get(r.first) != r)
         return RangeTable(self.service, ranges, self.addresses)
 
     def to_spec(self):
         """Return the table as plain data for the store.
 
-        By column, and without bounds that follow from the number of ranges: each move
-        writes the table twice, and others read it, over links that are paid for. A row
-        for each range made it three times as long.
+        By column, and of the bounds of a whole table only the cuts: each move writes
+        the table twice, and others read it, over links that are paid for. A row for
+        each range made it three times as long.
         """
         owners = {(r.owner, r.life) for r in self.ranges}
         owners |= {(r.old_owner, r.old_life) for r in self.ranges if r.is_moving}
         servers = sorted(owners)
         index = {identity: at for at, identity in enumerate(servers)}
-        bounds = [(r.first, r.last) for r in self.ranges]
-        is_even = bounds == even_bounds(len(bounds))
         return {
             "service": self.service,
             "servers": [[n, life, self.addresses.get(n, "")] for n, life in servers],
-            "bounds": len(bounds) if is_even else bounds,
+            **self._bounds_spec(),
             "owners": [index[r.owner, r.life] for r in self.ranges],
             "tokens": [r.token for r in self.ranges],
             "moving": [
@@ -181,6 +197,14 @@
             ],
         }
 
+    def _bounds_spec(self):
+        bounds = [(r.first, r.last) for r in self.ranges]
+        n_dealt = self.n_dealt or len(bounds)
+        cuts = sorted(set(self._firsts) - {first for first, _ in even_bounds(n_dealt)})
+        if bounds == _cut_bounds(n_dealt, cuts):
+            return {"bounds": n_dealt, "cuts": cuts}
+        return {"bounds": bounds}
+
     @classmethod
     def from_spec(cls, spec):
         """Return the table that plain data of the store describe.
@@ -193,16 +217,17 @@
         try:
             owners = [(name, life) for name, life, _ in spec["servers"]]
             addresses = {name: address for name, _, address in spec["servers"]}
-            bounds = spec["bounds"]
+            bounds, n_dealt = spec["bounds"], 0
             if isinstance(bounds, int):
-                bounds = even_bounds(bounds)
+                n_dealt = bounds
+                bounds = _cut_bounds(n_dealt, spec.get("cuts", ()))
             moving = {at: (*owners[old], token) for at, old, token in spec["moving"]}
             rows = zip(bounds, spec["owners"], spec["tokens"], strict=True)
             ranges = tuple(
                 KeyRange(first, last, *owners[owner], token, *moving.get(at, ()))
                 for at, ((first, last), owner, token) in enumerate(rows)
             )
-            return cls(spec["service"], ranges, addresses)
+            return cls(spec["service"], ranges, addresses, n_dealt)
         except (KeyError, IndexError, TypeError, ValueError) as error:
             raise ValueError(f"no range table: {error!r}") from error
 
@@ -213,6 +238,13 @@
     return [(first, end - 1) for first, end in itertools.pairwise(starts)]
 
 
+def _cut_bounds(n_dealt, cuts):
+    """Return first and last key of even ranges some of which are cut before keys."""
+    starts = {first for first, _ in even_bounds(n_dealt)}.union(cuts)
+    ordered = [*sorted(starts), N_KEYS]
+    return [(first, end - 1) for first, end in itertools.pairwise(ordered)]
+
+
 KEPT_TABLES = 32
 """Versions of a table that are kept. Load: many moves, each written twice, while each
 daemon is heard every half second. One that has missed more gets the whole table."""
@@ -254,9 +286,7 @@
         (base_version, base), (version, table) = known[-1], kept[-1]
         key = service, base_version, version
         if key not in self._changes:
-            changed = table.changed_from(base)
             if len(self._changes) >= KEPT_TABLES:
                 self._changes.clear()
-            self._changes[key] = None if changed is None else changed.to_spec()
-        spec = self._changes[key]
-        return None if spec is None else (base_version, spec)
+            self._changes[key] = table.changed_from(base).to_spec()
+        return base_version, self._changes[key]
--- a/src/tarragonramp/roles/granter.py
+++ b/src/tarragonramp/roles/granter.py
@@ -15,13 +15,14 @@
 from returns.pipeline import is_successful
 
 from ..adapters.logs import log_event
-from ..dealing import Candidate, first_deal, plan_moves, spread_heat
+from ..dealing import Candidate, first_deal, plan_moves
 from ..errors import (
     ConflictError,
     NotFoundError,
     OvertakenGrantError,
 )
 from ..fleet_view import RANGES, SERVER
+from ..hotspots import spread_heat
 from .grants import GrantKeeper
 from .mover import Mover
 from .relay import LEAST_RANGES
@@ -141,18 +142,20 @@
         ]
         newer = table.with_ranges(freed)
         n_moving = sum(self._is_asked(item) for item in newer.ranges)
-        moved = plan_moves(
+        changed = plan_moves(
             newer, candidates, lambda item: self._stays(service, item), n_moving
         )
-        if not moved and not n_moving:
-            moved = self._spread(service, newer, candidates)
-        if not freed and not moved:
+        if not changed and not n_moving:
+            changed = self._spread(service, newer, candidates)
+        if not freed and not changed:
             return table
+        moved = [item for item in changed if item.is_moving]
         if moved:
             log_event(
                 "keys-to-move",
                 service=service,
                 ranges=len(moved),
+                cut=len(changed) - len(moved),
                 moving=n_moving,
                 candidates=len(candidates),
                 owners_before=_names(item.old_owner for item in moved),
@@ -160,13 +163,23 @@
             )
             self.n_moves += len(moved)
         addresses = {candidate.name: candidate.address for candidate in candidates}
-        written = self._write(service, newer.with_ranges(moved, addresses))
+        # Before anybody, this leader's next look included, can read the cuts.
+        self._note_cuts(service, newer, changed)
+        written = self._write(service, newer.with_ranges(changed, addresses))
         if written is None:
             return self.view.tables.get(service, table)
         for item in freed:
             self.mover.give(service, item)
         return written
 
+    def _note_cuts(self, service, table, changed):
+        """Note that what was granted of a range holds for each piece of it."""
+        for item in changed:
+            whole = table.find(item.first)
+            if whole.first != item.first:
+                token = item.old_token if item.is_moving else item.token
+                self.keeper.share(service, whole.first, item.first, token)
+
     def _is_asked(self, item):
         """Tell whether a range is on its way from a server that can be asked for it.
 
@@ -337,6 +350,9 @@
             return True
         if not isinstance(result.failure(), OvertakenGrantError):
             return False
+        if not self.keeper.is_current(service, item):
+            # Cut or moved meanwhile: the higher token was another piece's.
+            return True
         self.keeper.refused.add((service, item.first, item.token))
         log_event(
             "grant-overtaken",
--- a/src/tarragonramp/roles/grants.py
+++ b/src/tarragonramp/roles/grants.py
@@ -203,6 +203,16 @@
             self._held[key] = held
         return held
 
+    def share(self, service, whole_first, first, token):
+        """Take in that a piece was cut off a range, under the same token.
+
+        Grants of the whole range may still be on their way, and those of one piece are
+        known of the others from then on: to think that a piece may be held for longer
+        than it is costs a wait, the reverse two owners.
+        """
+        held = self._held_of(service, whole_first, token)
+        self._held[service, first, token] = held
+
     def doubts(self):
         """Return what the next leader has to know: an Inherited of all grants."""
         before, now_ms = self.leadership.inherited, self.clock.now_ms()
--- a/src/tarragonramp/roles/leadership.py
+++ b/src/tarragonramp/roles/leadership.py
@@ -1,6 +1,5 @@
 """Which daemon gives keys to servers: one at a time, named in the store."""
 
-import math
 import random
 
 import attrs
@@ -9,8 +8,8 @@
 from returns.pipeline import is_successful
 
 from ..adapters.logs import log_event
-from ..dealing import Heat
 from ..errors import ConflictError, NotFoundError
+from ..heat import HeatCounts
 from ..leading import (
     LATE_GRANT_MS,
     Inherited,
@@ -61,10 +60,6 @@
 """How long a daemon that is not heard any more counts as one of the fleet. Long, as
 its share of what cold servers bear is only free once it has surely stopped."""
 
-HEAT_MS = 3000.0
-"""Time in which half of the counted requests for a key are forgotten: keys become busy
-within seconds."""
-
 
 @attrs.define(eq=False, repr=False)
 class Leadership:
@@ -106,13 +101,12 @@
     stopping: bool = False
     inherited: Inherited = Inherited()
     doubts: object = Inherited
-    _heat: dict = attrs.Factory(dict)
+    _heat: HeatCounts = attrs.Factory(HeatCounts)
     _told_loads: dict = attrs.Factory(dict)
     _heard_ms: dict = attrs.Factory(dict)
     _domains: dict = attrs.Factory(dict)
     _silent: int = 0
     _successor: str = ""
-    _heat_ms: float = 0.0
     _rng: random.Random = attrs.Factory(random.Random)
 
     def __attrs_post_init__(self):
@@ -191,7 +185,7 @@
             log_event("daemon-heard", peer=name, address=address)
         self._note_daemon(name, address)
         self._domains[name] = message.get("domain", "")
-        self.add_heat(message.get("heat", {}))
+        self._heat.add(message.get("heat", {}), self.clock.now_ms())
         self._told_loads[name] = message.get("loads", {}), self.clock.now_ms()
         self.follower.compare(name, message.get("digest", {}))
         versions = message["versions"]
@@ -283,33 +277,9 @@
         leads = self.standing.is_named
         return {"boot_id": self.boot_id, "leads": leads, "doubts": doubts}
 
-    def add_heat(self, work):
-        """Add what daemons have counted; as ``FleetView.take_heat`` returns it."""
-        self._decay_heat()
-        for service, by_first in work.items():
-            mine = self._heat.setdefault(service, {})
-            for first, (count, took_ms) in by_first.items():
-                entry = mine.setdefault(int(first), [0.0, 0.0])
-                entry[0] += count
-                entry[1] += took_ms
-
     def heat_of(self, service):
         """Return the Heat of a service."""
-        self._decay_heat()
-        entries = self._heat.get(service, {})
-        total_ms = sum(took_ms for _, took_ms in entries.values())
-        count = sum(count for count, _ in entries.values())
-        by_first = {first: took_ms for first, (_, took_ms) in entries.items()}
-        return Heat(by_first, total_ms / max(1.0, count), HEAT_MS / math.log(2.0))
-
-    def _decay_heat(self):
-        now_ms = self.clock.now_ms()
-        kept = 0.5 ** ((now_ms - self._heat_ms) / HEAT_MS)
-        self._heat_ms = now_ms
-        for by_first in self._heat.values():
-            for entry in by_first.values():
-                entry[0] *= kept
-                entry[1] *= kept
+        return self._heat.heat_of(service, self.clock.now_ms())
 
     def _note_daemon(self, name, address):
         now_ms = self.clock.now_ms()
@@ -331,8 +301,8 @@
         result = self.store.put(LEADER, LEADER_NAME, spec, version)
         if is_successful(result):
             self.standing.confirmed(record, result.unwrap().version, sent_ms)
-            self.add_heat(self.view.take_heat())
             now_ms = self.clock.now_ms()
+            self._heat.add(self.view.work.take(self.view.tables), now_ms)
             self.loads.take_told(self._loads_beside(self.name, now_ms), now_ms)
             return
         error = result.failure()
@@ -485,7 +455,7 @@
             "name": self.name,
             "address": self.address,
             "domain": self.loads.failure_domain,
-            "heat": self.view.take_heat(),
+            "heat": self.view.work.take(self.view.tables),
             "versions": self.follower.changed,
             "n_daemons": len(self.view.daemons),
             "loads": self.loads.in_hand(),
--- a/src/tarragonramp/roles/router.py
+++ b/src/tarragonramp/roles/router.py
@@ -74,7 +74,6 @@
     arrived_ms: float
     until_ms: float
     is_wanted: object
-    first: int | None = None
     tried: list = attrs.Factory(list)
     in_doubt: bool = False
     reason: str = ""
@@ -256,7 +255,6 @@
             if not item.is_moving or left_ms <= 0:
                 break
             self.view.wait(min(left_ms, 50.0))
-        order.first = item.first
         if not self._has_connections(server):
             retry_s = self._retry_after_s(order, 0.3)
             raise order.refusal(503, "no connection left", retry_s)
@@ -330,8 +328,8 @@
             raise
         now_ms = self.clock.now_ms()
         took_ms = now_ms - began_ms
-        if order.first is not None:
-            self.view.note_work(order.service, order.first, took_ms)
+        if self.view.service(order.service).divided:
+            self.view.work.note(order.service, order.key, took_ms)
         if not is_successful(result):
             self._note_failure(order, server, result.failure(), now_ms)
             return result, took_ms
--- a/tests/test_dealing.py
+++ b/tests/test_dealing.py
@@ -1,21 +1,16 @@
-"""Which server gets which keys, judged by what callers of busy keys meet."""
+"""Which server gets which keys."""
 
-import random
 import unittest
 
 from tarragonramp.dealing import (
     MAX_MOVES,
     Candidate,
-    Heat,
     first_deal,
     plan_moves,
-    spread_heat,
 )
 from tarragonramp.manifest import N_KEYS
 from tarragonramp.ranges import GAP, KeyRange, RangeTable
 
-WINDOW_MS = 4300.0
-
 
 def servers(n, slots=3):
     """Return n candidates."""
@@ -91,58 +86,3 @@
     def test_without_candidates_nothing_moves(self):
         table = first_deal("parts", servers(2))
         self.assertEqual(plan_moves(table, [], self.stays(set())), [])
-
-
-class SpreadHeatTest(unittest.TestCase):
-    """Keys become busy, and servers slow."""
-
-    def spread(self, table, work, request_ms=600.0, rounds=12):
-        """Move busy ranges until nothing is left to move; return table and moves."""
-        n_moved = 0
-        for _ in range(rounds):
-            heat = Heat(work, request_ms, WINDOW_MS)
-            moved = spread_heat(table, servers(15), heat)
-            if not moved:
-                break
-            n_moved += len(moved)
-            table = table.with_ranges([item.settled() for item in moved])
-        return table, n_moved
-
-    def test_busy_keys_of_one_owner_are_spread(self):
-        """Five busy ranges have one owner: its callers wait while others are idle."""
-        table = first_deal("parts", servers(15))
-        own = [item for item in table.ranges if item.owner == "s3"][:5]
-        work = {item.first: 400.0 for item in table.ranges[:150]}
-        work |= {item.first: 8000.0 for item in own}
-        before = load_of(table, work)
-        after, n_moved = self.spread(table, work)
-        loads = load_of(after, work)
-        self.assertLess(max(loads.values()), 0.4 * max(before.values()))
-        # The five, and some of what else their owners have to do.
-        self.assertLess(n_moved, 24)
-
-    def test_chance_moves_nothing(self):
-        """Even demand: counts of a few requests differ by chance alone."""
-        rng = random.Random(7)
-        table = first_deal("parts", servers(15))
-        n_moved = 0
-        for _ in range(20):
-            work = {}
-            for _ in range(120):
-                first = rng.choice(table.ranges).first
-                work[first] = work.get(first, 0.0) + 600.0
-            heat = Heat(work, 600.0, WINDOW_MS)
-            n_moved += len(spread_heat(table, servers(15), heat))
-        self.assertLess(n_moved, 20)
-
-    def test_idle_servers_keep_their_keys(self):
-        """A server that is hardly busy gains nothing by giving keys away."""
-        table = first_deal("parts", servers(15))
-        work = {table.ranges[0].first: 900.0}
-        self.assertEqual(self.spread(table, work)[1], 0)
-
-    def test_a_single_busy_range_is_not_passed_around(self):
-        """Whoever has it is the busiest: moving it would only cost."""
-        table = first_deal("parts", servers(15))
-        work = {table.ranges[0].first: 12_000.0}
-        self.assertEqual(self.spread(table, work)[1], 0)
--- a/tests/test_granter.py
+++ b/tests/test_granter.py
@@ -12,16 +12,17 @@
 from returns.result import Failure, Success
 
 from tarragonramp import ManualClock
-from tarragonramp.dealing import Heat
 from tarragonramp.directory import BackendServer
 from tarragonramp.errors import (
     ConflictError,
     NotFoundError,
     NotSentError,
+    OvertakenGrantError,
     UnansweredError,
     WrongServerError,
 )
 from tarragonramp.fleet_view import FleetView
+from tarragonramp.heat import Heat
 from tarragonramp.leading import LATE_GRANT_MS, Inherited, LeaseTiming
 from tarragonramp.manifest import N_KEYS, FleetService, Manifest, RouteTable
 from tarragonramp.model import Stored
@@ -269,6 +270,70 @@
         at = calls.index(("release", "old", FENCE))
         self.assertEqual(calls[at - 1], ("grant", "old", FENCE))
 
+    def let_be_busy(self, *keys):
+        """Let keys be busy, as all daemons told the leader."""
+        heat = Heat(dict.fromkeys(keys, 9000.0), 300.0, 4300.0)
+        self.leader.heat_of = lambda service: heat
+        self.clock.advance(1000.0)
+
+    def test_busy_keys_are_cut_off_their_range_and_moved(self):
+        """The pieces that stay are renewed, each under the token of the whole."""
+        self.own()
+        self.list_servers(server("old"), server("new"))
+        self.start()
+        self.assertTrue(self.wait(lambda: self.grants_to("old")))
+        self.let_be_busy(100, 101, 102, 103)
+        self.assertTrue(self.wait(lambda: 1 + GAP in self.grants_to("new")))
+        self.assertIn(("release", "old", 1), self.servers.calls)
+        table = self.view.tables["parts"]
+        self.assertGreater(len(table.ranges), 1)
+        owners = {item.owner: item.token for item in table.ranges}
+        self.assertEqual(owners, {"old": 1, "new": 1 + GAP})
+
+    def test_a_grant_of_the_whole_range_is_in_doubt_for_each_piece(self):
+        """A range is cut while a renewal of all of it has no answer.
+
+        The renewal arrives after a piece was released and given to another server, and
+        would give the old owner the piece back, beside the new one.
+        """
+        self.own()
+        self.list_servers(server("old"), server("new"))
+        self.servers.answers["grant", "old"] = SILENT
+        self.start()
+        self.assertTrue(self.wait(lambda: self.grants_to("old")))
+        self.servers.answers.clear()
+        self.let_be_busy(100, 101, 102, 103)
+        self.assertTrue(self.wait(lambda: 1 + GAP in self.grants_to("new")))
+        self.assertIn(("release", "old", FENCE), self.servers.calls)
+        self.assertNotIn(("release", "old", 1), self.servers.calls)
+        told = {first for _, first, _, _ in self.doubts()}
+        kept = {i.first for i in self.view.tables["parts"].ranges if i.owner == "old"}
+        self.assertLessEqual(kept, told)
+
+    def test_a_piece_that_was_moved_does_not_end_the_renewals_of_the_rest(self):
+        """A renewal of the whole range comes to a server that was fenced for a piece.
+
+        It says that it has seen a higher token; the pieces that it keeps are renewed
+        nevertheless.
+        """
+        self.own()
+        self.list_servers(server("old"), server("new"))
+        grant, held_up = self.servers.grant, []
+
+        def grant_late(name, address, first, last, token, *rest):
+            if (name, first, last) == ("old", 0, N_KEYS - 1) and not held_up:
+                held_up.append(True)
+                gevent.sleep(1.0)
+                return Failure(OvertakenGrantError("higher token"))
+            return grant(name, address, first, last, token, *rest)
+
+        self.servers.grant = grant_late
+        self.let_be_busy(100, 101, 102, 103)
+        self.start()
+        self.assertTrue(self.wait(lambda: 1 + GAP in self.grants_to("new")))
+        self.assertTrue(self.wait(lambda: 1 in self.grants_to("old"), 6.0))
+        self.assertEqual(self.granter.keeper.refused, set())
+
     def test_each_fencing_grant_is_above_the_last(self):
         """Servers carry orders out late, and a fencing grant gets no answer.
 
--- /dev/null
+++ b/tests/test_hotspots.py
@@ -0,0 +1,339 @@
+"""Which busy keys move, judged by what callers of these keys meet."""
+
+import heapq
+import itertools
+import random
+import unittest
+
+import attrs
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from tarragonramp.dealing import Candidate, first_deal
+from tarragonramp.heat import HALF_LIFE_MS, TOLD_KEYS, Heat, HeatCounts, WorkCounts
+from tarragonramp.hotspots import MAX_RANGES_PER_SERVER, spread_heat
+from tarragonramp.manifest import N_KEYS
+
+WINDOW_MS = 4300.0
+
+
+def servers(n, slots=3):
+    """Return n candidates."""
+    return [Candidate(f"s{i}", 1, f"10.0.0.{i}:80", slots) for i in range(n)]
+
+
+def load_of(table, work):
+    """Return the work that each owner has, by its keys."""
+    loads = {}
+    for key, took_ms in work.items():
+        owner = table.find(key).owner
+        loads[owner] = loads.get(owner, 0.0) + took_ms
+    return loads
+
+
+class SpreadHeatTest(unittest.TestCase):
+    """Keys become busy, and servers slow."""
+
+    def spread(self, table, work, n=15, request_ms=600.0, rounds=12):
+        """Move busy keys until nothing is left to move; return table and moves."""
+        n_moved = 0
+        for _ in range(rounds):
+            heat = Heat(work, request_ms, WINDOW_MS)
+            moved = spread_heat(table, servers(n), heat)
+            if not moved:
+                break
+            n_moved += sum(item.is_moving for item in moved)
+            table = table.with_ranges([item.settled() for item in moved])
+        return table, n_moved
+
+    def test_busy_keys_of_one_owner_are_spread(self):
+        """Five busy ranges have one owner: its callers wait while others are idle."""
+        table = first_deal("parts", servers(15))
+        own = [item for item in table.ranges if item.owner == "s3"][:5]
+        work = {item.first: 400.0 for item in table.ranges[:150]}
+        work |= {item.first: 8000.0 for item in own}
+        before = load_of(table, work)
+        after, n_moved = self.spread(table, work)
+        loads = load_of(after, work)
+        self.assertLess(max(loads.values()), 0.4 * max(before.values()))
+        # The five, and some of what else their owners have to do.
+        self.assertLess(n_moved, 24)
+
+    def test_chance_moves_nothing(self):
+        """Even demand: counts of a few requests differ by chance alone."""
+        rng = random.Random(7)
+        table = first_deal("parts", servers(15))
+        n_moved = 0
+        for _ in range(20):
+            work = {}
+            for _ in range(120):
+                first = rng.choice(table.ranges).first
+                work[first] = work.get(first, 0.0) + 600.0
+            heat = Heat(work, 600.0, WINDOW_MS)
+            n_moved += len(spread_heat(table, servers(15), heat))
+        self.assertLess(n_moved, 20)
+
+    def test_idle_servers_keep_their_keys(self):
+        """A server that is hardly busy gains nothing by giving keys away."""
+        table = first_deal("parts", servers(15))
+        work = {table.ranges[0].first: 900.0}
+        self.assertEqual(self.spread(table, work)[1], 0)
+
+    def test_a_single_busy_key_is_not_passed_around(self):
+        """Whoever has it is the busiest: moving it would only cost."""
+        table = first_deal("parts", servers(15))
+        work = {table.ranges[0].first: 12_000.0}
+        self.assertEqual(self.spread(table, work)[1], 0)
+
+    def test_the_keys_of_one_busy_range_are_divided(self):
+        """A promotion: 200 neighbouring keys take a third of all requests.
+
+        They all lay in one range, so whoever had it was the busiest and nothing could
+        be moved: its callers were refused for as long as the promotion lasted.
+        """
+        table = first_deal("parts", servers(13))
+        rng = random.Random(3)
+        begin = table.ranges[50].first + 20
+        work = {key: 60.0 for key in rng.sample(range(N_KEYS), 600)}
+        work |= {key: 120.0 for key in range(begin, begin + 200)}
+        after, n_moved = self.spread(table, work, 13, request_ms=90.0)
+        loads = load_of(after, work)
+        mean = sum(loads.values()) / 13
+        self.assertGreater(max(load_of(table, work).values()), 4 * mean)
+        self.assertLess(max(loads.values()), 1.6 * mean)
+        self.assertLess(n_moved, 30)
+
+    def test_the_owner_of_the_busiest_key_is_cleared_of_all_else(self):
+        table = first_deal("parts", servers(13))
+        item = table.ranges[50]
+        work = {item.first + 40: 9000.0}
+        work |= {item.first + at: 400.0 for at in range(30, 50) if at != 40}
+        after, _ = self.spread(table, work, 13)
+        owner = after.find(item.first + 40).owner
+        self.assertGreater(load_of(table, work)[item.owner], 16_000.0)
+        self.assertLess(load_of(after, work)[owner], 9000.0 + 1300.0)
+
+    def test_a_slow_server_gives_away_what_it_works_on_for_too_long(self):
+        """As many requests everywhere, but one server takes six times as long."""
+        table = first_deal("parts", servers(13))
+        slow = table.ranges[0].owner
+        rng = random.Random(5)
+        keys = rng.sample(range(N_KEYS), 400)
+        work = {key: 600.0 if table.find(key).owner == slow else 100.0 for key in keys}
+        after, n_moved = self.spread(table, work, 13)
+        self.assertLess(load_of(after, work)[slow], 0.4 * load_of(table, work)[slow])
+        self.assertLess(n_moved, 20)
+
+    def test_cuts_end_at_a_limit(self):
+        """Busy places wander over all keys for days, and nobody joins ranges again."""
+        table = first_deal("parts", servers(4))
+        rng = random.Random(1)
+        for _ in range(300):
+            begin = rng.randrange(N_KEYS - 60)
+            work = {key: 300.0 for key in range(begin, begin + 60)}
+            table, _ = self.spread(table, work, 4, rounds=2)
+        self.assertLessEqual(len(table.ranges), 4 * MAX_RANGES_PER_SERVER)
+
+    @settings(max_examples=40, deadline=None)
+    @given(st.integers(2, 40), st.integers(1, 8), st.integers(0, 1 << 30))
+    def test_all_keys_keep_one_owner_on_any_site(self, n, slots, seed):
+        """Other numbers of servers and slots, other skews: nothing is lost or doubled.
+
+        And whoever had most has not more than before.
+        """
+        rng = random.Random(seed)
+        table = first_deal("parts", servers(n, slots))
+        centre, width = rng.randrange(N_KEYS), rng.choice((5, 300, 9000))
+        work = {}
+        for _ in range(rng.randrange(20, 900)):
+            key = int(rng.gauss(centre, width)) % N_KEYS
+            work[key] = work.get(key, 0.0) + rng.expovariate(1 / 150.0)
+        heat = Heat(work, 150.0, WINDOW_MS)
+        changed = spread_heat(table, servers(n, slots), heat)
+        after = table.with_ranges([item.settled() for item in changed])
+        self.assertEqual(
+            (after.ranges[0].first, after.ranges[-1].last), (0, N_KEYS - 1)
+        )
+        for one, other in itertools.pairwise(after.ranges):
+            self.assertEqual(one.last + 1, other.first)
+        kept = [item for item in changed if not item.is_moving]
+        for item in kept:
+            before = table.find(item.first)
+            self.assertEqual((item.owner, item.token), (before.owner, before.token))
+        before, later = load_of(table, work), load_of(after, work)
+        self.assertLessEqual(max(later.values()), max(before.values()) + 1e-6)
+
+
+@attrs.define(eq=False)
+class KeyedPlay:
+    """Owners with slots and queues, and callers of skewed keys, in simulated time.
+
+    An owner that would keep a caller beyond its target refuses it, as the router does.
+    """
+
+    speeds: list
+    work_ms: float = 90.0
+    slots: int = 4
+    target_ms: float = 300.0
+    seed: int = 1
+
+    def run(self, per_s, for_s, hot, moves=True):
+        """Return the share of callers of divided keys that are answered in time.
+
+        Parameters
+        ----------
+        per_s, for_s : float
+        hot : callable
+            ``hot(rng, now_ms)``: the key of the next request.
+        moves : bool
+            Whether busy keys move.
+        """
+        rng, counts = random.Random(self.seed), HeatCounts()
+        owners = servers(len(self.speeds), self.slots)
+        table = first_deal("parts", owners)
+        free = {c.name: [0.0] * self.slots for c in owners}
+        speed = {c.name: s for c, s in zip(owners, self.speeds, strict=True)}
+        now_ms, look_ms, n, good, told = 0.0, 0.0, 0, 0, WorkCounts()
+        while now_ms < for_s * 1000.0:
+            now_ms += rng.expovariate(per_s) * 1000.0
+            n += 1
+            key = hot(rng, now_ms)
+            name = table.find(key).owner
+            work_ms = self.work_ms * speed[name] * rng.uniform(0.6, 1.4)
+            start_ms = max(now_ms, free[name][0])
+            if start_ms + work_ms - now_ms <= self.target_ms:
+                good += 1
+                heapq.heapreplace(free[name], start_ms + work_ms)
+                told.note("parts", key, start_ms + work_ms - now_ms)
+            if now_ms >= look_ms + 700.0:
+                look_ms = now_ms
+                counts.add(told.take({"parts": table}), now_ms)
+                if moves:
+                    heat = counts.heat_of("parts", now_ms)
+                    changed = spread_heat(table, owners, heat)
+                    table = table.with_ranges([item.settled() for item in changed])
+        return good / n
+
+
+def zipf_keys(centre):
+    """Return a source of keys, of which those next to a centre are busiest."""
+
+    def key(rng, now_ms):
+        rank = int(6000 ** rng.random() ** 0.55)
+        return (centre + rank) % N_KEYS
+
+    return key
+
+
+class CallersOfBusyKeysTest(unittest.TestCase):
+    """What callers get while keys are busy, with and without moves."""
+
+    SPEEDS = (0.7, 1.0, 1.0, 1.5)
+
+    def shares(self, hot_at, n=13, per_s=240.0, for_s=12.0, **settings):
+        """Return the share answered in time without and with moves.
+
+        The mean of busy places that begin with different owners.
+        """
+        play = KeyedPlay([self.SPEEDS[i % 4] for i in range(n)], **settings)
+        places = [N_KEYS * at // 8 + 40 for at in range(8)]
+        return [
+            sum(play.run(per_s, for_s, hot_at(p), moves) for p in places) / len(places)
+            for moves in (False, True)
+        ]
+
+    def test_a_burst_on_neighbouring_keys(self):
+        """Two fifths of all requests are for 200 neighbours, for five seconds."""
+
+        def hot_at(place):
+            def hot(rng, now_ms):
+                if 3000 < now_ms < 8000 and rng.random() < 0.4:
+                    return place + rng.randrange(200)
+                return rng.randrange(N_KEYS)
+
+            return hot
+
+        without, with_moves = self.shares(hot_at)
+        self.assertLess(without, 0.93)
+        self.assertGreater(with_moves, without + 0.04)
+
+    def test_lasting_skew(self):
+        without, with_moves = self.shares(zipf_keys, per_s=320.0)
+        self.assertGreater(with_moves, without + 0.04)
+        self.assertGreater(with_moves, 0.85)
+
+    def test_one_slow_server(self):
+        """A neighbour on its machine makes one of nine servers six times slower."""
+        play = KeyedPlay([1.0] * 8 + [6.0], target_ms=800.0)
+
+        def even(rng, now_ms):
+            return rng.randrange(N_KEYS)
+
+        without = play.run(120.0, 15.0, even, moves=False)
+        with_moves = play.run(120.0, 15.0, even)
+        self.assertGreater(with_moves, without + 0.02)
+
+    def test_saturation_is_not_made_worse(self):
+        """All servers are full: moves can't help, and must not harm."""
+
+        def even(place):
+            return lambda rng, now_ms: rng.randrange(N_KEYS)
+
+        without, with_moves = self.shares(even, per_s=700.0)
+        self.assertGreater(with_moves, without - 0.03)
+
+    def test_sites_of_other_sizes(self):
+        """Numbers of servers and slots, work and targets that no site here has."""
+        for n, slots, work_ms, per_s in (
+            (5, 2, 40.0, 90.0),
+            (30, 8, 15.0, 5000.0),
+            (40, 3, 500.0, 110.0),
+        ):
+            without, with_moves = self.shares(
+                zipf_keys,
+                n,
+                per_s,
+                for_s=6.0,
+                slots=slots,
+                work_ms=work_ms,
+                target_ms=3 * work_ms,
+            )
+            self.assertGreaterEqual(with_moves, without)
+
+
+class CountsTest(unittest.TestCase):
+    """What daemons tell of the work for keys."""
+
+    def test_half_is_forgotten_in_a_half_life(self):
+        counts = HeatCounts()
+        counts.add({"parts": {"7": [10, 1000]}}, 50_000.0)
+        heat = counts.heat_of("parts", 50_000.0 + HALF_LIFE_MS)
+        self.assertAlmostEqual(heat.by_key[7], 500.0)
+        self.assertAlmostEqual(heat.request_ms, 100.0)
+        counts.add({"parts": {"7": [1, 100]}}, 50_000.0 + 2 * HALF_LIFE_MS)
+        heat = counts.heat_of("parts", 50_000.0 + 2 * HALF_LIFE_MS)
+        self.assertAlmostEqual(heat.by_key[7], 350.0)
+
+    def test_keys_that_are_busy_no_more_are_dropped(self):
+        counts = HeatCounts()
+        counts.add({"parts": {k: [1, 100] for k in range(500)}}, 0.0)
+        counts.add({}, 12 * HALF_LIFE_MS)
+        self.assertEqual(counts.heat_of("parts", 12 * HALF_LIFE_MS).by_key, {})
+
+    def test_a_daemon_with_much_traffic_names_only_the_busiest_keys(self):
+        """The rest is told with its range, so that each owner's sum stays right."""
+        table = first_deal("parts", servers(13))
+        work, rng = WorkCounts(), random.Random(2)
+        total = {}
+        for key in rng.choices(range(N_KEYS), k=5000):
+            work.note("parts", key, 10)
+            total[key] = total.get(key, 0) + 10
+        for _ in range(50):
+            work.note("parts", 777, 10)
+        total[777] = total.get(777, 0) + 500
+        told = work.take({"parts": table})["parts"]
+        self.assertLessEqual(len(told), TOLD_KEYS + len(table.ranges))
+        self.assertGreaterEqual(told[777][1], 500)
+        by_key = {key: took_ms for key, (_, took_ms) in told.items()}
+        self.assertEqual(load_of(table, by_key), load_of(table, total))
+        self.assertEqual(work.take({}), {})
--- a/tests/test_ranges.py
+++ b/tests/test_ranges.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+import attrs
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -44,6 +45,36 @@
         self.assertEqual(again.ranges, later.ranges)
         self.assertEqual(again.addresses, later.addresses)
 
+    @given(st.lists(st.integers(0, N_KEYS - 2), min_size=1, max_size=30))
+    def test_cut_ranges_are_brought_back_and_told_by_their_changes(self, keys):
+        """Each key is cut off the range that it is in, and moves."""
+        earlier = table = first_deal("parts", [Candidate("s0", 1), Candidate("s1", 1)])
+        for key in keys:
+            item = table.find(key).settled()
+            pieces = [
+                attrs.evolve(item, last=key - 1),
+                attrs.evolve(item, first=key, last=key).moved_to("s2", 3),
+                attrs.evolve(item, first=key + 1),
+            ]
+            table = table.with_ranges([p for p in pieces if p.n_keys > 0])
+        self.assertEqual(RangeTable.from_spec(table.to_spec()).ranges, table.ranges)
+        self.assertIn("cuts", table.to_spec())
+        told = RangeTable.from_spec(table.changed_from(earlier).to_spec())
+        self.assertEqual(earlier.with_ranges(told.ranges).ranges, table.ranges)
+        self.assertEqual(table.with_ranges(earlier.ranges).ranges, earlier.ranges)
+
+    def test_ranges_that_leave_keys_out_are_refused(self):
+        """A peer's changes for another table: keys would have no owner, or two."""
+        table = first_deal("parts", [Candidate("s0", 1)])
+        item = table.ranges[3]
+        for first, last in (
+            (item.first + 1, item.last),
+            (item.first, item.last + 1),
+            (item.first - 1, item.last - 1),
+        ):
+            with self.assertRaises(ValueError):
+                table.with_ranges([attrs.evolve(item, first=first, last=last)])
+
     def test_what_is_no_table_is_an_error(self):
         columns = {"service": "x", "servers": [], "owners": [5], "tokens": [1]}
         long = {**columns, "servers": [["s", 1, ""]], "owners": [0, 0], "moving": []}
