--- a/src/tarragonramp/fleet.py
+++ b/src/tarragonramp/fleet.py
@@ -322,10 +322,11 @@
         )
 
     def _tidy(self):
-        """Forget now and then what is known of servers that are gone."""
+        """Forget now and then what is known of servers and moves that are gone."""
         while True:
             gevent.sleep(10.0)
             self.router.loads.forget(self.view.directory.servers)
+            self.router.forget_moves()
 
     def _say_ready(self, environ, start_response):
         if environ["PATH_INFO"] != self.ports.ready_path:
--- a/src/tarragonramp/roles/router.py
+++ b/src/tarragonramp/roles/router.py
@@ -114,6 +114,7 @@
     clock: object
     counts: collections.Counter = attrs.Factory(collections.Counter)
     _budgets: dict = attrs.Factory(dict)
+    _slow_moves: set = attrs.Factory(set)
     _rng: random.Random = attrs.Factory(random.Random)
 
     def __call__(self, environ, start_response):
@@ -240,7 +241,13 @@
         return warm or room
 
     def _owner(self, order):
-        """Return the owner of a request's key, waiting a moment while it changes."""
+        """Return the owner of a request's key, waiting a moment while it changes.
+
+        Load: an owner that vanished, so that its keys are free only when time has
+        proved it, or one whose work lasts for long. Harm prevented: each request being
+        held, and then refused by the next owner, which has no grant yet. One waits in
+        vain; all others are told at once.
+        """
         if order.key is None:
             raise RequestError(400, NOT_RUN, "the request carries no key")
         until_ms = min(self.clock.now_ms() + OWNER_WAIT_MS, order.until_ms)
@@ -251,15 +258,27 @@
                 retry_s = self._retry_after_s(order, OWNER_GONE_RETRY_S)
                 inputs = self._owner_inputs(order)
                 raise order.refusal(503, "key has no owner", retry_s, **inputs)
+            if not item.is_moving:
+                break
+            move = order.service, item.first, item.token
             left_ms = until_ms - self.clock.now_ms()
-            if not item.is_moving or left_ms <= 0:
+            if left_ms <= 0:
+                self._slow_moves.add(move)
                 break
+            if move in self._slow_moves:
+                retry_s = self._retry_after_s(order, OWNER_GONE_RETRY_S)
+                inputs = self._owner_inputs(order)
+                raise order.refusal(503, "key is on its way", retry_s, **inputs)
             self.view.wait(min(left_ms, 50.0))
         if not self._has_connections(server):
             retry_s = self._retry_after_s(order, 0.3)
             raise order.refusal(503, "no connection left", retry_s)
         return server
 
+    def forget_moves(self):
+        """Forget which moves took long; those still under way are noted again."""
+        self._slow_moves.clear()
+
     def _owner_inputs(self, order):
         """Return what is known of a key's owner, for the log."""
         item = self._owned_range(order)
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -211,6 +211,28 @@
         self.assertEqual((status, self.sent), (503, []))
         self.assertGreater(float(headers["Retry-After"]), 0.0)
 
+    def test_keys_whose_move_takes_long_hold_nobody_up(self):
+        """An owner vanished, and only time proves that it has let go.
+
+        For seven seconds each request for its keys waited 200 ms and was then refused
+        by the next owner, which had no grant yet. One waits; the others are told.
+        """
+        self.own("p2", 5, "p1")
+        self.script["p2"] = [WRONG]
+        began_ms = self.router.clock.now_ms()
+        self.assertEqual(self.ask("/keyed/", 7)[0], 503)
+        n_sent, first_ms = len(self.sent), self.router.clock.now_ms() - began_ms
+        self.assertGreater(first_ms, 150.0)
+        for key in range(5):
+            status, headers = self.ask("/keyed/", key)
+            self.assertEqual(status, 503)
+            self.assertGreater(float(headers["Retry-After"]), 0.1)
+        self.assertLess(self.router.clock.now_ms() - began_ms, first_ms + 100.0)
+        self.assertEqual(len(self.sent), n_sent)
+        self.script["p2"] = [OK]
+        self.own("p2", 6)
+        self.assertEqual(self.ask("/keyed/", 7)[0], 200)
+
     def test_cold_servers_get_nothing_while_others_are_warm(self):
         self.view.directory.note_cold("s1", 60_000.0)
         self.view.directory.note_cold("s2", 60_000.0)
