--- a/src/tarragonramp/balancing.py
+++ b/src/tarragonramp/balancing.py
@@ -288,9 +288,11 @@
                 best, best_cost, best_ms = server, cost, expected_ms
         wait_ms = self.wait_ms(best, wanted.route, now_ms)
         kept_share = self._note_urgency(best.service, wanted, work_ms)
-        if not self._is_worth(wanted, best, best_ms, kept_share, now_ms):
+        objection = self._objection(wanted, best, best_ms, kept_share, now_ms)
+        if objection:
             retry_after_s = self._retry_after_s(wait_ms, work_ms)
             inputs = {
+                "rule": objection,
                 "least_busy": best.name,
                 "wait_ms": round(wait_ms),
                 "expected_ms": round(best_ms),
@@ -417,8 +419,8 @@
         self._urgent_ms[service] = urgent_ms, all_ms
         return 0.0 if wanted.urgent else min(MOST_KEPT, urgent_ms / all_ms)
 
-    def _is_worth(self, wanted, server, expected_ms, kept_share, now_ms):
-        """Tell whether a request should be sent although it may have to wait.
+    def _objection(self, wanted, server, expected_ms, kept_share, now_ms):
+        """Return why a request should not be sent to wait there; empty if it should.
 
         Load: more requests than a server can take. Harm prevented: a queue that makes
         all answers late: an answer after its target is worth a fraction, and the time
@@ -433,13 +435,15 @@
         work_ms = self._server_work_ms(seen, wanted.route, now_ms)
         excess = self._excess(server, work_ms, now_ms)
         if excess <= 0:
-            return True
+            return ""
         if expected_ms > wanted.left_ms * LATE_SHARE:
-            return False
+            return "no time"
         usual_ms = self.work_ms(wanted.route) * seen.decayed(seen.speed, 1.0, now_ms)
         room_ms = wanted.target_left_ms * LATE_SHARE - usual_ms
         wait_ms = excess * usual_ms / server.slots
-        return wait_ms <= room_ms * (1.0 - kept_share)
+        if wait_ms > room_ms:
+            return "queue too long"
+        return "kept for urgent" if wait_ms > room_ms * (1.0 - kept_share) else ""
 
     def _retry_after_s(self, wait_ms, work_ms):
         """Return when a refused caller should come back: when the queue has drained.
--- a/src/tarragonramp/command.py
+++ b/src/tarragonramp/command.py
@@ -39,8 +39,8 @@
     declarations_of,
 )
 from .documents import read_file
+from .explanation import explain_losses, explain_request
 from .settings import check_settings, is_settings
-from .storylines import parse_line, story_of
 
 __all__ = ["main"]
 
@@ -375,47 +375,6 @@
     _print(found, output, lambda item: rendered(item, "yaml", None))
 
 
-def explain_request(request_id: str, *, log: list[str] | None = None):
-    """Tell what became of one request, from the logs of the daemons.
-
-    Lines of all daemons are put in the order of time, by clocks that may differ by
-    100 ms. Beside the request's own lines stands what its daemon came to know, and
-    what any daemon says of the servers that it was sent to, from 5 s before.
-
-    Example: tarragonramp explain-request 9c41d07be2a35f68 --log d1.log d2.log
-
-    Parameters
-    ----------
-    request_id
-        As the caller sent it; refusals carry it back.
-    log
-        Files with the standard output of daemons; else standard input.
-    """
-    lines = [line for text in _log_texts(log or []) if (line := parse_line(text))]
-    story = story_of(request_id, lines)
-    if not story:
-        hint = "answers that went well are not logged; was the log complete?"
-        message = f"{request_id}: no line of {len(lines)} names it"
-        raise CommandError(EXIT_FAILED, f"{message}; {hint}")
-    for line, remark in story:
-        print(f"{line.text}{f'  # {remark}' if remark else ''}")
-    daemons = sorted({line.daemon for line, _ in story})
-    if len(daemons) > 1:
-        names = ", ".join(daemons)
-        print(f"order between {names} is certain only beyond 100 ms", file=sys.stderr)
-
-
-def _log_texts(paths):
-    if not paths:
-        yield from sys.stdin
-    for path in paths:
-        try:
-            with open(path, encoding="utf-8", errors="replace") as stream:
-                yield from stream
-        except OSError as error:
-            raise CommandError(EXIT_INVALID, f"{path}: {error.strerror}") from error
-
-
 def take_out(
     failure_domain: str,
     *,
@@ -519,6 +478,7 @@
     "audit": audit,
     "explain": explain,
     "explain-request": explain_request,
+    "explain-losses": explain_losses,
     "domain": {
         "take-out": take_out,
         "bring-back": bring_back,
--- a/src/tarragonramp/storylines.py
+++ b/src/tarragonramp/storylines.py
@@ -11,7 +11,7 @@
 
 import attrs
 
-__all__ = ["LogLine", "parse_line", "story_of"]
+__all__ = ["REQUEST_EVENTS", "LogLine", "parse_line", "story_of"]
 
 BEFORE_MS = 5000.0
 """How far back a belief may stem from that decided over a request."""
@@ -21,7 +21,7 @@
 lines of different daemons is not certain."""
 
 _PAIR = re.compile(r'([a-z_]+)=("(?:[^"\\]|\\.)*"|[^ ]*)')
-_REQUEST_EVENTS = frozenset(("request-refused", "request-served", "try-failed"))
+REQUEST_EVENTS = frozenset(("request-refused", "request-served", "try-failed"))
 
 
 @attrs.frozen
@@ -88,7 +88,7 @@
             continue
         if line.fields.get("id") == request_id:
             story.append((line, ""))
-        elif line.event not in _REQUEST_EVENTS:
+        elif line.event not in REQUEST_EVENTS:
             remark = _remark(line, daemons, servers)
             if remark:
                 story.append((line, remark))
