Waits are priced by the work that is in hand

Hypothesis: a wait multiplied by the arriving request's own work is off where 36 ms and 220 ms share a server.

--- a/src/tarragonramp/balancing.py
+++ b/src/tarragonramp/balancing.py
@@ -4,6 +4,7 @@
 servers said of their load with their latest answers. Nothing here sends or waits.
 """
 
+import collections
 import math
 import random
 
@@ -172,6 +173,8 @@
     Parameters
     ----------
     server : BackendServer
+    route : str
+        Of the request.
     expected_ms : float
         Until its answer, waiting included.
     wait_ms : float
@@ -179,6 +182,7 @@
     """
 
     server: object
+    route: str
     expected_ms: float
     wait_ms: float = 0.0
 
@@ -204,7 +208,7 @@
 class _Seen:
     """What one daemon has seen of one server."""
 
-    in_flight: int = 0
+    in_flight: collections.Counter = attrs.Factory(collections.Counter)
     speed: float = 1.0
     is_asked: bool = False
     failures: float = 0.0
@@ -216,6 +220,11 @@
     changed_ms: float = -math.inf
     passed_over_until_ms: float = -math.inf
 
+    @property
+    def n_in_flight(self):
+        """Requests of this daemon there, of all routes."""
+        return self.in_flight.total()
+
     def others(self, work_ms, now_ms):
         """Requests of other daemons that are probably there now.
 
@@ -237,6 +246,14 @@
         return calm + (value - calm) * 0.5**age
 
 
+@attrs.define(eq=False)
+class _Asked:
+    """Work of the latest requests for a service, in ms a request."""
+
+    all_ms: float
+    urgent_ms: float = 0.0
+
+
 @attrs.define(eq=False, repr=False)
 class Loads:
     """What one daemon knows of the load of all servers.
@@ -252,7 +269,7 @@
     rng: random.Random = attrs.Factory(random.Random)
     _seen: dict = attrs.Factory(dict)
     _work_ms: dict = attrs.Factory(dict)
-    _urgent_ms: dict = attrs.Factory(dict)
+    _asked_ms: dict = attrs.Factory(dict)
 
     def choose(self, servers, wanted, now_ms):
         """Choose the server from which the answer should come first, or none.
@@ -287,7 +304,7 @@
             if cost < best_cost:
                 best, best_cost, best_ms = server, cost, expected_ms
         wait_ms = self.wait_ms(best, wanted.route, now_ms)
-        kept_share = self._note_urgency(best.service, wanted, work_ms)
+        kept_share = self._note_asked(best.service, wanted, work_ms)
         objection = self._objection(wanted, best, best_ms, kept_share, now_ms)
         if objection:
             retry_after_s = self._retry_after_s(wait_ms, work_ms)
@@ -301,30 +318,56 @@
                 "servers": len(usable),
             }
             return Refused("servers are busy", retry_after_s, inputs)
-        return Chosen(best, best_ms, wait_ms)
+        return Chosen(best, wanted.route, best_ms, wait_ms)
 
     def expected_ms(self, server, route, now_ms):
         """Return how long an answer from a server should take, waiting included."""
         seen = self._of(server.name)
-        work_ms = self._server_work_ms(seen, route, now_ms)
+        work_ms = self.work_ms(route) * self._speed_now(seen, now_ms)
         failures = min(0.9, seen.decayed(seen.failures, 0.0, now_ms))
         wait_ms = self.wait_ms(server, route, now_ms)
         return (work_ms + wait_ms) / (1.0 - failures)
 
     def wait_ms(self, server, route, now_ms):
         """Return how long a request would wait for one of a server's slots."""
-        work_ms = self._server_work_ms(self._of(server.name), route, now_ms)
-        return self._excess(server, work_ms, now_ms) * work_ms / server.slots
+        seen = self._of(server.name)
+        speed = self._speed_now(seen, now_ms)
+        excess, each_ms = self._ahead(server, speed, now_ms)
+        return excess * each_ms * speed / server.slots
 
-    def _excess(self, server, work_ms, now_ms):
-        """Return how many requests have to end before one more begins."""
+    def _ahead(self, server, speed, now_ms):
+        """Return how many requests have to end before one more begins, and their work.
+
+        Load: short and long work at one server. Harm prevented: a short request that is
+        sent to wait behind long ones, or a long one that is refused for short ones, as
+        if all took as long as itself.
+
+        Returns
+        -------
+        excess, each_ms : float
+            The latter is what one of them takes on average at a server of usual speed.
+        """
         seen = self._of(server.name)
-        in_hand = seen.in_flight + seen.others(work_ms, now_ms)
-        return max(0.0, in_hand - server.slots + 1.0)
+        usual_ms = self._mean_work_ms(server.service)
+        n_others = seen.others(usual_ms * speed, now_ms)
+        n_all = seen.n_in_flight + n_others
+        if not n_all:
+            return max(0.0, 1.0 - server.slots), usual_ms
+        own_ms = sum(n * self.work_ms(route) for route, n in seen.in_flight.items())
+        each_ms = (own_ms + n_others * usual_ms) / n_all
+        return max(0.0, n_all - server.slots + 1.0), each_ms
+
+    def _mean_work_ms(self, service):
+        """Return what requests for a service take on average."""
+        return (
+            self._asked_ms[service].all_ms
+            if service in self._asked_ms
+            else FIRST_WORK_MS
+        )
 
     def in_flight(self, name):
         """Return how many requests of this daemon a server has."""
-        return self._of(name).in_flight
+        return self._of(name).n_in_flight
 
     def told_in_flight(self, name, now_ms):
         """Return the other daemons' requests at a server; None if that is old."""
@@ -339,25 +382,25 @@
         """Return how long a server of usual speed works on a request of a route."""
         return self._work_ms.get(route, FIRST_WORK_MS)
 
-    def sent(self, name):
-        """Take in that a request was sent to a server."""
-        seen = self._of(name)
-        seen.in_flight += 1
+    def sent(self, chosen):
+        """Take in that a request was sent to the server that was chosen."""
+        seen = self._of(chosen.server.name)
+        seen.in_flight[chosen.route] += 1
         seen.is_asked = True
 
-    def answered(self, chosen, route, took_ms, report, now_ms):
+    def answered(self, chosen, took_ms, report, now_ms):
         """Take in an answer of a request that ran.
 
         Parameters
         ----------
         chosen : Chosen
             As it was chosen.
-        route : str
         took_ms : float
         report : LoadReport or None
         now_ms : float
         """
-        seen = self._done(chosen.server.name, report, now_ms)
+        route = chosen.route
+        seen = self._done(chosen, report, now_ms)
         speed = seen.decayed(seen.speed, 1.0, now_ms)
         # Waiting and work can't be told apart, so both are taken to have been off by
         # the same factor.
@@ -371,25 +414,26 @@
             own_ms = took_ms / speed
             self._work_ms[route] = usual_ms + ROUTE_WEIGHT * (own_ms - usual_ms)
 
-    def shed(self, name, report, now_ms):
+    def shed(self, chosen, report, now_ms):
         """Take in that a server refused a request without running it."""
-        seen = self._done(name, report, now_ms)
+        seen = self._done(chosen, report, now_ms)
         self._note_failure(seen, now_ms)
 
-    def failed(self, name, now_ms, at_connect=False):
+    def failed(self, chosen, now_ms, at_connect=False):
         """Take in that an exchange failed; whether not even a connection came up."""
-        seen = self._done(name, None, now_ms)
+        seen = self._done(chosen, None, now_ms)
         self._note_failure(seen, now_ms)
         if at_connect:
             seen.passed_over_until_ms = now_ms + FAILURE_MS
 
-    def cancelled(self, name):
+    def cancelled(self, chosen):
         """Take in that nobody waits for an answer any more."""
-        self._of(name).in_flight -= 1
+        self._done(chosen, None, 0.0)
 
     def in_hand(self):
         """Return this daemon's requests under way by server, for the other daemons."""
-        return {n: seen.in_flight for n, seen in self._seen.items() if seen.in_flight}
+        counts = {name: seen.n_in_flight for name, seen in self._seen.items()}
+        return {name: count for name, count in counts.items() if count}
 
     def take_told(self, totals, now_ms):
         """Take in the other daemons' requests under way.
@@ -408,16 +452,17 @@
     def forget(self, names):
         """Forget all servers but some, and those with requests under way."""
         for name in set(self._seen) - set(names):
-            if not self._seen[name].in_flight:
+            if not self._seen[name].n_in_flight:
                 del self._seen[name]
 
-    def _note_urgency(self, service, wanted, work_ms):
+    def _note_asked(self, service, wanted, work_ms):
         """Take in a request; return what part of the room is kept from lower ones."""
-        urgent_ms, all_ms = self._urgent_ms.get(service, (0.0, 0.0))
-        urgent_ms += SHARE_WEIGHT * (work_ms * wanted.urgent - urgent_ms)
-        all_ms += SHARE_WEIGHT * (work_ms - all_ms)
-        self._urgent_ms[service] = urgent_ms, all_ms
-        return 0.0 if wanted.urgent else min(MOST_KEPT, urgent_ms / all_ms)
+        asked = self._asked_ms.get(service)
+        if asked is None:
+            asked = self._asked_ms[service] = _Asked(all_ms=work_ms)
+        asked.urgent_ms += SHARE_WEIGHT * (work_ms * wanted.urgent - asked.urgent_ms)
+        asked.all_ms += SHARE_WEIGHT * (work_ms - asked.all_ms)
+        return 0.0 if wanted.urgent else min(MOST_KEPT, asked.urgent_ms / asked.all_ms)
 
     def _objection(self, wanted, server, expected_ms, kept_share, now_ms):
         """Return why a request should not be sent to wait there; empty if it should.
@@ -432,15 +477,16 @@
         late because the server is slow, not because there are more of them.
         """
         seen = self._of(server.name)
-        work_ms = self._server_work_ms(seen, wanted.route, now_ms)
-        excess = self._excess(server, work_ms, now_ms)
+        excess, each_ms = self._ahead(server, self._speed_now(seen, now_ms), now_ms)
         if excess <= 0:
             return ""
         if expected_ms > wanted.left_ms * LATE_SHARE:
             return "no time"
-        usual_ms = self.work_ms(wanted.route) * seen.decayed(seen.speed, 1.0, now_ms)
-        room_ms = wanted.target_left_ms * LATE_SHARE - usual_ms
-        wait_ms = excess * usual_ms / server.slots
+        speed = seen.decayed(seen.speed, 1.0, now_ms)
+        room_ms = (
+            wanted.target_left_ms * LATE_SHARE - self.work_ms(wanted.route) * speed
+        )
+        wait_ms = excess * each_ms * speed / server.slots
         if wait_ms > room_ms:
             return "queue too long"
         return "kept for urgent" if wait_ms > room_ms * (1.0 - kept_share) else ""
@@ -460,13 +506,13 @@
             seen = self._seen[name] = _Seen()
         return seen
 
-    def _done(self, name, report, now_ms):
-        seen = self._of(name)
-        seen.in_flight -= 1
+    def _done(self, chosen, report, now_ms):
+        seen = self._of(chosen.server.name)
+        seen.in_flight[chosen.route] -= 1
         if report is not None:
             seen.report, seen.report_ms = report, now_ms
             # The answered request is counted in the report no more.
-            seen.own_at_report = seen.in_flight
+            seen.own_at_report = seen.n_in_flight
         return seen
 
     def _note_failure(self, seen, now_ms):
@@ -474,9 +520,10 @@
         seen.failures = failures + 0.25 * (1.0 - failures)
         seen.changed_ms = now_ms
 
-    def _server_work_ms(self, seen, route, now_ms):
+    def _speed_now(self, seen, now_ms):
+        """Return how long work takes at a server at this moment, as a factor."""
         speed = seen.decayed(seen.speed, 1.0, now_ms)
         if seen.report is not None:
             age = (now_ms - seen.report_ms) / SLOWNESS_MS
             speed *= 1.0 + (seen.report.slowness - 1.0) * 0.5**age
-        return self.work_ms(route) * speed
+        return speed
--- a/src/tarragonramp/roles/router.py
+++ b/src/tarragonramp/roles/router.py
@@ -333,7 +333,7 @@
         limit = self.view.service(server.service).connections
         share = connection_share(limit, self._n_daemons())
         pool.max_idle = min(KEPT_CONNECTIONS, share)
-        self.loads.sent(server.name)
+        self.loads.sent(chosen)
         try:
             result = pool.exchange(
                 order.method,
@@ -344,29 +344,30 @@
                 order.is_wanted,
             )
         except BaseException:
-            self.loads.cancelled(server.name)
+            self.loads.cancelled(chosen)
             raise
         now_ms = self.clock.now_ms()
         took_ms = now_ms - began_ms
         if self.view.service(order.service).divided:
             self.view.work.note(order.service, order.key, took_ms)
         if not is_successful(result):
-            self._note_failure(order, server, result.failure(), now_ms)
+            self._note_failure(order, chosen, result.failure(), now_ms)
             return result, took_ms
         result = result.map(lambda answer: (answer, self.dialect.read_answer(answer)))
         _, facts = result.unwrap()
         if facts.not_run:
-            self.loads.shed(server.name, facts.load, now_ms)
+            self.loads.shed(chosen, facts.load, now_ms)
         else:
-            self.loads.answered(chosen, order.route.name, took_ms, facts.load, now_ms)
+            self.loads.answered(chosen, took_ms, facts.load, now_ms)
         return result, took_ms
 
-    def _note_failure(self, order, server, error, now_ms):
+    def _note_failure(self, order, chosen, error, now_ms):
         if isinstance(error, AbandonedError) or now_ms >= order.until_ms:
-            self.loads.cancelled(server.name)
+            self.loads.cancelled(chosen)
             return
+        server = chosen.server
         at_connect = isinstance(error, NotSentError)
-        self.loads.failed(server.name, now_ms, at_connect)
+        self.loads.failed(chosen, now_ms, at_connect)
         if at_connect and "refused" in str(error):
             # Nothing listens there: the server has ended, and will be cold if it
             # starts again, before its entry says so.
--- a/tests/test_balancing.py
+++ b/tests/test_balancing.py
@@ -59,7 +59,7 @@
         slots = self.free_at[name]
         start_ms = max(now_ms, heapq.heappop(slots))
         heapq.heappush(slots, start_ms + work_ms)
-        daemon.sent(name)
+        daemon.sent(choice)
         heapq.heappush(
             self.events, (start_ms + work_ms, self.rng.random(), daemon, choice, now_ms)
         )
@@ -70,7 +70,7 @@
             busy = [end for end in self.free_at[choice.server.name] if end > at_ms]
             here = sum(e[3].server is choice.server for e in self.events)
             report = LoadReport(len(busy), max(0, here - len(busy)), 3)
-            daemon.answered(choice, "r", at_ms - sent_ms, report, at_ms)
+            daemon.answered(choice, at_ms - sent_ms, report, at_ms)
             self.taken_ms.append(at_ms - sent_ms)
 
 
@@ -158,14 +158,14 @@
         for _ in range(300):
             now_ms += 10.0
             for item, took_ms in ((quick, 50.0), (slow, 150.0)):
-                loads.sent(item.name)
-                chosen = Chosen(item, took_ms)
-                loads.answered(chosen, "r", took_ms, None, now_ms)
+                chosen = Chosen(item, "r", took_ms)
+                loads.sent(chosen)
+                loads.answered(chosen, took_ms, None, now_ms)
         away, home = server(2, "b"), server(3)
         for joined, expected in (([away], quick), ([away, home], home)):
             choice = loads.choose([quick, slow, *joined], wanted, now_ms)
             self.assertIs(choice.server, expected)
-        loads.sent(home.name)
+        loads.sent(Chosen(home, "r", 0.0))
         choice = loads.choose([quick, slow, away, home], wanted, now_ms)
         self.assertIs(choice.server, quick)
 
@@ -176,9 +176,9 @@
         for _ in range(2):
             choice = loads.choose(servers, Wanted("r", LIMIT_MS, TARGET_MS), 0.0)
             self.assertEqual(choice.server.name, "s0")
-            loads.sent("s0")
+            loads.sent(Chosen(servers[0], "r", 0.0))
         for _ in range(4):
-            loads.sent("s0")
+            loads.sent(Chosen(servers[0], "r", 0.0))
         choice = loads.choose(servers, Wanted("r", LIMIT_MS, TARGET_MS), 0.0)
         self.assertEqual(choice.server.name, "s1")
 
@@ -186,12 +186,76 @@
         loads = Loads("a", random.Random(1))
         servers = [server(0), server(1)]
         for i in range(12):
-            loads.sent("s0")
-            loads.shed("s0", LoadReport(0, 0, 3), i * 50.0)
+            first = Chosen(server(0), "r", 0.0)
+            loads.sent(first)
+            loads.shed(first, LoadReport(0, 0, 3), i * 50.0)
         wanted = Wanted("r", LIMIT_MS, TARGET_MS)
         chosen = {loads.choose(servers, wanted, 700.0).server.name for _ in range(20)}
         self.assertEqual(chosen, {"s1"})
 
+    def test_short_work_is_not_sent_to_wait_behind_long(self):
+        """Price sheets of 36 ms share a server with histories of 220 ms.
+
+        Six histories were taken for six price sheets, behind which there was time.
+        """
+        loads, now_ms = Loads("a", random.Random(1)), 0.0
+        item = server(0)
+        for route, took_ms in (("short", 36.0), ("long", 220.0)):
+            for _ in range(200):
+                now_ms += 300.0
+                chosen = Chosen(item, route, took_ms)
+                loads.sent(chosen)
+                loads.answered(chosen, took_ms, None, now_ms)
+        for _ in range(6):
+            loads.sent(Chosen(item, "long", 0.0))
+        choice = loads.choose([item], Wanted("short", 400.0, 150.0), now_ms)
+        self.assertEqual(choice.reason, "servers are busy")
+        wait_ms = loads.wait_ms(item, "short", now_ms)
+        self.assertAlmostEqual(wait_ms, 4 * 220.0 / 3, delta=60.0)
+
+    def test_a_moment_of_slowness_refuses_nobody(self):
+        """A neighbour makes an owner three times slower for some tenths of a second.
+
+        Callers were refused although nobody waited there but two, and came back too
+        late for their target. A queue that is too long at its usual speed is refused.
+        """
+        loads, item = Loads("a", random.Random(1)), server(0, slots=4)
+        for at_ms in range(0, 30_000, 300):
+            chosen = Chosen(item, "r", 90.0)
+            loads.sent(chosen)
+            slow = LoadReport(1, 0, 4, 3.0 if at_ms > 29_500 else 1.0)
+            loads.answered(chosen, 90.0, slow, float(at_ms))
+        for _ in range(5):
+            loads.sent(Chosen(item, "r", 0.0))
+        wanted = Wanted("r", 800.0, 300.0)
+        self.assertIsInstance(loads.choose([item], wanted, 29_710.0), Chosen)
+        for _ in range(12):
+            loads.sent(Chosen(item, "r", 0.0))
+        choice = loads.choose([item], wanted, 29_720.0)
+        self.assertIsInstance(choice, Refused)
+
+    def test_room_is_kept_only_for_urgent_requests_that_come(self):
+        """A more urgent route to the service exists, but nobody uses it."""
+        lookup = Wanted("lookup", 800.0, 300.0, urgent=False)
+        claim = Wanted("claim", 800.0, 300.0, urgent=True)
+        taken = []
+        for kinds in ([lookup], [lookup, claim]):
+            loads, item = Loads("a", random.Random(1)), server(0, slots=4)
+            for i in range(200):
+                chosen = Chosen(item, kinds[i % len(kinds)].route, 90.0)
+                loads.choose([item], kinds[i % len(kinds)], 300.0 * i)
+                loads.sent(chosen)
+                loads.answered(chosen, 90.0, None, 300.0 * i)
+            n = 0
+            while isinstance(loads.choose([item], lookup, 60_000.0), Chosen):
+                loads.sent(Chosen(item, "lookup", 0.0))
+                n += 1
+            taken.append(n)
+            if kinds == [lookup, claim]:
+                choice = loads.choose([item], claim, 60_000.0)
+                self.assertIsInstance(choice, Chosen)
+        self.assertGreater(taken[0], taken[1])
+
     def test_an_owner_that_others_have_filled_is_known_to_be_full(self):
         """Nine daemons ask a busy owner now and then; each sees only its own part."""
         loads = Loads("a", random.Random(1))
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -7,7 +7,8 @@
 from returns.result import Failure, Success
 
 from tarragonramp import ManualClock
-from tarragonramp.balancing import Loads
+from tarragonramp.balancing import Chosen, Loads
+from tarragonramp.directory import BackendServer
 from tarragonramp.errors import ConflictError, NotFoundError, PlatformBusyError
 from tarragonramp.fleet_view import FleetView
 from tarragonramp.leading import LATE_GRANT_MS, Inherited
@@ -263,7 +264,8 @@
 
     def test_loads_of_the_others_are_passed_on(self):
         self.one._look()
-        self.other.loads.sent("s1")
+        server = BackendServer("s1", 1, "desk", "s1:80", "a", 3)
+        self.other.loads.sent(Chosen(server, "r", 0.0))
         self.other._look()
         self.assertEqual(self.one._loads_beside("d1", self.clock.now_ms()), {"s1": 1})
         self.assertEqual(self.one._loads_beside("d2", self.clock.now_ms()), {})
