--- a/src/tarragonramp/roles/router.py
+++ b/src/tarragonramp/roles/router.py
@@ -215,11 +215,23 @@
         )
         choice = self.loads.choose(servers, wanted, now_ms)
         if isinstance(choice, Refused):
+            self._note_unmet(order)
             retry_s = self._retry_after_s(order, choice.retry_after_s)
             raise order.refusal(503, choice.reason, retry_s, **choice.inputs)
         self._take_cold_share(order, choice.server, now_ms)
         return choice
 
+    def _note_unmet(self, order):
+        """Count the work of a refused request as if its owner had done it.
+
+        Load: keys so busy that their owner refuses most requests for them. Harm
+        prevented: the owner looking no busier than what it can do at most, so that too
+        few of its keys move.
+        """
+        if self.view.service(order.service).divided:
+            took_ms = self.loads.work_ms(order.route.name)
+            self.view.work.note(order.service, order.key, took_ms)
+
     def _candidates(self, order):
         """Return the servers of a shared service that may get a request now.
 
@@ -321,6 +333,7 @@
         # One that has only heard of itself does not know how many there are.
         known = self.view.daemons if len(self.view.daemons) > 1 else ()
         if not self.cold.take(server.name, bound, known, now_ms):
+            self._note_unmet(order)
             retry_s = self._retry_after_s(order, COLD_RETRY_S)
             raise order.refusal(503, "server is cold", retry_s)
 
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -211,6 +211,18 @@
         self.assertEqual((status, self.sent), (503, []))
         self.assertGreater(float(headers["Retry-After"]), 0.0)
 
+    def test_refused_requests_count_as_work_for_their_key(self):
+        """A third of all requests are for the keys of one range; most are refused.
+
+        Its owner looked no busier than a server can be, and for seconds only one range
+        at a time was moved away.
+        """
+        self.router.loads.take_told({"p1": 60}, self.router.clock.now_ms())
+        self.assertEqual(self.ask("/keyed/", 7)[0], 503)
+        told = self.view.work.take(self.view.tables)
+        self.assertEqual(told["parts"][7][0], 1)
+        self.assertGreater(told["parts"][7][1], 10)
+
     def test_keys_whose_move_takes_long_hold_nobody_up(self):
         """An owner vanished, and only time proves that it has let go.
 
