--- a/src/tarragonramp/heat.py
+++ b/src/tarragonramp/heat.py
@@ -6,7 +6,7 @@
 
 __all__ = ["Heat", "HeatCounts", "WorkCounts"]
 
-HALF_LIFE_MS = 3000.0
+HALF_LIFE_MS = 1500.0
 """Time in which half of the counted work for a key is forgotten: keys become busy
 within seconds."""
 
--- a/src/tarragonramp/hotspots.py
+++ b/src/tarragonramp/hotspots.py
@@ -8,7 +8,7 @@
 
 __all__ = ["spread_heat"]
 
-MAX_SPREAD = 4
+MAX_SPREAD = 12
 """Most moves of busy keys begun at a time; each is refused for some milliseconds."""
 
 EXCESS_SHARE, EXCESS_DEVIATIONS = 0.4, 2.0
--- a/src/tarragonramp/roles/granter.py
+++ b/src/tarragonramp/roles/granter.py
@@ -39,7 +39,7 @@
 Servers register within some seconds of each other; whoever is late has to be given
 keys by moves, which cost more than the wait."""
 
-SPREAD_MS = 700.0
+SPREAD_MS = 400.0
 """Between two looks at which keys are busy; they become so within seconds."""
 
 
--- a/src/tarragonramp/roles/router.py
+++ b/src/tarragonramp/roles/router.py
@@ -224,9 +224,10 @@
     def _note_unmet(self, order):
         """Count the work of a refused request as if its owner had done it.
 
-        Load: keys so busy that their owner refuses most requests for them. Harm
-        prevented: the owner looking no busier than what it can do at most, so that too
-        few of its keys move.
+        Load: keys so busy that most requests for them are refused, here or by their
+        owner. Harm prevented: the owner looking no busier than what it can do at most,
+        or idle if it refuses without need, so that too few of its keys move, or more
+        come.
         """
         if self.view.service(order.service).divided:
             took_ms = self.loads.work_ms(order.route.name)
@@ -410,6 +411,8 @@
     def _after_refusal(self, order, facts, budget):
         """Return if a request that a server did not run may be sent again."""
         self._log_try(order, "misdirected" if facts.misdirected else "shed")
+        if not facts.misdirected:
+            self._note_unmet(order)
         if facts.misdirected and self.view.service(order.service).divided:
             self._await_owner(order)
         if len(order.tried) > order.route.attempts or not budget.spend():
--- a/tests/test_hotspots.py
+++ b/tests/test_hotspots.py
@@ -205,6 +205,8 @@
                 good += 1
                 heapq.heapreplace(free[name], start_ms + work_ms)
                 told.note("parts", key, start_ms + work_ms - now_ms)
+            else:
+                told.note("parts", key, self.work_ms)
             if now_ms >= look_ms + 700.0:
                 look_ms = now_ms
                 counts.add(told.take({"parts": table}), now_ms)
