Daemons of a small fleet hear each other's requests under way each 150 ms

Hypothesis: the owner of busy keys is asked by all daemons, and what the others have there is known half a second late. The wait grows by 14 ms a daemon to the 500 ms of before, so that the leader of a large fleet does not answer more.

--- a/src/tarragonramp/roles/leadership.py
+++ b/src/tarragonramp/roles/leadership.py
@@ -24,9 +24,15 @@
 NOBODY = LeaderRecord("", "", "", 0)
 
 NEWS_WAIT_MS = 500.0
-"""How long a leader lets a daemon wait for news. Also how often the daemons are heard,
-and how soon a silent leader shows: within this and the timeout, so that what changes
-meanwhile can still be in force after two seconds."""
+"""Longest time that a leader lets a daemon wait for news. Also how soon a silent leader
+shows: within this and the timeout, so that what changes meanwhile can still be in force
+after two seconds."""
+
+LEAST_NEWS_WAIT_MS, NEWS_WAIT_EACH_MS = 150.0, 14.0
+"""Shortest time, and by how much each daemon lengthens it. Load: owners of busy keys,
+which all daemons ask at once. Harm prevented: queues there that no daemon sees, as the
+others' requests under way were told half a second ago; and a leader that answers
+hundreds of messages a second in a large fleet."""
 
 LEAST_PING_MS = 30.0
 
@@ -189,7 +195,7 @@
         self._told_loads[name] = message.get("loads", {}), self.clock.now_ms()
         self.follower.compare(name, message.get("digest", {}))
         versions = message["versions"]
-        until_ms = self.clock.now_ms() + NEWS_WAIT_MS
+        until_ms = self.clock.now_ms() + self._news_wait_ms()
         news = self.follower.news_since(versions)
         while not news and self.leads and not self.stopping:
             left_ms = until_ms - self.clock.now_ms()
@@ -212,6 +218,11 @@
             answer["digest"] = self.view.digest()
         return answer
 
+    def _news_wait_ms(self):
+        """Return how long a daemon waits for news here."""
+        each_ms = NEWS_WAIT_EACH_MS * len(self.view.daemons)
+        return min(NEWS_WAIT_MS, max(LEAST_NEWS_WAIT_MS, each_ms))
+
     def _loads_beside(self, name, now_ms):
         """Return the requests under way of all daemons but one, by server."""
         totals = dict(self.loads.in_hand()) if name != self.name else {}
