--- a/src/tarragonramp/balancing.py
+++ b/src/tarragonramp/balancing.py
@@ -33,10 +33,11 @@
 prevented: passing over a server for work that has long been done, or queueing behind
 work that has only begun."""
 
-FRESH_SHARE = 0.4
-"""Part of the time that work takes for which a server's own report goes before what
-other daemons told. Load: many servers, each asked now and then by each daemon. Harm
-prevented: queueing at the owner of busy keys because this daemon has not asked it."""
+TOLD_LAG_MS = 200.0
+"""How old on average what other daemons told is when it comes here, by way of the
+leader. A server's own report that is newer goes before it. Load: busy owners, which all
+daemons ask at once. Harm prevented: a queue there that this daemon does not see, or one
+that it still sees when it has gone."""
 
 TOLD_MS = 1500.0
 """How long what other daemons told is used: three times as long as it takes to come."""
@@ -228,11 +229,11 @@
     def others(self, work_ms, now_ms):
         """Requests of other daemons that are probably there now.
 
-        From the server's own last word while that is fresh, else from what the other
-        daemons told; both get old.
+        From the server's own last word or from what the other daemons told, whichever
+        is newer; both get old.
         """
-        is_fresh = now_ms - self.report_ms <= FRESH_SHARE * work_ms
-        if not is_fresh and now_ms - self.told_ms < TOLD_MS:
+        is_newer = self.report_ms > self.told_ms - TOLD_LAG_MS
+        if not is_newer and now_ms - self.told_ms < TOLD_MS:
             return self.told
         if self.report is None:
             return 0.0
