--- a/src/tarragonramp/dealing.py
+++ b/src/tarragonramp/dealing.py
@@ -65,7 +65,7 @@
     return RangeTable(service, tuple(ranges), addresses, n_ranges)
 
 
-def plan_moves(table, candidates, stays, n_moving=0):
+def plan_moves(table, candidates, stays, n_moving=0, busy=frozenset):
     """Return the ranges that should change their owner now, as they should be.
 
     First those whose owner may not have them any more; then some for a server that
@@ -80,6 +80,9 @@
         ``stays(KeyRange) -> bool``: whether its owner may keep it.
     n_moving : int
         How many are on their way already.
+    busy : callable
+        Returns the names of servers that have enough to do, however few keys they own;
+        asked only if one has few.
 
     Returns
     -------
@@ -112,7 +115,7 @@
         heapq.heappush(heap, (load, name))
     if orphans:
         return moved
-    return _fill_up(table, candidates, cost, room)
+    return _fill_up(table, candidates, cost, room, busy)
 
 
 def _by_owner(table, candidates):
@@ -125,8 +128,11 @@
     return by_owner
 
 
-def _fill_up(table, candidates, cost, room):
-    """Give servers that have far less than their share some ranges of the fullest."""
+def _fill_up(table, candidates, cost, room, busy):
+    """Give servers that have far less than their share some ranges of the fullest.
+
+    Not the owner of a key so busy that it was relieved of all others.
+    """
     by_owner = _by_owner(table, candidates)
     lives = {candidate.name: candidate.life for candidate in candidates}
     slots = {candidate.name: candidate.slots for candidate in candidates}
@@ -139,6 +145,8 @@
     for name in sorted(loads, key=loads.get):
         if loads[name] >= FAIR_SHARE * fair:
             break
+        if name in busy():
+            continue
         while loads[name] < FILLED_SHARE * fair and len(moved) < room:
             fullest = max(loads, key=loads.get)
             ranges = by_owner[fullest]
--- a/src/tarragonramp/hotspots.py
+++ b/src/tarragonramp/hotspots.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-__all__ = ["spread_heat"]
+__all__ = ["busy_servers", "spread_heat"]
 
 MAX_SPREAD = 12
 """Most moves of busy keys begun at a time; each is refused for some milliseconds."""
@@ -104,6 +104,19 @@
     return moved + kept
 
 
+def busy_servers(table, candidates, heat):
+    """Return the names of the servers that have at least as much to do as the mean.
+
+    Parameters
+    ----------
+    table, candidates, heat
+        As for :func:`spread_heat`.
+    """
+    owners = _owners(table, candidates, heat.by_key)
+    mean_ms = sum(owner.load_ms for owner in owners) / max(1, len(owners))
+    return frozenset(o.candidate.name for o in owners if o.load_ms >= mean_ms > 0)
+
+
 def _owners(table, candidates, by_key):
     """Return the candidates with their settled ranges."""
     owners = {c.name: _Owner(c) for c in candidates}
--- a/src/tarragonramp/roles/granter.py
+++ b/src/tarragonramp/roles/granter.py
@@ -22,7 +22,7 @@
     OvertakenGrantError,
 )
 from ..fleet_view import RANGES, SERVER
-from ..hotspots import spread_heat
+from ..hotspots import busy_servers, spread_heat
 from .grants import GrantKeeper
 from .mover import Mover
 from .relay import LEAST_RANGES
@@ -143,7 +143,11 @@
         newer = table.with_ranges(freed)
         n_moving = sum(self._is_asked(item) for item in newer.ranges)
         changed = plan_moves(
-            newer, candidates, lambda item: self._stays(service, item), n_moving
+            newer,
+            candidates,
+            lambda item: self._stays(service, item),
+            n_moving,
+            lambda: busy_servers(newer, candidates, self.leadership.heat_of(service)),
         )
         if not changed and not n_moving:
             changed = self._spread(service, newer, candidates)
--- a/tests/test_dealing.py
+++ b/tests/test_dealing.py
@@ -83,6 +83,20 @@
         settled = table.with_ranges([item.settled() for item in moved])
         self.assertEqual(plan_moves(settled, servers(7), self.stays(names)), [])
 
+    def test_a_server_that_was_relieved_of_all_but_a_busy_key_gets_none_back(self):
+        """One key takes a third of all requests; its owner gave all others away.
+
+        As it then had fewer keys than others it was given some at once, whose callers
+        found it full.
+        """
+        table = first_deal("parts", servers(6))
+        own = [item for item in table.ranges if item.owner == "s0"][1:]
+        table = table.with_ranges([r.moved_to("s1", 1).settled() for r in own])
+        stays = self.stays({c.name for c in servers(6)})
+        self.assertTrue(plan_moves(table, servers(6), stays))
+        moved = plan_moves(table, servers(6), stays, busy=lambda: {"s0"})
+        self.assertEqual(moved, [])
+
     def test_without_candidates_nothing_moves(self):
         table = first_deal("parts", servers(2))
         self.assertEqual(plan_moves(table, [], self.stays(set())), [])
