The hottest key goes to the quickest server

One key can have more requests than any server can take (116 a second of 90 ms at four slots). It can't be divided, but servers differ threefold in speed.

--- a/src/tarragonramp/balancing.py
+++ b/src/tarragonramp/balancing.py
@@ -375,6 +375,11 @@
         seen = self._of(name)
         return seen.told if now_ms - seen.told_ms < TOLD_MS else None
 
+    def speed(self, name, now_ms):
+        """Return how long work takes at a server lately, as a factor; 1 as usual."""
+        seen = self._of(name)
+        return seen.decayed(seen.speed, 1.0, now_ms)
+
     def is_passed_over(self, name, now_ms):
         """Tell whether a server failed a moment ago."""
         return self._of(name).passed_over_until_ms > now_ms
@@ -483,7 +488,7 @@
             return ""
         if expected_ms > wanted.left_ms * LATE_SHARE:
             return "no time"
-        speed = seen.decayed(seen.speed, 1.0, now_ms)
+        speed = self.speed(server.name, now_ms)
         room_ms = (
             wanted.target_left_ms * LATE_SHARE - self.work_ms(wanted.route) * speed
         )
--- a/src/tarragonramp/dealing.py
+++ b/src/tarragonramp/dealing.py
@@ -36,12 +36,15 @@
     address : str
     slots : int
         Requests that it works on at once.
+    speed : float
+        How long work takes there lately, as a factor; 1 as usual.
     """
 
     name: str
     life: int
     address: str = ""
     slots: int = 1
+    speed: float = 1.0
 
 
 def first_deal(service, candidates):
--- a/src/tarragonramp/hotspots.py
+++ b/src/tarragonramp/hotspots.py
@@ -27,6 +27,12 @@
 """How much more work has to move with a part of a range than with the best whole range:
 a cut range is renewed in pieces from then on."""
 
+HOT_KEY_SHARE = 0.5
+"""Part of a server that one key has to take to be worth a quicker server."""
+
+QUICKER = 0.75
+"""How long work may take there at most, as part of what it takes at its owner."""
+
 MAX_RANGES_PER_SERVER = 40
 """Cuts end here. Load: busy places that wander over all keys, day after day. Harm
 prevented: a table, and renewals, that grow with each of them."""
@@ -86,6 +92,8 @@
         return []
     cuts_left = MAX_RANGES_PER_SERVER * len(owners) - len(table.ranges)
     moved = []
+    if cuts_left >= 2 * MAX_SPREAD:
+        moved += _place_hottest(owners, heat.window_ms)
     for _ in range(MAX_SPREAD):
         fullest = max(owners, key=lambda owner: owner.load_ms)
         emptiest = min(owners, key=lambda owner: owner.load_ms)
@@ -143,6 +151,35 @@
     return fullest.load_ms >= BUSY_SHARE * heat.window_ms
 
 
+def _place_hottest(owners, window_ms):
+    """Move the busiest key of all to the quickest server; return what moves.
+
+    Load: one key gets much of the traffic, more than a server can take. Harm prevented:
+    its callers depending on chance. It can't be divided, but servers differ two or
+    three times in speed, and so does the number of its callers that are served.
+    """
+    owner, piece, at, hottest_ms = max(
+        (
+            (owner, piece, at, took_ms)
+            for owner in owners
+            for piece in owner.pieces
+            for at, (_, took_ms) in enumerate(piece.work)
+        ),
+        key=lambda found: found[3],
+        default=(None, None, 0, 0.0),
+    )
+    if owner is None or hottest_ms < HOT_KEY_SHARE * window_ms * owner.candidate.slots:
+        return []
+    quickest = min(owners, key=lambda owner: owner.candidate.speed)
+    if quickest.candidate.speed > QUICKER * owner.candidate.speed:
+        return []
+    moving = _cut(owner, piece, at, at + 1)
+    owner.add_load(-moving.busy_ms)
+    quickest.add_load(moving.busy_ms)
+    to = quickest.candidate
+    return [moving.item.moved_to(to.name, to.life)]
+
+
 def _take_piece(owner, most_ms, may_cut):
     """Take from an owner the piece with the most work up to a limit; None if none.
 
--- a/src/tarragonramp/roles/granter.py
+++ b/src/tarragonramp/roles/granter.py
@@ -205,14 +205,20 @@
         return spread_heat(table, candidates, self.leadership.heat_of(service))
 
     def _candidates(self, service):
-        directory = self.view.directory
+        directory, now_ms = self.view.directory, self.clock.now_ms()
         usable = directory.usable(service)
         warm = [server for server in usable if not directory.is_cold(server.name)]
         reached = [
             s for s in warm or usable if not self.keeper.is_unreachable(s.identity)
         ]
         return [
-            Candidate(server.name, server.life, server.address, server.slots)
+            Candidate(
+                server.name,
+                server.life,
+                server.address,
+                server.slots,
+                self.leadership.loads.speed(server.name, now_ms),
+            )
             for server in reached or warm or usable
         ]
 
--- a/tests/test_granter.py
+++ b/tests/test_granter.py
@@ -12,6 +12,7 @@
 from returns.result import Failure, Success
 
 from tarragonramp import ManualClock
+from tarragonramp.balancing import Loads
 from tarragonramp.directory import BackendServer
 from tarragonramp.errors import (
     ConflictError,
@@ -106,6 +107,7 @@
             term=1,
             inherited=Inherited(-1e9, -1e9),
             heat_of=lambda service: Heat({}, 0.0, 1.0),
+            loads=Loads("a"),
         )
         self.granter = Granter(
             self.view,
--- a/tests/test_hotspots.py
+++ b/tests/test_hotspots.py
@@ -13,6 +13,7 @@
 from tarragonramp.heat import HALF_LIFE_MS, TOLD_KEYS, Heat, HeatCounts, WorkCounts
 from tarragonramp.hotspots import MAX_RANGES_PER_SERVER, spread_heat
 from tarragonramp.manifest import N_KEYS
+from tarragonramp.ranges import GAP
 
 WINDOW_MS = 4300.0
 
@@ -124,6 +125,23 @@
         self.assertLess(load_of(after, work)[slow], 0.4 * load_of(table, work)[slow])
         self.assertLess(n_moved, 20)
 
+    def test_a_hot_key_moves_to_the_quickest_server_once(self):
+        table = first_deal("parts", servers(13))
+        item = table.ranges[50]
+        candidates = [
+            attrs.evolve(c, speed=0.5 if c.name in ("s4", "s9") else 1.0)
+            for c in servers(13)
+            if item.owner not in ("s4", "s9")
+        ]
+        work = {item.first + at: 90.0 for at in (8, 10)} | {item.first + 9: 9000.0}
+        heat = Heat(work, 90.0, WINDOW_MS)
+        for _ in range(3):
+            changed = spread_heat(table, candidates, heat)
+            table = table.with_ranges([r.settled() for r in changed])
+        owned = table.find(item.first + 9)
+        self.assertEqual((owned.owner, owned.n_keys), ("s4", 1))
+        self.assertEqual(owned.token, 1 + GAP)
+
     def test_cuts_end_at_a_limit(self):
         """Busy places wander over all keys for days, and nobody joins ranges again."""
         table = first_deal("parts", servers(4))
@@ -189,7 +207,12 @@
             Whether busy keys move.
         """
         rng, counts = random.Random(self.seed), HeatCounts()
-        owners = servers(len(self.speeds), self.slots)
+        owners = [
+            attrs.evolve(candidate, speed=speed)
+            for candidate, speed in zip(
+                servers(len(self.speeds), self.slots), self.speeds, strict=True
+            )
+        ]
         table = first_deal("parts", owners)
         free = {c.name: [0.0] * self.slots for c in owners}
         speed = {c.name: s for c, s in zip(owners, self.speeds, strict=True)}
@@ -264,6 +287,25 @@
         self.assertGreater(with_moves, without + 0.04)
         self.assertGreater(with_moves, 0.85)
 
+    def test_one_key_that_no_server_can_take(self):
+        """A third of all requests are for one key, twice what its owner can do.
+
+        Nothing can be divided; but the quickest server, relieved of all else, answers
+        twice as many of its callers as the others.
+        """
+
+        def hot_at(place):
+            def hot(rng, now_ms):
+                if 2000 < now_ms < 10_000 and rng.random() < 0.35:
+                    return place
+                return rng.randrange(N_KEYS)
+
+            return hot
+
+        without, with_moves = self.shares(hot_at, per_s=250.0)
+        self.assertGreater(with_moves, without + 0.05)
+        self.assertGreater(with_moves, 0.88)
+
     def test_one_slow_server(self):
         """A neighbour on its machine makes one of nine servers six times slower."""
         play = KeyedPlay([1.0] * 8 + [6.0], target_ms=800.0)
