--- a/src/tarragonramp/roles/granter.py
+++ b/src/tarragonramp/roles/granter.py
@@ -18,7 +18,6 @@
 from ..dealing import Candidate, first_deal, plan_moves
 from ..errors import (
     ConflictError,
-    NotFoundError,
     OvertakenGrantError,
 )
 from ..fleet_view import RANGES, SERVER
@@ -307,12 +306,13 @@
 
         It may have started again under its name, and would take the old grant as a
         new one, with a token that another server has had. If the store can't say, the
-        server's entry counts as it was.
+        server is not granted anything until it can: keys that nobody serves for the
+        rest of an outage cost less than two servers that do.
         """
         name, life = identity
         found = self.store.get(SERVER, name)
         if not is_successful(found):
-            return not isinstance(found.failure(), NotFoundError)
+            return False
         server = self.read_server(found.unwrap())
         return is_successful(server) and server.unwrap().life == life
 
--- a/tests/test_granter.py
+++ b/tests/test_granter.py
@@ -496,6 +496,27 @@
         gevent.sleep(TIMING.regrant_ms / 1000.0 + 0.5)
         self.assertEqual(len(self.grants_to("old")), before)
 
+    def test_a_server_that_nobody_can_look_up_is_not_renewed(self):
+        """The store is down while a server ends and starts again under its name.
+
+        Its entry counted as it was, and its new life got the old token. Once the store
+        can say that it is the same life, its keys are renewed again.
+        """
+        self.own()
+        self.list_servers(server("old"))
+        self.start()
+        self.assertTrue(self.wait(lambda: self.grants_to("old")))
+        get = self.store.get
+        self.store.get = lambda kind, name: Failure(UnansweredError("store is away"))
+        self.servers.lost = True
+        gevent.sleep(0.3)
+        before = len(self.grants_to("old"))
+        gevent.sleep(TIMING.regrant_ms / 1000.0 + 0.5)
+        self.assertEqual(len(self.grants_to("old")), before)
+        self.store.get = get
+        renewed = self.wait(lambda: len(self.grants_to("old")) > before, 6.0)
+        self.assertTrue(renewed)
+
     def test_a_later_life_lets_go_of_what_was_meant_for_the_earlier_one(self):
         """A server restarts while keys move to it, and is listed a moment later.
 
