--- a/demo/run.py
+++ b/demo/run.py
@@ -41,6 +41,11 @@
 EXIT_BROKEN = 1
 EXIT_NOT_STARTED = 3
 EXIT_INTERRUPTED = 130
+STOPPING = (signal.SIGINT, signal.SIGTERM)
+
+
+class Interrupted(BaseException):
+    """Somebody stops the demo."""
 
 
 def main():
@@ -56,11 +61,11 @@
     parser.add_argument("--seconds", type=float, default=15.0)
     parser.add_argument("--keep", action="store_true", help="keep logs")
     options = parser.parse_args()
-    signal.signal(signal.SIGTERM, _interrupt)
+    _interrupt_on_signals(gevent.getcurrent())
     site = Site()
     try:
         return _run(site, options.seconds)
-    except KeyboardInterrupt:
+    except Interrupted:
         print("\ninterrupted; stopping all processes")
         return EXIT_INTERRUPTED
     except (StartError, TimeoutError) as error:
@@ -68,8 +73,8 @@
         return EXIT_NOT_STARTED
     finally:
         # A second interrupt must not leave processes behind.
-        signal.signal(signal.SIGINT, signal.SIG_IGN)
-        signal.signal(signal.SIGTERM, signal.SIG_IGN)
+        for number in STOPPING:
+            signal.signal(number, signal.SIG_IGN)
         site.stop()
         if options.keep:
             print(f"logs kept in {site.folder}")
@@ -77,8 +82,22 @@
             shutil.rmtree(site.folder, ignore_errors=True)
 
 
-def _interrupt(number, frame):
-    raise KeyboardInterrupt
+def _interrupt_on_signals(greenlet):
+    """Let the first signal to stop raise Interrupted in a greenlet, and no other one.
+
+    Raised wherever the signal finds the process, an interrupt may end in a callback or
+    a finalizer, which swallow it: the demo then went on to its end.
+    """
+    watchers = []
+
+    def interrupt():
+        if watchers:
+            for watcher in watchers:
+                watcher.cancel()
+            watchers.clear()
+            gevent.kill(greenlet, Interrupted, block=False)
+
+    watchers += [gevent.signal_handler(number, interrupt) for number in STOPPING]
 
 
 def _run(site, seconds):
