--- a/demo/run.py
+++ b/demo/run.py
@@ -88,16 +88,14 @@
     Raised wherever the signal finds the process, an interrupt may end in a callback or
     a finalizer, which swallow it: the demo then went on to its end.
     """
-    watchers = []
+    pending = [greenlet]
 
     def interrupt():
-        if watchers:
-            for watcher in watchers:
-                watcher.cancel()
-            watchers.clear()
-            gevent.kill(greenlet, Interrupted, block=False)
+        while pending:
+            gevent.kill(pending.pop(), Interrupted)
 
-    watchers += [gevent.signal_handler(number, interrupt) for number in STOPPING]
+    for number in STOPPING:
+        gevent.signal_handler(number, interrupt)
 
 
 def _run(site, seconds):
