--- a/src/tarragonramp/balancing.py
+++ b/src/tarragonramp/balancing.py
@@ -4,53 +4,23 @@
 servers said of their load with their latest answers. Nothing here sends or waits.
 """
 
-import collections
 import math
 import random
 
 import attrs
 
+from .sightings import ServerSeen
+
 __all__ = [
     "Chosen",
-    "LoadReport",
     "Loads",
     "Refused",
     "Wanted",
-    "connection_share",
-    "may_connect",
 ]
 
-MEAN_WEIGHT = 0.15
-"""Weight of the newest answer in a server's mean: some ten answers move it, so that one
-long piece of work among short ones does not look like a slow server."""
-
 ROUTE_WEIGHT = 0.05
 """Weight of the newest answer in a route's mean, which all its servers share."""
 
-REPORT_SHARE, LEAST_REPORT_MS = 1.0, 150.0
-"""Age at which a load report counts for half, as part of the time that work takes.
-Load: other daemons' requests at the same server, which end in that time. Harm
-prevented: passing over a server for work that has long been done, or queueing behind
-work that has only begun."""
-
-TOLD_LAG_MS = 200.0
-"""How old on average what other daemons told is when it comes here, by way of the
-leader. A server's own report that is newer goes before it. Load: busy owners, which all
-daemons ask at once. Harm prevented: a queue there that this daemon does not see, or one
-that it still sees when it has gone."""
-
-TOLD_MS = 1500.0
-"""How long what other daemons told is used: three times as long as it takes to come."""
-
-SLOWNESS_MS = 200.0
-"""Age at which a report of how long work takes counts for half; it changes many times a
-second."""
-
-FORGET_MS = 2500.0
-"""Time in which half of what is held against a server without answers is forgotten.
-Load: a server slowed by a neighbour for seconds. Harm prevented: never finding out
-that it is quick again, as nobody asks it."""
-
 FAILURE_MS = 1000.0
 """How long a server is passed over after a connection failed, while others are there.
 Load: a server that is gone. Harm prevented: each request trying it first. A second
@@ -80,71 +50,11 @@
 never asked, as a factor. Load: servers join while the others are quick and not busy.
 Harm prevented: nobody ever asking the new ones. Below the quickest of a service."""
 
-CONNECTION_SHARE = 0.75
-"""Part of a server's connections that the daemons divide among them, firmly: a
-connection beyond what a server takes is reset, with whatever was sent on it."""
-
-SPARE_SHARE = 0.5
-"""Part of what is left over that all requests under way together may take. Load: one
-key gets much of the traffic of a large fleet, where the firm share is a single
-connection. Harm prevented: callers refused although the server has room; the other half
-is for daemons that borrow at the same moment, before they hear of each other."""
-
 MIN_RETRY_S = 0.05
 MAX_RETRY_S = 5.0
 FIRST_WORK_MS = 150.0
 
 
-def connection_share(limit, n_daemons):
-    """Return how many connections to a server a daemon may hold whatever others do.
-
-    Parameters
-    ----------
-    limit : int
-        Connections that the server takes from all daemons together.
-    n_daemons : int
-    """
-    return max(1, int(limit * CONNECTION_SHARE / n_daemons))
-
-
-def may_connect(limit, n_daemons, own, others):
-    """Tell whether a daemon may have one more request under way at a server.
-
-    Parameters
-    ----------
-    limit, n_daemons : int
-        As for :func:`connection_share`.
-    own : int
-        Requests of this daemon under way there.
-    others : int or None
-        Those of all other daemons; None if they have not told lately.
-    """
-    share = connection_share(limit, n_daemons)
-    if own < share:
-        return True
-    if others is None:
-        return False
-    return own + others < SPARE_SHARE * (limit - share * n_daemons)
-
-
-@attrs.frozen
-class LoadReport:
-    """What a server says of its load with an answer.
-
-    Parameters
-    ----------
-    running, waiting, slots : float
-        Requests from all callers together.
-    slowness : float
-        How long work takes there at this moment; 1 as usual.
-    """
-
-    running: float
-    waiting: float
-    slots: float
-    slowness: float = 1.0
-
-
 @attrs.frozen
 class Wanted:
     """What a request needs.
@@ -205,48 +115,6 @@
     inputs: dict = attrs.Factory(dict)
 
 
-@attrs.define(eq=False)
-class _Seen:
-    """What one daemon has seen of one server."""
-
-    in_flight: collections.Counter = attrs.Factory(collections.Counter)
-    speed: float = 1.0
-    is_asked: bool = False
-    failures: float = 0.0
-    report: object = None
-    report_ms: float = -math.inf
-    own_at_report: int = 0
-    told: float = 0.0
-    told_ms: float = -math.inf
-    changed_ms: float = -math.inf
-    passed_over_until_ms: float = -math.inf
-
-    @property
-    def n_in_flight(self):
-        """Requests of this daemon there, of all routes."""
-        return self.in_flight.total()
-
-    def others(self, work_ms, now_ms):
-        """Requests of other daemons that are probably there now.
-
-        From the server's own last word or from what the other daemons told, whichever
-        is newer; both get old.
-        """
-        is_newer = self.report_ms > self.told_ms - TOLD_LAG_MS
-        if not is_newer and now_ms - self.told_ms < TOLD_MS:
-            return self.told
-        if self.report is None:
-            return 0.0
-        at_report = self.report.running + self.report.waiting - self.own_at_report
-        age = (now_ms - self.report_ms) / max(LEAST_REPORT_MS, REPORT_SHARE * work_ms)
-        return max(0.0, at_report) * 0.5**age
-
-    def decayed(self, value, calm, now_ms):
-        """Return a mean that moves back to calm while nothing is heard."""
-        age = max(0.0, now_ms - self.changed_ms) / FORGET_MS
-        return calm + (value - calm) * 0.5**age
-
-
 @attrs.define(eq=False)
 class _Asked:
     """Work of the latest requests for a service, in ms a request."""
@@ -324,15 +192,15 @@
     def expected_ms(self, server, route, now_ms):
         """Return how long an answer from a server should take, waiting included."""
         seen = self._of(server.name)
-        work_ms = self.work_ms(route) * self._speed_now(seen, now_ms)
-        failures = min(0.9, seen.decayed(seen.failures, 0.0, now_ms))
+        work_ms = self.work_ms(route) * seen.speed_now(now_ms)
+        failures = min(0.9, seen.failure_share(now_ms))
         wait_ms = self.wait_ms(server, route, now_ms)
         return (work_ms + wait_ms) / (1.0 - failures)
 
     def wait_ms(self, server, route, now_ms):
         """Return how long a request would wait for one of a server's slots."""
         seen = self._of(server.name)
-        speed = self._speed_now(seen, now_ms)
+        speed = seen.speed_now(now_ms)
         excess, each_ms = self._ahead(server, speed, now_ms)
         return excess * each_ms * speed / server.slots
 
@@ -372,13 +240,11 @@
 
     def told_in_flight(self, name, now_ms):
         """Return the other daemons' requests at a server; None if that is old."""
-        seen = self._of(name)
-        return seen.told if now_ms - seen.told_ms < TOLD_MS else None
+        return self._of(name).told_lately(now_ms)
 
     def speed(self, name, now_ms):
         """Return how long work takes at a server lately, as a factor; 1 as usual."""
-        seen = self._of(name)
-        return seen.decayed(seen.speed, 1.0, now_ms)
+        return self._of(name).usual_speed(now_ms)
 
     def is_passed_over(self, name, now_ms):
         """Tell whether a server failed a moment ago."""
@@ -407,14 +273,11 @@
         """
         route = chosen.route
         seen = self._done(chosen, report, now_ms)
-        speed = seen.decayed(seen.speed, 1.0, now_ms)
+        speed = seen.usual_speed(now_ms)
         # Waiting and work can't be told apart, so both are taken to have been off by
         # the same factor.
         expected_ms = max(1.0, chosen.wait_ms + self.work_ms(route) * speed)
-        ratio = min(4.0, max(0.25, took_ms / expected_ms))
-        seen.speed = min(20.0, max(0.1, speed * ratio**MEAN_WEIGHT))
-        seen.failures = seen.decayed(seen.failures, 0.0, now_ms) * (1.0 - MEAN_WEIGHT)
-        seen.changed_ms = now_ms
+        seen.note_answer(took_ms / expected_ms, now_ms)
         if not chosen.wait_ms:
             usual_ms = self._work_ms.get(route, took_ms)
             own_ms = took_ms / speed
@@ -423,12 +286,12 @@
     def shed(self, chosen, report, now_ms):
         """Take in that a server refused a request without running it."""
         seen = self._done(chosen, report, now_ms)
-        self._note_failure(seen, now_ms)
+        seen.note_failure(now_ms)
 
     def failed(self, chosen, now_ms, at_connect=False):
         """Take in that an exchange failed; whether not even a connection came up."""
         seen = self._done(chosen, None, now_ms)
-        self._note_failure(seen, now_ms)
+        seen.note_failure(now_ms)
         if at_connect:
             seen.passed_over_until_ms = now_ms + FAILURE_MS
 
@@ -453,7 +316,7 @@
         for name in totals:
             self._of(name)
         for name, seen in self._seen.items():
-            seen.told, seen.told_ms = totals.get(name, 0), now_ms
+            seen.note_told(totals.get(name, 0), now_ms)
 
     def forget(self, names):
         """Forget all servers but some, and those with requests under way."""
@@ -483,7 +346,7 @@
         late because the server is slow, not because there are more of them.
         """
         seen = self._of(server.name)
-        excess, each_ms = self._ahead(server, self._speed_now(seen, now_ms), now_ms)
+        excess, each_ms = self._ahead(server, seen.speed_now(now_ms), now_ms)
         if excess <= 0:
             return ""
         if expected_ms > wanted.left_ms * LATE_SHARE:
@@ -509,27 +372,12 @@
     def _of(self, name):
         seen = self._seen.get(name)
         if seen is None:
-            seen = self._seen[name] = _Seen()
+            seen = self._seen[name] = ServerSeen()
         return seen
 
     def _done(self, chosen, report, now_ms):
         seen = self._of(chosen.server.name)
         seen.in_flight[chosen.route] -= 1
         if report is not None:
-            seen.report, seen.report_ms = report, now_ms
-            # The answered request is counted in the report no more.
-            seen.own_at_report = seen.n_in_flight
+            seen.note_report(report, now_ms)
         return seen
-
-    def _note_failure(self, seen, now_ms):
-        failures = seen.decayed(seen.failures, 0.0, now_ms)
-        seen.failures = failures + 0.25 * (1.0 - failures)
-        seen.changed_ms = now_ms
-
-    def _speed_now(self, seen, now_ms):
-        """Return how long work takes at a server at this moment, as a factor."""
-        speed = seen.decayed(seen.speed, 1.0, now_ms)
-        if seen.report is not None:
-            age = (now_ms - seen.report_ms) / SLOWNESS_MS
-            speed *= 1.0 + (seen.report.slowness - 1.0) * 0.5**age
-        return speed
--- a/src/tarragonramp/roles/router.py
+++ b/src/tarragonramp/roles/router.py
@@ -17,7 +17,8 @@
     error_reply,
     read_body,
 )
-from ..balancing import Refused, Wanted, connection_share, may_connect
+from ..balancing import Refused, Wanted
+from ..connections import connection_share, may_connect
 from ..errors import AbandonedError, NotSentError, RequestError
 from ..meters import ANSWERED, NOT_RUN, UNKNOWN
 from ..request import end_to_end_answer
--- a/tests/test_balancing.py
+++ b/tests/test_balancing.py
@@ -6,14 +6,13 @@
 
 from tarragonramp.balancing import (
     Chosen,
-    LoadReport,
     Loads,
     Refused,
     Wanted,
-    connection_share,
-    may_connect,
 )
+from tarragonramp.connections import connection_share, may_connect
 from tarragonramp.directory import BackendServer
+from tarragonramp.sightings import LoadReport
 
 TARGET_MS, LIMIT_MS = 600.0, 1500.0
 
