--- a/src/tarragonramp/roles/granter.py
+++ b/src/tarragonramp/roles/granter.py
@@ -307,8 +307,11 @@
         It may have started again under its name, and would take the old grant as a
         new one, with a token that another server has had. If the store can't say, the
         server is not granted anything until it can: keys that nobody serves for the
-        rest of an outage cost less than two servers that do.
+        rest of an outage cost less than two servers that do. It isn't asked as long as
+        it does not confirm this leader: each call is paid for.
         """
+        if not self.leadership.may_move:
+            return False
         name, life = identity
         found = self.store.get(SERVER, name)
         if not is_successful(found):
--- a/tests/test_granter.py
+++ b/tests/test_granter.py
@@ -507,12 +507,27 @@
         self.start()
         self.assertTrue(self.wait(lambda: self.grants_to("old")))
         get = self.store.get
-        self.store.get = lambda kind, name: Failure(UnansweredError("store is away"))
+        asked = []
+
+        def fail(kind, name):
+            asked.append(name)
+            return Failure(UnansweredError("store is away"))
+
+        self.store.get = fail
         self.servers.lost = True
         gevent.sleep(0.3)
         before = len(self.grants_to("old"))
         gevent.sleep(TIMING.regrant_ms / 1000.0 + 0.5)
         self.assertEqual(len(self.grants_to("old")), before)
+        self.assertTrue(asked)
+        # Once it is known that the store does not hear this leader, it isn't asked.
+        self.leader.may_move = False
+        gevent.sleep(0.1)
+        n_asked = len(asked)
+        gevent.sleep(2.5)
+        self.assertEqual(len(asked), n_asked)
+        self.assertEqual(len(self.grants_to("old")), before)
+        self.leader.may_move = True
         self.store.get = get
         renewed = self.wait(lambda: len(self.grants_to("old")) > before, 6.0)
         self.assertTrue(renewed)
