--- a/src/tarragonramp/dealing.py
+++ b/src/tarragonramp/dealing.py
@@ -85,7 +85,7 @@
         How many are on their way already.
     busy : callable
         Returns the names of servers that have enough to do, however few keys they own;
-        asked only if one has few.
+        asked once, and only if one has few.
 
     Returns
     -------
@@ -144,11 +144,12 @@
         if lives.get(item.owner) == item.life:
             loads[item.owner] += cost(item) / slots[item.owner]
     fair = 1.0 / sum(slots.values())
-    moved = []
-    for name in sorted(loads, key=loads.get):
-        if loads[name] >= FAIR_SHARE * fair:
-            break
-        if name in busy():
+    short = [name for name in loads if loads[name] < FAIR_SHARE * fair]
+    if not short:
+        return []
+    moved, full = [], busy()
+    for name in sorted(short, key=loads.get):
+        if name in full:
             continue
         while loads[name] < FILLED_SHARE * fair and len(moved) < room:
             fullest = max(loads, key=loads.get)
--- a/src/tarragonramp/heat.py
+++ b/src/tarragonramp/heat.py
@@ -10,8 +10,10 @@
 """Time in which half of the counted work for a key is forgotten: keys become busy
 within seconds."""
 
-LEAST_WORK_MS = 1.0
-"""Work of a key below which it is forgotten altogether."""
+LEAST_WORK_MS = 5.0
+"""Work of a key below which it is forgotten altogether: a single request's some seconds
+later. Load: thousands of keys that are asked for once. Harm prevented: looking at all
+of them each time it is decided what moves."""
 
 TOLD_KEYS = 48
 """Most keys of a service that a daemon names in one message. Load: thousands of
--- a/src/tarragonramp/ranges.py
+++ b/src/tarragonramp/ranges.py
@@ -2,6 +2,7 @@
 
 import bisect
 import collections
+import functools
 import itertools
 
 import attrs
@@ -170,7 +171,8 @@
             this table again.
         """
         before = {item.first: item for item in earlier.ranges}
-        ranges = tuple(r for r in self.ranges if before.get(r.first) != r)
+        pairs = ((before.get(item.first), item) for item in self.ranges)
+        ranges = tuple(new for old, new in pairs if old is not new and old != new)
         return RangeTable(self.service, ranges, self.addresses)
 
     def to_spec(self):
@@ -200,7 +202,8 @@
     def _bounds_spec(self):
         bounds = [(r.first, r.last) for r in self.ranges]
         n_dealt = self.n_dealt or len(bounds)
-        cuts = sorted(set(self._firsts) - {first for first, _ in even_bounds(n_dealt)})
+        starts = _even_starts(n_dealt)
+        cuts = [first for first in self._firsts if first not in starts]
         if bounds == _cut_bounds(n_dealt, cuts):
             return {"bounds": n_dealt, "cuts": cuts}
         return {"bounds": bounds}
@@ -240,11 +243,18 @@
 
 def _cut_bounds(n_dealt, cuts):
     """Return first and last key of even ranges some of which are cut before keys."""
-    starts = {first for first, _ in even_bounds(n_dealt)}.union(cuts)
-    ordered = [*sorted(starts), N_KEYS]
+    if not cuts:
+        return even_bounds(n_dealt)
+    ordered = [*sorted(_even_starts(n_dealt).union(cuts)), N_KEYS]
     return [(first, end - 1) for first, end in itertools.pairwise(ordered)]
 
 
+@functools.lru_cache(maxsize=64)
+def _even_starts(n_dealt):
+    """Return the first keys of some ranges that divide all keys evenly."""
+    return frozenset(first for first, _ in even_bounds(n_dealt))
+
+
 KEPT_TABLES = 32
 """Versions of a table that are kept. Load: many moves, each written twice, while each
 daemon is heard every half second. One that has missed more gets the whole table."""
--- a/src/tarragonramp/roles/leadership.py
+++ b/src/tarragonramp/roles/leadership.py
@@ -221,10 +221,10 @@
 
     def _news_wait_ms(self):
         """Return how long a daemon waits for news here."""
-        if not self._has_queues():
-            return NEWS_WAIT_MS
         each_ms = NEWS_WAIT_EACH_MS * len(self.view.daemons)
-        return min(NEWS_WAIT_MS, max(LEAST_NEWS_WAIT_MS, each_ms))
+        if each_ms >= NEWS_WAIT_MS or not self._has_queues():
+            return NEWS_WAIT_MS
+        return max(LEAST_NEWS_WAIT_MS, each_ms)
 
     def _has_queues(self):
         """Tell whether any server has more requests than it works on at once."""
