--- a/src/tarragonramp/hotspots.py
+++ b/src/tarragonramp/hotspots.py
@@ -90,10 +90,10 @@
     owners = _owners(table, candidates, heat.by_key)
     if len(owners) < 2:
         return []
-    cuts_left = MAX_RANGES_PER_SERVER * len(owners) - len(table.ranges)
-    moved = []
-    if cuts_left >= 2 * MAX_SPREAD:
-        moved += _place_hottest(owners, heat.window_ms)
+    # Each move may leave two pieces more.
+    most_ranges = len(table.ranges) + 2 * (MAX_SPREAD + 1)
+    may_cut = most_ranges <= MAX_RANGES_PER_SERVER * len(owners)
+    moved = _place_hottest(owners, heat.window_ms) if may_cut else []
     for _ in range(MAX_SPREAD):
         fullest = max(owners, key=lambda owner: owner.load_ms)
         emptiest = min(owners, key=lambda owner: owner.load_ms)
@@ -101,7 +101,7 @@
             break
         gap_ms = fullest.load_ms - emptiest.load_ms
         most_ms = MOVED_SHARE * gap_ms * fullest.candidate.slots
-        piece = _take_piece(fullest, most_ms, may_cut=cuts_left >= 2 * MAX_SPREAD)
+        piece = _take_piece(fullest, most_ms, may_cut)
         if piece is None:
             break
         fullest.add_load(-piece.busy_ms)
