--- a/src/tarragonramp/fleet.py
+++ b/src/tarragonramp/fleet.py
@@ -326,7 +326,7 @@
         while True:
             gevent.sleep(10.0)
             self.router.loads.forget(self.view.directory.servers)
-            self.router.forget_moves()
+            self.router.owners.forget_moves()
 
     def _say_ready(self, environ, start_response):
         if environ["PATH_INFO"] != self.ports.ready_path:
--- a/src/tarragonramp/roles/router.py
+++ b/src/tarragonramp/roles/router.py
@@ -23,21 +23,15 @@
 from ..meters import ANSWERED, NOT_RUN, UNKNOWN
 from ..request import end_to_end_answer
 from ..retries import RetryBudget
+from .orders import Order
+from .owners import OWNER_GONE_RETRY_S, Owners
 
 __all__ = ["Router"]
 
-OWNER_WAIT_MS = 200.0
-"""How long a request waits for keys that are on their way between two servers that
-live: a release and a grant take some milliseconds, unless work has to end first. After
-that the new owner is asked: it may have its grant while the store is slow to say so."""
-
-GRANT_WAIT_MS = 30.0
-"""How long a request that its key's owner refused waits, and twice as long after the
-second time: a new owner's grant comes some milliseconds after its naming."""
-
-OWNER_GONE_RETRY_S = 0.6
 NO_ROUTES_RETRY_S = 0.3
 COLD_RETRY_S = 0.5
+FULL_RETRY_S = 0.3
+SHED_RETRY_S = 0.2
 SHORTEST_TRY_MS = 20.0
 """A request with less time left is not sent (again): no answer could come in time, and
 the server would work for nobody."""
@@ -60,35 +54,6 @@
 SUCCESSES = range(200, 300)
 
 
-@attrs.define
-class _Order:
-    """A caller's request on its way through the router."""
-
-    named: str
-    method: str
-    target: str
-    headers: list
-    body: bytes
-    route: object
-    service: str
-    key: object
-    arrived_ms: float
-    until_ms: float
-    is_wanted: object
-    tried: list = attrs.Factory(list)
-    in_doubt: bool = False
-    reason: str = ""
-
-    def refusal(self, status, reason, retry_after_s=None, **inputs):
-        """Return the error of a request that is not sent (again).
-
-        "Not run" only if no earlier try may have run. The inputs are what decided it.
-        """
-        if self.in_doubt:
-            return RequestError(502, UNKNOWN, reason, None, inputs)
-        return RequestError(status, NOT_RUN, reason, retry_after_s, inputs)
-
-
 @attrs.define(eq=False, repr=False)
 class Router:
     """A WSGI application for callers.
@@ -115,9 +80,13 @@
     clock: object
     counts: collections.Counter = attrs.Factory(collections.Counter)
     _budgets: dict = attrs.Factory(dict)
-    _slow_moves: set = attrs.Factory(set)
+    owners: Owners = attrs.field(init=False)
     _rng: random.Random = attrs.Factory(random.Random)
 
+    def __attrs_post_init__(self):
+        """Look for owners in the same view."""
+        self.owners = Owners(self.view, self.clock)
+
     def __call__(self, environ, start_response):
         """Serve one request of a caller."""
         times = self.meter.begin(environ.get(ARRIVED_KEY) or self.clock.now_ms())
@@ -153,7 +122,7 @@
         patience_ms = route.timeout_ms
         if facts.patience_ms is not None:
             patience_ms = min(patience_ms, facts.patience_ms)
-        order = _Order(
+        order = Order(
             named=facts.request_id,
             method=environ["REQUEST_METHOD"],
             target=environ[TARGET_KEY],
@@ -165,6 +134,7 @@
             arrived_ms=times.began_ms,
             until_ms=times.began_ms + patience_ms,
             is_wanted=lambda: not caller_is_gone(environ),
+            clock=self.clock,
         )
         return self._deliver(order, times)
 
@@ -217,8 +187,9 @@
         choice = self.loads.choose(servers, wanted, now_ms)
         if isinstance(choice, Refused):
             self._note_unmet(order)
-            retry_s = self._retry_after_s(order, choice.retry_after_s)
-            raise order.refusal(503, choice.reason, retry_s, **choice.inputs)
+            raise order.refusal_for_now(
+                choice.reason, choice.retry_after_s, **choice.inputs
+            )
         self._take_cold_share(order, choice.server, now_ms)
         return choice
 
@@ -251,76 +222,17 @@
         else:
             reason = "no connection left"
         if not room:
-            raise order.refusal(503, reason, self._retry_after_s(order, 0.3))
+            raise order.refusal_for_now(reason, FULL_RETRY_S)
         return warm or room
 
     def _owner(self, order):
-        """Return the owner of a request's key, waiting a moment while it changes.
-
-        Load: an owner that vanished, so that its keys are free only when time has
-        proved it, or one whose work lasts for long. Harm prevented: each request being
-        held, and then refused by the next owner, which has no grant yet. One waits in
-        vain; all others are told at once.
-        """
         if order.key is None:
             raise RequestError(400, NOT_RUN, "the request carries no key")
-        until_ms = min(self.clock.now_ms() + OWNER_WAIT_MS, order.until_ms)
-        while True:
-            item = self._owned_range(order)
-            server = self._server_of(item)
-            if server is None or not order.is_wanted():
-                retry_s = self._retry_after_s(order, OWNER_GONE_RETRY_S)
-                inputs = self._owner_inputs(order)
-                raise order.refusal(503, "key has no owner", retry_s, **inputs)
-            if not item.is_moving:
-                break
-            move = order.service, item.first, item.token
-            left_ms = until_ms - self.clock.now_ms()
-            if left_ms <= 0:
-                self._slow_moves.add(move)
-                break
-            if move in self._slow_moves:
-                retry_s = self._retry_after_s(order, OWNER_GONE_RETRY_S)
-                inputs = self._owner_inputs(order)
-                raise order.refusal(503, "key is on its way", retry_s, **inputs)
-            self.view.wait(min(left_ms, 50.0))
+        server = self.owners.find(order)
         if not self._has_connections(server):
-            retry_s = self._retry_after_s(order, 0.3)
-            raise order.refusal(503, "no connection left", retry_s)
+            raise order.refusal_for_now("no connection left", FULL_RETRY_S)
         return server
 
-    def forget_moves(self):
-        """Forget which moves took long; those still under way are noted again."""
-        self._slow_moves.clear()
-
-    def _owner_inputs(self, order):
-        """Return what is known of a key's owner, for the log."""
-        item = self._owned_range(order)
-        version = self.view.table_version(order.service)
-        if item is None:
-            return {"key": order.key, "table_version": version}
-        return {
-            "key": order.key,
-            "table_version": version,
-            "first": item.first,
-            "token": item.token,
-            "owner": item.owner,
-            "owner_before": item.old_owner,
-        }
-
-    def _owned_range(self, order):
-        table = self.view.tables.get(order.service)
-        return table.find(order.key) if table is not None else None
-
-    def _server_of(self, item):
-        if item is None or not item.owner:
-            return None
-        directory = self.view.directory
-        server = directory.servers.get(item.owner)
-        if server is None or server.life != item.life:
-            return None
-        return server if directory.may_serve(server) else None
-
     def _has_connections(self, server):
         limit = self.view.service(server.service).connections
         own = self.loads.in_flight(server.name)
@@ -336,8 +248,7 @@
         known = self.view.daemons if len(self.view.daemons) > 1 else ()
         if not self.cold.take(server.name, bound, known, now_ms):
             self._note_unmet(order)
-            retry_s = self._retry_after_s(order, COLD_RETRY_S)
-            raise order.refusal(503, "server is cold", retry_s)
+            raise order.refusal_for_now("server is cold", COLD_RETRY_S)
 
     def _exchange(self, order, chosen):
         """Send a request to a server once; return the result and how long it took."""
@@ -415,20 +326,10 @@
         if not facts.misdirected:
             self._note_unmet(order)
         if facts.misdirected and self.view.service(order.service).divided:
-            self._await_owner(order)
+            self.owners.await_next(order)
         if len(order.tried) > order.route.attempts or not budget.spend():
             reason = "owner changes" if facts.misdirected else "server is busy"
-            raise order.refusal(503, reason, self._retry_after_s(order, 0.2))
-
-    def _await_owner(self, order):
-        """Wait a moment for a newer owner, or for a new owner's grant to arrive."""
-        before = self._owned_range(order)
-        pause_ms = GRANT_WAIT_MS * len(order.tried)
-        until_ms = min(self.clock.now_ms() + pause_ms, order.until_ms)
-        while (left_ms := until_ms - self.clock.now_ms()) > 0 and order.is_wanted():
-            self.view.wait(left_ms)
-            if self._owned_range(order) != before:
-                return
+            raise order.refusal_for_now(reason, SHED_RETRY_S)
 
     def _after_failure(self, order, chosen, error, budget):
         """Return if a request may be sent again after a failed exchange; else raise.
@@ -443,8 +344,7 @@
         self._log_try(order, str(error))
         if isinstance(error, NotSentError):
             if self.view.service(order.service).divided or len(order.tried) > 3:
-                retry_s = self._retry_after_s(order, OWNER_GONE_RETRY_S)
-                raise order.refusal(503, "server not reached", retry_s)
+                raise order.refusal_for_now("server not reached", OWNER_GONE_RETRY_S)
             return
         order.in_doubt = True
         if self.clock.now_ms() >= order.until_ms:
@@ -461,11 +361,6 @@
         left_ms = order.until_ms - self.clock.now_ms()
         return left_ms > self.loads.work_ms(order.route.name) / 2
 
-    def _retry_after_s(self, order, wanted_s):
-        """Return when to come back: within the third of its time a caller waits."""
-        left_s = (order.until_ms - self.clock.now_ms()) / 1000.0
-        return max(0.02, min(wanted_s, left_s / 3.2))
-
     def _log_try(self, order, reason):
         self.counts[order.service, "try failed"] += 1
         log_event(
