--- a/src/tarragonramp/balancing.py
+++ b/src/tarragonramp/balancing.py
@@ -122,6 +122,16 @@
     all_ms: float
     urgent_ms: float = 0.0
 
+    def note(self, work_ms, urgent):
+        """Take in a request."""
+        self.urgent_ms += SHARE_WEIGHT * (work_ms * urgent - self.urgent_ms)
+        self.all_ms += SHARE_WEIGHT * (work_ms - self.all_ms)
+
+    @property
+    def urgent_share(self):
+        """Which part of the work the most urgent requests are."""
+        return self.urgent_ms / self.all_ms if self.all_ms else 0.0
+
 
 @attrs.define(eq=False, repr=False)
 class Loads:
@@ -138,7 +148,7 @@
     rng: random.Random = attrs.Factory(random.Random)
     _seen: dict = attrs.Factory(dict)
     _work_ms: dict = attrs.Factory(dict)
-    _asked_ms: dict = attrs.Factory(dict)
+    _asked: dict = attrs.Factory(dict)
 
     def choose(self, servers, wanted, now_ms):
         """Choose the server from which the answer should come first, or none.
@@ -228,11 +238,8 @@
 
     def _mean_work_ms(self, service):
         """Return what requests for a service take on average."""
-        return (
-            self._asked_ms[service].all_ms
-            if service in self._asked_ms
-            else FIRST_WORK_MS
-        )
+        asked = self._asked.get(service)
+        return FIRST_WORK_MS if asked is None else asked.all_ms
 
     def in_flight(self, name):
         """Return how many requests of this daemon a server has."""
@@ -326,12 +333,11 @@
 
     def _note_asked(self, service, wanted, work_ms):
         """Take in a request; return what part of the room is kept from lower ones."""
-        asked = self._asked_ms.get(service)
+        asked = self._asked.get(service)
         if asked is None:
-            asked = self._asked_ms[service] = _Asked(all_ms=work_ms)
-        asked.urgent_ms += SHARE_WEIGHT * (work_ms * wanted.urgent - asked.urgent_ms)
-        asked.all_ms += SHARE_WEIGHT * (work_ms - asked.all_ms)
-        return 0.0 if wanted.urgent else min(MOST_KEPT, asked.urgent_ms / asked.all_ms)
+            asked = self._asked[service] = _Asked(all_ms=work_ms)
+        asked.note(work_ms, wanted.urgent)
+        return 0.0 if wanted.urgent else min(MOST_KEPT, asked.urgent_share)
 
     def _objection(self, wanted, server, expected_ms, kept_share, now_ms):
         """Return why a request should not be sent to wait there; empty if it should.
@@ -341,9 +347,9 @@
         it takes is missing to others. What would not wait at all costs nobody.
 
         How long the queue may be goes by the server's usual speed. A neighbour on its
-        machine slows it for moments: whoever is refused then comes back too late for
-        the target, and sooner or later finds the same queue; the others behind it are
-        late because the server is slow, not because there are more of them.
+        machine slows it for moments; whoever is refused then comes back too late for
+        the target anyway, and nobody behind gains much, as a short queue has drained
+        soon after.
         """
         seen = self._of(server.name)
         excess, each_ms = self._ahead(server, seen.speed_now(now_ms), now_ms)
@@ -351,10 +357,9 @@
             return ""
         if expected_ms > wanted.left_ms * LATE_SHARE:
             return "no time"
-        speed = self.speed(server.name, now_ms)
-        room_ms = (
-            wanted.target_left_ms * LATE_SHARE - self.work_ms(wanted.route) * speed
-        )
+        speed = seen.usual_speed(now_ms)
+        work_ms = self.work_ms(wanted.route) * speed
+        room_ms = wanted.target_left_ms * LATE_SHARE - work_ms
         wait_ms = excess * each_ms * speed / server.slots
         if wait_ms > room_ms:
             return "queue too long"
