Waits are priced by the arriving request's own work again

Cause: short requests have short targets, and behind long work they were refused. Its test goes with it; those of usual speed and of the kept room stay.

--- a/src/tarragonramp/balancing.py
+++ b/src/tarragonramp/balancing.py
@@ -208,42 +208,22 @@
         return (work_ms + wait_ms) / (1.0 - failures)
 
     def wait_ms(self, server, route, now_ms):
-        """Return how long a request would wait for one of a server's slots."""
-        seen = self._of(server.name)
-        speed = seen.speed_now(now_ms)
-        excess, each_ms = self._ahead(server, speed, now_ms)
-        return excess * each_ms * speed / server.slots
-
-    def _ahead(self, server, speed, now_ms):
-        """Return how many requests have to end before one more begins, and their work.
-
-        Load: short and long work at one server. Harm prevented: a short request that is
-        sent to wait behind long ones, or a long one that is refused for short ones, as
-        if all took as long as itself.
+        """Return how long a request would wait for one of a server's slots.
 
-        Returns
-        -------
-        excess, each_ms : float
-            The latter is what one of them takes on average at a server of usual speed.
+        As if all that is in hand there were of its own route.
         """
+        work_ms = self.work_ms(route) * self._of(server.name).speed_now(now_ms)
+        return self._excess(server, work_ms, now_ms) * work_ms / server.slots
+
+    def _excess(self, server, work_ms, now_ms):
+        """Return how many requests have to end before one more begins."""
         seen = self._of(server.name)
-        usual_ms = self._mean_work_ms(server.service)
-        n_others = seen.others(usual_ms * speed, now_ms)
-        n_all = seen.n_in_flight + n_others
-        if not n_all:
-            return max(0.0, 1.0 - server.slots), usual_ms
-        own_ms = sum(n * self.work_ms(route) for route, n in seen.in_flight.items())
-        each_ms = (own_ms + n_others * usual_ms) / n_all
-        return max(0.0, n_all - server.slots + 1.0), each_ms
-
-    def _mean_work_ms(self, service):
-        """Return what requests for a service take on average."""
-        asked = self._asked.get(service)
-        return FIRST_WORK_MS if asked is None else asked.all_ms
+        in_hand = seen.in_flight + seen.others(work_ms, now_ms)
+        return max(0.0, in_hand - server.slots + 1.0)
 
     def in_flight(self, name):
         """Return how many requests of this daemon a server has."""
-        return self._of(name).n_in_flight
+        return self._of(name).in_flight
 
     def told_in_flight(self, name, now_ms):
         """Return the other daemons' requests at a server; None if that is old."""
@@ -264,7 +244,7 @@
     def sent(self, chosen):
         """Take in that a request was sent to the server that was chosen."""
         seen = self._of(chosen.server.name)
-        seen.in_flight[chosen.route] += 1
+        seen.in_flight += 1
         seen.is_asked = True
 
     def answered(self, chosen, took_ms, report, now_ms):
@@ -308,7 +288,7 @@
 
     def in_hand(self):
         """Return this daemon's requests under way by server, for the other daemons."""
-        counts = {name: seen.n_in_flight for name, seen in self._seen.items()}
+        counts = {name: seen.in_flight for name, seen in self._seen.items()}
         return {name: count for name, count in counts.items() if count}
 
     def take_told(self, totals, now_ms):
@@ -328,7 +308,7 @@
     def forget(self, names):
         """Forget all servers but some, and those with requests under way."""
         for name in set(self._seen) - set(names):
-            if not self._seen[name].n_in_flight:
+            if not self._seen[name].in_flight:
                 del self._seen[name]
 
     def _note_asked(self, service, wanted, work_ms):
@@ -352,15 +332,15 @@
         soon after.
         """
         seen = self._of(server.name)
-        excess, each_ms = self._ahead(server, seen.speed_now(now_ms), now_ms)
+        work_ms = self.work_ms(wanted.route)
+        excess = self._excess(server, work_ms * seen.speed_now(now_ms), now_ms)
         if excess <= 0:
             return ""
         if expected_ms > wanted.left_ms * LATE_SHARE:
             return "no time"
-        speed = seen.usual_speed(now_ms)
-        work_ms = self.work_ms(wanted.route) * speed
-        room_ms = wanted.target_left_ms * LATE_SHARE - work_ms
-        wait_ms = excess * each_ms * speed / server.slots
+        usual_ms = work_ms * seen.usual_speed(now_ms)
+        room_ms = wanted.target_left_ms * LATE_SHARE - usual_ms
+        wait_ms = excess * usual_ms / server.slots
         if wait_ms > room_ms:
             return "queue too long"
         return "kept for urgent" if wait_ms > room_ms * (1.0 - kept_share) else ""
@@ -382,7 +362,7 @@
 
     def _done(self, chosen, report, now_ms):
         seen = self._of(chosen.server.name)
-        seen.in_flight[chosen.route] -= 1
+        seen.in_flight -= 1
         if report is not None:
             seen.note_report(report, now_ms)
         return seen
--- a/src/tarragonramp/sightings.py
+++ b/src/tarragonramp/sightings.py
@@ -1,6 +1,5 @@
 """What one daemon has seen of one server. Pure state."""
 
-import collections
 import math
 
 import attrs
@@ -61,7 +60,7 @@
 class ServerSeen:
     """What one daemon has seen of one server."""
 
-    in_flight: collections.Counter = attrs.Factory(collections.Counter)
+    in_flight: int = 0
     speed: float = 1.0
     is_asked: bool = False
     failures: float = 0.0
@@ -73,11 +72,6 @@
     changed_ms: float = -math.inf
     passed_over_until_ms: float = -math.inf
 
-    @property
-    def n_in_flight(self):
-        """Requests of this daemon there, of all routes."""
-        return self.in_flight.total()
-
     def others(self, work_ms, now_ms):
         """Requests of other daemons that are probably there now.
 
@@ -116,7 +110,7 @@
     def note_report(self, report, now_ms):
         """Take in what the server says, with an answer that is no more in flight."""
         self.report, self.report_ms = report, now_ms
-        self.own_at_report = self.n_in_flight
+        self.own_at_report = self.in_flight
 
     def note_told(self, count, now_ms):
         """Take in how many requests of other daemons are there, as they told."""
--- a/tests/test_balancing.py
+++ b/tests/test_balancing.py
@@ -192,26 +192,6 @@
         chosen = {loads.choose(servers, wanted, 700.0).server.name for _ in range(20)}
         self.assertEqual(chosen, {"s1"})
 
-    def test_short_work_is_not_sent_to_wait_behind_long(self):
-        """Price sheets of 36 ms share a server with histories of 220 ms.
-
-        Six histories were taken for six price sheets, behind which there was time.
-        """
-        loads, now_ms = Loads("a", random.Random(1)), 0.0
-        item = server(0)
-        for route, took_ms in (("short", 36.0), ("long", 220.0)):
-            for _ in range(200):
-                now_ms += 300.0
-                chosen = Chosen(item, route, took_ms)
-                loads.sent(chosen)
-                loads.answered(chosen, took_ms, None, now_ms)
-        for _ in range(6):
-            loads.sent(Chosen(item, "long", 0.0))
-        choice = loads.choose([item], Wanted("short", 400.0, 150.0), now_ms)
-        self.assertEqual(choice.reason, "servers are busy")
-        wait_ms = loads.wait_ms(item, "short", now_ms)
-        self.assertAlmostEqual(wait_ms, 4 * 220.0 / 3, delta=60.0)
-
     def test_a_moment_of_slowness_refuses_nobody(self):
         """A neighbour makes an owner three times slower for some tenths of a second.
 
