--- a/src/tarragonramp/command.py
+++ b/src/tarragonramp/command.py
@@ -9,7 +9,6 @@
 import sys
 import time
 import urllib.parse
-from typing import Literal
 
 import defopt
 from returns.pipeline import is_successful
@@ -32,7 +31,7 @@
     CommandError,
     OperatorClient,
 )
-from .console import audit_rows, difference, pending, rendered, table
+from .console import Output, audit_rows, difference, pending, rendered, table
 from .declarations import (
     Declared,
     check_declarations,
@@ -44,8 +43,6 @@
 
 __all__ = ["main"]
 
-Output = Literal["table", "yaml", "json"]
-
 WATCH_EVERY_S = 0.5
 
 
--- a/src/tarragonramp/console.py
+++ b/src/tarragonramp/console.py
@@ -3,10 +3,13 @@
 import datetime
 import difflib
 import json
+from typing import Literal
 
 import yaml
 
-__all__ = ["audit_rows", "difference", "pending", "rendered", "table"]
+__all__ = ["Output", "audit_rows", "difference", "pending", "rendered", "table"]
+
+Output = Literal["table", "yaml", "json"]
 
 
 def rendered(data, output, as_table):
--- a/src/tarragonramp/explanation.py
+++ b/src/tarragonramp/explanation.py
@@ -2,17 +2,14 @@
 
 import datetime
 import sys
-from typing import Literal
 
 from .client import EXIT_FAILED, EXIT_INVALID, CommandError
-from .console import rendered, table
+from .console import Output, rendered, table
 from .losses import losses_of, suppressed_in
 from .storylines import parse_line, story_of
 
 __all__ = ["explain_losses", "explain_request"]
 
-Output = Literal["table", "yaml", "json"]
-
 COLUMNS = ("service", "status", "count", "held_ms", "reason", "examples")
 
 
@@ -32,7 +29,7 @@
     log
         Files with the standard output of daemons; else standard input.
     """
-    lines = [line for text in _log_texts(log or []) if (line := parse_line(text))]
+    lines = _lines_of(log or [])
     story = story_of(request_id, lines)
     if not story:
         hint = "answers that went well are not logged; was the log complete?"
@@ -71,7 +68,7 @@
         Form of the output.
     """
     span = _time_ms(since, "-inf"), _time_ms(until, "inf")
-    lines = [line for text in _log_texts(log or []) if (line := parse_line(text))]
+    lines = _lines_of(log or [])
     losses = losses_of(lines, *span)
     rows = [
         {
@@ -91,6 +88,11 @@
         print(message, file=sys.stderr)
 
 
+def _lines_of(paths):
+    """Return the LogLines of files, or of standard input if there are none."""
+    return [line for text in _log_texts(paths) if (line := parse_line(text))]
+
+
 def _time_ms(text, default):
     if not text:
         return float(default)
--- a/src/tarragonramp/hotspots.py
+++ b/src/tarragonramp/hotspots.py
@@ -104,10 +104,7 @@
         piece = _take_piece(fullest, most_ms, may_cut)
         if piece is None:
             break
-        fullest.add_load(-piece.busy_ms)
-        emptiest.add_load(piece.busy_ms)
-        to = emptiest.candidate
-        moved.append(piece.item.moved_to(to.name, to.life))
+        moved.append(_hand_over(piece, fullest, emptiest))
     kept = [p.item for owner in owners for p in owner.pieces if p.is_cut]
     return moved + kept
 
@@ -173,11 +170,14 @@
     quickest = min(owners, key=lambda owner: owner.candidate.speed)
     if quickest.candidate.speed > QUICKER * owner.candidate.speed:
         return []
-    moving = _cut(owner, piece, at, at + 1)
-    owner.add_load(-moving.busy_ms)
-    quickest.add_load(moving.busy_ms)
-    to = quickest.candidate
-    return [moving.item.moved_to(to.name, to.life)]
+    return [_hand_over(_cut(owner, piece, at, at + 1), owner, quickest)]
+
+
+def _hand_over(piece, owner, to):
+    """Count a piece's work with its next owner; return its range on its way there."""
+    owner.add_load(-piece.busy_ms)
+    to.add_load(piece.busy_ms)
+    return piece.item.moved_to(to.candidate.name, to.candidate.life)
 
 
 def _take_piece(owner, most_ms, may_cut):
--- a/src/tarragonramp/sightings.py
+++ b/src/tarragonramp/sightings.py
@@ -79,8 +79,9 @@
         is newer; both get old.
         """
         is_newer = self.report_ms > self.told_ms - TOLD_LAG_MS
-        if not is_newer and now_ms - self.told_ms < TOLD_MS:
-            return self.told
+        told = self.told_lately(now_ms)
+        if not is_newer and told is not None:
+            return told
         if self.report is None:
             return 0.0
         at_report = self.report.running + self.report.waiting - self.own_at_report
