A relay sends nothing of a message that may be old

A relay (d3) froze with a message of renewals unread, its leader passed it over, its failure domain was cut off, and it thawed 7 s later: it could not see that the leader had closed the connection, and renewed what was about to move. The leader counts a renewal without an answer as over 15 s after it was sent, which holds for what a server carries out late, not for what a relay sends late.

A message now names a reading of the relay's own clock, which the leader had before it sent the message: the relay sends for 2.5 s from that reading, else answers with a newer one. No clock of two machines is compared.

The mutants of the two older guards now break the age as well, since it covers what they guard against.

--- a/src/tarragonramp/roles/leadership.py
+++ b/src/tarragonramp/roles/leadership.py
@@ -121,6 +121,7 @@
     _told_loads: dict = attrs.Factory(dict)
     _heard_ms: dict = attrs.Factory(dict)
     _domains: dict = attrs.Factory(dict)
+    _clocks: dict = attrs.Factory(dict)
     _heard_store: bool = True
     _silent: int = 0
     _next_look_ms: float = 0.0
@@ -227,6 +228,7 @@
             log_event("daemon-heard", peer=name, address=address)
         self._note_daemon(name, address)
         self._domains[name] = message.get("domain", "")
+        self.note_clock(address, message.get("clock_ms"))
         self._heat.add(message.get("heat", {}), self.clock.now_ms())
         self._told_loads[name] = message.get("loads", {}), self.clock.now_ms()
         self.follower.compare(name, message.get("digest", {}))
@@ -333,6 +335,14 @@
             and name in self.view.daemons
         ]
 
+    def note_clock(self, address, clock_ms):
+        """Take in what a daemon's clock showed when it asked for news."""
+        self._clocks[address] = clock_ms
+
+    def clock_of(self, address):
+        """Return the last reading heard of a daemon's clock, in ms, or None."""
+        return self._clocks.get(address)
+
     def _watchers(self, now_ms):
         """Return the other daemons that follow the store themselves.
 
@@ -380,7 +390,7 @@
         for other, heard_ms in list(self._heard_ms.items()):
             if heard_ms < late_ms and other != self.name:
                 del self._heard_ms[other]
-                self.view.daemons.pop(other, None)
+                self._clocks.pop(self.view.daemons.pop(other, None), None)
                 log_event("daemon-lost", peer=other)
 
     def _keep(self):
@@ -561,6 +571,7 @@
             "name": self.name,
             "address": self.address,
             "domain": self.loads.failure_domain,
+            "clock_ms": int(self.clock.now_ms()),
             "heat": self.view.work.take(self.view.tables),
             "versions": self.follower.changed,
             "n_daemons": len(self.view.daemons),
--- a/src/tarragonramp/roles/relay.py
+++ b/src/tarragonramp/roles/relay.py
@@ -26,6 +26,12 @@
 """How long after a relay has read a message it still sends. Less than the leader waits:
 a relay that stood still meanwhile must not renew what has moved on since."""
 
+FRESH_MS = 2500.0
+"""How old a message may be. It names a reading of the relay's clock that the leader had
+before it sent the message, so that its age is known without the leader: a relay that
+stood still may thaw cut off from it, and sees no end of the connection. A reading comes
+with each question for news, some half a second apart."""
+
 GRANT_MS = 600.0
 """Timeout of a grant that a relay sends; a server answers in a millisecond."""
 
@@ -76,9 +82,13 @@
         -------
         answer : dict
             ``results``: a word for each renewal, in their order; those for which there
-            is none were not sent.
+            is none were not sent. If the message may be too old, only ``clock_ms``:
+            the reading for the next one.
         """
-        until_ms = self.clock.now_ms() + VALID_MS
+        now_ms, asked_ms = self.clock.now_ms(), message["clock_ms"]
+        if asked_ms is None or not asked_ms <= now_ms < asked_ms + FRESH_MS:
+            return {"clock_ms": now_ms}
+        until_ms = min(now_ms + VALID_MS, asked_ms + FRESH_MS)
         server, address = message["server"], message["address"]
         results = []
         if self.grants.has_lost(address):
@@ -165,7 +175,7 @@
             "reuse_only": reuse_only,
             "ranges": [[item.first, item.last, item.token] for item in items],
         }
-        result = self.peers.relay(relay, message, ANSWER_MS)
+        result = self._ask(relay, message)
         if is_successful(result):
             words = result.unwrap().get("results", [])
             results = [_result_of(word) for word in words[: len(items)]]
@@ -178,6 +188,17 @@
             self.pass_over(relay, server)
         return results
 
+    def _ask(self, relay, message):
+        """Send a message, and again if the relay's clock reading has to be newer."""
+        clock_ms = self.leadership.clock_of(relay)
+        for _ in range(2):
+            dated = {**message, "clock_ms": clock_ms}
+            result = self.peers.relay(relay, dated, ANSWER_MS)
+            clock_ms = result.value_or({}).get("clock_ms")
+            if clock_ms is None:
+                break
+        return result
+
     def pass_over(self, relay, server):
         """Use others than a relay for a while, as it could not reach a server."""
         self._passed_over_ms[relay] = self.clock.now_ms() + PASSED_OVER_MS
--- a/tests/fleet_mutants.py
+++ b/tests/fleet_mutants.py
@@ -55,6 +55,14 @@
     return _grant(self, *arguments)
 
 
+def _send_whatever_its_age(self, message, is_wanted=lambda: True):
+    return _send(self, {**message, "clock_ms": self.clock.now_ms()}, is_wanted)
+
+
+def _send_for_whoever_gave_up(self, message, is_wanted):
+    return _send_whatever_its_age(self, message)
+
+
 def _later_life_is_proof(self, service, item):
     if self.keeper.has_later_life(item.old_owner, item.old_life):
         return "life ended", ""
@@ -90,9 +98,14 @@
     "doubts are not handed on": _patch(
         Leadership, "told_to_step_down", _step_down_without_doubts
     ),
-    "a thawed relay sends what it held": _patch(relay, "VALID_MS", 1e9),
+    "a thawed relay sends what it held": lambda: mock.patch.multiple(
+        relay, VALID_MS=1e9, FRESH_MS=1e9
+    ),
+    "a relay sends a message of any age": _patch(
+        relay.Relay, "send", _send_whatever_its_age
+    ),
     "a relay sends for a leader that has given up": _patch(
-        relay.Relay, "send", lambda self, message, is_wanted: _send(self, message)
+        relay.Relay, "send", _send_for_whoever_gave_up
     ),
     "renewals open connections without the store": _patch(
         HttpGrants, "grant", _grant_over_any_connection
--- a/tests/fleet_world.py
+++ b/tests/fleet_world.py
@@ -299,6 +299,7 @@
                 if self.world.is_open(name, self.process.name) and other.is_up:
                     self.leadership._note_daemon(name, name)
                     self.leadership._domains[name] = other.process.domain
+                    self.leadership.note_clock(name, other.clock.now_ms())
             self.world.timeline.sleep(LIST_MS / 1000.0)
 
     @property
--- a/tests/test_fleet_exploration.py
+++ b/tests/test_fleet_exploration.py
@@ -43,6 +43,7 @@
     "a relay sends for a leader that has given up": partial(
         run_story, "a relay is frozen for long"
     ),
+    "a relay sends a message of any age": partial(run_seed, 153, **LATE_LISTS),
     "a thawed relay sends what it held": partial(
         run_story, "a relay is frozen and cut off", 1
     ),
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -22,13 +22,14 @@
 )
 from tarragonramp.fleet_view import FleetView
 from tarragonramp.ranges import KeyRange
-from tarragonramp.roles.relay import PASSED_OVER_MS, VALID_MS, Relay, Relays
+from tarragonramp.roles.relay import FRESH_MS, PASSED_OVER_MS, VALID_MS, Relay, Relays
 
 MESSAGE = {
     "server": "s1",
     "address": "s1:80",
     "hold_ms": 7000.0,
     "life": 3,
+    "clock_ms": 900.0,
     "reuse_only": True,
     "ranges": [[0, 9, 1], [10, 19, 1], [20, 29, 5]],
 }
@@ -69,6 +70,16 @@
         self.assertEqual(self.words(), ["done"])
         self.assertEqual(len(self.sent), 1)
 
+    def test_a_message_may_be_older_than_its_leaders_silence(self):
+        """Guards against a relay that thaws cut off, with a message unread."""
+        for clock_ms in (1000.0 - FRESH_MS, 1000.5, None):
+            answer = self.relay.send({**MESSAGE, "clock_ms": clock_ms})
+            self.assertEqual(answer, {"clock_ms": 1000.0})
+        self.assertEqual(self.sent, [])
+        nearly_old = {**MESSAGE, "clock_ms": 1100.0 - FRESH_MS}
+        self.took_ms = 101.0
+        self.assertEqual(self.relay.send(nearly_old)["results"], ["done"])
+
     def test_it_stops_at_a_server_that_does_not_answer(self):
         self.answers = {
             0: Failure(OvertakenGrantError("higher token")),
@@ -122,10 +133,19 @@
         for name, domain in (("s1", "b"), ("s2", "a")):
             view.directory.take(BackendServer(name, 1, "x", "s:80", domain, 3))
         daemons = {"b": ["d2:1", "d3:1"]}
-        leadership = types.SimpleNamespace(daemons_in=lambda d: daemons.get(d, []))
-        self.answer = Success({"results": ["done", "done"]})
-        peers = types.SimpleNamespace(relay=lambda *message: self.answer)
-        self.relays = Relays(view, leadership, peers, self.clock)
+        self.leadership = types.SimpleNamespace(
+            daemons_in=lambda d: daemons.get(d, []), clock_of=lambda relay: 500.0
+        )
+        self.answer, self.messages = Success({"results": ["done", "done"]}), []
+        peers = types.SimpleNamespace(relay=self.relay_message)
+        self.relays = Relays(view, self.leadership, peers, self.clock)
+
+    def relay_message(self, relay, message, timeout_ms):
+        """Answer as a relay whose clock shows 9000 ms."""
+        self.messages.append(message)
+        if message["clock_ms"] == 9000.0 or self.leadership.clock_of(relay) == 500.0:
+            return self.answer
+        return Success({"clock_ms": 9000.0})
 
     def send(self):
         """Renew two ranges; return the kinds of the errors, None for success."""
@@ -149,6 +169,20 @@
         self.answer = Failure(NotSentError("refused"))
         self.assertEqual(self.send(), [NotSentError, NotSentError])
 
+    def test_a_message_is_sent_again_under_a_newer_reading(self):
+        """Guards against keys that nobody renews while a reading is missing or old."""
+        for known in (None, 100.0):
+            self.messages.clear()
+            self.leadership.clock_of = lambda relay, known=known: known
+            self.assertEqual(self.send(), [None, None])
+            sent = [message["clock_ms"] for message in self.messages]
+            self.assertEqual(sent, [known, 9000.0])
+
+    def test_a_relay_whose_clock_is_never_right_has_sent_none(self):
+        self.answer = Success({"clock_ms": 9000.0})
+        self.assertEqual(self.send(), [NotSentError, NotSentError])
+        self.assertEqual(len(self.messages), 2)
+
     def test_a_relay_without_a_connection_has_sent_none(self):
         self.answer = Success({"results": ["no connection"]})
         self.assertEqual(self.send(), [NoConnectionError, NoConnectionError])
