The soak keeps every failure, and strikes no server that cannot leave yet

A fresh soak ended with 'TimeoutError: 127.0.0.1:18715 listens: not within 20.0 s', without its seed, without logs, and the seeds behind it were not played. A seed is now printed before its play, logs are kept on any end but a clean one, and the row goes on.

Cause of the timeout, by provoking it: a second 'leave' strike that meets a server which is just being started again. Its signal (SIGUSR1 or SIGUSR2) arrives before the process handles it and ends it; the strike then finds it down and does not start it again, so the first strike waits for it in vain. The new test does this with a real process and failed on the code before with the same message, in the same frame (_restart -> start_server). Such a server is now left alone, one that ended while it left is started again, and a process that ends while it starts is reported at once. Whether the run that was seen had these two strikes can't be told, as its seed is lost.

--- a/soak/run.py
+++ b/soak/run.py
@@ -14,6 +14,7 @@
 import signal  # noqa: E402
 import sys  # noqa: E402
 import time  # noqa: E402
+import traceback  # noqa: E402
 
 import attrs  # noqa: E402
 import defopt  # noqa: E402
@@ -67,9 +68,14 @@
     n_calls: int = 0
     odd: list = attrs.Factory(list)
     started_s: dict = attrs.Factory(dict)
+    starting: set = attrs.Factory(set)
 
     def play(self):
-        """Return the broken promises of a run by name, and what else went wrong."""
+        """Return the broken promises of a run by name, and what else went wrong.
+
+        What every process wrote is kept unless nothing did, also if the run fails.
+        """
+        is_clean = False
         try:
             self._start()
             callers = [gevent.spawn(self._call, i) for i in range(N_CALLERS)]
@@ -81,10 +87,11 @@
             faults = find_faults(self.seen)
             faults["all keys served again"] = [] if settled else ["not in time"]
             faults["nothing odd in the logs"] = self.odd
-            if any(faults.values()):
-                self._keep_logs()
+            is_clean = not any(faults.values())
             return faults
         finally:
+            if not is_clean:
+                self._keep_logs()
             self.site.close()
 
     def _start(self):
@@ -162,7 +169,8 @@
         self._restart(strike.name)
 
     def _leave(self, strike, pause_s):
-        if not self._is_up(strike.name):
+        if not self._is_up(strike.name) or strike.name in self.starting:
+            # One that starts knows no signals yet: it would end without leaving.
             return
         process = self.site.processes[strike.name]
         is_unsaid = strike.detail == "unsaid"
@@ -170,14 +178,23 @@
         gevent.sleep(3.0 + pause_s)
         if self.site.processes[strike.name] is process:
             self._kill(strike, 0.5)
+            self._restart(strike.name)
 
     def _restart(self, name):
         if self._is_up(name):
             return
         if name in DAEMONS:
             self._start_daemon(name)
-        else:
+            return
+        self.starting.add(name)
+        try:
             self.site.start_server(name, *SERVERS[name])
+        except ChildProcessError as error:
+            # Whoever killed it while it started starts it again.
+            if self.site.processes[name].poll() != -signal.SIGKILL:
+                self.odd.append(f"{name}: {error}")
+        finally:
+            self.starting.discard(name)
 
     def _misbehave(self, strike, pause_s):
         if not self._is_up(strike.name):
@@ -249,7 +266,8 @@
         """Save what every process has written: it is not there a second time."""
         folder = os.path.join(KEPT_LOGS, f"seed-{self.seed}")
         os.makedirs(folder, exist_ok=True)
-        for name in ("store", *DAEMONS, *SERVERS):
+        started = (n for n in ("store", *DAEMONS, *SERVERS) if n in self.site.processes)
+        for name in started:
             with open(os.path.join(folder, f"{name}.log"), "w") as stream:
                 stream.write(self.site.log_text(name))
 
@@ -328,17 +346,28 @@
     """
     drawn = (FIRST_NEWER_SEED + secrets.randbelow(1_000_000) for _ in range(fresh))
     chosen = [*seeds, *drawn]
-    n_broken = 0
-    for seed in chosen or kept_seeds():
-        soak = Soak(seed, length_s)
+    return sum(not is_clean(seed, length_s) for seed in chosen or kept_seeds())
+
+
+def is_clean(seed, length_s, make=Soak):
+    """Play a seed and print what became of it; whether nothing broke or failed.
+
+    The seed is printed before its play: one that ends otherwise would be lost.
+    """
+    print(f"seed {seed}: ", end="", flush=True)
+    soak = make(seed, length_s)
+    try:
         broken = {name: found for name, found in soak.play().items() if found}
-        n_broken += bool(broken)
-        served = sum(o.status == 200 for o in soak.seen.outcomes)
-        print(f"seed {seed}: {len(soak.seen.outcomes)} calls, {served} served", end="")
-        print(f", broken: {sorted(broken)}" if broken else ", nothing broken")
-        for name, found in broken.items():
-            print(f"  {name}: {len(found)}", *found[:5], sep="\n    ", flush=True)
-    return n_broken
+    except Exception:
+        print("failed", flush=True)
+        traceback.print_exc(file=sys.stdout)
+        return False
+    served = sum(o.status == 200 for o in soak.seen.outcomes)
+    print(f"{len(soak.seen.outcomes)} calls, {served} served", end="")
+    print(f", broken: {sorted(broken)}" if broken else ", nothing broken")
+    for name, found in broken.items():
+        print(f"  {name}: {len(found)}", *found[:5], sep="\n    ", flush=True)
+    return not broken
 
 
 def kept_seeds(path=SEEDS_FILE):
--- a/standins/fleet_site.py
+++ b/standins/fleet_site.py
@@ -122,7 +122,7 @@
         divided = ("--divided",) if service == "parts" else ()
         arguments = (name, service, domain, self.links[name], self.store)
         self._start(name, *module, *arguments, "--listen", listen, *divided, *options)
-        self._wait_port(listen)
+        self._wait_port(listen, self.processes[name])
 
     def start_daemon(self, name, domain, more=""):
         """Start a daemon through the platform's adapter; ``more`` of its settings."""
@@ -258,10 +258,13 @@
         if self.proxy and name != "proxy":
             self._tell_proxy("pids", {name: self.processes[name].pid})
 
-    def _wait_port(self, address):
+    def _wait_port(self, address, process=None):
+        """Wait until a process listens; EnvironmentError at once if it ends before."""
         host, _, port = address.rpartition(":")
 
         def listens():
+            if process is not None and process.poll() is not None:
+                raise ChildProcessError(f"{address}: ended with {process.poll()}")
             with socket.socket() as probe:
                 return probe.connect_ex((host, int(port))) == 0
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,12 +1,21 @@
 """The soak's own parts, and one short run of it."""
 
+import contextlib
+import io
+import os
+import shutil
 import unittest
+from unittest import mock
 
 import attrs
+import gevent
 
+from soak import run
 from soak.checks import Outcome, Probe, Run, find_faults
-from soak.plan import draw_plan
-from soak.run import Soak, kept_seeds
+from soak.plan import Strike, draw_plan
+from soak.run import KEPT_LOGS, Soak, is_clean, kept_seeds
+from standins.fleet_site import FleetSite
+from tarragonramp.adapters.http import HttpPool
 
 SHORT_S = 12.0
 SEED = 5
@@ -125,6 +134,62 @@
         self.assertTrue(all(isinstance(seed, int) for seed in kept_seeds()))
 
 
+class StartingServerTest(unittest.TestCase):
+    """A server that is struck again while it starts."""
+
+    def setUp(self):
+        self.soak = Soak(SEED, SHORT_S, FleetSite())
+        self.addCleanup(self.soak.site.close)
+        self.soak.site.start_store()
+        self.soak.site.start_server("desk0", "desk", "a")
+        self.soak.site.kill("desk0")
+        self.restart = gevent.spawn(self.soak._restart, "desk0")
+        gevent.sleep(0.02)
+
+    def check_is_back(self):
+        """Fail unless it serves again, and nothing seemed odd."""
+        self.restart.get()
+        self.assertEqual(self.soak.odd, [])
+        pool = HttpPool(self.soak.site.servers["desk0"])
+        answer = pool.exchange("GET", "/stand-in/log", (), b"", 2000).unwrap()
+        self.assertEqual(answer.status, 200)
+
+    def test_it_does_not_leave_before_it_has_started(self):
+        """Guards against a signal that ends it, after which nobody starts it again."""
+        self.soak._leave(Strike(0.0, "leave", "desk0", 100.0), 0.1)
+        self.check_is_back()
+
+    def test_it_is_killed_before_it_has_started(self):
+        """Guards against a run that fails although the next strike starts it again."""
+        self.soak._kill(Strike(0.0, "kill", "desk0", 100.0), 0.1)
+        self.check_is_back()
+
+
+class FailedPlayTest(unittest.TestCase):
+    """A run that ends otherwise than by its verdict."""
+
+    def test_its_seed_and_logs_are_kept_and_the_row_goes_on(self):
+        """Guards against a failure that shows once and can't be looked into."""
+        folder = os.path.join(KEPT_LOGS, "seed-7")
+        shutil.rmtree(folder, ignore_errors=True)
+        said = io.StringIO()
+        with contextlib.redirect_stdout(said):
+            self.assertFalse(is_clean(7, SHORT_S, FailingSoak))
+        self.assertTrue(said.getvalue().startswith("seed 7: failed"))
+        self.assertIn("RuntimeError: a strike failed", said.getvalue())
+        self.assertTrue(os.path.getsize(os.path.join(folder, "store.log")) >= 0)
+        with mock.patch.object(run, "is_clean", lambda seed, length_s: False):
+            self.assertEqual(run.main(seeds=[7, 8, 9]), 3)
+
+
+class FailingSoak(Soak):
+    """Starts the store, and then a strike fails."""
+
+    def _start(self):
+        self.site.start_store()
+        raise RuntimeError("a strike failed")
+
+
 class ShortSoakTest(unittest.TestCase):
     """Some seconds of faults, always the same ones."""
 
