A steward that stood still after its decision sends nothing

What servers saw: a request of an earlier steward's term after those of its successor ('records2: request ... came in term 1 after term 2', once, at a load average of 32). Cause: between the look at the right and the first byte lay the making of the request and of the connection, and the exchange counted its timeout from after that: a process that was stopped in between sent with a whole new timeout once it ran again.

The right is now looked at as the last thing before the first byte, and an exchange counts its time from its beginning.

Both new tests fail without the change. Ruled out: a successor that sends within the earlier right (12 pauses of 620 ms, nothing broken).

--- a/src/tarragonramp/adapters/http.py
+++ b/src/tarragonramp/adapters/http.py
@@ -136,6 +136,7 @@
         timeout_ms,
         is_wanted=None,
         reuse_only=False,
+        may_send=None,
     ) -> Result:
         """Send a request once and read its whole answer.
 
@@ -153,6 +154,9 @@
             the connection is closed, which tells the server to stop.
         reuse_only : bool, default=False
             Whether to send over an idle connection or not at all.
+        may_send : callable, optional
+            Asked as the last thing before the first byte leaves: whoever has a right
+            that ends must not send what it decided before this process stood still.
 
         Returns
         -------
@@ -161,11 +165,12 @@
             to be opened; AbandonedError if nobody wanted the answer any more, else
             UnansweredError.
         """
+        # Before all else: a pause of this process counts, wherever it falls.
+        deadline_s = time.monotonic() + timeout_ms / 1000.0
         try:
             data = _request_bytes(method, target, self.address, headers, body)
         except ValueError as error:
             return Failure(NotSentError(str(error)))
-        deadline_s = time.monotonic() + timeout_ms / 1000.0
         try:
             connection = self._take_idle()
             if connection is None and reuse_only:
@@ -173,6 +178,9 @@
             connection = connection or self._open(deadline_s)
         except OSError as error:
             return Failure(NotSentError(f"{self.address}: {error}"))
+        if may_send is not None and not may_send():
+            connection.close()
+            return Failure(NotSentError(f"{self.address}: too late to send"))
         try:
             connection.settimeout(_remaining_s(deadline_s))
             connection.sendall(data)
--- a/src/tarragonramp/roles/gatekeeper.py
+++ b/src/tarragonramp/roles/gatekeeper.py
@@ -84,7 +84,7 @@
         )
         if not admission.timeout_ms:
             return _refused(order, BUSY, admission.reason)
-        return self._send(charge, order, admission.timeout_ms)
+        return self._send(charge, order, admission.timeout_ms, now_ms)
 
     def _wait(self, gate, deadline_at_ms):
         """Wait for a slot; False if there is none in time."""
@@ -120,7 +120,13 @@
         wanted = (OWNED, order.server, order.token)
         return state.held if (item.state, item.server, item.token) == wanted else None
 
-    def _send(self, charge, order, timeout_ms):
+    def _send(self, charge, order, timeout_ms, admitted_ms):
+        """Send a request that was admitted at a time, unless that is too long ago.
+
+        Guards against a steward that stands still between the two, and thaws when its
+        successor sends to the server.
+        """
+        until_ms = admitted_ms + timeout_ms
         headers = [
             *order.headers,
             ("Tarragon-Deadline-Ms", str(int(timeout_ms))),
@@ -130,7 +136,12 @@
         try:
             pool = self.pools.at(charge.vm.address)
             result = pool.exchange(
-                order.method, order.target, headers, order.body, timeout_ms
+                order.method,
+                order.target,
+                headers,
+                order.body,
+                timeout_ms,
+                may_send=lambda: self.clock.now_ms() < until_ms,
             )
             ended = is_successful(result) or isinstance(result.failure(), NotSentError)
             return result.map(lambda answer: self._judged(charge, answer))
--- a/tests/test_framing.py
+++ b/tests/test_framing.py
@@ -7,7 +7,7 @@
 from standins.site import free_address
 from tarragonramp.adapters.http import HttpPool
 from tarragonramp.adapters.web import HEADERS_KEY, WebServer
-from tarragonramp.errors import UnansweredError
+from tarragonramp.errors import NotSentError, UnansweredError
 from tarragonramp.settings import Limits
 
 from .wire import ScriptedServer, send_raw
@@ -220,6 +220,18 @@
             self.assertTrue(is_successful(pool.exchange("POST", "/", (), b"", 300)))
         self.assertEqual(server.n_connections, 3)
 
+    def test_a_request_that_may_not_be_sent_any_more_is_not(self):
+        """Guards against a sender that stood still after it had decided."""
+        server = ScriptedServer([OK])
+        self.addCleanup(server.stop)
+        pool = HttpPool(server.address)
+        too_late = pool.exchange("POST", "/", [], b"", 300, may_send=lambda: False)
+        self.assertIsInstance(too_late.failure(), NotSentError)
+        self.assertTrue(server.hung_up.wait(1.0))
+        self.assertEqual(pool._idle, [])
+        in_time = pool.exchange("POST", "/", [], b"", 300, may_send=lambda: True)
+        self.assertEqual(in_time.unwrap().body, b"hi")
+
     def test_requests_that_cannot_be_framed_are_not_sent(self):
         pool = HttpPool("127.0.0.1:1")
         for method, target, header in (
--- /dev/null
+++ b/tests/test_gatekeeper.py
@@ -0,0 +1,64 @@
+"""The steward's way to its servers, which a script plays."""
+
+import types
+import unittest
+
+from returns.result import Failure, Success
+
+from tarragonramp import ManualClock
+from tarragonramp.adapters.http import Answer
+from tarragonramp.errors import NotSentError
+from tarragonramp.gates import Gate, Order, Warmth
+from tarragonramp.roles.gatekeeper import GateKeeper
+
+ORDER = Order("t", "desk", "s1", -1, 0, "POST", "/x", (), b"", 5000.0)
+
+
+class GateKeeperTest(unittest.TestCase):
+    """One server, a right of 800 ms, and a process that may stand still."""
+
+    def setUp(self):
+        self.clock, self.pause_ms, self.n_sent = ManualClock(10_000.0), 0.0, 0
+        warmth = Warmth(3, 3)
+        self.charge = types.SimpleNamespace(
+            gate=Gate(warmth, 800.0, 0.0, 800.0),
+            vm=types.SimpleNamespace(address="s1:80"),
+            ledger=types.SimpleNamespace(term=1),
+            role="steward.t.desk.s1",
+            checks=False,
+        )
+        held = types.SimpleNamespace(number=1, right_until_ms=10_800.0)
+        self.gatekeeper = GateKeeper(
+            types.SimpleNamespace(charge=lambda role: self.charge),
+            None,
+            types.SimpleNamespace(
+                holding=lambda role: types.SimpleNamespace(held=held)
+            ),
+            types.SimpleNamespace(at=lambda address: self),
+            types.SimpleNamespace(at=lambda address: self),
+            self.clock,
+        )
+
+    def has_lost_idle(self):
+        """Tell whether the kept connection was closed."""
+        return False
+
+    def exchange(self, *request, may_send):
+        """Stand still before the first byte, as a process that is stopped."""
+        self.clock.advance(self.pause_ms)
+        if not may_send():
+            return Failure(NotSentError("too late"))
+        self.n_sent += 1
+        return Success(Answer(200, (), b""))
+
+    def test_a_request_is_sent_within_the_right(self):
+        self.pause_ms = 799.0
+        self.assertEqual(self.gatekeeper.serve(ORDER).unwrap().status, 200)
+        self.assertEqual(self.n_sent, 1)
+
+    def test_a_steward_that_stood_still_after_it_decided_sends_nothing(self):
+        """Guards against requests of an earlier term after those of the next."""
+        self.pause_ms = 800.0
+        result = self.gatekeeper.serve(ORDER)
+        self.assertIsInstance(result.failure(), NotSentError)
+        self.assertEqual((self.n_sent, self.charge.gate.in_hand), (0, 0))
