A token goes only over connections that have carried it

Callers' keys are then held by a life that no token tells from the one before.

Cause: before a connection was opened the store was asked who lives at the address. Entries tell who lived there a moment ago. The same holds for a first grant that is sent again, for connections that releases and fences open, and for those of other ranges: all could carry an old token to a new life.

Change: a token is sent over a connection that has carried it, or for the first time. Whoever needs a new connection has the token raised in the table first, many in one write; it is a rise for either life. Daemons that route are not told of raised tokens, so that a change of leader costs no news; a new leader reads them in the store. A relay goes on after a range without a connection: it held up the server's others, in an outage until their holds had ended.

--- a/src/tarragonramp/adapters/http.py
+++ b/src/tarragonramp/adapters/http.py
@@ -8,6 +8,7 @@
 import socket as plain_socket
 import struct
 import time
+import weakref
 
 import attrs
 from gevent import socket
@@ -126,6 +127,7 @@
     connect_ms: float = 0.0
     _idle: list = attrs.Factory(list)
     _idle_since_s: dict = attrs.Factory(dict)
+    _tags: object = attrs.Factory(weakref.WeakKeyDictionary)
 
     def exchange(
         self,
@@ -136,6 +138,7 @@
         timeout_ms,
         is_wanted=None,
         reuse_only=False,
+        tag=None,
         may_send=None,
     ) -> Result:
         """Send a request once and read its whole answer.
@@ -154,6 +157,9 @@
             the connection is closed, which tells the server to stop.
         reuse_only : bool, default=False
             Whether to send over an idle connection or not at all.
+        tag : hashable, optional
+            What the request is about. With ``reuse_only``, only a connection that has
+            carried one with this tag is used: another may reach a later process.
         may_send : callable, optional
             Asked as the last thing before the first byte leaves: whoever has a right
             that ends must not send what it decided before this process stood still.
@@ -172,7 +178,7 @@
         except ValueError as error:
             return Failure(NotSentError(str(error)))
         try:
-            connection = self._take_idle()
+            connection = self._take_idle(tag if reuse_only else None)
             if connection is None and reuse_only:
                 return Failure(NoConnectionError(f"{self.address}: none is open"))
             connection = connection or self._open(deadline_s)
@@ -181,6 +187,8 @@
         if may_send is not None and not may_send():
             connection.close()
             return Failure(NotSentError(f"{self.address}: too late to send"))
+        if tag is not None:
+            self._tags.setdefault(connection, set()).add(tag)
         try:
             connection.settimeout(_remaining_s(deadline_s))
             connection.sendall(data)
@@ -228,10 +236,13 @@
             self._idle.pop().close()
         self._idle_since_s.clear()
 
-    def _take_idle(self):
+    def _take_idle(self, tag=None):
+        """Take a connection out that is open, and has carried a tag if one is given."""
         oldest_s = time.monotonic() - self.max_idle_ms / 1000.0
-        while self._idle:
-            connection = self._idle.pop()
+        for connection in reversed(self._idle.copy()):
+            if tag is not None and tag not in self._tags.get(connection, ()):
+                continue
+            self._idle.remove(connection)
             since_s = self._idle_since_s.pop(connection, 0.0)
             is_stale = self.max_idle_ms and since_s < oldest_s
             if not is_stale and _is_quiet(connection):
--- a/src/tarragonramp/fleet_view.py
+++ b/src/tarragonramp/fleet_view.py
@@ -102,6 +102,20 @@
         self.take_table(table, stored.version)
         return table
 
+    def take_exact_table(self, stored):
+        """Take in a table as it was read in the store itself, unless it is older.
+
+        Other daemons do not tell of raised tokens, which the version counts.
+
+        Raises
+        ------
+        ValueError
+            If that is no table.
+        """
+        if stored.version >= self._table_versions.get(stored.name, 0):
+            self._table_versions.pop(stored.name, None)
+            self.take_table(RangeTable.from_spec(stored.spec), stored.version)
+
     def table_version(self, service):
         """Return the store's version of a service's table; 0 if there is none."""
         return self._table_versions.get(service, 0)
--- a/src/tarragonramp/ranges.py
+++ b/src/tarragonramp/ranges.py
@@ -92,6 +92,19 @@
             self.token,
         )
 
+    def raised(self):
+        """Return the range under a token that its owner has not had, in any life."""
+        return attrs.evolve(self, token=self.token + GAP)
+
+    def is_as_for_requests(self, other):
+        """Tell whether requests go where they do by another state of the range.
+
+        A token matters only to whoever grants; daemons that route need not hear of it.
+        """
+        if self.is_moving or other.is_moving:
+            return self == other
+        return attrs.evolve(self, token=other.token) == other
+
     def settled(self):
         """Return the range with its earlier owner forgotten."""
         return attrs.evolve(self, old_owner="", old_life=0, old_token=0)
@@ -168,11 +181,15 @@
         -------
         changed : RangeTable
             For ``earlier.with_ranges(changed.ranges, changed.addresses)``, which is
-            this table again.
+            this table again, but for raised tokens: a leader reads these in the store.
         """
         before = {item.first: item for item in earlier.ranges}
         pairs = ((before.get(item.first), item) for item in self.ranges)
-        ranges = tuple(new for old, new in pairs if old is not new and old != new)
+        ranges = tuple(
+            new
+            for old, new in pairs
+            if old is not new and (old is None or not new.is_as_for_requests(old))
+        )
         return RangeTable(self.service, ranges, self.addresses)
 
     def to_spec(self):
--- a/src/tarragonramp/roles/granter.py
+++ b/src/tarragonramp/roles/granter.py
@@ -21,7 +21,7 @@
     NotFoundError,
     OvertakenGrantError,
 )
-from ..fleet_view import RANGES, SERVER
+from ..fleet_view import RANGES
 from ..hotspots import busy_servers, spread_heat
 from .grants import GrantKeeper
 from .mover import Mover
@@ -44,8 +44,7 @@
 
 
 RETRY_MS, LAST_RETRY_MS = 250.0, 1000.0
-"""Between two tries at a server that does not answer; each first asks the store whether
-the server has started again."""
+"""Between two tries at a server that does not answer."""
 
 
 GATHER_MS = 20.0
@@ -82,6 +81,7 @@
     n_moves: int = 0
     _renewing: dict = attrs.Factory(dict)
     _waiting: dict = attrs.Factory(dict)
+    _to_raise: set = attrs.Factory(set)
     _spread_ms: dict = attrs.Factory(dict)
     _read: set = attrs.Factory(set)
     _work: Event = attrs.Factory(Event)
@@ -99,10 +99,13 @@
                 if self.keeper.begin_term():
                     self.mover.begin_term()
                     self._waiting.clear()
+                    self._to_raise.clear()
                     self._read.clear()
+                asked = set(self._to_raise)
                 for service in self._services():
                     if self._is_read(service):
                         self._advance(service)
+                self._to_raise -= asked
             if self._work.wait(PLAN_MS / 1000.0):
                 gevent.sleep(GATHER_MS / 1000.0)
             self._work.clear()
@@ -171,7 +174,8 @@
         )
         if not changed and not n_moving:
             changed = self._spread(service, newer, candidates)
-        if not freed and not changed:
+        raised = self._raised(service, newer.with_ranges(changed))
+        if not freed and not changed and not raised:
             return table
         moved = [item for item in changed if item.is_moving]
         if moved:
@@ -189,7 +193,11 @@
         addresses = {candidate.name: candidate.address for candidate in candidates}
         # Before anybody, this leader's next look included, can read the cuts.
         self._note_cuts(service, newer, changed)
-        written = self._write(service, newer.with_ranges(changed, addresses))
+        for item in raised:
+            self.keeper.note_raised(service, item)
+        raised = [item.raised() for item in raised]
+        newer = newer.with_ranges(changed, addresses).with_ranges(raised)
+        written = self._write(service, newer, [*moved, *raised])
         return written or self.view.tables.get(service, table)
 
     def _give_freed(self, service, table):
@@ -209,6 +217,27 @@
                 token = item.old_token if item.is_moving else item.token
                 self.keeper.share(service, whole.first, item.first, token)
 
+    def _raised(self, service, table):
+        """Return the ranges whose tokens are to be raised now."""
+        return [
+            item
+            for asked, item in self._to_raise
+            if asked == service
+            and table.find(item.first) == item
+            and self._is_to_raise(service, item)
+        ]
+
+    def _is_to_raise(self, service, item):
+        """Tell whether a token has to be raised before a connection is opened for it.
+
+        The other end may be another life of the server, which no entry has told yet.
+        """
+        return (
+            self.keeper.is_current(service, item)
+            and not self.keeper.is_unsent(service, item)
+            and not self.mover.is_released(service, item)
+        )
+
     def _is_asked(self, item):
         """Tell whether a range is on its way from a server that can be asked for it.
 
@@ -271,14 +300,25 @@
         if not candidates or now_ms < since_ms + FIRST_DEAL_MS:
             return None
         log_event("keys-dealt", service=service, servers=len(candidates))
-        return self._write(service, first_deal(service, candidates))
+        dealt = first_deal(service, candidates)
+        return self._write(service, dealt, dealt.ranges)
 
-    def _write(self, service, table):
-        """Write a table under the version it was made from; None if that failed."""
+    def _write(self, service, table, renewed=()):
+        """Write a table under the version it was made from; None if that failed.
+
+        Parameters
+        ----------
+        service : str
+        table : RangeTable
+        renewed : iterable of KeyRange
+            Those of its ranges that have got new tokens.
+        """
         version = self.view.table_version(service)
         result = self.store.put(RANGES, service, table.to_spec(), version)
         if is_successful(result):
             self.view.take_table(table, result.unwrap().version)
+            for item in renewed:
+                self.keeper.note_new(service, item)
             return table
         error = result.failure()
         log_event("table-not-written", service=service, reason=str(error))
@@ -292,7 +332,7 @@
 
     def _take_stored(self, stored):
         try:
-            self.view.take_stored_table(stored)
+            self.view.take_exact_table(stored)
         except ValueError as error:
             log_event("entry-not-understood", kind=RANGES, reason=str(error))
 
@@ -302,24 +342,19 @@
         contact, retry_ms = self.keeper.contact(identity), RETRY_MS
         while self.leadership.leads:
             began_ms = self.clock.now_ms()
-            ranges = self._owned(service, identity)
-            if not ranges:
+            owned = self._owned(service, identity)
+            if not owned:
                 break
-            # Kept until it is looked up: a closed connection shows only once.
+            # Kept until tokens are raised: a closed connection shows only once.
             contact.has_broken |= self.keeper.has_lost(service, identity[0])
-            if contact.has_broken and not self._is_same_life(identity):
+            if contact.has_broken and not self._raise_tokens(service, owned):
                 break
-            may_connect, contact.has_broken = contact.has_broken, False
+            contact.has_broken = False
             all_said = self._renew_server(
-                service, identity[0], ranges, contact, may_connect
+                service, identity, self._owned(service, identity), contact
             )
-            if contact.is_unconnected and self.leadership.may_move:
-                log_event("server-unconnected", server=identity[0])
-                if not self._is_same_life(identity):
-                    break
-                all_said = self._renew_server(
-                    service, identity[0], ranges, contact, may_connect=True
-                )
+            if contact.unconnected and self.leadership.may_move:
+                all_said = self._renew_raised(service, identity, contact)
             took_ms = self.clock.now_ms() - began_ms
             pause_ms = self.leadership.timing.regrant_ms * (
                 0.9 + 0.1 * self._rng.random()
@@ -335,23 +370,48 @@
         gevent.sleep(LAST_RETRY_MS / 1000.0)
         self._renewing.pop(key, None)
 
-    def _is_same_life(self, identity):
-        """Ask the store whether a server still lives, before a connection is opened.
+    def _renew_raised(self, service, identity, contact):
+        """Renew what no connection was open for, under higher tokens.
 
-        It may have started again under its name, and would take the old grant as a
-        new one, with a token that another life of it has had. If the store can't say,
-        the server is not granted anything until it can: keys that nobody serves for
-        the rest of an outage cost less than two servers that do. It isn't asked as
-        long as it does not confirm this leader: each call is paid for.
+        Returns
+        -------
+        all_said : bool
         """
-        if not self.leadership.may_move:
-            return False
-        name, life = identity
-        found = self.store.get(SERVER, name)
-        if not is_successful(found):
+        log_event(
+            "server-unconnected", server=identity[0], ranges=len(contact.unconnected)
+        )
+        if not self._raise_tokens(service, contact.unconnected):
             return False
-        server = self.read_server(found.unwrap())
-        return is_successful(server) and server.unwrap().life == life
+        raised = [
+            item
+            for item in self._owned(service, identity)
+            if self.keeper.is_unsent(service, item)
+        ]
+        return self._renew_server(service, identity, raised, contact)
+
+    def _raise_tokens(self, service, items):
+        """Have tokens of a server raised, so that connections to it may be opened.
+
+        It may have started again under its name, and would take a token that its
+        earlier life has had. If the store can't be written the server is granted
+        nothing that needs a connection until it can: keys that nobody serves for the
+        rest of an outage cost less than two servers that do.
+
+        Returns
+        -------
+        is_done : bool
+        """
+        while self.leadership.may_move:
+            left = {(service, i) for i in items if self._is_to_raise(service, i)}
+            if not left:
+                return True
+            self._to_raise |= left
+            self._work.set()
+            while left & self._to_raise and self.leadership.may_move:
+                gevent.sleep(GATHER_MS / 1000.0)
+            if any(self._is_to_raise(service, item) for item in items):
+                gevent.sleep(RETRY_MS / 1000.0)
+        return False
 
     def _owned(self, service, identity):
         table = self.view.tables.get(service)
@@ -363,49 +423,59 @@
             if (item.owner, item.life) == identity and not item.is_moving
         ]
 
-    def _renew_server(self, service, owner, ranges, contact, may_connect):
+    def _renew_server(self, service, identity, items, contact):
         """Renew ranges of one owner, through a daemon of its failure domain if any.
 
-        What a relay could not do shows in ``contact``: the server is looked up, and the
+        What a relay could not do shows in ``contact``: tokens are raised, and the
         leader tries by itself. That no connection is open says nothing of the server:
-        while the store can't be asked, another relay may have one.
+        while the store can't be written, another relay may have one.
 
         Parameters
         ----------
-        service, owner : str
-        ranges : list of KeyRange
+        service : str
+        identity : (str, int)
+        items : list of KeyRange
         contact : _Contact
-        may_connect : bool
-            Whether the owner was looked up: a new connection may reach a later life.
 
         Returns
         -------
         all_said : bool
             Whether the owner said something of each range that was due.
         """
-        contact.is_unconnected = False
-        due = [item for item in ranges if self._is_due(service, item)]
-        relay = self.relays.pick(owner) if len(due) >= LEAST_RANGES else ""
+        contact.unconnected = []
+        owner = identity[0]
+        due = [item for item in items if self._is_due(service, item)]
+        is_worth_it = len(self._owned(service, identity)) >= LEAST_RANGES
+        relay = self.relays.pick(owner) if due and is_worth_it else ""
         if not relay:
-            renew = functools.partial(self._renew, service)
-            return all(renew(item, contact, may_connect) for item in due)
+            return self._renew_directly(service, due, contact)
         send = functools.partial(self.relays.send, relay)
-        results = self.keeper.renew_through(
-            send, service, owner, due, reuse_only=not may_connect
-        )
+        results = self.keeper.renew_through(send, service, owner, due)
         unsaid = [
-            result
+            (item, result)
             for item, result in zip(due, results, strict=True)
             if not self._note_renewed(service, item, result, contact)
         ]
-        contact.is_unconnected = any(map(has_no_connection, unsaid))
-        if not all(map(has_no_connection, unsaid)):
+        contact.unconnected = [item for item, r in unsaid if has_no_connection(r)]
+        if len(contact.unconnected) < len(unsaid):
             contact.has_broken = True
         elif unsaid and not self.leadership.may_move:
+            if len(unsaid) < len(due):
+                # Given by the leader itself, which has a connection for them.
+                return self._renew_directly(service, contact.unconnected, contact)
             log_event("server-not-renewed", server=owner, relay=relay)
             self.relays.pass_over(relay, owner)
         return not unsaid
 
+    def _renew_directly(self, service, due, contact):
+        """Renew ranges of one owner; False unless it said something of each."""
+        contact.unconnected = []
+        for item in due:
+            self._renew(service, item, contact)
+            if contact.has_broken:
+                return False
+        return not contact.unconnected
+
     def _is_due(self, service, item):
         """Tell whether a range is to be renewed now."""
         if not self.keeper.is_current(service, item):
@@ -435,26 +505,23 @@
         )
         return True
 
-    def _renew(self, service, item, contact, may_connect):
-        """Renew one range; False if the server can't be reached."""
+    def _renew(self, service, item, contact):
+        """Renew one range; what came of it shows in ``contact``."""
         if not self._is_due(service, item):
-            return True
-        result = self.keeper.grant(
-            service, item, item.owner, item.token, reuse_only=not may_connect
-        )
+            return
+        result = self.keeper.grant(service, item, item.owner, item.token)
         if self._note_renewed(service, item, result, contact):
-            return True
+            return
         if has_no_connection(result):
             if not self.leadership.may_move:
                 log_event("server-not-renewed", server=item.owner, relay="")
-            contact.is_unconnected = True
-            return False
+            contact.unconnected.append(item)
+            return
         error = result.failure()
         if contact.failing_since_ms is None:
             contact.failing_since_ms = self.clock.now_ms()
             log_event("server-lost", server=item.owner, reason=str(error))
         contact.has_broken = True
-        return False
 
 
 def _names(names):
--- a/src/tarragonramp/roles/grants.py
+++ b/src/tarragonramp/roles/grants.py
@@ -62,7 +62,7 @@
 
     failing_since_ms: float | None = None
     has_broken: bool = False
-    is_unconnected: bool = False
+    unconnected: list = attrs.Factory(list)
 
 
 @attrs.define(eq=False, repr=False)
@@ -90,6 +90,7 @@
     n_grants: int = 0
     _term: int = 0
     _held: dict = attrs.Factory(dict)
+    _unsent: set = attrs.Factory(set)
     _contacts: dict = attrs.Factory(lambda: collections.defaultdict(_Contact))
     _calls: dict = attrs.Factory(
         lambda: collections.defaultdict(lambda: BoundedSemaphore(CALLS_PER_SERVER))
@@ -111,6 +112,7 @@
             return False
         self._term = term
         self._held.clear()
+        self._unsent.clear()
         return True
 
     def is_current(self, service, item):
@@ -136,16 +138,19 @@
         handover="",
         hold_ms=None,
         record=None,
-        reuse_only=False,
     ):
         """Send one grant and note until when it may be held.
 
-        It is noted under the token of its owner, or under ``record``. With
-        ``reuse_only`` it is sent only over a connection that is open already.
+        It is noted under the token of its owner, or under ``record`` for a fence. A
+        connection is opened only for a token that was never sent: the server may have
+        started again at its address, and each life has to get a higher token.
         """
         address = self._address(service, owner)
         if not address:
             return NO_ADDRESS
+        key = service, item.first, token
+        is_first = record is not None or key in self._unsent
+        self._unsent.discard(key)
         held = self._held_of(service, item.first, record or token)
         hold_ms = self.timing.hold_ms if hold_ms is None else hold_ms
         sent_ms = self.clock.now_ms()
@@ -161,42 +166,70 @@
                 handover,
                 ANSWER_MS,
                 life=item.life if owner == item.owner else item.old_life,
-                reuse_only=reuse_only,
+                reuse_only=not is_first,
             )
         finally:
             held.under_way -= 1
         self._note(held, sent_ms, result)
+        if is_first and record is None:
+            self._note_unsent(key, result)
         return result
 
-    def renew_through(self, send, service, owner, items, reuse_only=False):
+    def renew_through(self, send, service, owner, items):
         """Have renewals of one owner sent by another daemon; a list of their Results.
 
         Parameters
         ----------
         send : callable
-            ``send(owner, address, items, hold_ms, reuse_only)``, which returns the
+            ``send(owner, address, items, hold_ms, are_first)``, which returns the
             list.
         service, owner : str
         items : list of KeyRange
-        reuse_only : bool, default=False
-            As for :meth:`grant`.
         """
         address = self._address(service, owner)
         if not address:
             return [NO_ADDRESS] * len(items)
-        held = [self._held_of(service, item.first, item.token) for item in items]
+        keys = [(service, item.first, item.token) for item in items]
+        are_first = [key in self._unsent for key in keys]
+        self._unsent.difference_update(keys)
+        held = [self._held_of(*key) for key in keys]
         sent_ms = self.clock.now_ms()
         for each in held:
             each.under_way += 1
         try:
-            results = send(owner, address, items, self.timing.hold_ms, reuse_only)
+            results = send(owner, address, items, self.timing.hold_ms, are_first)
         finally:
             for each in held:
                 each.under_way -= 1
         for each, result in zip(held, results, strict=True):
             self._note(each, sent_ms, result)
+        for key, is_first, result in zip(keys, are_first, results, strict=True):
+            if is_first:
+                self._note_unsent(key, result)
         return results
 
+    def _note_unsent(self, key, result):
+        """Take in that a range's first grant did not leave, if it did not."""
+        failed = not is_successful(result)
+        if failed and isinstance(result.failure(), NotSentError):
+            self._unsent.add(key)
+
+    def note_new(self, service, item):
+        """Take in that a range has got a token that nobody has been sent."""
+        self._unsent.add((service, item.first, item.token))
+
+    def is_unsent(self, service, item):
+        """Tell whether nobody has been sent a range under its token."""
+        return (service, item.first, item.token) in self._unsent
+
+    def note_raised(self, service, item):
+        """Take in that a range's token is to be raised, its owner being the same.
+
+        What it was granted before counts for the higher token, too.
+        """
+        held = self._held_of(service, item.first, item.token)
+        self._held[service, item.first, item.raised().token] = held
+
     def _note(self, held, sent_ms, result):
         """Take in what became of a grant that was sent at a time."""
         self.n_grants += 1
@@ -227,6 +260,8 @@
         """
         held = self._held_of(service, whole_first, token)
         self._held[service, first, token] = held
+        if (service, whole_first, token) in self._unsent:
+            self._unsent.add((service, first, token))
 
     def doubts(self):
         """Return what the next leader has to know: an Inherited of all grants."""
--- a/src/tarragonramp/roles/mover.py
+++ b/src/tarragonramp/roles/mover.py
@@ -12,6 +12,7 @@
 
 from ..adapters.logs import log_event
 from ..errors import OvertakenGrantError, WrongServerError
+from .relay import has_no_connection
 
 __all__ = ["Mover"]
 
@@ -147,11 +148,16 @@
             self._giving.discard(key)
 
     def _grant_first(self, service, item, handover):
-        """Tell whether the new owner has taken the range; False if it has gone."""
+        """Tell whether the new owner has taken the range; False if that is not known.
+
+        Then its renewals go on, under a higher token if a connection is to be opened.
+        """
         while self.keeper.is_current(service, item):
             result = self.keeper.grant(service, item, item.owner, item.token, handover)
             if is_successful(result):
                 return True
+            if has_no_connection(result):
+                return False
             if isinstance(result.failure(), OvertakenGrantError):
                 self.keeper.refused.add((service, item.first, item.token))
                 return False
--- a/src/tarragonramp/roles/relay.py
+++ b/src/tarragonramp/roles/relay.py
@@ -45,6 +45,10 @@
 """Fewer are not worth a message."""
 
 DONE = "done"
+GOES_ON = (DONE, "overtaken", "no connection")
+"""After these a relay goes on with the next range: a token that no connection has
+carried must not hold up the others of its server."""
+
 ERRORS = {
     "overtaken": OvertakenGrantError,
     "wrong server": WrongServerError,
@@ -94,7 +98,7 @@
         if self.grants.has_lost(address):
             # It may have started again; the leader has to find out first.
             return {"results": ["not sent"]}
-        for first, last, token in message["ranges"]:
+        for first, last, token, is_first in message["ranges"]:
             if self.clock.now_ms() > until_ms or not is_wanted():
                 break
             result = self.grants.grant(
@@ -107,10 +111,10 @@
                 "",
                 GRANT_MS,
                 life=message.get("life", 0),
-                reuse_only=message.get("reuse_only", False),
+                reuse_only=not is_first,
             )
             results.append(_word_of(result))
-            if results[-1] not in (DONE, "overtaken"):
+            if results[-1] not in GOES_ON:
                 break
         return {"results": results}
 
@@ -149,7 +153,7 @@
         ]
         return max(addresses, key=lambda a: _rank(server_name, a), default="")
 
-    def send(self, relay, server, address, items, hold_ms, reuse_only=False):
+    def send(self, relay, server, address, items, hold_ms, are_first):
         """Have a relay renew ranges of one life of a server.
 
         Parameters
@@ -158,8 +162,9 @@
         items : list of KeyRange
             At least one.
         hold_ms : float
-        reuse_only : bool, default=False
-            Whether the relay may only use a connection that is open already.
+        are_first : list of bool
+            Whether nobody has sent a range's token before; only then may the relay
+            open a connection for it.
 
         Returns
         -------
@@ -172,8 +177,10 @@
             "address": address,
             "hold_ms": hold_ms,
             "life": items[0].life,
-            "reuse_only": reuse_only,
-            "ranges": [[item.first, item.last, item.token] for item in items],
+            "ranges": [
+                [item.first, item.last, item.token, is_first]
+                for item, is_first in zip(items, are_first, strict=True)
+            ],
         }
         result = self._ask(relay, message)
         if is_successful(result):
--- a/tests/test_platform_folder.py
+++ b/tests/test_platform_folder.py
@@ -101,6 +101,15 @@
         self.assertIsNone(self.grant(5, reuse_only=True))
         self.assertEqual(self.seen, [5, 5])
 
+    def test_a_token_goes_only_over_connections_that_have_carried_it(self):
+        """Guards against a connection that was opened to a later life meanwhile."""
+        self.grant(5)
+        self.assertIs(self.grant(7, reuse_only=True), NoConnectionError)
+        self.assertIsNone(self.grant(7))
+        for token in (7, 5):
+            self.assertIsNone(self.grant(token, reuse_only=True))
+        self.assertEqual(self.seen, [5, 7, 7, 5])
+
     def test_a_server_that_started_again_does_not_get_the_old_token(self):
         """Guards against a restart between two renewals that nobody could look up."""
         self.grant(5)
--- a/tests/test_ranges.py
+++ b/tests/test_ranges.py
@@ -8,7 +8,13 @@
 
 from tarragonramp.dealing import Candidate, first_deal
 from tarragonramp.manifest import N_KEYS
-from tarragonramp.ranges import KEPT_TABLES, RangeTable, TableHistory
+from tarragonramp.ranges import (
+    FENCES_A_TERM,
+    KEPT_TABLES,
+    RangeTable,
+    TableHistory,
+    fence_token,
+)
 
 
 class RangeTableTest(unittest.TestCase):
@@ -84,6 +90,30 @@
                 RangeTable.from_spec(spec)
 
 
+class RaisedTokenTest(unittest.TestCase):
+    """Tokens that grow although the owner stays."""
+
+    def setUp(self):
+        self.table = first_deal("parts", [Candidate("s0", 1), Candidate("s1", 1)])
+        self.item = self.table.ranges[3]
+
+    def test_a_raised_token_is_above_all_that_the_owner_had(self):
+        raised = self.item.raised()
+        last_fence = fence_token(self.item.token, 10**9, FENCES_A_TERM - 1)
+        self.assertGreater(raised.token, last_fence)
+        self.assertEqual(raised.moved_to("s1", 1).old_token, raised.token)
+
+    def test_other_daemons_are_not_told_of_raised_tokens(self):
+        """Guards against news of whole tables after each change of leader."""
+        later = self.table.with_ranges([self.item.raised()])
+        self.assertEqual(later.changed_from(self.table).ranges, ())
+        moved = self.item.raised().moved_to("s1", 1)
+        later = later.with_ranges([moved])
+        self.assertEqual(later.changed_from(self.table).ranges, (moved,))
+        settled = self.table.with_ranges([moved.settled()])
+        self.assertEqual(settled.changed_from(later).ranges, (moved.settled(),))
+
+
 class TableHistoryTest(unittest.TestCase):
     """What a daemon is told that knows an earlier version."""
 
