Fault tests begin once no more keys move

test_all_daemons_die_at_once once found other owners after the restart than before it. What disturbs it: a server whose first word comes more than 1.5 s after the planner's term (a busy machine) is passed over, its share goes to the others, and a tenth of the keys at a time moves back to it. The test reads the owners while that goes on, and the restart is not what changes them.

The site's start-up waits until each server owns no more than its share; the test and its check stay.

--- a/standins/layouts.py
+++ b/standins/layouts.py
@@ -1,10 +1,15 @@
 """A small site: four daemons, two failure domains, five backend servers."""
 
+import collections
+import math
 import os
 
 import attrs
+import gevent
 import yaml
 
+from tarragonramp.model import OWNED
+
 from .load import Call
 from .site import Backend, DaemonSpec
 
@@ -15,6 +20,7 @@
     "DAEMONS",
     "IN_DOMAIN",
     "holder_of",
+    "is_settled",
     "start_small",
     "successor_of",
 ]
@@ -74,6 +80,32 @@
         raise RuntimeError(done.stderr)
     for name in ALL_DAEMONS:
         site.wait_owned(name)
+    _wait_settled(site)
+
+
+def _wait_settled(site, timeout_s=20.0):
+    """Wait until no more keys move: servers that came late are given their share."""
+    name = "objects/Assignment/fraser-valley.records"
+    with gevent.Timeout(timeout_s):
+        while not is_settled(site.operator("d1", name)["spec"]["ranges"]):
+            gevent.sleep(0.05)
+
+
+def is_settled(ranges, n_servers=3):
+    """Tell whether each of some equal servers owns no more than its share.
+
+    Parameters
+    ----------
+    ranges : list of [first, count, state, server, token]
+    n_servers : int
+    """
+    counts = collections.Counter()
+    for _, count, state, server, _ in ranges:
+        if state != OWNED:
+            return False
+        counts[server] += count
+    share = math.ceil(counts.total() / n_servers)
+    return len(counts) == n_servers and max(counts.values()) <= share
 
 
 def _team_file(site, checks):
--- a/tests/test_checker.py
+++ b/tests/test_checker.py
@@ -5,6 +5,7 @@
 import attrs
 
 from standins.checker import check_run, new_work_after
+from standins.layouts import is_settled
 from standins.load import Outcome
 
 GOOD = {
@@ -81,3 +82,15 @@
         self.assertEqual(new_work_after([GOOD, late], ["s2"], 100.0), [])
         self.assertEqual(len(new_work_after([GOOD, late], ["s1"], 100.0)), 1)
         self.assertEqual(new_work_after([GOOD, late], ["s1"], 100.0, 3100.0), [])
+
+
+class SettledTest(unittest.TestCase):
+    """When a site that has just started moves no more keys."""
+
+    def test_each_server_owns_its_share(self):
+        owned = [[0, 22, "owned", "r1", 1], [22, 22, "owned", "r2", 1]]
+        self.assertTrue(is_settled([*owned, [44, 20, "owned", "r3", 1]]))
+        self.assertFalse(is_settled([*owned, [44, 20, "owned", "r1", 1]]))
+        self.assertFalse(is_settled([*owned, [44, 20, "releasing", "r3", 1]]))
+        uneven = [[0, 23, "owned", "r1", 1], [23, 21, "owned", "r2", 1]]
+        self.assertFalse(is_settled([*uneven, [44, 20, "owned", "r3", 1]]))
