Fault tests tell which processes of their site stood still

A test that fails once beside load leaves 'server is busy', and nothing says whether a server was silent because the machine gave it no time. The proxy and the backend stand-ins now note their own pauses as the daemons do, and a fault test that fails prints them all.

--- a/standins/backend.py
+++ b/standins/backend.py
@@ -25,6 +25,8 @@
     json_reply,
 )
 
+from .pauses import note_pauses  # noqa: E402
+
 WORK_STEP_MS = 20.0
 FALLEN_OVER_MS = 1000.0
 
@@ -244,6 +246,7 @@
                 clock_ms() + options.cold_ms,
             )
             WebServer(address, server).start()
+        note_pauses()
         gevent.get_hub().join()
 
 
--- a/standins/proxy.py
+++ b/standins/proxy.py
@@ -25,6 +25,8 @@
 from tarragonramp.adapters.http import split_address  # noqa: E402
 from tarragonramp.adapters.web import WebServer, json_reply  # noqa: E402
 
+from .pauses import note_pauses  # noqa: E402
+
 CHUNK_BYTES = 65_536
 UNKNOWN_PROCESS = "?"
 
@@ -202,6 +204,7 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--control", required=True)
     options = parser.parse_args()
+    note_pauses()
     WebServer(options.control, Proxy().control).serve_forever()
 
 
--- a/tests/faults.py
+++ b/tests/faults.py
@@ -8,6 +8,7 @@
 from standins.checker import check_run
 from standins.layouts import ALL_DAEMONS, CALLS, IN_DOMAIN, holder_of, start_small
 from standins.load import Load
+from standins.pauses import pauses_in
 from standins.proxy import Fault
 from standins.site import Site
 
@@ -85,6 +86,17 @@
         self.assertEqual([o for o in after if o.result != "well"][:3], [])
         self.check_promises([*outcomes, *after])
 
+    def _callTestMethod(self, method):  # noqa: N802
+        """Run the test; if it fails, print which processes stood still meanwhile.
+
+        A server or the proxy that the machine gives no time looks like a fault.
+        """
+        try:
+            super()._callTestMethod(method)
+        except Exception:
+            print("\n".join(["pauses:", *pauses_in(self.site.folder)]))
+            raise
+
     def show_daemons(self):
         """Print what each daemon did last: a run that fails once may not fail again."""
         for name in ALL_DAEMONS:
