--- a/src/tarragonramp/fleet.py
+++ b/src/tarragonramp/fleet.py
@@ -208,7 +208,6 @@
             leadership,
             ports.store,
             ports.grants,
-            ports.read_server,
             clock,
             Relays(view, leadership, peers, clock),
         )
--- a/src/tarragonramp/roles/granter.py
+++ b/src/tarragonramp/roles/granter.py
@@ -63,8 +63,6 @@
     store : Platform
     grants : Grants
         ``grant`` and ``release``.
-    read_server : callable
-        Decodes a server's entry; a Result.
     clock : Clock
     relays : Relays
     """
@@ -73,7 +71,6 @@
     leadership: object
     store: object
     grants: object
-    read_server: object
     clock: object
     relays: object
     keeper: GrantKeeper = attrs.field(init=False)
@@ -174,7 +171,7 @@
         )
         if not changed and not n_moving:
             changed = self._spread(service, newer, candidates)
-        raised = self._raised(service, newer.with_ranges(changed))
+        raised = self._asked_to_raise(service, newer.with_ranges(changed))
         if not freed and not changed and not raised:
             return table
         moved = [item for item in changed if item.is_moving]
@@ -193,11 +190,9 @@
         addresses = {candidate.name: candidate.address for candidate in candidates}
         # Before anybody, this leader's next look included, can read the cuts.
         self._note_cuts(service, newer, changed)
-        for item in raised:
-            self.keeper.note_raised(service, item)
-        raised = [item.raised() for item in raised]
-        newer = newer.with_ranges(changed, addresses).with_ranges(raised)
-        written = self._write(service, newer, [*moved, *raised])
+        newer = newer.with_ranges(changed, addresses)
+        raised = self._raise(service, raised)
+        written = self._write(service, newer.with_ranges(raised), [*moved, *raised])
         return written or self.view.tables.get(service, table)
 
     def _give_freed(self, service, table):
@@ -217,7 +212,7 @@
                 token = item.old_token if item.is_moving else item.token
                 self.keeper.share(service, whole.first, item.first, token)
 
-    def _raised(self, service, table):
+    def _asked_to_raise(self, service, table):
         """Return the ranges whose tokens are to be raised now."""
         return [
             item
@@ -227,6 +222,19 @@
             and self._is_to_raise(service, item)
         ]
 
+    def _raise(self, service, items):
+        """Return ranges under higher tokens, and note that they are to be written."""
+        for item in items:
+            self.keeper.note_raised(service, item)
+        if items:
+            log_event(
+                "tokens-raised",
+                service=service,
+                ranges=len(items),
+                owners=_names(item.owner for item in items),
+            )
+        return [item.raised() for item in items]
+
     def _is_to_raise(self, service, item):
         """Tell whether a token has to be raised before a connection is opened for it.
 
--- a/tests/fleet_world.py
+++ b/tests/fleet_world.py
@@ -265,7 +265,6 @@
             self.leadership,
             self,
             self.grants,
-            lambda stored: Success(stored.spec),
             self.clock,
             relay.Relays(self.view, self.leadership, self, self.clock),
         )
--- a/tests/test_granter.py
+++ b/tests/test_granter.py
@@ -97,7 +97,6 @@
             self.leader,
             self.store,
             self.servers,
-            lambda stored: Success(stored.spec),
             self.clock,
             types.SimpleNamespace(pick=lambda server: ""),
         )
