What a relay left out after a silence counts as not sent

A relay goes on after a range without a connection, so its words can hold 'no connection' before the silence at which it stops. What comes after that was taken for unconnected, too, and its tokens raised for nothing. Test: failed before (NoConnectionError for the last of three).

--- a/src/tarragonramp/roles/relay.py
+++ b/src/tarragonramp/roles/relay.py
@@ -186,7 +186,7 @@
         if is_successful(result):
             words = result.unwrap().get("results", [])
             results = [_result_of(word) for word in words[: len(items)]]
-            unsent = "no connection" if "no connection" in words else "not sent"
+            unsent = "no connection" if set(words) == {"no connection"} else "not sent"
             results += [_result_of(unsent)] * (len(items) - len(results))
         else:
             results = [Failure(result.failure())] * len(items)
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -191,6 +191,18 @@
         self.answer = Success({"results": ["no connection"]})
         self.assertEqual(self.send(), [NoConnectionError, NoConnectionError])
 
+    def test_what_was_left_out_after_a_silence_needs_no_new_token(self):
+        """Guards against a range that was not sent and counts as unconnected."""
+        self.answer = Success({"results": ["no connection"]})
+        self.assertEqual(self.send(), [NoConnectionError] * 2)
+        self.answer = Success({"results": ["silent"]})
+        self.assertEqual(self.send(), [UnansweredError, NotSentError])
+        three = [*ITEMS, KeyRange(20, 29, "s1", 1, 1)]
+        self.answer = Success({"results": ["no connection", "silent"]})
+        results = self.relays.send("d2:1", "s1", "s1:80", three, 7000.0, [False] * 3)
+        kinds = [type(result.failure()) for result in results]
+        self.assertEqual(kinds, [NoConnectionError, UnansweredError, NotSentError])
+
     def test_without_an_answer_everything_is(self):
         self.answer = Failure(UnansweredError("no answer"))
         self.assertEqual(self.send(), [UnansweredError, UnansweredError])
