--- a/tests/explore_ownership.py
+++ b/tests/explore_ownership.py
@@ -16,6 +16,11 @@
     return fleet_world.run_seed(seed, lists_late=True)
 
 
+def run_on_arrival(seed):
+    """Play a schedule with servers that compare a late grant's token on arrival."""
+    return fleet_world.run_seed(seed, compares_on_arrival=True)
+
+
 def explore(first, count, note=lambda line: None, runs=RUNS):
     """Run many schedules.
 
@@ -50,8 +55,11 @@
     parser.add_argument("--first", type=int, default=0)
     parser.add_argument("--count", type=int, default=1000)
     parser.add_argument("--late-lists", action="store_true")
+    parser.add_argument("--on-arrival", action="store_true")
     options = parser.parse_args()
-    runs = (run_late_lists,) if options.late_lists else RUNS + FLEET_RUNS
+    chosen = {run_late_lists: options.late_lists, run_on_arrival: options.on_arrival}
+    runs = tuple(run for run, is_chosen in chosen.items() if is_chosen)
+    runs = runs or RUNS + FLEET_RUNS
     n_broken, n_moves = explore(options.first, options.count, print, runs)
     print(f"{len(runs) * options.count} schedules, {n_moves} moves, {n_broken} broken")
     return 1 if n_broken else 0
