--- a/standins/site.py
+++ b/standins/site.py
@@ -288,6 +288,13 @@
                 entries += [json.loads(line) for line in stream if line.endswith("\n")]
         return entries
 
+    def lines_about(self, text):
+        """Return the lines of all daemons' logs that contain a text, by time."""
+        lines = [
+            x for name in self.settings for x in self.daemon_log(name).splitlines()
+        ]
+        return sorted(line for line in lines if text in line)
+
     def daemon_log(self, name):
         """Return what a process wrote to standard error."""
         path = os.path.join(self.folder, f"{name}.err")
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -155,6 +155,8 @@
         load.stopping = True
         callers.get()
         bad = [o for o in load.outcomes if o.result != "well"]
+        for outcome in bad[:5]:
+            print(outcome, *self.site.lines_about(outcome.request_id), sep="\n")
         self.assertEqual(bad[:5], [], summary(load.outcomes))
         self.assertGreater(len(load.outcomes), 1000)
         faults = check_run(self.site.executions(), load.outcomes)
