The soak takes a daemon's word for its start, not two seconds

Not a daemon's fault: all daemons had been killed at 16.2 s of the play and d1 was told to stop at 21.4 s, 5 s after its new start, and its log has no line of that process: it had not yet taken up its signals. The check allowed two seconds for that. It now allows until the daemon has said that it is ready, which is less on a calm machine.

--- a/soak/run.py
+++ b/soak/run.py
@@ -42,9 +42,9 @@
 SEEDS_FILE = "soak/seeds.txt"
 KEPT_LOGS = "out/soak"
 
-STARTING_S = 2.0
-"""A daemon that is stopped within this time may not have taken up its signals yet: it
-serves nobody and ends at once."""
+READY_LINE = "event=daemon-ready"
+"""Until a daemon has said so it may not have taken up its signals yet: it serves
+nobody, and ends at once if it is stopped."""
 
 
 @attrs.define(eq=False)
@@ -67,7 +67,7 @@
     stopping: bool = False
     n_calls: int = 0
     odd: list = attrs.Factory(list)
-    started_s: dict = attrs.Factory(dict)
+    said_before: dict = attrs.Factory(dict)
     starting: set = attrs.Factory(set)
 
     def play(self):
@@ -104,9 +104,14 @@
         self.site.wait_ready(*DAEMONS)
 
     def _start_daemon(self, name):
-        self.started_s[name] = time.monotonic()
+        is_known = name in self.site.processes
+        self.said_before[name] = len(self.site.log_text(name)) if is_known else 0
         self.site.start_daemon(name, DAEMONS[name])
 
+    def _is_new(self, name):
+        """Tell whether a daemon's process has not yet said that it is ready."""
+        return READY_LINE not in self.site.log_text(name)[self.said_before[name] :]
+
     def _strike_all(self):
         began_s, tasks = time.monotonic(), []
         for strike in draw_plan(self.seed, self.length_s * 1000.0):
@@ -157,7 +162,7 @@
         if not self._is_up(strike.name):
             return
         process = self.site.processes[strike.name]
-        is_new = time.monotonic() < self.started_s[strike.name] + STARTING_S
+        is_new = self._is_new(strike.name)
         process.terminate()
         with gevent.Timeout(12.0, False):
             while process.poll() is None:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -4,6 +4,7 @@
 import io
 import os
 import shutil
+import types
 import unittest
 from unittest import mock
 
@@ -165,6 +166,25 @@
         self.check_is_back()
 
 
+class NewDaemonTest(unittest.TestCase):
+    """Which daemons may end with a signal's code when they are stopped."""
+
+    def test_a_daemon_is_new_until_it_is_ready(self):
+        """Guards against a start that takes seconds on a busy machine."""
+        said = {"d1": ""}
+        site = types.SimpleNamespace(
+            processes=said, log_text=said.get, start_daemon=lambda *named: None
+        )
+        soak = Soak(SEED, SHORT_S, site)
+        soak._start_daemon("d1")
+        said["d1"] += "event=daemon-starting\n"
+        self.assertTrue(soak._is_new("d1"))
+        said["d1"] += "event=daemon-ready\n"
+        self.assertFalse(soak._is_new("d1"))
+        soak._start_daemon("d1")
+        self.assertTrue(soak._is_new("d1"))
+
+
 class FailedPlayTest(unittest.TestCase):
     """A run that ends otherwise than by its verdict."""
 
