An unconfirmed leader opens no connection for a new token

A server that has restarted could be granted a token below one that its earlier process was granted, which the rule "increasing tokens" forbids: a write fenced by the lower token could be refused, or one fenced by the higher accepted too late.

Cause: a token that had been raised and written, but not sent, could be sent over a new connection as long as the leader may renew, 9 s after the store's last confirmation. A leader may be replaced after 2.2 s. If it stood still between the write and the first grant, its successor raised the same tokens again and granted them; a server restarted; the leader thawed, cut off from its successor, and opened a connection to the new process with the lower token.

Fix: a connection for a new token is opened, and the token sent over it, only while the store has confirmed the leader within half a lease, so that no other daemon can lead; this is read again once the connection is open. A relay sends new tokens only within 1.1 s of the clock reading in the message, the other half of the lease. The first grant of a moved range waits for the confirmation, so that the state handed over by its old owner is kept.

The relay's test compares the options of a grant as before and the new one besides."

--- a/src/tarragonramp/roles/grants.py
+++ b/src/tarragonramp/roles/grants.py
@@ -179,7 +179,8 @@
 
         A connection is opened only for a token that has never been sent: the server may
         have restarted at its address, and each process instance has to get a higher
-        token than the one before.
+        token than the one before. It is opened only while no other daemon can lead: a
+        successor may have sent an earlier instance a higher token.
 
         Parameters
         ----------
@@ -207,6 +208,9 @@
         self._unsent.discard(key)
         state = self._state_of(service, item.first, record or token)
         hold_ms = self.timing.hold_ms if hold_ms is None else hold_ms
+        options = {"reuse_only": True}
+        if is_new_token and self._may_send_new_token():
+            options = {"reuse_only": False, "may_send": self._may_send_new_token}
         sent_ms = self.clock.now_ms()
         state.n_in_flight += 1
         try:
@@ -220,7 +224,7 @@
                 handover,
                 GRANT_TIMEOUT_MS,
                 life=item.life if owner == item.owner else item.old_life,
-                reuse_only=not is_new_token,
+                **options,
             )
         finally:
             state.n_in_flight -= 1
@@ -229,6 +233,13 @@
             self._restore_unsent(key, result)
         return result
 
+    def _may_send_new_token(self):
+        """Return whether no other daemon can have raised the token again.
+
+        Also called once a connection is open, as this process may have been paused.
+        """
+        return self.leadership.may_move
+
     def renew_via_relay(self, send, service, owner, items):
         """Renew ranges of one owner through another daemon.
 
--- a/src/tarragonramp/roles/mover.py
+++ b/src/tarragonramp/roles/mover.py
@@ -164,14 +164,18 @@
         """Return whether the new owner has accepted the range; False if unknown.
 
         In that case renewals continue, under a raised token if they need a new
-        connection.
+        connection. A leader that is not confirmed opens no connection and waits, so
+        that the state that the old owner handed over is not lost.
         """
         while self.tracker.is_current(service, item):
             result = self.tracker.grant(service, item, item.owner, item.token, handover)
             if is_successful(result):
                 return True
             if has_no_connection(result):
-                return False
+                if not self.tracker.is_unsent(service, item):
+                    return False
+                gevent.sleep(RETRY_MS / 1000.0)
+                continue
             if isinstance(result.failure(), OvertakenGrantError):
                 self.tracker.refused.add((service, item.first, item.token))
                 return False
--- a/src/tarragonramp/roles/relay.py
+++ b/src/tarragonramp/roles/relay.py
@@ -36,6 +36,13 @@
 may resume while it is cut off from the leader, and does not see that the connection has
 ended. The leader gets a new reading with each ping, about every half second."""
 
+MAX_NEW_TOKEN_AGE_MS = 1100.0
+"""Maximum age of a message whose new tokens are still sent.
+
+Only a leader that the store has confirmed within half a lease sends new tokens, and it
+may be replaced once the lease has ended. Its successor may raise the same tokens again,
+so the relay may use the other half only."""
+
 GRANT_TIMEOUT_MS = 600.0
 """Timeout of a grant that a relay sends. A server normally responds within a
 millisecond."""
@@ -107,6 +114,8 @@
         ):
             return {"clock_ms": now_ms}
         until_ms = min(now_ms + SEND_WINDOW_MS, clock_reading_ms + MAX_MESSAGE_AGE_MS)
+        new_token_until_ms = clock_reading_ms + MAX_NEW_TOKEN_AGE_MS
+        may_send_new_token = lambda: self.clock.now_ms() < new_token_until_ms
         server, address = message["server"], message["address"]
         results = []
         if self.grants.has_closed_connection(address):
@@ -115,6 +124,9 @@
         for first, last, token, is_new_token in message["ranges"]:
             if self.clock.now_ms() > until_ms or not is_wanted():
                 break
+            options = {"reuse_only": True}
+            if is_new_token and may_send_new_token():
+                options = {"reuse_only": False, "may_send": may_send_new_token}
             result = self.grants.grant(
                 server,
                 address,
@@ -125,7 +137,7 @@
                 "",
                 GRANT_TIMEOUT_MS,
                 life=message.get("life", 0),
-                reuse_only=not is_new_token,
+                **options,
             )
             results.append(_status_of(result))
             if results[-1] not in CONTINUE_AFTER:
@@ -178,7 +190,7 @@
         hold_ms : float
         are_new_tokens : list of bool
             Whether the token of each range has never been sent; only then may the relay
-            open a connection for it.
+            open a connection for it, and only while this leader is confirmed.
 
         Returns
         -------
@@ -192,12 +204,8 @@
             "address": address,
             "hold_ms": hold_ms,
             "life": items[0].life,
-            "ranges": [
-                [item.first, item.last, item.token, is_new_token]
-                for item, is_new_token in zip(items, are_new_tokens, strict=True)
-            ],
         }
-        result = self._send_message(relay, message)
+        result = self._send_message(relay, message, items, are_new_tokens)
         if is_successful(result):
             statuses = result.unwrap().get("results", [])
             results = [_result_of(status) for status in statuses[: len(items)]]
@@ -212,11 +220,20 @@
             self.exclude(relay, server)
         return results
 
-    def _send_message(self, relay, message):
-        """Send a message; send it once more if the relay asks for a newer reading."""
+    def _send_message(self, relay, message, items, are_new_tokens):
+        """Send a message; send it once more if the relay asks for a newer reading.
+
+        Whether this leader is confirmed is read after the clock reading was received,
+        so that the age of new tokens counts from before that moment.
+        """
         clock_ms = self.leadership.clock_reading_of(relay)
         for _ in range(2):
-            stamped = {**message, "clock_ms": clock_ms}
+            is_confirmed = self.leadership.may_move
+            ranges = [
+                [item.first, item.last, item.token, is_new_token and is_confirmed]
+                for item, is_new_token in zip(items, are_new_tokens, strict=True)
+            ]
+            stamped = {**message, "ranges": ranges, "clock_ms": clock_ms}
             result = self.peers.relay(relay, stamped, MESSAGE_TIMEOUT_MS)
             clock_ms = result.value_or({}).get("clock_ms")
             if clock_ms is None:
--- a/tests/fleet_mutants.py
+++ b/tests/fleet_mutants.py
@@ -55,7 +55,7 @@
     return {**answer, "doubts": {"all_ms": 0.0, "ranges": []}}
 
 
-def _grant_over_any_connection(self, *arguments, life=0, reuse_only=False):
+def _grant_over_any_connection(self, *arguments, **options):
     return _grant(self, *arguments)
 
 
@@ -135,6 +135,9 @@
     "a token is sent over a connection that has not carried it": _patch(
         HttpGrants, "_post", _post_over_any_open_connection
     ),
+    "an unconfirmed leader sends new tokens": _patch(
+        GrantTracker, "_may_send_new_token", lambda self: True
+    ),
     "an unconfirmed leader moves keys": _patch(
         LeadershipState, "may_move", LeadershipState.may_renew
     ),
--- a/tests/fleet_simulation.py
+++ b/tests/fleet_simulation.py
@@ -414,7 +414,15 @@
         self._idle.clear()
 
     def exchange(
-        self, method, target, headers, body, timeout_ms, reuse_only=False, tag=None
+        self,
+        method,
+        target,
+        headers,
+        body,
+        timeout_ms,
+        reuse_only=False,
+        tag=None,
+        may_send=None,
     ):
         """Send a grant or release request, as ``HttpPool`` does."""
         simulation, server = self.daemon.simulation, self.server
@@ -432,6 +440,8 @@
             if simulation.scheduler.now_ms > until_ms:
                 return Failure(UnansweredError("timed out"))
             connection = Connection(server.boot)
+        if may_send is not None and not may_send():
+            return Failure(NotSentError("right to send has expired"))
         connection.tags.add(tag)
         boot = connection.boot
         request = ServerRequest(target.endswith("grant"), json.loads(body))
@@ -1010,7 +1020,92 @@
     return undo_actions
 
 
+def _lose_store(simulation):
+    """Make the store unavailable; return the function that ends the outage."""
+    return simulation.cut_off_from_store("store", *DAEMONS, *SERVERS)
+
+
+def _server_restarts_without_store(simulation, n_restarts=1):
+    """Restart a server between two renewals while no entry can be read."""
+    undo_actions = [_lose_store(simulation)]
+    name = simulation.random.choice(sorted(SERVERS))
+    for _ in range(n_restarts):
+        simulation.run(simulation.random.uniform(100, 3000))
+        simulation.kill(name)()
+    simulation.run(6000)
+    return undo_actions
+
+
+def _relay_and_server_restart_without_store(simulation):
+    """Kill a daemon that relays renewals, and restart its server, without the store."""
+    undo_actions = [_lose_store(simulation)]
+    simulation.run(simulation.random.uniform(100, 3000))
+    near = DAEMONS[leader_of(simulation)]
+    far = [name for name, domain in SERVERS.items() if domain != near]
+    server = simulation.random.choice(far)
+    relays = [name for name, domain in DAEMONS.items() if domain != near]
+    undo_actions.append(simulation.kill(simulation.random.choice(relays)))
+    simulation.kill(server)()
+    simulation.run(6000)
+    return undo_actions
+
+
+def _leader_restarts_before_outage(simulation):
+    """Restart the leader, lose the store and restart a server."""
+    simulation.kill(leader_of(simulation))()
+    simulation.run(simulation.random.uniform(20, 2500))
+    undo_actions = [_lose_store(simulation)]
+    simulation.run(simulation.random.uniform(0, 500))
+    simulation.kill(simulation.random.choice(sorted(SERVERS)))()
+    simulation.run(6000)
+    return undo_actions
+
+
+def _moving_owner_restarts_without_store(simulation):
+    """Restart a server whose keys are on the move when the store is lost."""
+    name = simulation.random.choice(sorted(SERVERS))
+    undo_actions = [simulation.drain(name)]
+    simulation.run(simulation.random.uniform(0, 700))
+    undo_actions.append(_lose_store(simulation))
+    simulation.run(simulation.random.uniform(0, 700))
+    simulation.kill(name)()
+    simulation.run(6000)
+    return undo_actions
+
+
+def _leader_paused_before_new_tokens(simulation):
+    """Pause the leader between raising tokens and sending them, until it is replaced.
+
+    Its successor raises the tokens again, and then a server restarts.
+    """
+    leader, table = leader_of(simulation), (RANGES, SERVICE)
+    simulation.kill(leader)()
+    version = simulation.store.objects[table].version
+    while simulation.store.objects[table].version == version:
+        simulation.run(1)
+    resume = simulation.pause(leader)
+    undo_actions = [simulation.isolate(leader), resume]
+    simulation.run(simulation.random.uniform(4500, 7500))
+    simulation.kill(simulation.random.choice(sorted(SERVERS)))()
+    simulation.run(simulation.random.uniform(52, 120))
+    resume()
+    simulation.run(6000)
+    return undo_actions
+
+
 SCENARIOS = {
+    "server restarts without the store": _server_restarts_without_store,
+    "server restarts twice without the store": functools.partial(
+        _server_restarts_without_store, n_restarts=2
+    ),
+    "server and relay restart without the store": (
+        _relay_and_server_restart_without_store
+    ),
+    "leader restarts before an outage": _leader_restarts_before_outage,
+    "owner of moving keys restarts without the store": (
+        _moving_owner_restarts_without_store
+    ),
+    "leader paused before it sends new tokens": _leader_paused_before_new_tokens,
     "leader isolated while a server releases keys": _leader_isolated_during_move,
     "server restarts between two renewals": _server_restarts_between_renewals,
     "relay partitioned with its server": _relay_and_server_isolated,
--- a/tests/test_fleet_exploration.py
+++ b/tests/test_fleet_exploration.py
@@ -24,7 +24,9 @@
         run_scenario, "leader replaced while requests are delayed"
     ),
     "granted before the release is written to the store": partial(run_seed, 0),
-    "tokens are not raised for a new connection": partial(run_seed, 1),
+    "tokens are not raised for a new connection": partial(
+        run_scenario, "server restarts without the store"
+    ),
     "a token is sent over a connection that has not carried it": partial(
         run_scenario, "server restarts between two renewals", 3, **STALE_ENTRIES
     ),
@@ -36,6 +38,9 @@
     "in-doubt grants are not handed over": partial(
         run_scenario, "leader replaced while requests are delayed"
     ),
+    "an unconfirmed leader sends new tokens": partial(
+        run_scenario, "leader paused before it sends new tokens"
+    ),
     "an unconfirmed leader moves keys": partial(
         run_scenario, "leader isolated while a server releases keys"
     ),
--- a/tests/test_granter.py
+++ b/tests/test_granter.py
@@ -575,6 +575,62 @@
         n_before = len(self.servers.bounds)
         self.assertTrue(self.wait(lambda: len(self.servers.bounds) > n_before))
 
+    def test_unconfirmed_leader_sends_no_new_token(self):
+        """Guards against a token that the next leader has raised meanwhile."""
+        self.assign_all()
+        self.register(server("old"))
+        self.servers.answers["grant", "old"] = UNCONNECTED
+        self.start_leader()
+        self.assertTrue(self.wait(lambda: self.opened_connections()))
+        may_send = self.opened_connections()[0]["may_send"]
+        self.assertTrue(may_send())
+        self.leader.may_move = False
+        self.assertFalse(may_send())
+        n_opened, n_grants = len(self.opened_connections()), len(self.servers.bounds)
+        self.assertTrue(self.wait(lambda: len(self.servers.bounds) > n_grants + 2))
+        self.assertEqual(len(self.opened_connections()), n_opened)
+        self.leader.may_move = True
+        self.assertTrue(self.wait(lambda: len(self.opened_connections()) > n_opened))
+
+    def opened_connections(self):
+        """Return the options of the grants that may have opened a connection."""
+        return [bounds for bounds in self.servers.bounds if not bounds["reuse_only"]]
+
+    def test_handover_waits_for_confirmed_leader(self):
+        """Guards against state of the old owner that is lost in a short outage."""
+        self.assign_all()
+        self.register(attrs.evolve(server("old"), draining=True), server("new"))
+        grant, handovers = self.servers.grant, []
+
+        def grant_if_confirmed(name, address, first, last, token, *rest, **bounds):
+            if name == "new" and bounds["reuse_only"] and not handovers:
+                return UNCONNECTED
+            if name == "new":
+                handovers.append(rest[1])
+            return grant(name, address, first, last, token, *rest, **bounds)
+
+        release = self.servers.release
+
+        def release_and_lose_store(*arguments):
+            put = self.store.put
+
+            def put_and_lose_store(*written):
+                self.leader.may_move, self.store.put = False, put
+                return put(*written)
+
+            self.store.put = put_and_lose_store
+            return release(*arguments)
+
+        self.servers.grant = grant_if_confirmed
+        self.servers.release = release_and_lose_store
+        self.start_leader()
+        self.assertTrue(self.wait(lambda: not self.leader.may_move))
+        gevent.sleep(0.6)
+        self.assertEqual(handovers, [])
+        self.leader.may_move = True
+        self.assertTrue(self.wait(lambda: handovers))
+        self.assertEqual(handovers[0], "handover")
+
     def test_token_is_raised_before_connection_is_opened(self):
         """Otherwise a restarted server would get its old token again."""
         self.assign_all()
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -25,6 +25,7 @@
 from tarragonramp.roles.relay import (
     EXCLUSION_MS,
     MAX_MESSAGE_AGE_MS,
+    MAX_NEW_TOKEN_AGE_MS,
     SEND_WINDOW_MS,
     Relay,
     RelayPool,
@@ -68,7 +69,18 @@
         self.assertEqual(self.statuses(), ["done"] * 3)
         self.assertEqual(self.sent[2], ("s1", 20, 29, 5, 7000.0))
         self.assertEqual(self.bounds[1], {"life": 3, "reuse_only": True})
+        may_send = self.bounds[2].pop("may_send")
         self.assertEqual(self.bounds[2], {"life": 3, "reuse_only": False})
+        self.clock.advance(MAX_NEW_TOKEN_AGE_MS - 101.0)
+        self.assertTrue(may_send())
+        self.clock.advance(1.0)
+        self.assertFalse(may_send())
+
+    def test_new_tokens_of_older_message_open_no_connection(self):
+        """Guards against a token that the next leader has raised meanwhile."""
+        clock_ms = 1000.0 - MAX_NEW_TOKEN_AGE_MS
+        self.relay.send({**MESSAGE, "clock_ms": clock_ms})
+        self.assertEqual([b["reuse_only"] for b in self.bounds], [True] * 3)
 
     def test_relay_stops_after_pause(self):
         """The relay is paused between two grants; ranges may have moved meanwhile."""
@@ -143,6 +155,7 @@
         self.leadership = types.SimpleNamespace(
             daemons_in=lambda d: daemons.get(d, []),
             clock_reading_of=lambda relay: 500.0,
+            may_move=True,
         )
         self.answer, self.messages = Success({"results": ["done", "done"]}), []
         peers = types.SimpleNamespace(relay=self.relay_message)
@@ -192,6 +205,21 @@
             sent = [message["clock_ms"] for message in self.messages]
             self.assertEqual(sent, [known, 9000.0])
 
+    def test_unconfirmed_leader_announces_no_new_tokens(self):
+        """Guards against a token that the next leader has raised meanwhile."""
+        self.leadership.clock_reading_of = lambda relay: 100.0
+        peer = self.relays.peers.relay
+
+        def relay_message(relay, message, timeout_ms):
+            result = peer(relay, message, timeout_ms)
+            self.leadership.may_move = False
+            return result
+
+        self.relays.peers.relay = relay_message
+        self.send()
+        announced = [message["ranges"][0][3] for message in self.messages]
+        self.assertEqual(announced, [True, False])
+
     def test_relay_that_rejects_all_clock_readings_sent_nothing(self):
         self.answer = Success({"clock_ms": 9000.0})
         self.assertEqual(self.send(), [NotSentError, NotSentError])
