Logs tell why a server gets no renewal while the store is away

server-closed-connection is written once when the leader finds the connection closed. server-not-renewed has the number of ranges and the reason and is written once an attempt; it is also written when the tokens cannot be raised, which had no line.

The new test fails on the commit before, where a closed connection wrote no line.

--- a/src/tarragonramp/roles/granter.py
+++ b/src/tarragonramp/roles/granter.py
@@ -369,10 +369,12 @@
                 break
             # The flag is kept until tokens are raised: a closed connection is reported
             # only once.
-            connection_state.is_broken |= self.tracker.has_closed_connection(
-                service, identity[0]
-            )
+            if self.tracker.has_closed_connection(service, identity[0]):
+                log_event("server-closed-connection", server=identity[0])
+                connection_state.is_broken = True
             if connection_state.is_broken and not self._raise_tokens(service, owned):
+                if self.leadership.leads:
+                    _log_not_renewed(identity[0], "", owned, "tokens cannot be raised")
                 break
             connection_state.is_broken = False
             all_responded = self._renew_server(
@@ -502,7 +504,7 @@
                 return self._renew_directly(
                     service, connection_state.unconnected, connection_state
                 )
-            log_event("server-not-renewed", server=owner, relay=relay)
+            _log_not_renewed(owner, relay, unconfirmed, "no open connection")
             self.relays.exclude(relay, owner)
         return not unconfirmed
 
@@ -513,7 +515,11 @@
             self._renew(service, item, connection_state)
             if connection_state.is_broken:
                 return False
-        return not connection_state.unconnected
+        unconnected = connection_state.unconnected
+        if unconnected and not self.leadership.may_move:
+            owner = unconnected[0].owner
+            _log_not_renewed(owner, "", unconnected, "no open connection")
+        return not unconnected
 
     def _is_due(self, service, item):
         """Return whether a range is to be renewed now."""
@@ -553,8 +559,6 @@
         if self._handle_renewal(service, item, result, connection_state):
             return
         if has_no_connection(result):
-            if not self.leadership.may_move:
-                log_event("server-not-renewed", server=item.owner, relay="")
             connection_state.unconnected.append(item)
             return
         error = result.failure()
@@ -564,5 +568,16 @@
         connection_state.is_broken = True
 
 
+def _log_not_renewed(server, relay, items, reason):
+    """Log that ranges of a server get no renewal now; ``relay`` is empty for none."""
+    log_event(
+        "server-not-renewed",
+        server=server,
+        relay=relay,
+        ranges=len(items),
+        reason=reason,
+    )
+
+
 def _join_names(names):
     return ",".join(sorted(set(names)))
--- a/tests/test_granter.py
+++ b/tests/test_granter.py
@@ -6,6 +6,7 @@
 
 import types
 import unittest
+from unittest import mock
 
 import attrs
 import gevent
@@ -34,6 +35,7 @@
     even_bounds,
     fence_token,
 )
+from tarragonramp.roles import granter
 from tarragonramp.roles.granter import Granter
 
 from .fleet_simulation import Store
@@ -522,6 +524,32 @@
         self.assertTrue(renewed)
         self.check_first_connections()
 
+    def test_missing_renewals_are_logged_once_per_attempt(self):
+        """Guards against a server that loses its keys without a line that tells why."""
+        self.assign_ranges("old", 4)
+        self.register(server("old"))
+        self.start_leader()
+        self.assertTrue(self.wait(lambda: len(self.grants_to("old")) >= 4))
+        logged = []
+        note = lambda event, **fields: logged.append((event, fields))
+        with mock.patch.object(granter, "log_event", note):
+            self.leader.may_move, self.servers.lost = False, True
+            self.clock.advance(TIMING.regrant_ms)
+            self.assertTrue(self.wait(lambda: len(logged) >= 2, 5.0))
+            closed, not_renewed = logged[:2]
+            self.assertEqual(closed, ("server-closed-connection", {"server": "old"}))
+            self.assertEqual(not_renewed[0], "server-not-renewed")
+            self.assertEqual(not_renewed[1]["ranges"], 4)
+            self.servers.lost, self.leader.may_move = False, True
+            self.servers.answers["grant", "old"] = UNCONNECTED
+            renewed = self.wait(lambda: len(self.grants_to("old")) >= 8, 5.0)
+            self.assertTrue(renewed)
+            self.leader.may_move = False
+            logged.clear()
+            self.assertTrue(self.wait(lambda: logged, 5.0))
+            self.assertEqual(logged[0][1]["reason"], "no open connection")
+            self.assertEqual(logged[0][1]["ranges"], 4)
+
     def test_refused_writes_are_retried_with_delay(self):
         """Immediate retries would exceed the rate limit of a refusing store."""
         self.assign_all()
