The soak restarts servers in outages of the store, and counts faults that overlap

What was missing: the soak met the order of events of seed 510 by chance only, and its outages were shorter than planned: of two overlapping events the first to end reset the fault. In seed 510 the outage planned for 19.6 to 24.0 s ended at 19.9 s, and the recorded span went on to 24.0 s, so that checks were passed over for longer than the store was away.

Seeds from 2,000,000 on add outages with one to three servers of the divided service killed just before and in them, writes without a response before them, and leaders that are killed, frozen, stopped, cut off alone or killed with all daemons.

--- a/soak/plan.py
+++ b/soak/plan.py
@@ -8,6 +8,7 @@
     "DAEMONS",
     "DOMAINS",
     "FIRST_EXTENDED_SEED",
+    "FIRST_OUTAGE_SEED",
     "SERVERS",
     "FaultEvent",
     "generate_plan",
@@ -30,6 +31,10 @@
 lower seeds are generated from the original kinds only, so that the seeds kept for
 regression still produce the same plans."""
 
+FIRST_OUTAGE_SEED = 2_000_000
+"""First seed whose plans also restart servers around outages of the store, and whose
+runs end a fault only once every event that caused it has ended."""
+
 MAX_DURATION_MS = 5000.0
 """Maximum duration of a fault: longer than a leader's lease, shorter than a hold."""
 
@@ -92,9 +97,42 @@
             )
             at_ms += rng.uniform(50.0, 600.0)
         at_ms += rng.expovariate(1.0) * mean_gap_ms
+    if seed >= FIRST_OUTAGE_SEED:
+        events = sorted([*events, *_outages(rng, run_ms)], key=lambda e: e.at_ms)
     return [event for event in events if event.at_ms < run_ms]
 
 
+def _outages(rng, run_ms):
+    """Return outages of the store with restarts of servers and changes of leader."""
+    owners = [name for name, (service, _) in SERVERS.items() if service == "parts"]
+    events, at_ms = [], rng.uniform(2000.0, 6000.0)
+    while at_ms + MAX_DURATION_MS < run_ms:
+        lasts_ms = rng.uniform(2000.0, MAX_DURATION_MS)
+        events.append(FaultEvent(at_ms, "store", "store", lasts_ms, "down"))
+        if rng.random() < 0.5:
+            # What the leader writes just before may have no response.
+            early_ms = rng.uniform(0.0, 1500.0)
+            lost = FaultEvent(
+                at_ms - early_ms, "store", "store", early_ms, "lose_answers"
+            )
+            events.append(lost)
+        for name in rng.sample(owners, rng.randint(1, 3)):
+            killed_ms = at_ms + rng.uniform(-1500.0, 0.7 * lasts_ms)
+            down_ms = rng.uniform(50.0, max(100.0, at_ms + lasts_ms - killed_ms))
+            events.append(FaultEvent(killed_ms, "kill", name, down_ms))
+        changed_ms = at_ms + rng.uniform(-2000.0, lasts_ms)
+        down_ms = rng.uniform(100.0, 2500.0)
+        kind = rng.choice(("", "kill", "freeze", "stop", "kill-all", "link"))
+        if kind == "link":
+            link = FaultEvent(changed_ms, kind, "leader", 2 * down_ms, "cut", "store")
+            events.append(link)
+        elif kind:
+            name = "*" if kind == "kill-all" else "leader"
+            events.append(FaultEvent(changed_ms, kind, name, down_ms))
+        at_ms += lasts_ms + rng.uniform(3000.0, 7000.0)
+    return events
+
+
 def _daemon_event(kind, min_duration_ms):
     def generate(rng, at_ms):
         duration_ms = rng.uniform(min_duration_ms, MAX_DURATION_MS)
--- a/soak/run.py
+++ b/soak/run.py
@@ -7,6 +7,7 @@
 
 monkey.patch_all()
 
+import collections  # noqa: E402
 import json  # noqa: E402
 import os  # noqa: E402
 import random  # noqa: E402
@@ -27,7 +28,7 @@
 from tarragonramp.manifest import N_KEYS  # noqa: E402
 
 from .checks import Outcome, Probe, RunRecord, find_violations  # noqa: E402
-from .plan import DAEMONS, FIRST_EXTENDED_SEED, SERVERS, generate_plan  # noqa: E402
+from .plan import DAEMONS, FIRST_OUTAGE_SEED, SERVERS, generate_plan  # noqa: E402
 
 __all__ = ["Soak", "main"]
 
@@ -61,6 +62,8 @@
     version : int
         Of the latest manifest.
     active_link_faults : list of Fault
+    n_active : Counter
+        Events that have begun and not ended, by the fault that they cause.
     stopping : bool
         Ends the callers.
     n_calls : int
@@ -78,6 +81,7 @@
     record: RunRecord = attrs.Factory(RunRecord)
     version: int = 1
     active_link_faults: list = attrs.Factory(list)
+    n_active: collections.Counter = attrs.Factory(collections.Counter)
     stopping: bool = False
     n_calls: int = 0
     anomalies: list = attrs.Factory(list)
@@ -216,16 +220,32 @@
         finally:
             self.starting.discard(name)
 
+    def _wait_for_end(self, event, duration_s):
+        """Wait until an event ends; return whether the fault that it causes ends, too.
+
+        It does not while another event causes it. With seeds below
+        ``FIRST_OUTAGE_SEED`` the first event to end also ends the fault.
+        """
+        fault = event.kind, event.name, event.detail
+        self.n_active[fault] += 1
+        gevent.sleep(duration_s)
+        self.n_active[fault] -= 1
+        return not self.n_active[fault] or self.seed < FIRST_OUTAGE_SEED
+
     def _misbehave(self, event, duration_s):
         if not self._is_up(event.name):
             return
         process = self.site.processes[event.name]
-        for count in (UNLIMITED, 0):
-            if process.poll() is None:
-                body = json.dumps({event.detail: count}).encode()
-                pool = HttpPool(self.site.servers[event.name])
-                pool.exchange("POST", "/stand-in/faults", (), body, 2000)
-            gevent.sleep(duration_s if count else 0.0)
+        self._set_server_fault(process, event, UNLIMITED)
+        if self._wait_for_end(event, duration_s):
+            self._set_server_fault(process, event, 0)
+
+    def _set_server_fault(self, process, event, count):
+        if process.poll() is not None:
+            return
+        body = json.dumps({event.detail: count}).encode()
+        pool = HttpPool(self.site.servers[event.name])
+        pool.exchange("POST", "/stand-in/faults", (), body, 2000)
 
     def _link(self, event, duration_s):
         sources = list(DAEMONS) if event.name == "*" else [event.name]
@@ -251,14 +271,14 @@
         value = {"down": True, "delay_ms": 400.0}.get(event.detail, 3)
         began_ms = time.time() * 1000.0
         self.site.control_store(faults={event.detail: value})
-        gevent.sleep(duration_s)
-        self.site.control_store(faults={event.detail: type(value)()})
+        if self._wait_for_end(event, duration_s):
+            self.site.control_store(faults={event.detail: type(value)()})
         self.record.store_faults.append((began_ms, time.time() * 1000.0))
 
     def _take_out(self, event, duration_s):
         self.site.control_store(write=["evacuations", event.name, {}, None])
-        gevent.sleep(duration_s)
-        self.site.control_store(delete=["evacuations", event.name])
+        if self._wait_for_end(event, duration_s):
+            self.site.control_store(delete=["evacuations", event.name])
 
     def _manifest(self, event, duration_s):
         version = self._write_manifest()
@@ -371,7 +391,7 @@
         Duration of the faults in each run, in seconds.
     """
     fresh_seeds = (
-        FIRST_EXTENDED_SEED + secrets.randbelow(1_000_000) for _ in range(fresh)
+        FIRST_OUTAGE_SEED + secrets.randbelow(1_000_000) for _ in range(fresh)
     )
     chosen = [*seeds, *fresh_seeds]
     return sum(not run_seed(seed, length_s) for seed in chosen or regression_seeds())
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,6 +1,7 @@
 """Tests of the soak's parts, and one short run of it."""
 
 import contextlib
+import hashlib
 import io
 import os
 import shutil
@@ -13,7 +14,7 @@
 
 from soak import run
 from soak.checks import Outcome, Probe, RunRecord, find_violations
-from soak.plan import FaultEvent, generate_plan
+from soak.plan import FIRST_OUTAGE_SEED, SERVERS, FaultEvent, generate_plan
 from soak.run import LOG_FOLDER, Soak, regression_seeds, run_seed
 from standins.fleet_site import FleetSite
 from tarragonramp.adapters.http import HttpPool
@@ -21,6 +22,9 @@
 SHORT_S = 12.0
 SEED = 5
 
+PLAN_DIGESTS = {17: "ea30f2133152", 510: "e93c7342d24b", 1_108_563: "aa3c6038f699"}
+"""Start of the SHA-256 digest of the plan of 30 s, by seed."""
+
 
 def outcome(request_id="r1", method="POST", path="/book/", status=200, body=None):
     """Return an outcome; by default the complete response of ``desk0``."""
@@ -127,6 +131,31 @@
         pairs = zip(plan[1:], ends, strict=False)
         self.assertTrue(any(after.at_ms < end for after, end in pairs))
 
+    def test_later_kinds_leave_plans_of_earlier_seeds_unchanged(self):
+        """Guards against a seed kept for regression that plays something else."""
+        digests = {
+            seed: hashlib.sha256(repr(generate_plan(seed, 30_000.0)).encode())
+            for seed in (17, 510, 1_108_563)
+        }
+        found = {seed: digest.hexdigest()[:12] for seed, digest in digests.items()}
+        self.assertEqual(found, PLAN_DIGESTS)
+
+    def test_servers_restart_in_outages(self):
+        """Guards against a soak that never restarts a server without the store."""
+        for seed in range(FIRST_OUTAGE_SEED, FIRST_OUTAGE_SEED + 40):
+            plan = generate_plan(seed, 30_000.0)
+            self.assertEqual(plan, sorted(plan, key=lambda event: event.at_ms))
+            outages = [event for event in plan if event.detail == "down"]
+            restarts = [
+                event
+                for event in plan
+                if event.kind == "kill" and event.name in SERVERS
+                for outage in outages
+                if event.at_ms < outage.at_ms + outage.duration_ms
+                and event.at_ms + event.duration_ms > outage.at_ms
+            ]
+            self.assertGreater(len(restarts), 1, seed)
+
     def test_every_kind_is_generated_and_implemented(self):
         kinds = {s.kind for seed in range(40) for s in generate_plan(seed, 30_000.0)}
         self.assertGreater(len(kinds), 8)
@@ -137,6 +166,32 @@
         self.assertTrue(all(isinstance(seed, int) for seed in regression_seeds()))
 
 
+class OverlappingFaultsTest(unittest.TestCase):
+    """Two events that cause the same fault and overlap."""
+
+    def store_states(self, seed):
+        """Return whether the store is down after the end of each of two outages."""
+        active = {}
+        site = types.SimpleNamespace(control_store=lambda faults: active.update(faults))
+        soak = Soak(seed, SHORT_S, site)
+        events = [FaultEvent(0.0, "store", "store", ms, "down") for ms in (50.0, 150.0)]
+        tasks = [gevent.spawn(soak._apply, event) for event in events]
+        states = []
+        for task in tasks:
+            task.get()
+            states.append(active["down"])
+        self.assertEqual(len(soak.record.store_faults), 2)
+        return states
+
+    def test_a_fault_lasts_until_the_last_event_ends(self):
+        """Guards against outages that are shorter than planned."""
+        self.assertEqual(self.store_states(FIRST_OUTAGE_SEED), [True, False])
+
+    def test_runs_of_earlier_seeds_are_unchanged(self):
+        """Guards against a seed kept for regression that plays something else."""
+        self.assertEqual(self.store_states(FIRST_OUTAGE_SEED - 1), [False, False])
+
+
 class StartingServerTest(unittest.TestCase):
     """A server that another event affects while it starts."""
 
