--- a/tests/fleet_simulation.py
+++ b/tests/fleet_simulation.py
@@ -1073,6 +1073,25 @@
     return undo_actions
 
 
+def _servers_restart_during_answer_loss(simulation):
+    """Restart servers while most writes of the store have no response."""
+    undo_actions = [simulation.lose_store_answers(0.8)]
+    for _ in range(2):
+        simulation.run(simulation.random.uniform(0, 2600))
+        simulation.kill(simulation.random.choice(sorted(SERVERS)))()
+    simulation.run(4000)
+    return undo_actions
+
+
+def _leader_without_store_and_server_restarts(simulation):
+    """Cut only the leader off from the store, and restart a server."""
+    undo_actions = [simulation.cut_off_from_store(leader_of(simulation))]
+    simulation.run(simulation.random.uniform(0, 2600))
+    simulation.kill(simulation.random.choice(sorted(SERVERS)))()
+    simulation.run(6000)
+    return undo_actions
+
+
 def _leader_paused_before_new_tokens(simulation):
     """Pause the leader between raising tokens and sending them, until it is replaced.
 
@@ -1105,6 +1124,12 @@
     "owner of moving keys restarts without the store": (
         _moving_owner_restarts_without_store
     ),
+    "servers restart while answers of the store are lost": (
+        _servers_restart_during_answer_loss
+    ),
+    "server restarts while its leader lacks the store": (
+        _leader_without_store_and_server_restarts
+    ),
     "leader paused before it sends new tokens": _leader_paused_before_new_tokens,
     "leader isolated while a server releases keys": _leader_isolated_during_move,
     "server restarts between two renewals": _server_restarts_between_renewals,
