A failing rolling restart prints whose process stood still

Its listed failure could not be told from a backend server or daemon that got no time; the fault tests print that already. With records1 stopped for 1.1 s at each restart, the test fails and names records1.

--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -11,6 +11,7 @@
 from demo.run import BACKENDS, CALLS, DAEMONS
 from standins.checker import check_run
 from standins.load import Load, summary
+from standins.pauses import read_pauses
 from standins.site import Backend, DaemonSpec, Site, free_address
 from tarragonramp.adapters.http import HttpPool, split_address
 from tarragonramp.adapters.serving import DaemonServer
@@ -164,6 +165,8 @@
             print(
                 outcome, *self.site.log_lines_containing(outcome.request_id), sep="\n"
             )
+        if failures:
+            print("pauses:", *read_pauses(self.site.folder), sep="\n")
         self.assertEqual(failures[:5], [], summary(load.outcomes))
         self.assertGreater(len(load.outcomes), 1000)
         faults = check_run(self.site.executions(), load.outcomes)
