--- a/tests/test_faults_restarts.py
+++ b/tests/test_faults_restarts.py
@@ -1,4 +1,7 @@
-"""Backend servers restart at their addresses while the store cannot be read."""
+"""Backend servers restart at their addresses while the store cannot be read.
+
+Their entries then name the earlier processes, or are not known at all.
+"""
 
 import json
 import time
@@ -25,11 +28,7 @@
 
 
 class RestartTest(unittest.TestCase):
-    """Guards against a restarted server that is granted a token of its earlier process.
-
-    Its entry still names the earlier process, or cannot be read at all, and a renewal
-    that opens a connection reaches the new one.
-    """
+    """Guards against a restarted server that gets a token of its earlier process."""
 
     def setUp(self):
         self.site = FleetSite(proxy=free_address())
