The test of a cut-off failure domain keeps callers free, and checks each side

Cause: the test's load, not the daemons. Its 12 callers send one request at a time. Within 0.2 s of the partition 11 or 12 of them have one in flight to the other side, and wait for its deadline (2 s, claims 3 s), as it may have run.

--- a/tests/test_faults_cuts.py
+++ b/tests/test_faults_cuts.py
@@ -1,5 +1,7 @@
 """Fault tests with network partitions, in both directions or in one."""
 
+import gevent
+
 from standins.layouts import CALLS
 from tests.faults import ALL_DAEMONS, NAMES_BY_DOMAIN, FaultTestCase, partition
 
@@ -16,14 +18,22 @@
         refuses the other side's keys as not run. Ownership does not move.
         """
         faults = partition(NAMES_BY_DOMAIN["b"], [*NAMES_BY_DOMAIN["a"], "platform"])
-        outcomes = self.run_load_during_faults(faults, 7.0)
+        # More callers on each side than there are slots at the servers of the other:
+        # requests in flight when the partition begins block theirs until the deadline.
+        load_a = gevent.spawn(
+            self.run_load_during_faults, faults, 7.0, daemons=["d1", "d2"], n_callers=24
+        )
+        load_b = gevent.spawn(self.run_load, 7.0, daemons=["d3", "d4"], n_callers=24)
+        gevent.joinall([load_a, load_b], raise_error=True)
+        outcomes = [*load_a.value, *load_b.value]
         self.check_invariants(outcomes)
         self.check_recovered(outcomes)
-        during = self.outcomes_between(outcomes, 2.5, 3.9)
-        well = {o.label for o in during if o.result == "well"}
-        self.assertEqual(
-            well, {"record lookup", "record claim", "claim check", "claim"}
-        )
+        for load in (load_a, load_b):
+            during = self.outcomes_between(load.value, 2.5, 3.9)
+            well = {o.label for o in during if o.result == "well"}
+            self.assertEqual(
+                well, {"record lookup", "record claim", "claim check", "claim"}
+            )
 
     def test_steward_partitioned_from_its_server(self):
         """The steward cannot reach its server, but all other daemons can.
