The small test site is ready when its shared servers have stewards

Requests to the claims servers go through their stewards until the servers are known to be warm. The site's start waited for the owners of keys; a shared server has none, so the load could begin before claims1 and claims2 had stewards, and a request that finds neither is refused at once, as it should be.

--- a/standins/layouts.py
+++ b/standins/layouts.py
@@ -53,7 +53,10 @@
 
 
 def start_small(site, checks_grants=True, **backend_options):
-    """Start all processes, declare the team and wait until every key has an owner.
+    """Start all processes, declare the team and wait until it is served.
+
+    Every key has an owner then, and every backend server a steward that all daemons
+    know and that the server has answered.
 
     Parameters
     ----------
@@ -83,6 +86,31 @@
     for name in ALL_DAEMONS:
         site.wait_owned(name)
     _wait_balanced(site)
+    _wait_stewards(site)
+
+
+def _wait_stewards(site, timeout_s=20.0):
+    """Wait until requests to every server, also of shared services, find its steward.
+
+    Servers of a shared service own no keys, so that owners say nothing about them.
+    """
+    with gevent.Timeout(timeout_s):
+        while not all(_has_steward(site, backend.name) for backend in BACKENDS):
+            gevent.sleep(0.05)
+        roles = [f"steward.{b.team}.{b.service}.{b.name}" for b in BACKENDS]
+        version = max(
+            site.operator("d1", f"objects/Term/{r}")["version"] for r in roles
+        )
+        while not all(
+            site.operator(name, "status")["view_version"] >= version
+            for name in ALL_DAEMONS
+        ):
+            gevent.sleep(0.05)
+
+
+def _has_steward(site, server):
+    line = f"event=server-condition server={server} condition=up"
+    return any(line in site.daemon_log(name) for name in ALL_DAEMONS)
 
 
 def _wait_balanced(site, timeout_s=20.0):
