Soak: overlapping events start a process once

A stand-in of a backend server outlived its run by hours. Two events that strike one server (a kill, a leave, a stop) may restart it at the same time: both find it ended, and starting a process lets other greenlets run before it is registered. Both processes start on one address. The one that fails to listen may be the one that is registered: then the other one runs without being known. No later event affects it, none of its lines is missed, and nothing ends it with the run; nothing is reported.

That the process that was found began so is inferred. The test fails without the lock (2 starts).

--- a/soak/run.py
+++ b/soak/run.py
@@ -20,6 +20,7 @@
 import attrs  # noqa: E402
 import defopt  # noqa: E402
 import gevent  # noqa: E402
+from gevent.lock import BoundedSemaphore  # noqa: E402
 
 from standins.fleet_site import HOST, FleetSite, manifest  # noqa: E402
 from standins.proxy import Fault  # noqa: E402
@@ -73,6 +74,8 @@
         Length of a daemon's log when it was last started, by name.
     starting : set of str
         Servers that are being started.
+    start_locks : dict of str to BoundedSemaphore
+        Held while a process is checked and started, by name.
     """
 
     seed: int
@@ -87,6 +90,7 @@
     anomalies: list = attrs.Factory(list)
     log_offsets: dict = attrs.Factory(dict)
     starting: set = attrs.Factory(set)
+    start_locks: dict = attrs.Factory(lambda: collections.defaultdict(BoundedSemaphore))
 
     def execute(self):
         """Execute the plan; return violations by name of the check.
@@ -205,11 +209,16 @@
             self._restart(event.name)
 
     def _restart(self, name):
-        if self._is_up(name):
-            return
-        if name in DAEMONS:
-            self._start_daemon(name)
-            return
+        # Starting a process lets other greenlets run before it is registered.
+        with self.start_locks[name]:
+            if self._is_up(name):
+                return
+            if name in DAEMONS:
+                self._start_daemon(name)
+            else:
+                self._start_server(name)
+
+    def _start_server(self, name):
         self.starting.add(name)
         try:
             self.site.start_server(name, *SERVERS[name])
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -227,6 +227,26 @@
         self.check_serves_again()
 
 
+class OverlappingRestartsTest(unittest.TestCase):
+    """Two events that restart the same process."""
+
+    def test_a_server_is_started_once(self):
+        """Guards against a second process that no event affects and no run ends."""
+        soak = Soak(SEED, SHORT_S, FleetSite())
+        self.addCleanup(soak.site.close)
+        soak.site.start_store()
+        soak.site.start_server("desk0", "desk", "a")
+        soak.site.kill("desk0")
+        start = mock.patch.object(
+            FleetSite, "start_server", autospec=True, side_effect=FleetSite.start_server
+        )
+        with start as start_server:
+            restarts = [gevent.spawn(soak._restart, "desk0") for _ in range(2)]
+            gevent.joinall(restarts, raise_error=True)
+        self.assertEqual(start_server.call_count, 1)
+        self.assertTrue(soak._is_up("desk0"))
+
+
 class StartingDaemonTest(unittest.TestCase):
     """Which daemons may exit with a signal's code when they are stopped."""
 
