The CPU meter counts a request's first slice as request work

The meter learns the kind of a greenlet when it is switched to. A greenlet marks itself as request work after it has been switched to, so what it did until its next switch counted as control work. The mark now tells the meter.

--- a/src/tarragonramp/adapters/usage.py
+++ b/src/tarragonramp/adapters/usage.py
@@ -14,10 +14,15 @@
 LOOP_BLOCKED_MS = 200
 PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
 
+_running_meters = []
+
 
 def mark_request_work():
     """Account this greenlet, and all greenlets it spawns, to callers' requests."""
     gevent.getcurrent().spawn_tree_locals[REQUEST_MARK] = True
+    for meter in _running_meters:
+        # A meter would notice the mark only when the greenlet is switched to again.
+        meter.switch_kind(True)
 
 
 def resident_bytes():
@@ -59,20 +64,23 @@
                 getattr(target, "spawn_tree_locals", None) or ()
             )
             if on_request is not self._on_request:
-                self._switch(on_request)
+                self.switch_kind(on_request)
 
+        _running_meters[:] = [self]
         greenlet.settrace(trace_switch)
 
     def stop(self):
         """Stop metering."""
+        _running_meters.clear()
         greenlet.settrace(None)
 
     def control_ms(self):
         """Return the CPU time in milliseconds of everything but callers' requests."""
-        self._switch(self._on_request)
+        self.switch_kind(self._on_request)
         return time.process_time() * 1000.0 - self.request_ms
 
-    def _switch(self, on_request):
+    def switch_kind(self, on_request):
+        """Account the CPU time since the last call; set what runs from now on."""
         now_s = time.thread_time()
         if self._on_request:
             self.request_ms += (now_s - self._since_s) * 1000.0
