New tokens are sent until the lease ends, not for half of it

Cause: tokens that no server has seen went only within half a lease after a confirmed write of the leader's record was sent, 1.1 s. A leader whose writes take that long is never within it, keeps its record all the same, and holds the tokens of all servers back that it has no connection to.

Fix: another daemon takes over a lease after it saw the write at the earliest, so new tokens go until then, less 2% for clocks and 0.3 s for a pause between the last look at the clock and the send. The leader tells a relay this moment on the relay's own clock, so that its age needs no share of the lease.

Why it stays safe: at the moment of sending no successor can have raised the token again, so no earlier process can have been given a higher one; the connection belongs to one process.

--- a/src/tarragonramp/leadership.py
+++ b/src/tarragonramp/leadership.py
@@ -42,7 +42,8 @@
     drift : float
         Factor by which a server's clock may be slower.
     margin_ms : float
-        Added to the end of a hold for messages in transit.
+        Added to the end of a hold for messages in transit, and taken from the end of a
+        lease for pauses of processes.
     """
 
     renew_ms: float = 800.0
@@ -221,6 +222,18 @@
         """Tell whether keys may be moved now: no other daemon can have taken over."""
         return self.is_named and now_ms < self._confirmed_ms + self.timing.lease_ms / 2
 
+    @property
+    def sole_until_ms(self):
+        """Until when no other daemon can have taken over, with a margin for pauses.
+
+        Others wait for a lease from a time after the confirmed write was sent; their
+        clocks may be faster than this daemon's.
+        """
+        if not self.is_named:
+            return float("-inf")
+        lease_ms = self.timing.lease_ms / self.timing.drift
+        return self._confirmed_ms + lease_ms - self.timing.margin_ms
+
     def may_take_over(self, now_ms):
         """Tell whether this daemon may replace the record by its own.
 
--- a/src/tarragonramp/roles/grants.py
+++ b/src/tarragonramp/roles/grants.py
@@ -238,7 +238,7 @@
 
         Also called once a connection is open, as this process may have been paused.
         """
-        return self.leadership.may_move
+        return self.clock.now_ms() < self.leadership.sole_until_ms
 
     def renew_via_relay(self, send, service, owner, items):
         """Renew ranges of one owner through another daemon.
--- a/src/tarragonramp/roles/leadership.py
+++ b/src/tarragonramp/roles/leadership.py
@@ -94,6 +94,26 @@
 once it has certainly stopped."""
 
 
+@attrs.frozen
+class ClockReading:
+    """A reading of another daemon's clock.
+
+    Parameters
+    ----------
+    clock_ms : float or None
+        What the other daemon's clock showed; None if it has reported none.
+    received_ms : float
+        When it was received, on this daemon's clock.
+    """
+
+    clock_ms: float | None
+    received_ms: float
+
+    def convert(self, own_ms):
+        """Return a reading of the other clock that is not later than ``own_ms``."""
+        return self.clock_ms + own_ms - self.received_ms
+
+
 @attrs.define(eq=False, repr=False)
 class Leadership:
     """Acquires, keeps and hands over leadership, and tracks the daemons of the fleet.
@@ -140,7 +160,7 @@
     _reported_in_flight: dict = attrs.Factory(dict)
     _last_heard_ms: dict = attrs.Factory(dict)
     _domains: dict = attrs.Factory(dict)
-    _clock_readings_ms: dict = attrs.Factory(dict)
+    _clock_readings: dict = attrs.Factory(dict)
     _logged_hears_store: bool = True
     _unanswered_pings: int = 0
     _next_check_ms: float = 0.0
@@ -168,6 +188,13 @@
         """Whether this daemon may move keys now."""
         return not self.stopping and self.leadership_state.may_move(self.clock.now_ms())
 
+    @property
+    def sole_until_ms(self):
+        """Until when no other daemon can lead, so that new tokens may be sent."""
+        if self.stopping:
+            return float("-inf")
+        return self.leadership_state.sole_until_ms
+
     def run(self):
         """Lead, or follow the leader, forever."""
         while True:
@@ -361,12 +388,12 @@
         ]
 
     def record_clock_reading(self, address, clock_ms):
-        """Record the clock reading in a daemon's ping."""
-        self._clock_readings_ms[address] = clock_ms
+        """Record a reading of a daemon's clock that has just been received."""
+        self._clock_readings[address] = ClockReading(clock_ms, self.clock.now_ms())
 
     def clock_reading_of(self, address):
-        """Return the latest reading of a daemon's clock in ms, or None."""
-        return self._clock_readings_ms.get(address)
+        """Return the latest ClockReading of a daemon, or None."""
+        return self._clock_readings.get(address)
 
     def _choose_watchers(self, now_ms):
         """Choose and return the other daemons that follow the store themselves.
@@ -421,7 +448,7 @@
         for other, heard_ms in list(self._last_heard_ms.items()):
             if heard_ms < oldest_ms and other != self.name:
                 del self._last_heard_ms[other]
-                self._clock_readings_ms.pop(self.view.daemons.pop(other, None), None)
+                self._clock_readings.pop(self.view.daemons.pop(other, None), None)
                 log_event("daemon-lost", peer=other)
 
     def _renew_record(self):
--- a/src/tarragonramp/roles/relay.py
+++ b/src/tarragonramp/roles/relay.py
@@ -36,13 +36,6 @@
 may resume while it is cut off from the leader, and does not see that the connection has
 ended. The leader gets a new reading with each ping, about every half second."""
 
-MAX_NEW_TOKEN_AGE_MS = 1100.0
-"""Maximum age of a message whose new tokens are still sent.
-
-Only a leader that the store has confirmed within half a lease sends new tokens, and it
-may be replaced once the lease has ended. Its successor may raise the same tokens again,
-so the relay may use the other half only."""
-
 GRANT_TIMEOUT_MS = 600.0
 """Timeout of a grant that a relay sends. A server normally responds within a
 millisecond."""
@@ -114,7 +107,7 @@
         ):
             return {"clock_ms": now_ms}
         until_ms = min(now_ms + SEND_WINDOW_MS, clock_reading_ms + MAX_MESSAGE_AGE_MS)
-        new_token_until_ms = clock_reading_ms + MAX_NEW_TOKEN_AGE_MS
+        new_token_until_ms = message["new_token_until_ms"]
         may_send_new_token = lambda: self.clock.now_ms() < new_token_until_ms
         server, address = message["server"], message["address"]
         results = []
@@ -223,23 +216,32 @@
     def _send_message(self, relay, message, items, are_new_tokens):
         """Send a message; send it once more if the relay asks for a newer reading.
 
-        Whether this leader is confirmed is read after the clock reading was received,
-        so that the age of new tokens counts from before that moment.
+        The message says until when on the relay's clock no other daemon can lead. A
+        successor may raise tokens again that no server has seen, so the relay sends
+        them until then only.
         """
-        clock_ms = self.leadership.clock_reading_of(relay)
+        message["ranges"] = [
+            [item.first, item.last, item.token, is_new_token]
+            for item, is_new_token in zip(items, are_new_tokens, strict=True)
+        ]
         for _ in range(2):
-            is_confirmed = self.leadership.may_move
-            ranges = [
-                [item.first, item.last, item.token, is_new_token and is_confirmed]
-                for item, is_new_token in zip(items, are_new_tokens, strict=True)
-            ]
-            stamped = {**message, "ranges": ranges, "clock_ms": clock_ms}
-            result = self.peers.relay(relay, stamped, MESSAGE_TIMEOUT_MS)
+            result = self.peers.relay(
+                relay, self._stamp(relay, message), MESSAGE_TIMEOUT_MS
+            )
             clock_ms = result.value_or({}).get("clock_ms")
             if clock_ms is None:
                 break
+            self.leadership.record_clock_reading(relay, clock_ms)
         return result
 
+    def _stamp(self, relay, message):
+        """Return a message with a reading of the relay's clock, if one is known."""
+        reading = self.leadership.clock_reading_of(relay)
+        if reading is None or reading.clock_ms is None:
+            return {**message, "clock_ms": None, "new_token_until_ms": 0.0}
+        until_ms = max(0.0, reading.convert(self.leadership.sole_until_ms))
+        return {**message, "clock_ms": reading.clock_ms, "new_token_until_ms": until_ms}
+
     def exclude(self, relay, server):
         """Exclude a relay for some time, since it could not reach a server."""
         self._excluded_until_ms[relay] = self.clock.now_ms() + EXCLUSION_MS
--- a/tests/test_leading.py
+++ b/tests/test_leading.py
@@ -1,5 +1,6 @@
 """When a daemon may lead, by its own clock only."""
 
+import math
 import types
 import unittest
 
@@ -48,10 +49,26 @@
         self.assertTrue(self.leadership_state.may_renew(1000.0 + TIMING.right_ms - 1))
         self.assertFalse(self.leadership_state.may_renew(1000.0 + TIMING.right_ms))
 
+    def test_new_tokens_stop_before_another_daemon_can_take_over(self):
+        """Another daemon may have a faster clock, and saw the write after its start."""
+        self.assertEqual(self.leadership_state.sole_until_ms, -math.inf)
+        self.leadership_state.confirmed(OWN, 7, 1000.0)
+        until_ms = self.leadership_state.sole_until_ms
+        other = LeadershipState("10.0.0.2:1", "c1", TIMING)
+        other.observe(OWN, 7, 1000.0)
+        elapsed_ms = (until_ms + TIMING.margin_ms - 1000.0) * TIMING.drift
+        self.assertFalse(other.may_take_over(1000.0 + elapsed_ms - 1.0))
+
+    def test_new_tokens_are_sent_while_the_store_responds_late(self):
+        """Guards against servers without keys while each write takes 1.4 s."""
+        self.leadership_state.confirmed(OWN, 7, 1000.0)
+        self.assertGreater(self.leadership_state.sole_until_ms, 1000.0 + 1400.0)
+
     def test_leader_that_resigned_stops_at_once(self):
         self.leadership_state.confirmed(OWN, 7, 1000.0)
         self.leadership_state.give_up()
         self.assertFalse(self.leadership_state.may_renew(1001.0))
+        self.assertEqual(self.leadership_state.sole_until_ms, -math.inf)
 
     def test_holds_are_limited_to_what_servers_accept(self):
         """Guards against longer grants; the server would refuse them and own no key."""
