Choosing among hundreds of servers takes a fifth of the processor time

Cause: for each try, eleven function calls and several lookups by name for each of 243 servers: limits of the service, the clock, statistics, four powers.

Decisions are the same: 30,000 selections on 200 random histories (reports, sheds, failures, counts of other daemons) are equal before and after, with their expected times.

Why it works: what is the same for all servers is looked up once, and averages that stand at their baseline are not decayed.

--- a/src/tarragonramp/balancing.py
+++ b/src/tarragonramp/balancing.py
@@ -175,20 +175,20 @@
         -------
         selection : Selection or Rejection
         """
-        usable = [s for s in servers if not self.is_backing_off(s.name, now_ms)]
-        usable = usable or list(servers)
+        known = [(server, self._stats_of(server.name)) for server in servers]
+        usable = [pair for pair in known if pair[1].backoff_until_ms <= now_ms]
+        usable = usable or known
         if not usable:
             return Rejection("no server", 0.5)
         work_ms = self.work_ms(requirements.route)
         best, lowest_cost, best_expected_ms = None, math.inf, math.inf
-        for server in usable:
-            expected_ms = self.expected_ms(server, requirements.route, now_ms)
-            cost = expected_ms * (1.0 + 0.1 * self.rng.random())
+        draw = self.rng.random
+        for server, stats in usable:
+            expected_ms = _expected_ms(stats, server.slots, work_ms, now_ms)
+            cost = expected_ms * (1.0 + 0.1 * draw())
             if server.failure_domain != self.failure_domain:
                 cost += CROSS_DOMAIN_COST * work_ms
-            elif (
-                not self._stats_of(server.name).was_selected and expected_ms <= work_ms
-            ):
+            elif not stats.was_selected and expected_ms <= work_ms:
                 cost *= UNTRIED_COST_FACTOR
             if cost < lowest_cost:
                 best, lowest_cost, best_expected_ms = server, cost, expected_ms
@@ -214,26 +214,17 @@
     def expected_ms(self, server, route, now_ms):
         """Return the expected response time of a server, including its queue."""
         stats = self._stats_of(server.name)
-        work_ms = self.work_ms(route) * stats.current_slowdown(now_ms)
-        failures = min(0.9, stats.failure_rate(now_ms))
-        wait_ms = self.wait_ms(server, route, now_ms)
-        return (work_ms + wait_ms) / (1.0 - failures)
+        return _expected_ms(stats, server.slots, self.work_ms(route), now_ms)
 
     def wait_ms(self, server, route, now_ms):
         """Return how long a request would wait for one of a server's slots.
 
         All requests in flight at the server are assumed to be of the request's route.
         """
-        work_ms = self.work_ms(route) * self._stats_of(server.name).current_slowdown(
-            now_ms
-        )
-        return self._queue_excess(server, work_ms, now_ms) * work_ms / server.slots
-
-    def _queue_excess(self, server, work_ms, now_ms):
-        """Return how many requests have to finish before a new one can start."""
         stats = self._stats_of(server.name)
-        n_in_flight = stats.in_flight + stats.estimate_peer_in_flight(work_ms, now_ms)
-        return max(0.0, n_in_flight - server.slots + 1.0)
+        work_ms = self.work_ms(route) * stats.current_slowdown(now_ms)
+        excess = _queue_excess(stats, server.slots, work_ms, now_ms)
+        return excess * work_ms / server.slots
 
     def in_flight(self, name):
         """Return the number of this daemon's requests in flight at a server."""
@@ -250,10 +241,6 @@
         """Return a server's recent processing time as a multiple of the usual one."""
         return self._stats_of(name).typical_slowdown(now_ms)
 
-    def is_backing_off(self, name, now_ms):
-        """Tell whether a connection attempt to a server failed recently."""
-        return self._stats_of(name).backoff_until_ms > now_ms
-
     def work_ms(self, route):
         """Return a route's processing time at a server of usual speed."""
         return self._work_ms.get(route, INITIAL_WORK_MS)
@@ -361,8 +348,8 @@
         """
         stats = self._stats_of(server.name)
         work_ms = self.work_ms(requirements.route)
-        excess = self._queue_excess(
-            server, work_ms * stats.current_slowdown(now_ms), now_ms
+        excess = _queue_excess(
+            stats, server.slots, work_ms * stats.current_slowdown(now_ms), now_ms
         )
         if excess <= 0:
             return ""
@@ -398,3 +385,17 @@
         if report is not None:
             stats.note_report(report, now_ms)
         return stats
+
+
+def _expected_ms(stats, slots, work_ms, now_ms):
+    """Return the expected response time of a server, including its queue."""
+    work_ms *= stats.current_slowdown(now_ms)
+    failures = min(0.9, stats.failure_rate(now_ms))
+    wait_ms = _queue_excess(stats, slots, work_ms, now_ms) * work_ms / slots
+    return (work_ms + wait_ms) / (1.0 - failures)
+
+
+def _queue_excess(stats, slots, work_ms, now_ms):
+    """Return how many requests have to finish before a new one can start."""
+    n_in_flight = stats.in_flight + stats.estimate_peer_in_flight(work_ms, now_ms)
+    return max(0.0, n_in_flight - slots + 1.0)
--- a/src/tarragonramp/directory.py
+++ b/src/tarragonramp/directory.py
@@ -155,6 +155,12 @@
         """Tell whether a server is in a cold start and can handle only little load."""
         return self._cold_end_ms.get(name, -math.inf) > self.clock.now_ms()
 
+    def warm(self, servers):
+        """Return a list of those servers that are not in a cold start."""
+        now_ms = self.clock.now_ms()
+        cold = {name for name, end_ms in self._cold_end_ms.items() if end_ms > now_ms}
+        return [server for server in servers if server.name not in cold]
+
     def may_serve(self, server):
         """Tell whether a server, cold or not, may be sent new requests."""
         if server.draining or server.failure_domain in self.taken_out:
--- a/src/tarragonramp/roles/router.py
+++ b/src/tarragonramp/roles/router.py
@@ -225,8 +225,8 @@
         directory = self.view.directory
         servers = directory.usable(request.service)
         untried_servers = [s for s in servers if s.name not in request.tried]
-        connectable = [s for s in untried_servers if self._has_free_connection(s)]
-        warm = [s for s in connectable if not directory.is_cold(s.name)]
+        connectable = self._with_free_connection(request.service, untried_servers)
+        warm = directory.warm(connectable)
         if not servers:
             reason = "service has no servers"
         elif not untried_servers:
@@ -241,15 +241,26 @@
         if request.key is None:
             raise RequestError(400, NOT_RUN, "the request carries no key")
         server = self.owners.find(request)
-        if not self._has_free_connection(server):
+        if not self._with_free_connection(server.service, [server]):
             raise request.retryable_refusal("no connection left", NO_CONNECTION_RETRY_S)
         return server
 
-    def _has_free_connection(self, server):
-        limit = self.view.service(server.service).connections
-        own = self.selector.in_flight(server.name)
-        others = self.selector.peer_in_flight(server.name, self.clock.now_ms())
-        return may_connect(limit, self._n_daemons(), own, others)
+    def _with_free_connection(self, service, servers):
+        """Return those of a service's servers that may get one more request."""
+        limit, n_daemons = self.view.service(service).connections, self._n_daemons()
+        share, selector = connection_share(limit, n_daemons), self.selector
+        now_ms = self.clock.now_ms()
+
+        def may_borrow(name, own):
+            others = selector.peer_in_flight(name, now_ms)
+            return may_connect(limit, n_daemons, own, others)
+
+        return [
+            server
+            for server in servers
+            if (own := selector.in_flight(server.name)) < share
+            or may_borrow(server.name, own)
+        ]
 
     def _acquire_cold_start_permit(self, request, server, now_ms):
         """Raise if a server in a cold start may not be sent another request now."""
--- a/src/tarragonramp/server_stats.py
+++ b/src/tarragonramp/server_stats.py
@@ -88,10 +88,12 @@
         others_at_report = (
             self.report.running + self.report.waiting - self.own_in_flight_at_report
         )
+        if others_at_report <= 0.0:
+            return 0.0
         age = (now_ms - self.report_ms) / max(
             MIN_REPORT_HALF_LIFE_MS, REPORT_HALF_LIFE_FACTOR * work_ms
         )
-        return max(0.0, others_at_report) * 0.5**age
+        return others_at_report * 0.5**age
 
     def recent_peer_count(self, now_ms):
         """Return the other daemons' request count; None if it has expired."""
@@ -143,5 +145,7 @@
 
     def _decayed(self, value, baseline, now_ms):
         """Return an average that decays to its baseline without observations."""
+        if value == baseline:
+            return baseline
         age = max(0.0, now_ms - self.updated_ms) / DECAY_HALF_LIFE_MS
         return baseline + (value - baseline) * 0.5**age
