--- a/src/tarragonramp/__init__.py
+++ b/src/tarragonramp/__init__.py
@@ -1,33 +1,40 @@
 """tarragonramp: a router for servers that own their keys exclusively."""
 
-from .clock import Clock, ManualClock
-from .errors import TarragonError
-from .leases import Grant, GrantLedger, ServerAnswer
-from .model import Assignment, Service, SliceState, Team, Template, Term
-from .placement import ServerView, next_slices
-from .slices import slice_of
-from .teams import expand
-from .terms import HeldTerm, Takeover, may_claim
+import importlib
 
-__all__ = [
-    "Assignment",
-    "Clock",
-    "Grant",
-    "GrantLedger",
-    "HeldTerm",
-    "ManualClock",
-    "ServerAnswer",
-    "ServerView",
-    "Service",
-    "SliceState",
-    "Takeover",
-    "TarragonError",
-    "Team",
-    "Template",
-    "Term",
-    "expand",
-    "may_claim",
-    "next_slices",
-    "slice_of",
-]
+_MODULES = {
+    "Assignment": "model",
+    "Clock": "clock",
+    "Grant": "leases",
+    "GrantLedger": "leases",
+    "HeldTerm": "terms",
+    "ManualClock": "clock",
+    "ServerAnswer": "leases",
+    "ServerView": "placement",
+    "Service": "model",
+    "SliceState": "model",
+    "Takeover": "terms",
+    "TarragonError": "errors",
+    "Team": "model",
+    "Template": "model",
+    "Term": "model",
+    "expand": "teams",
+    "may_claim": "terms",
+    "next_slices": "placement",
+    "slice_of": "slices",
+}
+"""Modules of the public names. They are imported on first use, as a daemon needs few of
+them and callers wait for its start."""
+
+__all__ = sorted(_MODULES)  # noqa: PLE0605
 __version__ = "0.1.0"
+
+
+def __getattr__(name):
+    if name not in _MODULES:
+        raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
+    return getattr(importlib.import_module(f".{_MODULES[name]}", __name__), name)
+
+
+def __dir__():
+    return sorted([*globals(), *__all__])
--- a/src/tarragonramp/adapters/fleet_peers.py
+++ b/src/tarragonramp/adapters/fleet_peers.py
@@ -6,11 +6,11 @@
 import zlib
 
 import attrs
-from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
 
 from ..errors import UnansweredError
 from ..meters import NOT_RUN
+from ..results import is_successful
 from .http import HttpPools
 from .web import RequestError, caller_disconnected, error_reply
 
--- a/src/tarragonramp/adapters/metrics.py
+++ b/src/tarragonramp/adapters/metrics.py
@@ -57,12 +57,14 @@
     requests : RequestMeter
     traffic : TrafficMeter
     cpu : CpuMeter
+    started_ns : int, optional
+        Unix time since which is counted; now by default.
     """
 
-    def __init__(self, name, requests, traffic, cpu):
+    def __init__(self, name, requests, traffic, cpu, started_ns=None):
         self._name = name
         self._requests = requests
-        self._started_ns = time.time_ns()
+        self._started_ns = time.time_ns() if started_ns is None else started_ns
         self._registry = CollectorRegistry()
         reader = _Reader(self._registry, self._histograms)
         provider = MeterProvider([reader], resource=Resource.get_empty())
--- a/src/tarragonramp/adapters/peers.py
+++ b/src/tarragonramp/adapters/peers.py
@@ -9,7 +9,6 @@
 
 import attrs
 import grpc
-from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
 
 from ..credentials import METADATA_KEY, Secrets
@@ -17,6 +16,7 @@
 from ..gates import ForwardedRequest
 from ..model import Stored, Vm
 from ..news import NewsAnswer, NewsQuestion
+from ..results import is_successful
 from ..vms import VmChanges
 from ..wire import peer_pb2, peer_pb2_grpc
 from .http import HttpPools, Response
--- a/src/tarragonramp/changes.py
+++ b/src/tarragonramp/changes.py
@@ -2,13 +2,12 @@
 
 import sys
 
-from returns.pipeline import is_successful
-
 from .client import EXIT_CONFLICT, EXIT_INVALID, CommandError
 from .console import spec_diff
 from .declarations import DECLARED_KINDS, SYSTEM_FIELDS, read_declarations
 from .documents import Fault
 from .model import KIND_FAILURE_DOMAIN, KIND_TEAM, KIND_TEMPLATE, VIEWED_KINDS
+from .results import is_successful
 
 __all__ = [
     "apply_all",
--- a/src/tarragonramp/client.py
+++ b/src/tarragonramp/client.py
@@ -8,12 +8,12 @@
 import uuid
 
 import attrs
-from returns.pipeline import is_successful
 
 from .adapters.http import HttpPool
 from .checks import address as check_address
 from .credentials import Secrets
 from .errors import NotSentError, TarragonError
+from .results import is_successful
 
 __all__ = [
     "EXIT_CONFLICT",
--- a/src/tarragonramp/command.py
+++ b/src/tarragonramp/command.py
@@ -11,7 +11,6 @@
 import urllib.parse
 
 import defopt
-from returns.pipeline import is_successful
 
 from .changes import (
     apply_all,
@@ -46,6 +45,7 @@
 )
 from .documents import read_file
 from .explanation import explain_losses, explain_request
+from .results import is_successful
 from .settings import check_settings, is_settings
 
 __all__ = ["main"]
--- a/src/tarragonramp/daemon.py
+++ b/src/tarragonramp/daemon.py
@@ -21,7 +21,6 @@
 import grpc.experimental.gevent as grpc_gevent  # noqa: E402
 import logbook  # noqa: E402
 from gevent.event import Event  # noqa: E402
-from returns.pipeline import is_successful  # noqa: E402
 
 from .adapters.backends import HttpBackends  # noqa: E402
 from .adapters.http import HttpPools  # noqa: E402
@@ -41,6 +40,7 @@
 from .meters import RequestMeter, TrafficMeter  # noqa: E402
 from .model import Member  # noqa: E402
 from .propagation import PLATFORM  # noqa: E402
+from .results import is_successful  # noqa: E402
 from .roles.audit import AuditTrail  # noqa: E402
 from .roles.control import Control  # noqa: E402
 from .roles.entry import Entry  # noqa: E402
--- a/src/tarragonramp/declarations.py
+++ b/src/tarragonramp/declarations.py
@@ -1,7 +1,6 @@
 """Validation of operators' declarations before any of them is written."""
 
 import attrs
-from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
 
 from . import checks
@@ -15,6 +14,7 @@
     Team,
     Template,
 )
+from .results import is_successful
 from .structuring import structure
 from .teams import expand, template_faults
 
--- a/src/tarragonramp/fleet.py
+++ b/src/tarragonramp/fleet.py
@@ -5,18 +5,17 @@
 
 import signal
 import sys
+import time
 import uuid
 
 import attrs
 import gevent
 import logbook
 from gevent.event import Event
-from returns.pipeline import is_successful
 
 from .adapters.fleet_peers import FleetPeers, PeerApplication
 from .adapters.http import HttpPools
 from .adapters.logs import log_event, log_lines_suppressed, set_up_logs
-from .adapters.metrics import Metrics
 from .adapters.pipelining import PipeliningServer
 from .adapters.serving import DaemonServer
 from .adapters.usage import CpuMeter
@@ -27,14 +26,15 @@
 from .errors import AddressError
 from .fleet_view import FOLLOWED_KINDS, FleetView
 from .leadership import LeaseTiming
+from .limits import Limits
 from .meters import RequestMeter, TrafficMeter
+from .results import is_successful
 from .roles.follower import Follower
 from .roles.granter import Granter
 from .roles.leadership import Leadership
 from .roles.relay import Relay, RelayPool
 from .roles.router import Router
 from .roles.tasks import keep_running, task_failures
-from .settings import Limits
 
 __all__ = ["FleetBounds", "FleetDaemon", "FleetPorts", "FleetSettings", "run_daemon"]
 
@@ -173,6 +173,8 @@
     readiness_server: object = None
     peer_server: object = None
     metrics_server: object = None
+    metrics: object = None
+    started_ns: int = attrs.Factory(time.time_ns)
     is_ready: bool = False
     stopped: Event = attrs.Factory(Event)
 
@@ -250,7 +252,7 @@
             self.leadership,
             self.follower,
             Relay(self.ports.grants, clock),
-            self._metrics().page,
+            self._metrics_page,
         )
         self.peer_server = DaemonServer(
             settings.peer_address, application, clock, self.traffic
@@ -376,8 +378,22 @@
         drained = self.caller_server.drain(DRAIN_IDLE_MS, left_ms)
         log_event("daemon-stopped", requests_cut=drained.n_aborted)
 
-    def _metrics(self):
-        metrics = Metrics(self.settings.name, self.requests, self.traffic, self.cpu)
+    def _metrics_page(self):
+        """Return the metrics page, and its content type.
+
+        The metrics library is loaded by the first call, as loading it takes a third of
+        the start of a daemon that callers wait for.
+        """
+        if self.metrics is None:
+            self.metrics = self._create_metrics()
+        return self.metrics.page()
+
+    def _create_metrics(self):
+        from .adapters.metrics import Metrics
+
+        metrics = Metrics(
+            self.settings.name, self.requests, self.traffic, self.cpu, self.started_ns
+        )
         count, gauge = metrics.add_counter, metrics.add_gauge
         gauge("ready", "1 if callers may be sent here.", lambda: int(self.is_ready))
         gauge("leads", "1 if it gives out keys.", lambda: int(self.leadership.leads))
--- a/src/tarragonramp/roles/audit.py
+++ b/src/tarragonramp/roles/audit.py
@@ -6,11 +6,11 @@
 
 import attrs
 import gevent
-from returns.pipeline import is_successful
 from returns.result import Result
 
 from ..adapters.logs import log_event
 from ..model import KIND_AUDIT_ENTRY, Stored
+from ..results import is_successful
 from .writes import put_until_resolved
 
 __all__ = ["AuditTrail", "Change"]
--- a/src/tarragonramp/roles/entry.py
+++ b/src/tarragonramp/roles/entry.py
@@ -9,7 +9,6 @@
 import attrs
 import gevent
 from gevent.event import Event
-from returns.pipeline import is_successful
 
 from ..adapters.http import CANCELLATION_CHECK_MS
 from ..adapters.web import (
@@ -41,6 +40,7 @@
     key_of,
     request_id,
 )
+from ..results import is_successful
 from ..retries import RetryBudget
 from ..routing import RouteCache, less_loaded
 from ..slices import slice_of
--- a/src/tarragonramp/roles/follower.py
+++ b/src/tarragonramp/roles/follower.py
@@ -12,7 +12,6 @@
 import gevent
 import logbook
 from gevent.event import Event
-from returns.pipeline import is_successful
 
 from ..adapters.logs import log_event
 from ..errors import HistoryGoneError
@@ -21,6 +20,7 @@
 from ..model import Stored
 from ..ranges import RangeTable, TableHistory
 from ..removals import RemovalLog
+from ..results import is_successful
 from ..roster import Roster
 
 __all__ = ["Follower"]
--- a/src/tarragonramp/roles/forwarding.py
+++ b/src/tarragonramp/roles/forwarding.py
@@ -6,7 +6,6 @@
 
 import attrs
 from gevent.event import Event
-from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
 
 from ..adapters.http import Response
@@ -17,6 +16,7 @@
 from ..meters import NOT_RUN
 from ..model import OWNED
 from ..request import COLD_HEADER, DIRECT_HEADER, OUTCOME_HEADER
+from ..results import is_successful
 from ..view import steward_role
 
 __all__ = ["Forwarder", "ForwardHandler"]
--- a/src/tarragonramp/roles/granter.py
+++ b/src/tarragonramp/roles/granter.py
@@ -13,7 +13,6 @@
 import gevent
 import logbook
 from gevent.event import Event
-from returns.pipeline import is_successful
 
 from ..adapters.logs import log_event
 from ..errors import (
@@ -24,6 +23,7 @@
 from ..fleet_view import RANGES
 from ..hotspots import busy_servers, rebalance_hot_keys
 from ..range_placement import Candidate, initial_table, plan_moves
+from ..results import is_successful
 from .grants import GrantTracker
 from .mover import Mover
 from .relay import MIN_RELAYED_RANGES, has_no_connection
--- a/src/tarragonramp/roles/grants.py
+++ b/src/tarragonramp/roles/grants.py
@@ -9,7 +9,6 @@
 
 import attrs
 from gevent.lock import BoundedSemaphore
-from returns.pipeline import is_successful
 from returns.result import Failure
 
 from ..adapters.logs import log_event
@@ -21,6 +20,7 @@
 )
 from ..leadership import LATE_GRANT_MS
 from ..ranges import fence_token
+from ..results import is_successful
 
 __all__ = ["GrantTracker"]
 
--- a/src/tarragonramp/roles/leadership.py
+++ b/src/tarragonramp/roles/leadership.py
@@ -5,7 +5,6 @@
 import attrs
 import gevent
 import logbook
-from returns.pipeline import is_successful
 
 from ..adapters.logs import log_event
 from ..errors import ConflictError, NotFoundError
@@ -18,6 +17,7 @@
     LeadershipState,
     LeaseTiming,
 )
+from ..results import is_successful
 
 __all__ = ["Leadership"]
 
--- a/src/tarragonramp/roles/membership.py
+++ b/src/tarragonramp/roles/membership.py
@@ -4,11 +4,11 @@
 
 import attrs
 import gevent
-from returns.pipeline import is_successful
 
 from ..adapters.logs import log_event
 from ..model import KIND_FAILURE_DOMAIN, KIND_MEMBER
 from ..propagation import start_delay_ms
+from ..results import is_successful
 from ..terms import has_departed
 
 __all__ = ["Membership"]
--- a/src/tarragonramp/roles/mover.py
+++ b/src/tarragonramp/roles/mover.py
@@ -8,10 +8,10 @@
 
 import attrs
 import gevent
-from returns.pipeline import is_successful
 
 from ..adapters.logs import log_event
 from ..errors import OvertakenGrantError, WrongServerError
+from ..results import is_successful
 from .relay import has_no_connection
 
 __all__ = ["Mover"]
--- a/src/tarragonramp/roles/news.py
+++ b/src/tarragonramp/roles/news.py
@@ -5,7 +5,6 @@
 import attrs
 import gevent
 from gevent.event import Event
-from returns.pipeline import is_successful
 
 from ..adapters.logs import log_event
 from ..model import KIND_MEMBER, VIEWED_KINDS
@@ -17,6 +16,7 @@
     retry_ms,
     source_of,
 )
+from ..results import is_successful
 
 __all__ = ["News"]
 
--- a/src/tarragonramp/roles/operators.py
+++ b/src/tarragonramp/roles/operators.py
@@ -5,7 +5,6 @@
 import uuid
 
 import attrs
-from returns.pipeline import is_successful
 from returns.result import Result
 
 from ..adapters.web import json_reply
@@ -34,6 +33,7 @@
     Team,
     Template,
 )
+from ..results import is_successful
 from ..structuring import structure
 from . import audit
 from .writes import delete_until_resolved, put_until_resolved
--- a/src/tarragonramp/roles/overview.py
+++ b/src/tarragonramp/roles/overview.py
@@ -4,7 +4,6 @@
 
 import attrs
 import gevent
-from returns.pipeline import is_successful
 
 from ..model import (
     KIND_ASSIGNMENT,
@@ -15,6 +14,7 @@
     Assignment,
     FailureDomain,
 )
+from ..results import is_successful
 from ..slices import slice_of
 from ..view import CONFIGURED_KINDS, assignment_name, steward_role
 
--- a/src/tarragonramp/roles/planner.py
+++ b/src/tarragonramp/roles/planner.py
@@ -5,7 +5,6 @@
 import attrs
 import gevent
 from gevent.event import Event
-from returns.pipeline import is_successful
 
 from ..adapters.logs import log_event
 from ..assignments import slices_to_release
@@ -21,6 +20,7 @@
     UP,
 )
 from ..placement import ServerView, initial_assignment, next_slices
+from ..results import is_successful
 from ..view import assignment_name, planner_role, steward_role
 
 __all__ = ["Planners"]
--- a/src/tarragonramp/roles/relay.py
+++ b/src/tarragonramp/roles/relay.py
@@ -8,7 +8,6 @@
 
 import attrs
 import xxhash
-from returns.pipeline import is_successful
 from returns.result import Failure, Success
 
 from ..adapters.logs import log_event
@@ -19,6 +18,7 @@
     UnansweredError,
     WrongServerError,
 )
+from ..results import is_successful
 
 __all__ = ["Relay", "RelayPool", "has_no_connection"]
 
--- a/src/tarragonramp/roles/router.py
+++ b/src/tarragonramp/roles/router.py
@@ -5,7 +5,6 @@
 
 import attrs
 import logbook
-from returns.pipeline import is_successful
 
 from ..adapters.logs import log_event
 from ..adapters.web import (
@@ -22,6 +21,7 @@
 from ..errors import AbandonedError, NotSentError, RequestError
 from ..meters import ANSWERED, NOT_RUN, UNKNOWN
 from ..request import end_to_end_response_headers
+from ..results import is_successful
 from ..retries import RetryBudget
 from .owners import NO_OWNER_RETRY_S, OwnerResolver
 from .routed_request import RoutedRequest
--- a/src/tarragonramp/roles/status.py
+++ b/src/tarragonramp/roles/status.py
@@ -8,11 +8,11 @@
 import attrs
 import gevent
 from gevent.event import Event
-from returns.pipeline import is_successful
 
 from ..adapters.logs import log_event
 from ..errors import ConflictError
 from ..model import KIND_STATUS
+from ..results import is_successful
 
 __all__ = ["IN_FORCE_TARGET", "StatusReporter"]
 
--- a/src/tarragonramp/roles/steward.py
+++ b/src/tarragonramp/roles/steward.py
@@ -5,7 +5,6 @@
 import attrs
 import gevent
 from gevent.event import Event
-from returns.pipeline import is_successful
 
 from ..adapters.logs import log_event
 from ..assignments import may_grant, tokens_of, with_steward_term
@@ -13,6 +12,7 @@
 from ..gates import ColdStartState, Gate
 from ..leases import END_MARGIN_MS, GrantLedger
 from ..model import KIND_ASSIGNMENT, SILENT, UNKNOWN, UP
+from ..results import is_successful
 from ..terms import RIGHT_MARGIN
 from ..view import assignment_name, planner_role, steward_role
 
--- a/src/tarragonramp/roles/terms.py
+++ b/src/tarragonramp/roles/terms.py
@@ -6,11 +6,11 @@
 import gevent
 import gevent.pool
 import xxhash
-from returns.pipeline import is_successful
 
 from ..adapters.logs import log_event
 from ..errors import ConflictError
 from ..model import KIND_TERM, Term
+from ..results import is_successful
 from ..terms import ClaimPlan, RoleTerm, may_claim
 from ..view import planner_role, steward_role
 
--- a/src/tarragonramp/roles/writes.py
+++ b/src/tarragonramp/roles/writes.py
@@ -1,7 +1,6 @@
 """Conditional updates whose outcome is determined even if a response is lost."""
 
 import gevent
-from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
 
 from ..errors import (
@@ -11,6 +10,7 @@
     PlatformNotSentError,
     PlatformUnreachableError,
 )
+from ..results import is_successful
 
 __all__ = ["delete_until_resolved", "put_until_resolved"]
 
--- a/src/tarragonramp/teams.py
+++ b/src/tarragonramp/teams.py
@@ -3,13 +3,13 @@
 import re
 
 import attrs
-from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
 
 from . import checks
 from .documents import Fault
 from .errors import TeamError
 from .model import Service
+from .results import is_successful
 from .structuring import structure
 
 __all__ = ["expand", "service_faults", "template_faults"]
--- a/src/tarragonramp/view.py
+++ b/src/tarragonramp/view.py
@@ -2,7 +2,6 @@
 
 import attrs
 import cattrs
-from returns.pipeline import is_successful
 
 from .model import (
     IN,
@@ -22,6 +21,7 @@
     Term,
 )
 from .news import NewsAnswer, NewsQuestion
+from .results import is_successful
 from .teams import expand
 from .vms import VmList
 
