The leader looks at the ranges of one owner without a pass over all

What callers saw: keys of servers that leave are refused until they have moved. With 297 owners of 5,346 ranges the leader was busy all the time while keys moved.

Cause: each renewal of a server went over all ranges up to four times, each round of planning six times, and the search for busy keys made an object for each range.

Why it works: a table groups its ranges by owner and finds the moving ones once, when they are first asked for; a new version is a new table.

--- a/src/tarragonramp/hotspots.py
+++ b/src/tarragonramp/hotspots.py
@@ -129,24 +129,24 @@
 
 
 def _owners(table, candidates, by_key):
-    """Return the candidates with their ranges, except those being moved."""
+    """Return the candidates with their busy ranges, except those being moved."""
     owners = {c.name: _OwnerLoad(c) for c in candidates}
     keys = sorted(by_key)
-    for key_range in table.ranges:
-        owner = owners.get(key_range.owner)
-        if (
-            owner is None
-            or owner.candidate.life != key_range.life
-            or key_range.is_moving
-        ):
+    begin = 0
+    while begin < len(keys):
+        key_range = table.find(keys[begin])
+        if key_range is None:
+            begin += 1
             continue
-        begin = bisect.bisect_left(keys, key_range.first)
-        end = bisect.bisect_right(keys, key_range.last)
-        range_load = _RangeLoad(
-            key_range, [(key, by_key[key]) for key in keys[begin:end]]
-        )
-        owner.range_loads.append(range_load)
-        owner.add_load(range_load.busy_ms)
+        end = bisect.bisect_right(keys, key_range.last, begin)
+        owner = owners.get(key_range.owner)
+        is_settled = owner is not None and not key_range.is_moving
+        if is_settled and owner.candidate.life == key_range.life:
+            load_by_key = [(key, by_key[key]) for key in keys[begin:end]]
+            range_load = _RangeLoad(key_range, load_by_key)
+            owner.range_loads.append(range_load)
+            owner.add_load(range_load.busy_ms)
+        begin = end
     return list(owners.values())
 
 
--- a/src/tarragonramp/range_placement.py
+++ b/src/tarragonramp/range_placement.py
@@ -99,57 +99,68 @@
     lives = {candidate.name: candidate.life for candidate in candidates}
     slots = {candidate.name: candidate.slots for candidate in candidates}
 
-    def key_share(key_range):
-        return key_range.n_keys / N_KEYS
-
-    loads = dict.fromkeys(lives, 0.0)
-    orphaned = []
-    for key_range in table.ranges:
-        if lives.get(key_range.owner) == key_range.life:
-            loads[key_range.owner] += key_share(key_range) / slots[key_range.owner]
-        elif not key_range.is_moving and not may_keep(key_range):
-            orphaned.append(key_range)
-    orphaned.sort(key=key_share, reverse=True)
+    loads = _loads(table, candidates)
+    orphaned = [
+        key_range
+        for (owner, life), owned in table.by_owner.items()
+        if lives.get(owner) != life
+        for key_range in owned
+        if not key_range.is_moving and not may_keep(key_range)
+    ]
+    orphaned.sort(key=lambda key_range: (-key_range.n_keys, key_range.first))
     heap = [(load, name) for name, load in loads.items()]
     heapq.heapify(heap)
     moved = []
     for key_range in orphaned[:max_new_moves]:
         load, name = heapq.heappop(heap)
         moved.append(key_range.moved_to(name, lives[name]))
-        load += key_share(key_range) / slots[name]
+        load += _key_share(key_range) / slots[name]
         heapq.heappush(heap, (load, name))
     if orphaned:
         return moved
-    return _fill_underloaded(table, candidates, key_share, max_new_moves, busy)
+    return _fill_underloaded(table, candidates, max_new_moves, busy)
+
+
+def _key_share(key_range):
+    return key_range.n_keys / N_KEYS
+
+
+def _loads(table, candidates):
+    """Return each candidate's share of all keys, per slot."""
+    loads = {}
+    for candidate in candidates:
+        owned = table.by_owner.get((candidate.name, candidate.life), ())
+        n_keys = sum(item.last - item.first + 1 for item in owned)
+        loads[candidate.name] = n_keys / N_KEYS / candidate.slots
+    return loads
 
 
 def _settled_ranges(table, candidates):
     """Return the ranges of each candidate that are not being moved."""
-    lives = {candidate.name: candidate.life for candidate in candidates}
-    by_owner = {name: [] for name in lives}
-    for key_range in table.ranges:
-        if lives.get(key_range.owner) == key_range.life and not key_range.is_moving:
-            by_owner[key_range.owner].append(key_range)
-    return by_owner
+    return {
+        candidate.name: [
+            key_range
+            for key_range in table.by_owner.get((candidate.name, candidate.life), ())
+            if not key_range.is_moving
+        ]
+        for candidate in candidates
+    }
 
 
-def _fill_underloaded(table, candidates, key_share, max_new_moves, busy):
+def _fill_underloaded(table, candidates, max_new_moves, busy):
     """Give servers with far less than their fair share ranges of the most loaded ones.
 
     Servers in ``busy()`` are excluded: they may own few keys because one is so hot that
     they gave all others away.
     """
-    by_owner = _settled_ranges(table, candidates)
     lives = {candidate.name: candidate.life for candidate in candidates}
     slots = {candidate.name: candidate.slots for candidate in candidates}
-    loads = dict.fromkeys(lives, 0.0)
-    for key_range in table.ranges:
-        if lives.get(key_range.owner) == key_range.life:
-            loads[key_range.owner] += key_share(key_range) / slots[key_range.owner]
+    loads = _loads(table, candidates)
     fair_load = 1.0 / sum(slots.values())
     underloaded = [name for name in loads if loads[name] < MIN_FAIR_SHARE * fair_load]
     if not underloaded:
         return []
+    by_owner = _settled_ranges(table, candidates)
     moved, busy_names = [], busy()
     for name in sorted(underloaded, key=loads.get):
         if name in busy_names:
@@ -163,6 +174,6 @@
                 return moved
             key_range = ranges.pop()
             moved.append(key_range.moved_to(name, lives[name]))
-            loads[most_loaded] -= key_share(key_range) / slots[most_loaded]
-            loads[name] += key_share(key_range) / slots[name]
+            loads[most_loaded] -= _key_share(key_range) / slots[most_loaded]
+            loads[name] += _key_share(key_range) / slots[name]
     return moved
--- a/src/tarragonramp/ranges.py
+++ b/src/tarragonramp/ranges.py
@@ -131,10 +131,31 @@
     addresses: dict = attrs.Factory(dict)
     n_initial: int = 0
     _firsts: list = attrs.field(init=False)
+    _by_owner: dict | None = attrs.field(init=False, default=None)
+    _moving: tuple | None = attrs.field(init=False, default=None)
 
     def __attrs_post_init__(self):
         self._firsts = [item.first for item in self.ranges]
 
+    @property
+    def by_owner(self):
+        """Ranges by the name and life of their owner, ordered by key.
+
+        Kept, as a leader asks for the ranges of hundreds of owners in each second.
+        """
+        if self._by_owner is None:
+            self._by_owner = {}
+            for item in self.ranges:
+                self._by_owner.setdefault((item.owner, item.life), []).append(item)
+        return self._by_owner
+
+    @property
+    def moving(self):
+        """Ranges that their previous owner may still hold, ordered by key."""
+        if self._moving is None:
+            self._moving = tuple(item for item in self.ranges if item.old_owner)
+        return self._moving
+
     def find(self, key):
         """Return the KeyRange that contains a key, or None."""
         at = bisect.bisect_right(self._firsts, key) - 1
--- a/src/tarragonramp/roles/granter.py
+++ b/src/tarragonramp/roles/granter.py
@@ -141,16 +141,15 @@
         if table is None:
             return
         self._grant_free_ranges(service, table)
-        for identity in sorted({(item.owner, item.life) for item in table.ranges}):
+        for identity in sorted(table.by_owner):
             key = service, identity
             if key not in self._renewal_tasks:
                 self._renewal_tasks[key] = keep_running(
                     lambda key=key: self._renew_until_done(*key)
                 )
         if self.leadership.may_move:
-            for item in table.ranges:
-                if item.is_moving:
-                    self.mover.start_release(service, item)
+            for item in table.moving:
+                self.mover.start_release(service, item)
 
     def _plan_and_write(self, service, table):
         """Write which ranges are free and which are to move; return the table.
@@ -162,11 +161,11 @@
             return self._assign_initially(service, candidates)
         freed = [
             item.settled()
-            for item in table.ranges
-            if item.is_moving and self.mover.is_released(service, item)
+            for item in table.moving
+            if self.mover.is_released(service, item)
         ]
-        newer = table.with_ranges(freed)
-        n_moving = sum(self._can_be_released(item) for item in newer.ranges)
+        newer = table.with_ranges(freed) if freed else table
+        n_moving = sum(self._can_be_released(item) for item in newer.moving)
         changed = plan_moves(
             newer,
             candidates,
@@ -209,8 +208,9 @@
         The table is used rather than the result of the write: a write that freed ranges
         may have taken effect although its response was lost.
         """
-        for item in table.ranges:
-            if not item.is_moving:
+        for first, token in self.mover.released_ranges(service):
+            item = table.find(first)
+            if (item.first, item.token) == (first, token) and not item.is_moving:
                 self.mover.grant_to_new_owner(service, item)
 
     def _record_splits(self, service, table, changed):
@@ -264,8 +264,6 @@
         limit for 40 s, and servers that were leaving meanwhile kept their keys and
         refused requests for them.
         """
-        if not item.is_moving:
-            return False
         server = self.view.directory.servers.get(item.old_owner)
         return server is not None and server.life == item.old_life
 
@@ -451,11 +449,8 @@
         table = self.view.tables.get(service)
         if table is None:
             return []
-        return [
-            item
-            for item in table.ranges
-            if (item.owner, item.life) == identity and not item.is_moving
-        ]
+        owned = table.by_owner.get(identity, ())
+        return [item for item in owned if not item.is_moving]
 
     def _renew_server(self, service, identity, items, connection_state):
         """Renew ranges of one owner, through a relay in its failure domain if any.
--- a/src/tarragonramp/roles/mover.py
+++ b/src/tarragonramp/roles/mover.py
@@ -80,6 +80,10 @@
         """
         return (service, item.first, item.token) in self._proofs
 
+    def released_ranges(self, service):
+        """Return first key and token of the ranges that await their first grant."""
+        return [key[1:] for key in self._proofs if key[0] == service]
+
     def begin_term(self):
         """Discard proofs of release: other leaders may have fenced the owners since."""
         gevent.killall(list(self._release_tasks.values()), block=False)
