A steward without a right reports a stale route, which entries try again

Cause: a steward whose right had lapsed answered 503, as for a full server, and entries give such a refusal to the caller. For a stale route (409) they wait for a newer one and send again, and it costs a shared service no retry.

Evidence: the new test failed before (503 instead of 409).

Why it works: the steward knows that the refusal is about its own right and not about the server's load. The right is back within a renewal, or a successor has it; the limit for the server is not lowered either.

--- a/src/tarragonramp/gates.py
+++ b/src/tarragonramp/gates.py
@@ -65,10 +65,13 @@
         Time that the server may take from now on; 0 if the request is refused.
     reason : str
         Why it is refused.
+    lacks_right : bool
+        Whether it is refused because this daemon may not be the steward any more.
     """
 
     timeout_ms: float = 0.0
     reason: str = ""
+    lacks_right: bool = False
 
 
 @attrs.define
@@ -180,7 +183,7 @@
         """
         right_ms = min(right_ends_ms - now_ms, self.longest_ms)
         if right_ms < MIN_DEADLINE_MS:
-            return Admission(reason="steward has no right")
+            return Admission(reason="steward has no right", lacks_right=True)
         timeout_ms = deadline_at_ms - now_ms
         if not self.checks_grants:
             timeout_ms = min(timeout_ms, right_ms)
--- a/src/tarragonramp/roles/forwarding.py
+++ b/src/tarragonramp/roles/forwarding.py
@@ -91,7 +91,11 @@
             request.slice_index, now_ms, deadline_at_ms, held.right_until_ms
         )
         if not admission.timeout_ms:
-            return _refusal(request, BUSY_STATUS, admission.reason)
+            # Entries try again after a stale route: the right is back soon, or another
+            # daemon has it.
+            is_stale = admission.lacks_right
+            status = STALE_ROUTE_STATUS if is_stale else BUSY_STATUS
+            return _refusal(request, status, admission.reason)
         return self._send(managed, request, admission.timeout_ms, now_ms)
 
     def _wait_for_slot(self, gate, deadline_at_ms):
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -66,3 +66,15 @@
         result = self.forward_handler.serve(REQUEST)
         self.assertIsInstance(result.failure(), NotSentError)
         self.assertEqual((self.n_sent, self.managed_server.gate.in_flight), (0, 0))
+
+    def test_a_steward_without_a_right_reports_a_stale_route(self):
+        """Guards against refusals that entries do not retry, as for a busy server.
+
+        A steward whose right has lapsed, as it stood still, gets it back or has a
+        successor within milliseconds.
+        """
+        self.clock.advance(800.0)
+        response = self.forward_handler.serve(REQUEST).unwrap()
+        self.assertEqual(response.status, 409)
+        self.assertEqual(response.header("Tarragon-Outcome"), "not-run")
+        self.assertEqual(self.n_sent, 0)
