Requests wait for the only server left as long as their callers do

Cause: a steward queues a request to a shared service for 100 ms at most, since another server can take it. If there is no other, the entry tries none and refuses.

Evidence: the new test failed before: refused after 100 ms, where the server is free after 300 ms.

Why it works: the steward sees in its view whether any other server of the service may be sent requests. If not, the request waits until its deadline, as those of divided services do; the queue's length stays limited.

--- a/src/tarragonramp/roles/forwarding.py
+++ b/src/tarragonramp/roles/forwarding.py
@@ -17,6 +17,7 @@
 from ..model import OWNED
 from ..request import COLD_HEADER, DIRECT_HEADER, OUTCOME_HEADER
 from ..results import is_successful
+from ..routing import usable_servers
 from ..view import steward_role
 
 __all__ = ["Forwarder", "ForwardHandler"]
@@ -26,6 +27,7 @@
 TERM_HEADER = "Tarragon-Term"
 POLL_INTERVAL_MS = 50.0
 SHARED_QUEUE_WAIT_MS = 100.0
+"""Longest wait of a request that another server can take."""
 
 
 @attrs.define(eq=False, repr=False)
@@ -73,13 +75,7 @@
         pools = (self.pools, self.control_pools)
         if any(pool.at(managed.vm.address).has_closed_idle() for pool in pools):
             managed.gate.cold_start.invalidate()
-        wait_until_ms = deadline_at_ms
-        if request.slice_index < 0:
-            # Requests to shared services can be retried at another server.
-            wait_until_ms = min(
-                deadline_at_ms, self.clock.now_ms() + SHARED_QUEUE_WAIT_MS
-            )
-        if not self._wait_for_slot(managed.gate, wait_until_ms):
+        if not self._wait_for_slot(managed.gate, request, deadline_at_ms):
             return _refusal(request, BUSY_STATUS, "server is busy")
         # Nothing blocks from here to the sending, so the state read now is still
         # current then.
@@ -98,12 +94,15 @@
             return _refusal(request, status, admission.reason)
         return self._send(managed, request, admission.timeout_ms, now_ms)
 
-    def _wait_for_slot(self, gate, deadline_at_ms):
+    def _wait_for_slot(self, gate, request, deadline_at_ms):
         """Wait for a free slot of the server; False if none is free in time."""
         if not gate.is_full(self.clock.now_ms()):
             return True
         if gate.is_queue_full:
             return False
+        if request.slice_index < 0 and self._has_other_server(request):
+            shared_ms = self.clock.now_ms() + SHARED_QUEUE_WAIT_MS
+            deadline_at_ms = min(deadline_at_ms, shared_ms)
         gate.waiting += 1
         try:
             while gate.is_full(now_ms := self.clock.now_ms()):
@@ -115,6 +114,11 @@
         finally:
             gate.waiting -= 1
 
+    def _has_other_server(self, request):
+        """Return whether another server can take a request to a shared service."""
+        servers = usable_servers(self.view, request.team, request.service)
+        return any(vm.name != request.server for vm in servers)
+
     def _permitting_term(self, managed, request):
         """Return the held term if it permits this request to the server, else None.
 
--- a/src/tarragonramp/routing.py
+++ b/src/tarragonramp/routing.py
@@ -4,7 +4,7 @@
 
 from .model import OWNED
 
-__all__ = ["Route", "RouteCache", "less_loaded"]
+__all__ = ["Route", "RouteCache", "less_loaded", "usable_servers"]
 
 
 @attrs.frozen
@@ -68,9 +68,7 @@
         if key not in self._candidates:
             self._candidates[key] = tuple(
                 Route(vm.name, vm.address, service=key)
-                for vm in self.view.servers_of(team, service).values()
-                if vm.state == "live"
-                and self.view.is_domain_in_service(vm.failure_domain)
+                for vm in usable_servers(self.view, team, service)
             )
         return self._candidates[key]
 
@@ -100,6 +98,21 @@
         )
 
 
+def usable_servers(view, team, service):
+    """Return the VMs that may be sent requests of a shared service.
+
+    Parameters
+    ----------
+    view : View
+    team, service : str
+    """
+    return [
+        vm
+        for vm in view.servers_of(team, service).values()
+        if vm.state == "live" and view.is_domain_in_service(vm.failure_domain)
+    ]
+
+
 def less_loaded(routes, load_of, rng):
     """Return the less loaded of two routes chosen at random.
 
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -78,3 +78,28 @@
         self.assertEqual(response.status, 409)
         self.assertEqual(response.header("Tarragon-Outcome"), "not-run")
         self.assertEqual(self.n_sent, 0)
+
+    def wait_for_slot(self, servers):
+        """Let a request find the server full for 300 ms; return the status and time."""
+        self.forward_handler.view = types.SimpleNamespace(
+            servers_of=lambda team, service: servers,
+            is_domain_in_service=lambda domain: domain == "a",
+        )
+        self.forward_handler._slot_freed = types.SimpleNamespace(
+            wait=lambda s: self.clock.advance(s * 1000.0), set=lambda: None
+        )
+        began_ms = self.clock.now_ms()
+        cold_start, free_ms = ColdStartState(1, 3), began_ms + 300.0
+        self.managed_server.gate = Gate(cold_start, 800.0, free_ms, 800.0)
+        response = self.forward_handler.serve(REQUEST).unwrap()
+        return response.status, self.clock.now_ms() - began_ms
+
+    def test_only_the_last_server_has_a_long_queue(self):
+        """Guards against refusals after 100 ms that no other server can make good."""
+        own = types.SimpleNamespace(name="s1", state="live", failure_domain="a")
+        other = types.SimpleNamespace(name="s2", state="live", failure_domain="a")
+        leaving = types.SimpleNamespace(name="s3", state="leaving", failure_domain="a")
+        taken_out = types.SimpleNamespace(name="s4", state="live", failure_domain="b")
+        alone = {"s1": own, "s3": leaving, "s4": taken_out}
+        self.assertEqual(self.wait_for_slot({**alone, "s2": other}), (503, 100.0))
+        self.assertEqual(self.wait_for_slot(alone), (200, 300.0))
