The first responses of a server do not decide alone how long its queue may be

Cause: until the tenth response the mean latency is the plain mean of those that have come, so the first ones decide alone.

Evidence: the new test failed before (two of six requests refused after three responses of 144 ms). A server that stays slow is known after twenty, as before.

Why it works: the initial latency counts for five responses. That a slow server is known a few responses later costs little: a queued request still leaves after twice the longest wait.

--- a/src/tarragonramp/admission.py
+++ b/src/tarragonramp/admission.py
@@ -61,6 +61,11 @@
 overload as its baseline, and all limits would grow until the server sheds."""
 
 INITIAL_LATENCY_MS = 10.0
+INITIAL_LATENCY_ANSWERS = 5
+"""How many responses the initial latency counts for. The first responses of a server
+that has just been reached may be slow for a moment; taken at their word, they make any
+queue look too long."""
+
 MIN_RETRY_AFTER_MS = 50.0
 MAX_RETRY_AFTER_MS = 10_000.0
 
@@ -358,7 +363,8 @@
 
     def _update_limit(self, took_ms, was_full, now_ms):
         self._n_answers += 1
-        weight = max(LATENCY_EWMA_WEIGHT, 1.0 / self._n_answers)
+        n_answers = self._n_answers + INITIAL_LATENCY_ANSWERS
+        weight = max(LATENCY_EWMA_WEIGHT, 1.0 / n_answers)
         self.mean_latency_ms += weight * (took_ms - self.mean_latency_ms)
         if self._n_baseline < MIN_BASELINE_ANSWERS or not self._waiting:
             self._n_baseline += 1
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -373,3 +373,29 @@
         self.assertLessEqual(limiter.latest_start_ms(early), 1100.0)
         limiter.submit(late, 800.0)
         self.assertEqual(late.state, REFUSED)
+
+
+class FirstAnswersTest(unittest.TestCase):
+    """A server whose first responses are slow, as it has just been reached."""
+
+    def test_requests_are_not_refused_for_a_few_slow_answers(self):
+        """Guards against refusals of a short queue after three slow responses."""
+        limiter = ConcurrencyLimiter(1, 50)
+        for _ in range(3):
+            self.assertEqual(limiter.submit(first := Ticket(CLAIM, 5000.0), 0.0), [])
+            limiter.release(Outcome.ANSWERED, 144.0, 0.0)
+        self.assertEqual(first.state, ADMITTED)
+        tickets = [Ticket(CLAIM, 5000.0) for _ in range(6)]
+        for ticket in tickets:
+            limiter.submit(ticket, 0.0)
+        self.assertEqual([t.state for t in tickets], [ADMITTED] + [WAITING] * 5)
+
+    def test_a_slow_server_is_known_after_some_answers(self):
+        limiter = ConcurrencyLimiter(1, 50)
+        for _ in range(20):
+            limiter.submit(Ticket(CLAIM, 5000.0), 0.0)
+            limiter.release(Outcome.ANSWERED, 144.0, 0.0)
+        tickets = [Ticket(CLAIM, 5000.0) for _ in range(6)]
+        for ticket in tickets:
+            limiter.submit(ticket, 0.0)
+        self.assertEqual(tickets[-1].state, REFUSED)
