Entries log each refusal with what decided it

What was seen: "server is busy" after 12 ms in a test of a departing server, with no process that stood still. It could not be traced, as the own interface's entries logged no refusals and nothing of their limiters.

Now request-refused has the reason, how long the request was held and, for a full server, its limiter's state, as the fleet's router does. The new test failed before.

--- a/src/tarragonramp/request.py
+++ b/src/tarragonramp/request.py
@@ -95,14 +95,15 @@
     times: object
     in_doubt: bool = False
 
-    def refusal(self, status, reason, retry_after_s=None):
+    def refusal(self, status, reason, retry_after_s=None, **inputs):
         """Return the error for a caller whose request is not sent, or not sent again.
 
-        The outcome is "not run" only if no earlier attempt may have run.
+        The outcome is "not run" only if no earlier attempt may have run. ``inputs`` are
+        the values on which the decision is based, for the log.
         """
         if self.in_doubt:
-            return RequestError(status, UNKNOWN, reason)
-        return RequestError(status, NOT_RUN, reason, retry_after_s)
+            return RequestError(status, UNKNOWN, reason, inputs=inputs)
+        return RequestError(status, NOT_RUN, reason, retry_after_s, inputs)
 
 
 def class_of(service, method, path):
--- a/src/tarragonramp/roles/entry.py
+++ b/src/tarragonramp/roles/entry.py
@@ -8,9 +8,11 @@
 
 import attrs
 import gevent
+import logbook
 from gevent.event import Event
 
 from ..adapters.http import CANCELLATION_CHECK_MS
+from ..adapters.logs import log_event
 from ..adapters.web import (
     HEADERS_KEY,
     TARGET_KEY,
@@ -50,6 +52,7 @@
 RETRY_AFTER_S = 1.0
 SERVER_UNRESPONSIVE = "server does not answer"
 STALE_OWNER_STATUS = 409
+ABANDONED_STATUS = 499
 
 # A failed connection attempt costs the server nothing and is not charged to the retry
 # budget, but each one may last a full connect timeout.
@@ -126,6 +129,7 @@
             outcome = ANSWERED
         except RequestError as error:
             outcome = error.outcome
+            self._log_refusal(assigned_id, error, times)
             return _refusal_response(start_response, error, assigned_id)
         finally:
             self.meter.finish(times, outcome, self.clock.now_ms())
@@ -134,6 +138,22 @@
             start_response, environ["REQUEST_METHOD"], response, headers
         )
 
+    def _log_refusal(self, assigned_id, error, times):
+        if error.status == ABANDONED_STATUS:
+            return
+        log_event(
+            "request-refused",
+            level=logbook.INFO,
+            id=assigned_id,
+            service=times.service,
+            status=error.status,
+            outcome=error.outcome,
+            reason=error.reason,
+            retry_after_s=round(error.retry_after_s or 0.0, 3),
+            held_ms=round(self.clock.now_ms() - times.began_ms),
+            **error.inputs,
+        )
+
     def _serve(self, environ, assigned_id, times):
         path = environ["PATH_INFO"]
         check_path(path)
@@ -192,7 +212,10 @@
             if response.header(OUTCOME_HEADER) != NOT_RUN:
                 return response
             if response.status != STALE_OWNER_STATUS:
-                raise request.refusal(503, "server is busy", self._retry_after_s())
+                retry_after_s = self._retry_after_s()
+                raise request.refusal(
+                    503, "server is busy", retry_after_s, server=route.server
+                )
             if retry_delay_ms is not None:
                 self._wait_for_newer_route(team, service, route, retry_delay_ms)
         raise request.refusal(503, "owner is changing", self._retry_after_s())
@@ -254,7 +277,10 @@
                     break
                 continue
             self._check_retry(result.failure(), request, budget)
-        raise request.refusal(503, "no server can take it", self._retry_after_s())
+        retry_after_s = self._retry_after_s()
+        raise request.refusal(
+            503, "no server can take it", retry_after_s, tried=",".join(sorted(tried))
+        )
 
     def _choose_route(self, team, service, outliers, tried):
         routes = self._routes.candidates(team, service.name)
@@ -317,7 +343,14 @@
         if server_reachability.down:
             raise request.refusal(503, SERVER_UNRESPONSIVE, self._retry_after_s())
         retry_after_s = ticket.retry_after_ms / 1000.0
-        raise request.refusal(503, "server is busy", retry_after_s)
+        inputs = {
+            "server": route.server,
+            "in_flight": limiter.in_flight,
+            "waiting": limiter.n_waiting,
+            "limit": round(limiter.limit, 1),
+            "mean_latency_ms": round(limiter.mean_latency_ms),
+        }
+        raise request.refusal(503, "server is busy", retry_after_s, **inputs)
 
     def _probe(self, route, server_reachability):
         """Probe an unresponsive server until it answers or leaves this address."""
@@ -489,7 +522,7 @@
         only an exchange of which no byte was sent counts as not run.
         """
         if isinstance(error, AbandonedError):
-            raise RequestError(499, UNKNOWN, "caller has gone")
+            raise RequestError(ABANDONED_STATUS, UNKNOWN, "caller has gone")
         late = self.clock.now_ms() >= request.deadline_at_ms
         if isinstance(error, NotSentError):
             if late:
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -3,9 +3,11 @@
 import io
 import time
 import unittest
+import unittest.mock
 from types import SimpleNamespace
 
 import gevent
+import logbook
 from returns.result import Success
 
 from standins.backend import BackendStandIn
@@ -13,6 +15,7 @@
 from tarragonramp.adapters.backends import HttpBackends
 from tarragonramp.adapters.http import HttpPool, HttpPools, Response
 from tarragonramp.adapters.web import WebServer
+from tarragonramp.admission import ConcurrencyLimiter
 from tarragonramp.clock import Clock
 from tarragonramp.meters import RequestMeter
 from tarragonramp.model import OWNED, Assignment, SliceState, Stored, Vm
@@ -96,6 +99,22 @@
         """Return the response to one request."""
         return self.pool.exchange(method, target, list(headers), body, 3000).unwrap()
 
+    def test_a_refusal_is_logged_with_what_decided_it(self):
+        """Guards against refusals that nobody can explain afterwards."""
+        self.start(ScriptedServer([OK]))
+        limiter = ConcurrencyLimiter(1, 50, max_wait_ms=0.0)
+        limiter.in_flight = 1
+        with (
+            logbook.TestHandler().applicationbound() as handler,
+            unittest.mock.patch.object(Entry, "_limiter_for", return_value=limiter),
+        ):
+            headers = [("X-Key", "k"), ("X-Request-Id", "r1")]
+            response = self.call("GET", "/records", headers)
+        self.assertEqual(response.status, 503)
+        (line,) = [r.message for r in handler.records if "request-refused" in r.message]
+        for part in ("id=r1", 'reason="server is busy"', "in_flight=1", "limit=1.0"):
+            self.assertIn(part, line)
+
     def test_callers_cannot_set_internal_headers(self):
         """A caller sends its own fencing token, in spellings that servers confuse."""
         server = ScriptedServer([OK])
