Fewer calls to the store: changes read together, no full reads for a silent leader

Now the next watch waits for 50 ms after one that returned changes, and for 400 ms at a daemon whose leader hears the store: it watches only in case the leader misses something, and is told the same by the leader. A change that the leader misses is known to it 0.4 s and one ping later, with all daemons within the two seconds. A daemon whose leader falls silent watches from the versions that it has. One that the leader asks to watch still reads everything: it looks for what the leader has missed.

--- a/src/tarragonramp/roles/follower.py
+++ b/src/tarragonramp/roles/follower.py
@@ -37,6 +37,14 @@
 WATCH_MS_AFTER_FAILURE = 800
 """Longest time of a watch while other calls to the store fail."""
 
+WATCH_PAUSE_MS, BACKUP_WATCH_PAUSE_MS = 50.0, 400.0
+"""Pause after a watch that returned changes, so that the next one returns several.
+
+While servers are replaced, entries change and ranges move dozens of times a second, and
+each call is paid for. The second value is for a daemon whose leader hears the store: it
+is told the same changes by the leader, and watches only in case the leader misses one.
+It then reports that at most 0.4 s and the time to its next ping later."""
+
 MIN_RETRY_MS, MAX_RETRY_MS = 100.0, 800.0
 """Minimum and maximum delay between calls to a store that fails.
 
@@ -128,6 +136,8 @@
         By kind and name, the objects read.
     failing_since_ms : dict of str to float
         By kind, since when it could not be read.
+    leader_hears_store : bool
+        Whether another daemon leads, answers, and hears the store itself.
     history : TableHistory
     """
 
@@ -140,6 +150,7 @@
     changed: dict = attrs.Factory(dict)
     objects: dict = attrs.Factory(dict)
     failing_since_ms: dict = attrs.Factory(dict)
+    leader_hears_store: bool = False
     history: TableHistory = attrs.Factory(TableHistory)
     _last_failure_ms: float = float("-inf")
     _follows_store: Event = attrs.Factory(Event)
@@ -180,12 +191,23 @@
         since_ms = min(self.failing_since_ms.values(), default=math.inf)
         return since_ms + CUT_OFF_AFTER_MS - self.clock.now_ms()
 
-    def follow_store(self, reason):
-        """Start to follow the store, and read everything again."""
+    def follow_store(self, reason, reread=True):
+        """Start to follow the store.
+
+        Parameters
+        ----------
+        reason : str
+        reread : bool, default=True
+            Whether to read everything again, rather than only what has changed. A
+            daemon that finds what the leader has missed needs a state of its own. When
+            a leader falls silent, all daemons turn to the store at once, and lists of
+            hundreds of servers take many calls.
+        """
         if self.follows_store:
             return
         log_event("store-followed", reason=reason)
-        self._to_reread.update(FOLLOWED_KINDS)
+        if reread:
+            self._to_reread.update(FOLLOWED_KINDS)
         self._follows_store.set()
 
     def follow_leader(self, leader):
@@ -380,10 +402,16 @@
         self._watch_tasks.pop(kind)
         if isinstance(result, gevent.GreenletExit):
             # A peer's state differs, or this daemon follows the leader from now on.
-            self._to_reread.add(kind)
+            if self.follows_store:
+                self._to_reread.add(kind)
             return True
         if is_successful(result):
-            self._apply_changes(kind, *result.unwrap())
+            version, items = result.unwrap()
+            self._apply_changes(kind, version, items)
+            if items:
+                is_backup = self.leader_hears_store
+                pause_ms = BACKUP_WATCH_PAUSE_MS if is_backup else WATCH_PAUSE_MS
+                gevent.sleep(pause_ms / 1000.0)
             return True
         error = result.failure()
         # A new watch from the same version is not enough: a failing store may have
--- a/src/tarragonramp/roles/leadership.py
+++ b/src/tarragonramp/roles/leadership.py
@@ -409,7 +409,12 @@
         oldest_ms = now_ms - RECENTLY_HEARD_MS
         recent = [name for name, ms in self._last_heard_ms.items() if ms >= oldest_ms]
         others = sorted(name for name in recent if name != self.name)
-        n_watchers = 1 if self._hears_store(now_ms) else WATCHERS_WHEN_CUT_OFF
+        # A leader that has just started has not read the store yet, but reaches it.
+        is_starting = not self.follower.is_synced
+        is_cut_off = self._ms_until_store_lost(now_ms) <= 0 or not (
+            is_starting or self.follower.hears_store
+        )
+        n_watchers = WATCHERS_WHEN_CUT_OFF if is_cut_off else 1
         # Names of one failure domain are adjacent, so a step selects from each of them.
         step = max(1, len(others) // n_watchers)
         self.view.watchers = frozenset(others[::step][:n_watchers])
@@ -577,6 +582,7 @@
             self._last_heard_ms.setdefault(name, sent_ms)
         self.inherited = self._inherit(before, term)
         self.leadership_state.confirmed(record, result.unwrap().version, sent_ms)
+        self.follower.leader_hears_store = False
         self.follower.follow_store("leads")
         log_event(
             "leader-taken-over",
@@ -647,7 +653,8 @@
         address = self._leader_address()
         if not address or address == self.address:
             self._unanswered_pings = MAX_UNANSWERED_PINGS
-            self.follower.follow_store("no leader")
+            self.follower.leader_hears_store = False
+            self.follower.follow_store("no leader", reread=False)
             return False
         message = {
             "name": self.name,
@@ -667,7 +674,8 @@
                 MAX_UNANSWERED_PINGS if self._successor else self._unanswered_pings + 1
             )
             self._successor = ""
-            self.follower.follow_store("leader does not answer")
+            self.follower.leader_hears_store = False
+            self.follower.follow_store("leader does not answer", reread=False)
             return False
         if not self.leadership_state.is_named:
             self._apply_ping_response(address, result.unwrap())
@@ -687,9 +695,11 @@
                 return
             self._successor = ""
             self._unanswered_pings = MAX_UNANSWERED_PINGS
-            self.follower.follow_store("nobody leads")
+            self.follower.leader_hears_store = False
+            self.follower.follow_store("nobody leads", reread=False)
             return
         self._unanswered_pings = 0
+        self.follower.leader_hears_store = bool(response.get("hears_store"))
         daemons = response.get("daemons")
         if isinstance(daemons, dict) and self.name in daemons:
             self.view.daemons = dict(daemons)
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -98,6 +98,70 @@
     return Success(BackendServer(item.name, 1, "desk", "10.0.0.1:80", "a", 1))
 
 
+class ChangingStore:
+    """A store in which a table changes all the time; records the calls."""
+
+    def __init__(self):
+        self.version, self.calls = 20, []
+
+    def snapshot(self, kind):
+        """Return nothing at the current version."""
+        self.calls.append(("snapshot", kind))
+        return Success((self.version, []))
+
+    def watch(self, kind, since_version, wait_ms):
+        """Return a change immediately."""
+        self.calls.append(("watch", kind))
+        self.version += 1
+        items = [Stored(kind, f"x{self.version}", self.version, {})]
+        return Success((self.version, items))
+
+
+class StoreCallsTest(unittest.TestCase):
+    """Calls of a daemon that follows the store, each of which is paid for."""
+
+    def follow_for(self, time_s, **options):
+        """Follow a changing store for a time; return the calls."""
+        store = ChangingStore()
+        follower = Follower(FleetView(Clock()), store, Peer(None), None, Clock())
+        read(follower, 10)
+        follower.leader_hears_store = options.pop("leader_hears_store", False)
+        follower.follow_store("test", **options)
+        tasks = [gevent.spawn(follower.run, RANGES)]
+        gevent.sleep(time_s)
+        gevent.killall(tasks)
+        return store.calls
+
+    def test_changes_in_quick_succession_are_read_together(self):
+        """Guards against a call for each of the dozens of changes in a second."""
+        calls = self.follow_for(0.3, reread=False)
+        self.assertLessEqual(len(calls), 7)
+        self.assertGreaterEqual(len(calls), 3)
+        calls = self.follow_for(0.3, reread=False, leader_hears_store=True)
+        self.assertEqual(len(calls), 1)
+
+    def test_a_silent_leader_causes_no_full_reads(self):
+        """Guards against hundreds of daemons that read all lists at once."""
+        calls = self.follow_for(0.02, reread=False)
+        self.assertEqual(calls[0], ("watch", RANGES))
+        calls = self.follow_for(0.02)
+        self.assertEqual(calls[0], ("snapshot", RANGES))
+
+    def test_following_the_leader_again_needs_no_full_read_later(self):
+        store = ChangingStore()
+        store.watch = lambda *query: gevent.sleep(10.0)
+        follower = Follower(FleetView(Clock()), store, Peer(None), None, Clock())
+        read(follower, 10)
+        task = gevent.spawn(follower.run, RANGES)
+        for _ in range(2):
+            follower.follow_store("test", reread=False)
+            gevent.sleep(0.02)
+            follower.follow_leader("d1:1")
+            gevent.sleep(0.02)
+        task.kill()
+        self.assertEqual(store.calls, [])
+
+
 class TableUpdatesTest(unittest.TestCase):
     """A leader, and a daemon that follows it."""
 
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -57,7 +57,7 @@
     def __init__(self):
         self.events, self.catch_up_calls = [], []
 
-    def follow_store(self, reason):
+    def follow_store(self, reason, reread=True):
         """Record the reason."""
         self.events.append(reason)
 
@@ -175,6 +175,17 @@
         self.assertEqual(domains, {"ea", "eb", "ec", "ed"})
         self.assertEqual(self.one.view.watchers, set(self.appointed_watchers(names)))
 
+    def test_a_starting_leader_appoints_no_further_watchers(self):
+        """Guards against eight daemons that read everything while the leader does."""
+        self.one._discover_leader()
+        self.one.follower.is_synced = self.one.follower.hears_store = False
+        names = [f"e{i}" for i in range(12)]
+        self.appointed_watchers(names)
+        self.assertEqual(len(self.appointed_watchers(names)), 1)
+        self.one.follower.ms_until_cut_off = -1.0
+        self.appointed_watchers(names)
+        self.assertEqual(len(self.appointed_watchers(names)), WATCHERS_WHEN_CUT_OFF)
+
     def appointed_watchers(self, names):
         """Return the names of daemons that the leader tells to follow the store."""
         self.one.follower.updates_since = lambda versions: {"any": {}}
