Ended cold starts are forgotten, and a malformed ping changes nothing

The marks of cold starts were kept for each server that ever started, and each choice among servers goes over them now. A ping with malformed counts of requests made its sender count as a daemon before it was refused. Both tests are new; the first failed with 50 marks kept.

--- a/src/tarragonramp/directory.py
+++ b/src/tarragonramp/directory.py
@@ -158,8 +158,11 @@
     def warm(self, servers):
         """Return a list of those servers that are not in a cold start."""
         now_ms = self.clock.now_ms()
-        cold = {name for name, end_ms in self._cold_end_ms.items() if end_ms > now_ms}
-        return [server for server in servers if server.name not in cold]
+        # Dropped once over, as servers come and go for as long as the daemon runs.
+        over = [name for name, end_ms in self._cold_end_ms.items() if end_ms <= now_ms]
+        for name in over:
+            del self._cold_end_ms[name]
+        return [server for server in servers if server.name not in self._cold_end_ms]
 
     def may_serve(self, server):
         """Tell whether a server, cold or not, may be sent new requests."""
--- a/src/tarragonramp/roles/leadership.py
+++ b/src/tarragonramp/roles/leadership.py
@@ -280,15 +280,16 @@
                 "leads": False,
                 "leader": self._leader_address(),
             }
+        # First, as it refuses a malformed report.
+        self._reported_in_flight.record(
+            name, message.get("loads", {}), self.clock.now_ms()
+        )
         if name not in self.view.daemons:
             log_event("daemon-heard", peer=name, address=address)
         self._record_daemon(name, address)
         self._domains[name] = message.get("domain", "")
         self.record_clock_reading(address, message.get("clock_ms"))
         self._key_loads.add(message.get("heat", {}), self.clock.now_ms())
-        self._reported_in_flight.record(
-            name, message.get("loads", {}), self.clock.now_ms()
-        )
         self.follower.compare_digests(name, message.get("digest", {}))
         versions = message["versions"]
         self.follower.catch_up(address, versions)
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -1,5 +1,6 @@
 """Which servers may be sent requests, by their entries and the state of the store."""
 
+import types
 import unittest
 
 import attrs
@@ -69,6 +70,18 @@
         self.clock.advance(RETURN_GRACE_MS)
         self.assertEqual(self.directory.drop_missing(), ["s1"])
 
+    def test_ended_cold_starts_are_forgotten(self):
+        """Guards against choices that slow down with each server that ever started."""
+        for number in range(50):
+            self.directory.mark_cold(f"s{number}", 1000.0)
+            self.clock.advance(100.0)
+        servers = [types.SimpleNamespace(name=f"s{number}") for number in range(50)]
+        warm = [server.name for server in self.directory.warm(servers)]
+        self.assertEqual(warm, [f"s{number}" for number in range(41)])
+        self.assertEqual(len(self.directory._cold_end_ms), 9)
+        self.assertTrue(self.directory.is_cold("s49"))
+        self.assertFalse(self.directory.is_cold("s0"))
+
     def test_server_is_cold_once_per_process(self):
         """Entries are written seconds apart; one that is read late changes nothing."""
         cold = attrs.evolve(SERVER, name="s2", cold_ms=3000.0)
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -228,6 +228,14 @@
         self.appointed_watchers(["e1"])
         self.assertIn(("e1:1", {}), self.one.follower.catch_up_calls)
 
+    def test_malformed_ping_changes_nothing(self):
+        """Guards against a daemon that counts although it is not understood."""
+        self.one._discover_leader()
+        message = {"name": "e1", "address": "e1:1", "versions": {}}
+        with self.assertRaises(ValueError):
+            self.one.handle_ping({**message, "loads": {"s1": "many"}})
+        self.assertNotIn("e1", self.one.view.daemons)
+
     def test_daemons_know_whether_the_leader_hears_the_store(self):
         """Guards against rare watches while the leader itself hears nothing."""
         for daemon in (self.one, self.other):
