--- a/src/tarragonramp/roles/entry.py
+++ b/src/tarragonramp/roles/entry.py
@@ -8,11 +8,9 @@
 
 import attrs
 import gevent
-import logbook
 from gevent.event import Event
 
 from ..adapters.http import CANCELLATION_CHECK_MS
-from ..adapters.logs import log_event
 from ..adapters.web import (
     HEADERS_KEY,
     TARGET_KEY,
@@ -46,13 +44,13 @@
 from ..retries import RetryBudget
 from ..routing import RouteCache, less_loaded
 from ..slices import slice_of
+from .refusals import ABANDONED_STATUS, log_refusal
 
 __all__ = ["Entry"]
 
 RETRY_AFTER_S = 1.0
 SERVER_UNRESPONSIVE = "server does not answer"
 STALE_OWNER_STATUS = 409
-ABANDONED_STATUS = 499
 
 # A failed connection attempt costs the server nothing and is not charged to the retry
 # budget, but each one may last a full connect timeout.
@@ -129,7 +127,7 @@
             outcome = ANSWERED
         except RequestError as error:
             outcome = error.outcome
-            self._log_refusal(assigned_id, error, times)
+            log_refusal(assigned_id, error, times, self.clock.now_ms())
             return _refusal_response(start_response, error, assigned_id)
         finally:
             self.meter.finish(times, outcome, self.clock.now_ms())
@@ -138,22 +136,6 @@
             start_response, environ["REQUEST_METHOD"], response, headers
         )
 
-    def _log_refusal(self, assigned_id, error, times):
-        if error.status == ABANDONED_STATUS:
-            return
-        log_event(
-            "request-refused",
-            level=logbook.INFO,
-            id=assigned_id,
-            service=times.service,
-            status=error.status,
-            outcome=error.outcome,
-            reason=error.reason,
-            retry_after_s=round(error.retry_after_s or 0.0, 3),
-            held_ms=round(self.clock.now_ms() - times.began_ms),
-            **error.inputs,
-        )
-
     def _serve(self, environ, assigned_id, times):
         path = environ["PATH_INFO"]
         check_path(path)
--- /dev/null
+++ b/src/tarragonramp/roles/refusals.py
@@ -0,0 +1,36 @@
+"""Logs why a caller's request was refused."""
+
+import logbook
+
+from ..adapters.logs import log_event
+
+__all__ = ["ABANDONED_STATUS", "log_refusal"]
+
+ABANDONED_STATUS = 499
+"""Status of a request whose caller has gone, which needs no explanation."""
+
+
+def log_refusal(request_id, error, times, now_ms):
+    """Log a refusal with what decided it, unless the caller has gone.
+
+    Parameters
+    ----------
+    request_id : str
+    error : RequestError
+    times : RequestTimes
+    now_ms : float
+    """
+    if error.status == ABANDONED_STATUS:
+        return
+    log_event(
+        "request-refused",
+        level=logbook.INFO,
+        id=request_id,
+        service=times.service,
+        status=error.status,
+        outcome=error.outcome,
+        reason=error.reason,
+        retry_after_s=round(error.retry_after_s or 0.0, 3),
+        held_ms=round(now_ms - times.began_ms),
+        **error.inputs,
+    )
--- a/src/tarragonramp/roles/router.py
+++ b/src/tarragonramp/roles/router.py
@@ -4,7 +4,6 @@
 import random
 
 import attrs
-import logbook
 
 from ..adapters.logs import log_event
 from ..adapters.web import (
@@ -24,6 +23,7 @@
 from ..results import is_successful
 from ..retries import RetryBudget
 from .owners import NO_OWNER_RETRY_S, OwnerResolver
+from .refusals import ABANDONED_STATUS, log_refusal
 from .routed_request import RoutedRequest
 
 __all__ = ["Router"]
@@ -106,7 +106,8 @@
             outcome = ANSWERED
         except RequestError as error:
             outcome = error.outcome
-            self._log_refusal(request_id, error, times)
+            self.counts[times.service, error.reason] += 1
+            log_refusal(request_id, error, times, self.clock.now_ms())
             return self._refuse(start_response, error, request_id)
         finally:
             self.meter.finish(times, outcome, self.clock.now_ms())
@@ -376,7 +377,7 @@
         request. Only an exchange of which no byte was sent therefore counts as not run.
         """
         if isinstance(error, AbandonedError):
-            raise RequestError(499, UNKNOWN, "caller has gone")
+            raise RequestError(ABANDONED_STATUS, UNKNOWN, "caller has gone")
         self._log_failed_attempt(request, str(error))
         if isinstance(error, NotSentError):
             if self.view.service(request.service).divided or len(request.tried) > 3:
@@ -434,23 +435,6 @@
             took_ms=round(self.clock.now_ms() - request.arrived_ms),
         )
 
-    def _log_refusal(self, request_id, error, times):
-        self.counts[times.service, error.reason] += 1
-        if error.status == 499:
-            return
-        log_event(
-            "request-refused",
-            level=logbook.INFO,
-            id=request_id,
-            service=times.service,
-            status=error.status,
-            outcome=error.outcome,
-            reason=error.reason,
-            retry_after_s=round(error.retry_after_s or 0.0, 3),
-            held_ms=round(self.clock.now_ms() - times.began_ms),
-            **error.inputs,
-        )
-
     def _refuse(self, start_response, error, request_id):
         headers = self.dialect.refusal_headers(request_id, error.retry_after_s)
         if error.status in CLOSING_STATUSES:
