Comments and pages say what was measured and what was reckoned

Read as a newcomer: the metrics' library takes no third of a start, encoding a table was not measured apart from parsing it, and pings and calls at a start were reckoned from constants.

--- a/src/tarragonramp/__init__.py
+++ b/src/tarragonramp/__init__.py
@@ -23,8 +23,8 @@
     "next_slices": "placement",
     "slice_of": "slices",
 }
-"""Modules of the public names. They are imported on first use, as a daemon needs few of
-them and callers wait for its start."""
+"""Module of each public name. Imported on first use: a daemon needs few of them, and
+its start delays callers."""
 
 __all__ = sorted(_MODULES)  # noqa: PLE0605
 __version__ = "0.1.0"
--- a/src/tarragonramp/directory.py
+++ b/src/tarragonramp/directory.py
@@ -158,7 +158,7 @@
     def warm(self, servers):
         """Return a list of those servers that are not in a cold start."""
         now_ms = self.clock.now_ms()
-        # Dropped once over, as servers come and go for as long as the daemon runs.
+        # Servers come and go, so the ends of past cold starts would accumulate.
         over = [name for name, end_ms in self._cold_end_ms.items() if end_ms <= now_ms]
         for name in over:
             del self._cold_end_ms[name]
--- a/src/tarragonramp/fleet.py
+++ b/src/tarragonramp/fleet.py
@@ -385,8 +385,8 @@
     def _metrics_page(self):
         """Return the metrics page, and its content type.
 
-        The metrics library is loaded by the first call, as loading it takes a third of
-        the start of a daemon that callers wait for.
+        The metrics library is loaded by the first call. Callers wait for the start of a
+        daemon, and need no metrics.
         """
         if self.metrics is None:
             self.metrics = self._create_metrics()
--- a/src/tarragonramp/ranges.py
+++ b/src/tarragonramp/ranges.py
@@ -119,8 +119,8 @@
     service : str
     ranges : tuple of KeyRange
     addresses : dict of str to str
-        Addresses of the owners, including those that are no longer registered; also of
-        some former owners.
+        Addresses of the owners, including those that are no longer registered. Some
+        former owners may still be among them.
     n_initial : int
         Number of equal ranges into which the key space was divided initially, before
         any range was split; 0 for a table that does not cover all keys.
@@ -141,7 +141,7 @@
     def by_owner(self):
         """Ranges by the name and life of their owner, ordered by key.
 
-        Kept, as a leader asks for the ranges of hundreds of owners in each second.
+        Computed once, as the leader of a large fleet asks for it all the time.
         """
         if self._by_owner is None:
             self._by_owner = {}
--- a/src/tarragonramp/results.py
+++ b/src/tarragonramp/results.py
@@ -8,8 +8,8 @@
 def is_successful(result):
     """Return whether a Result is a Success.
 
-    The library's function of this name takes any of its containers; importing all of
-    them takes longer than importing this package's own modules for requests.
+    The library's function of this name takes any of its containers, and loads them all
+    when it is imported, which delays the start of a daemon.
 
     Parameters
     ----------
--- a/src/tarragonramp/roles/follower.py
+++ b/src/tarragonramp/roles/follower.py
@@ -78,8 +78,8 @@
 class _ReceivedTable:
     """A table of ranges that was put together from a peer's changes.
 
-    It has the attributes of a Stored object. Encoding all ranges takes a hundred times
-    as long as applying a change, and is only needed to pass on a whole table.
+    It has the attributes of a Stored object. All ranges are encoded only when the table
+    is passed on as a whole, as that takes much longer than applying a change.
 
     Parameters
     ----------
@@ -198,10 +198,10 @@
         ----------
         reason : str
         reread : bool, default=True
-            Whether to read everything again, rather than only what has changed. A
-            daemon that finds what the leader has missed needs a state of its own. When
-            a leader falls silent, all daemons turn to the store at once, and lists of
-            hundreds of servers take many calls.
+            Whether to read everything again, rather than only what has changed since.
+            Needed to find what the leader has missed: a state that comes from the
+            leader lacks it as well. Not needed when the leader falls silent, where all
+            daemons turn to the store at once.
         """
         if self.follows_store:
             return
--- a/src/tarragonramp/roles/forwarding.py
+++ b/src/tarragonramp/roles/forwarding.py
@@ -87,10 +87,10 @@
             request.slice_index, now_ms, deadline_at_ms, held.right_until_ms
         )
         if not admission.timeout_ms:
-            # Entries try again after a stale route: the right is back soon, or another
-            # daemon has it.
-            is_stale = admission.lacks_right
-            status = STALE_ROUTE_STATUS if is_stale else BUSY_STATUS
+            # Entries retry after a stale route: this daemon has its right back soon, or
+            # another daemon is the steward.
+            lacks_right = admission.lacks_right
+            status = STALE_ROUTE_STATUS if lacks_right else BUSY_STATUS
             return _refusal(request, status, admission.reason)
         return self._send(managed, request, admission.timeout_ms, now_ms)
 
--- a/src/tarragonramp/roles/leadership.py
+++ b/src/tarragonramp/roles/leadership.py
@@ -280,7 +280,7 @@
                 "leads": False,
                 "leader": self._leader_address(),
             }
-        # First, as it refuses a malformed report.
+        # Raises for a malformed report, so it comes before anything is recorded.
         self._reported_in_flight.record(
             name, message.get("loads", {}), self.clock.now_ms()
         )
