--- a/src/tarragonramp/roles/follower.py
+++ b/src/tarragonramp/roles/follower.py
@@ -19,6 +19,7 @@
 from ..manifest import RouteTable
 from ..model import Stored
 from ..ranges import RangeTable, TableHistory
+from ..received_table import ReceivedTable
 from ..removals import RemovalLog
 from ..results import is_successful
 from ..roster import Roster
@@ -74,46 +75,6 @@
 This daemon may not have noticed the outage; servers normally leave one by one."""
 
 
-@attrs.define(eq=False, repr=False)
-class _ReceivedTable:
-    """A table of ranges that was put together from a peer's changes.
-
-    It has the attributes of a Stored object. All ranges are encoded only when the table
-    is passed on as a whole, as that takes much longer than applying a change.
-
-    Parameters
-    ----------
-    name : str
-    version : int
-    table : RangeTable
-    """
-
-    name: str
-    version: int
-    table: RangeTable
-    kind: str = RANGES
-    _spec: dict | None = None
-
-    @property
-    def spec(self):
-        """The table as JSON-compatible data."""
-        if self._spec is None:
-            self._spec = self.table.to_spec()
-        return self._spec
-
-    def __eq__(self, other):
-        """Compare with another object of the store, by version and content."""
-        if not isinstance(other, (Stored, _ReceivedTable)):
-            return NotImplemented
-        return self is other or (
-            (self.kind, self.name, self.version)
-            == (other.kind, other.name, other.version)
-            and self.spec == other.spec
-        )
-
-    __hash__ = None
-
-
 @attrs.define(eq=False, repr=False)
 class Follower:
     """Follows the kinds of objects that a daemon's view consists of.
@@ -357,7 +318,7 @@
         changed = RangeTable.from_spec(spec)
         base = self.view.tables[name]
         table = base.with_ranges(changed.ranges, changed.addresses)
-        return _ReceivedTable(name, version, table)
+        return ReceivedTable(name, version, table)
 
     def compare_digests(self, peer, digest):
         """Compare a peer's state with this daemon's, by kind of object.
@@ -638,7 +599,7 @@
 
     def _load_table(self, item):
         """Apply a table that was stored or received, and return it."""
-        if not isinstance(item, _ReceivedTable):
+        if not isinstance(item, ReceivedTable):
             return self.view.load_stored_table(item)
         self.view.update_table(item.table, item.version)
         return item.table
