--- a/src/tarragonramp/fleet.py
+++ b/src/tarragonramp/fleet.py
@@ -25,7 +25,7 @@
 from .cold_start import ColdStartLimiter
 from .errors import AddressError
 from .fleet_view import FOLLOWED_KINDS, FleetView
-from .leadership import LeaseTiming, takeover_patience_ms
+from .leadership import LeaseTiming
 from .limits import Limits
 from .meters import RequestMeter, TrafficMeter
 from .results import is_successful
@@ -104,8 +104,6 @@
     metrics_address : str
         Separate listen address for metrics, which are always served at the peer address
         too; empty for none.
-    cores : float
-        CPU cores that the VM gives the daemon.
     """
 
     name: str
@@ -117,7 +115,6 @@
     seeds: tuple[str, ...] = ()
     bounds: FleetBounds = FleetBounds()
     metrics_address: str = ""
-    cores: float = 1.0
 
 
 @attrs.frozen
@@ -201,7 +198,6 @@
             clock,
             settings.seeds,
             LeaseTiming.from_bounds(settings.bounds),
-            takeover_patience_ms(settings.cores),
         )
         requests = RequestMeter()
         options = {
--- a/src/tarragonramp/leadership.py
+++ b/src/tarragonramp/leadership.py
@@ -14,31 +14,11 @@
     "LeaderRecord",
     "LeaseTiming",
     "LeadershipState",
-    "takeover_patience_ms",
 ]
 
 LATE_GRANT_MS = 15_000.0
 """How long an unanswered grant may be delayed before it takes effect."""
 
-MAX_PATIENCE_MS = 400.0
-LEADER_CORES = 1.0
-"""CPU cores with which a VM leads a fleet of hundreds of daemons without delay."""
-
-
-def takeover_patience_ms(cores):
-    """Return how much longer than a lease a daemon waits before it takes over.
-
-    The leader answers all other daemons. On a VM with little CPU its answers are late,
-    and so is all that daemons know of each other. VMs with more CPU therefore go first;
-    a fleet that has none of them loses a part of a second.
-
-    Parameters
-    ----------
-    cores : float
-        CPU cores that the VM gives the daemon.
-    """
-    return MAX_PATIENCE_MS * min(1.0, max(0.0, 1.0 - cores / LEADER_CORES))
-
 
 @attrs.frozen
 class LeaseTiming:
@@ -188,8 +168,6 @@
     address, boot_id : str
         Of this daemon.
     timing : LeaseTiming
-    patience_ms : float
-        How much longer than a lease this daemon waits before it replaces a leader.
     record : LeaderRecord or None
     version : int
         Version of the record; 0 if there is none.
@@ -198,7 +176,6 @@
     address: str
     boot_id: str
     timing: LeaseTiming
-    patience_ms: float = 0.0
     record: object = None
     version: int = 0
     _changed_ms: float = 0.0
@@ -267,8 +244,7 @@
             return True
         if self.record.address == self.address:
             return True
-        wait_ms = self.timing.lease_ms + self.patience_ms
-        return now_ms >= self._changed_ms + wait_ms
+        return now_ms >= self._changed_ms + self.timing.lease_ms
 
     def confirmed_age_ms(self, now_ms):
         """Return how long ago the store last confirmed this daemon's record."""
--- a/src/tarragonramp/roles/leadership.py
+++ b/src/tarragonramp/roles/leadership.py
@@ -136,8 +136,6 @@
         Addresses of some daemons, which may be gone; asked for the leader while the
         store does not respond.
     timing : LeaseTiming
-    patience_ms : float
-        As in ``LeadershipState``.
     inherited : InheritedGrants
         Of the leaders before this one.
     in_doubt_grants : callable
@@ -155,7 +153,6 @@
     clock: object
     seeds: tuple = ()
     timing: LeaseTiming = LeaseTiming()
-    patience_ms: float = 0.0
     leadership_state: LeadershipState = attrs.field(init=False)
     stopping: bool = False
     inherited: InheritedGrants = InheritedGrants()
@@ -176,9 +173,7 @@
 
     def __attrs_post_init__(self):
         """Start without a known leader."""
-        self.leadership_state = LeadershipState(
-            self.address, self.boot_id, self.timing, self.patience_ms
-        )
+        self.leadership_state = LeadershipState(self.address, self.boot_id, self.timing)
         self.view.daemons[self.name] = self.address
 
     @property
--- a/tests/test_leading.py
+++ b/tests/test_leading.py
@@ -4,12 +4,7 @@
 import types
 import unittest
 
-from tarragonramp.leadership import (
-    LeaderRecord,
-    LeadershipState,
-    LeaseTiming,
-    takeover_patience_ms,
-)
+from tarragonramp.leadership import LeaderRecord, LeadershipState, LeaseTiming
 
 TIMING = LeaseTiming()
 OWN = LeaderRecord("d1", "b1", "10.0.0.1:1", 3)
@@ -35,23 +30,6 @@
         self.assertFalse(self.leadership_state.may_take_over(TIMING.lease_ms - 1))
         self.assertTrue(self.leadership_state.may_take_over(TIMING.lease_ms))
 
-    def test_vms_with_much_cpu_take_over_first(self):
-        """Guards against a leader whose answers to hundreds of daemons are late."""
-        taken_ms = []
-        for cores in (0.43, 0.86, 2.15):
-            patience_ms = takeover_patience_ms(cores)
-            state = LeadershipState("10.0.0.2:1", "c1", TIMING, patience_ms)
-            state.observe(OWN, 7, 1000.0)
-            at_ms = 1000.0 + TIMING.lease_ms
-            while not state.may_take_over(at_ms):
-                at_ms += 1.0
-            taken_ms.append(at_ms - 1000.0 - TIMING.lease_ms)
-        self.assertEqual(taken_ms, sorted(taken_ms, reverse=True))
-        self.assertEqual(taken_ms[-1], 0.0)
-        self.assertGreater(taken_ms[0], 200.0)
-        self.assertLess(taken_ms[0], 250.0)
-        self.assertEqual(takeover_patience_ms(0.0), 400.0)
-
     def test_earlier_process_at_the_same_address_has_ended(self):
         self.leadership_state.observe(LeaderRecord("d1", "b0", "10.0.0.1:1", 2), 5, 0.0)
         self.assertTrue(self.leadership_state.may_take_over(1.0))
--- a/tests/test_platform_folder.py
+++ b/tests/test_platform_folder.py
@@ -5,7 +5,6 @@
 import os
 import re
 import sys
-import tempfile
 import unittest
 
 from returns.pipeline import is_successful
@@ -25,7 +24,7 @@
 from bridge.headers import HttpDialect  # noqa: E402
 from bridge.manifest import read_manifest  # noqa: E402
 from bridge.servers import read_server  # noqa: E402
-from bridge.settings import duration_ms, read_settings  # noqa: E402
+from bridge.settings import duration_ms  # noqa: E402
 from bridge.store import MetadataStore  # noqa: E402
 
 MAX_LINES = 1000
@@ -49,41 +48,6 @@
 }
 
 
-SETTINGS = """
-[self]
-node = "d1"
-zone = "a"
-{limits}
-[network.listen]
-front = "127.0.0.1:1"
-ready = "127.0.0.1:2"
-control = "127.0.0.1:3"
-[platform.platform]
-addr = "127.0.0.1:4"
-"""
-
-
-class CoresTest(unittest.TestCase):
-    """The CPU cores that a VM gives the daemon."""
-
-    def read(self, limits):
-        """Return the result of reading settings with some limits of the VM."""
-        with tempfile.NamedTemporaryFile("w", suffix=".toml") as stream:
-            stream.write(SETTINGS.format(limits=limits))
-            stream.flush()
-            return read_settings(stream.name)
-
-    def test_cores_are_the_share_of_all_cores(self):
-        limits = "[self.limits]\ncpuShare = 0.5\ncores = 3"
-        self.assertEqual(self.read(limits).unwrap().cores, 1.5)
-        self.assertEqual(self.read("").unwrap().cores, 1.0)
-
-    def test_invalid_limits_are_reported(self):
-        for value in ('"many"', "0", "-1.0", "true", "nan"):
-            faults = self.read(f"[self.limits]\ncpuShare = {value}").failure().faults
-            self.assertIn("self.limits.cpuShare", faults[0])
-
-
 class PagedPool:
     """A stub of HttpPool that responds with one page of a list after the other."""
 
