Logs and metrics tell which servers a daemon hears from

A daemon without a path to any server logged the same refusals as one beside busy servers: "server not reached", "no time left", "servers are busy". Refusals now say how many servers answered in the last 2 s and when the last one did; the metrics have both, and failed exchanges by cause (refused, reset, connection not opened, no answer).

--- a/src/tarragonramp/fleet.py
+++ b/src/tarragonramp/fleet.py
@@ -351,6 +351,7 @@
         while True:
             gevent.sleep(10.0)
             self.router.selector.retain(self.view.directory.servers)
+            self.router.paths.retain(self.view.directory.servers)
             self.router.owners.clear_slow_moves()
 
     def _serve_readiness(self, environ, start_response):
@@ -403,6 +404,11 @@
             "Backend servers known.",
             lambda: len(self.view.directory.servers),
         )
+        gauge(
+            "servers.heard",
+            "Backend servers that have answered a request in the last 2 s.",
+            lambda: self.router.paths.n_heard(self.clock.now_ms()),
+        )
         gauge("manifest.version", "Manifest in force.", self._manifest_version)
         gauge(
             "store.failing",
@@ -421,6 +427,12 @@
             "purpose",
         )
         count("refusals", "Failed tries and refusals.", self._refusal_counts, "reason")
+        count(
+            "exchanges.failed",
+            "Failed exchanges with backend servers.",
+            lambda: dict(self.router.paths.failures),
+            "cause",
+        )
         count("tasks.failures", "Failed rounds of a task.", task_failures, "task")
         count("log.lines_suppressed", "Log lines left out.", log_lines_suppressed)
         return metrics
--- a/src/tarragonramp/roles/refusals.py
+++ b/src/tarragonramp/roles/refusals.py
@@ -10,7 +10,7 @@
 """Status of a request whose caller has gone, which needs no explanation."""
 
 
-def log_refusal(request_id, error, times, now_ms):
+def log_refusal(request_id, error, times, now_ms, **context):
     """Log a refusal with what decided it, unless the caller has gone.
 
     Parameters
@@ -19,6 +19,8 @@
     error : RequestError
     times : RequestTimes
     now_ms : float
+    **context : object
+        Further values to log, about the daemon rather than the request.
     """
     if error.status == ABANDONED_STATUS:
         return
@@ -33,4 +35,5 @@
         retry_after_s=round(error.retry_after_s or 0.0, 3),
         held_ms=round(now_ms - times.began_ms),
         **error.inputs,
+        **context,
     )
--- a/src/tarragonramp/roles/router.py
+++ b/src/tarragonramp/roles/router.py
@@ -1,6 +1,7 @@
 """Serves callers' requests in a fleet by sending them to backend servers."""
 
 import collections
+import math
 import random
 
 import attrs
@@ -22,6 +23,7 @@
 from ..request import end_to_end_response_headers
 from ..results import is_successful
 from ..retries import RetryBudget
+from ..server_paths import ServerPaths
 from .owners import NO_OWNER_RETRY_S, OwnerResolver
 from .refusals import ABANDONED_STATUS, log_refusal
 from .routed_request import RoutedRequest
@@ -76,6 +78,8 @@
     counts : collections.Counter
         Failed attempts and refusals by service and reason, for the metrics.
     owners : OwnerResolver
+    paths : ServerPaths
+        Which servers have answered this daemon.
     """
 
     view: object
@@ -87,6 +91,7 @@
     meter: object
     clock: object
     counts: collections.Counter = attrs.Factory(collections.Counter)
+    paths: ServerPaths = attrs.Factory(ServerPaths)
     _budgets: dict = attrs.Factory(dict)
     owners: OwnerResolver = attrs.field(init=False)
     _rng: random.Random = attrs.Factory(random.Random)
@@ -105,9 +110,10 @@
             response = self._serve(environ, facts, times)
             outcome = ANSWERED
         except RequestError as error:
-            outcome = error.outcome
+            outcome, now_ms = error.outcome, self.clock.now_ms()
             self.counts[times.service, error.reason] += 1
-            log_refusal(request_id, error, times, self.clock.now_ms())
+            context = self._describe_paths(now_ms)
+            log_refusal(request_id, error, times, now_ms, **context)
             return self._refuse(start_response, error, request_id)
         finally:
             self.meter.finish(times, outcome, self.clock.now_ms())
@@ -116,6 +122,14 @@
             start_response, environ["REQUEST_METHOD"], response, headers
         )
 
+    def _describe_paths(self, now_ms):
+        """Return what tells a cut-off daemon from busy servers in a log line."""
+        silence_ms = self.paths.silence_ms(now_ms)
+        return {
+            "servers_heard": self.paths.n_heard(now_ms),
+            "heard_ms_ago": round(silence_ms) if silence_ms < math.inf else "never",
+        }
+
     def _read_facts(self, environ):
         try:
             return self.dialect.read_request(environ[HEADERS_KEY])
@@ -307,6 +321,7 @@
         if not is_successful(result):
             self._record_failure(request, chosen, result.failure(), now_ms)
             return result, took_ms
+        self.paths.record_answer(server.name, now_ms)
         result = result.map(
             lambda response: (response, self.dialect.read_response(response))
         )
@@ -318,6 +333,8 @@
         return result, took_ms
 
     def _record_failure(self, request, chosen, error, now_ms):
+        if not isinstance(error, AbandonedError):
+            self.paths.record_failure(error)
         if isinstance(error, AbandonedError) or now_ms >= request.until_ms:
             self.selector.record_cancellation(chosen)
             return
--- a/standins/proxy.py
+++ b/standins/proxy.py
@@ -47,7 +47,9 @@
     ----------
     sources, targets : list of str
         Names of the connecting and of the listening processes.
-    kind : {"cut", "cut-requests", "cut-answers", "delay", "refuse"}
+    kind : {"cut", "cut-requests", "cut-answers", "delay", "refuse", "reset"}
+        ``refuse`` resets new connections and leaves open ones alone; ``reset`` also
+        resets those that are open when it begins.
     delay_ms : float
         Delay in each direction, for ``delay``.
     """
@@ -76,6 +78,7 @@
     pids: dict = attrs.Factory(dict)
     faults: list = attrs.Factory(list)
     _changed: Event = attrs.Factory(Event)
+    _open: dict = attrs.Factory(dict)
 
     def add_link(self, listen, target_address, target):
         """Listen at an address and forward its connections to a process.
@@ -106,16 +109,13 @@
             self.faults = [Fault(**item) for item in body]
             changed, self._changed = self._changed, Event()
             changed.set()
+            self._reset_open_connections()
         return json_reply(start_response, 200, {"faults": len(self.faults)})
 
     def _handle(self, client, address, target_address, target):
         source = self._process_name(address, client.getsockname())
-        if self._active_kinds(source, target) & {"refuse"}:
-            # Resets the connection (RST), as a rejecting firewall does.
-            client.setsockopt(
-                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
-            )
-            client.close()
+        if self._active_kinds(source, target) & {"refuse", "reset"}:
+            _reset(client)
             return
         try:
             server = gevent.socket.create_connection(split_address(target_address))
@@ -128,10 +128,18 @@
             gevent.spawn(self._pump, client, server, source, target, "cut-requests"),
             gevent.spawn(self._pump, server, client, source, target, "cut-answers"),
         ]
+        self._open[client] = source, target, tasks
         gevent.joinall(tasks)
+        del self._open[client]
         client.close()
         server.close()
 
+    def _reset_open_connections(self):
+        for client, (source, target, tasks) in self._open.items():
+            if "reset" in self._active_kinds(source, target):
+                _set_no_linger(client)
+                gevent.killall(tasks, block=False)
+
     def _pump(self, reader, writer, source, target, direction_cut):
         try:
             while True:
@@ -171,6 +179,16 @@
         return UNKNOWN_PROCESS
 
 
+def _reset(connection):
+    """Reset a connection (RST), as a rejecting firewall does."""
+    _set_no_linger(connection)
+    connection.close()
+
+
+def _set_no_linger(connection):
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+
+
 def _inode_of(address, own_address):
     """Return the inode of the socket that is connected between two addresses.
 
