Requests of a VM that reaches no server are served by another daemon

Cause: a daemon had one way to a server, its own connections, and no notion of having lost all of them. Each request waited for a connection or an answer, went to the next server until its time was used up, and was refused or closed by its caller; the VM stayed ready.

Evidence: refusals at the VMs that are cut off have servers_heard of 0 to 2, those of all others more.

While hardly any server answers, PeerDelegator hands requests to the daemon with the least to do, in the own failure domain if it can, with the time they have taken, the servers that may have run them and the version of the manifest; DelegateApplication serves them like own ones, declines what it can't take, and never hands them on. What a delegate leaves unanswered stays in doubt and is not sent again.

--- a/src/tarragonramp/adapters/fleet_peers.py
+++ b/src/tarragonramp/adapters/fleet_peers.py
@@ -14,7 +14,7 @@
 from .http import HttpPools
 from .web import RequestError, caller_disconnected, error_reply
 
-__all__ = ["FleetPeers", "PeerApplication"]
+__all__ = ["DELEGATED_PREFIX", "FleetPeers", "PeerApplication"]
 
 PING_PATH, STEP_DOWN_PATH, NEWS_PATH, RELAY_PATH, METRICS_PATH = (
     "/peer/ping",
@@ -23,8 +23,23 @@
     "/peer/relay",
     "/metrics",
 )
+DELEGATED_PREFIX = "/peer/request"
+"""Stands before the target of a request that one daemon hands to another."""
+
 TIMEOUT_MS = 450.0
+DELEGATE_CONNECT_MS = 200.0
+"""How long a connection to a daemon that is to take a request may take to open."""
+
+DELEGATE_OPTIONS = {
+    "max_idle": 16,
+    "keepalive": True,
+    "connect_ms": DELEGATE_CONNECT_MS,
+    "max_idle_ms": 6000.0,
+}
 MAX_MESSAGE_BYTES = 16 << 20
+MAX_DELEGATED_BYTES = 32 << 20
+"""Longest response to a request that was handed to another daemon."""
+
 DEFLATE_HEADER = ("Content-Encoding", "deflate")
 
 
@@ -43,12 +58,16 @@
     view: object
     name: str
     _pools: HttpPools = attrs.field(init=False)
+    _delegate_pools: HttpPools = attrs.field(init=False)
     _rng: random.Random = attrs.Factory(random.Random)
 
     def __attrs_post_init__(self):
         """Create the connection pools."""
         options = {"max_idle": 2, "keepalive": True, "connect_ms": TIMEOUT_MS}
         self._pools = HttpPools(16 << 20, user_timeout_ms=TIMEOUT_MS, options=options)
+        self._delegate_pools = HttpPools(
+            MAX_DELEGATED_BYTES, user_timeout_ms=1500.0, options=DELEGATE_OPTIONS
+        )
 
     def ping(self, address, message, wait_ms) -> Result:
         """Report this daemon to the leader and wait up to ``wait_ms`` for updates.
@@ -72,6 +91,14 @@
         """Have a daemon renew grants; returns as :meth:`ping` does."""
         return self._exchange("POST", address, RELAY_PATH, message, timeout_ms)
 
+    def delegate(
+        self, address, method, target, headers, body, timeout_ms, is_wanted
+    ) -> Result:
+        """Hand a caller's request to a daemon; parameters as for HttpPool.exchange."""
+        pool = self._delegate_pools.at(address)
+        target = DELEGATED_PREFIX + target
+        return pool.exchange(method, target, headers, body, timeout_ms, is_wanted)
+
     def news(self, kind, since_version, address=""):
         """Ask a peer for objects of a kind that changed after a version.
 
@@ -148,16 +175,21 @@
     relay : Relay
     metrics : callable
         Returns the metrics page as bytes, and its content type.
+    delegate : callable
+        WSGI application for requests that other daemons hand to this one.
     """
 
     leadership: object
     follower: object
     relay: object
     metrics: object
+    delegate: object
 
     def __call__(self, environ, start_response):
         """Serve one request."""
         path = environ["PATH_INFO"]
+        if path.startswith(DELEGATED_PREFIX + "/"):
+            return self.delegate(environ, start_response)
         try:
             if path == PING_PATH:
                 response = self.leadership.handle_ping(_read_message(environ))
--- a/src/tarragonramp/adapters/http.py
+++ b/src/tarragonramp/adapters/http.py
@@ -143,6 +143,7 @@
         reuse_only=False,
         tag=None,
         may_send=None,
+        new_connection=False,
     ) -> Result:
         """Send a request once and read the complete response.
 
@@ -169,6 +170,8 @@
             Returns whether the request may still be sent; called immediately before
             the first byte. The sender's right may expire while this process is paused
             between the decision to send and the sending.
+        new_connection : bool, default=False
+            Whether to open a connection although an idle one may be open.
 
         Returns
         -------
@@ -185,7 +188,9 @@
         except ValueError as error:
             return Failure(NotSentError(str(error)))
         try:
-            connection = self._acquire_idle(tag if reuse_only else None)
+            connection = None
+            if not new_connection:
+                connection = self._acquire_idle(tag if reuse_only else None)
             if connection is None and reuse_only:
                 return Failure(NoConnectionError(f"{self.address}: no open connection"))
             connection = connection or self._open(deadline_s)
@@ -355,7 +360,8 @@
     """Detect connections whose peer disappears without a reset.
 
     Without probes neither side would notice, and a pending response would never arrive.
-    Probes are sent every second; three unanswered ones close the connection.
+    Probes are sent every second; three unanswered ones close the connection, or fewer
+    if TCP_USER_TIMEOUT is set and passes first.
     """
     connection.setsockopt(plain_socket.SOL_SOCKET, plain_socket.SO_KEEPALIVE, 1)
     for option, value in (
--- /dev/null
+++ b/src/tarragonramp/delegation.py
@@ -0,0 +1,103 @@
+"""What two daemons tell each other about a request that one hands to the other."""
+
+import json
+
+import attrs
+
+__all__ = ["DELEGATION_HEADER", "DECLINED", "REFUSED", "SERVED", "Delegation", "Report"]
+
+DELEGATION_HEADER = "tarragon-delegation"
+"""Name of the header with a Delegation in a request, or a Report in its response."""
+
+SERVED, REFUSED, DECLINED = "served", "refused", "declined"
+
+
+@attrs.frozen
+class Delegation:
+    """State of a request when it is handed to another daemon.
+
+    Parameters
+    ----------
+    elapsed_ms : float
+        Time since the head of the request was read.
+    service : str
+    manifest_version : int
+        Version that the delegate must know at least.
+    tried : list of str
+        Servers that may have run it.
+    is_credited : bool
+        Whether the retry budget has been credited for it.
+    """
+
+    elapsed_ms: float
+    service: str
+    manifest_version: int
+    tried: list = attrs.Factory(list)
+    is_credited: bool = False
+
+    def to_header(self):
+        """Return the header as a (str, str) pair."""
+        return DELEGATION_HEADER, json.dumps(attrs.asdict(self))
+
+    @classmethod
+    def from_header(cls, text):
+        """Return the Delegation of a header's value; ValueError if it is invalid."""
+        raw = _read_fields(text)
+        return cls(
+            max(0.0, float(raw["elapsed_ms"])),
+            str(raw["service"]),
+            int(raw["manifest_version"]),
+            [str(name) for name in raw["tried"]],
+            bool(raw["is_credited"]),
+        )
+
+
+@attrs.frozen
+class Report:
+    """What became of a request at its delegate.
+
+    Parameters
+    ----------
+    result : {"served", "refused", "declined"}
+        A declined request was not run, and another daemon may take it.
+    manifest_version : int
+        Version by which the delegate handled it.
+    outcome, reason : str
+        Of a refusal, as for RequestError.
+    retry_after_s : float or None
+    """
+
+    result: str
+    manifest_version: int
+    outcome: str = ""
+    reason: str = ""
+    retry_after_s: float | None = None
+
+    def to_header(self):
+        """Return the header as a (str, str) pair."""
+        return DELEGATION_HEADER, json.dumps(attrs.asdict(self))
+
+    @classmethod
+    def from_header(cls, text):
+        """Return the Report of a header's value; ValueError if it is invalid."""
+        raw = _read_fields(text)
+        retry_after_s = raw["retry_after_s"]
+        return cls(
+            str(raw["result"]),
+            int(raw["manifest_version"]),
+            str(raw["outcome"]),
+            str(raw["reason"]),
+            None if retry_after_s is None else float(retry_after_s),
+        )
+
+
+class _Fields(dict):
+    def __missing__(self, name):
+        raise ValueError(f"delegation header lacks {name}")
+
+
+def _read_fields(text):
+    raw = json.loads(text)
+    if not isinstance(raw, dict):
+        raise ValueError("delegation header is not a mapping")
+    return _Fields(raw)
--- a/src/tarragonramp/fleet.py
+++ b/src/tarragonramp/fleet.py
@@ -13,7 +13,7 @@
 import logbook
 from gevent.event import Event
 
-from .adapters.fleet_peers import FleetPeers, PeerApplication
+from .adapters.fleet_peers import DELEGATED_PREFIX, FleetPeers, PeerApplication
 from .adapters.http import HttpPools
 from .adapters.logs import log_event, log_lines_suppressed, set_up_logs
 from .adapters.pipelining import PipeliningServer
@@ -29,9 +29,11 @@
 from .limits import Limits
 from .meters import RequestMeter, TrafficMeter
 from .results import is_successful
+from .roles.delegate import DelegateApplication
 from .roles.follower import Follower
 from .roles.granter import Granter
 from .roles.leadership import Leadership
+from .roles.peer_delegator import PeerDelegator
 from .roles.relay import Relay, RelayPool
 from .roles.router import Router
 from .roles.tasks import keep_running, task_failures
@@ -49,6 +51,7 @@
 """Part of the grace period reserved for the exit of the process after the drain."""
 
 DRAIN_IDLE_MS = 100.0
+DRAIN_POLL_MS = 20.0
 SERVER_MAX_IDLE_MS = 6000.0
 """Longest idle time after which a connection to a server is reused. Servers close idle
 connections after about ten seconds, and a request sent at that moment is lost."""
@@ -59,6 +62,9 @@
 acknowledge."""
 
 MAX_HEADER_LINES = 100
+MAX_HEADER_BLOCK_BYTES = 1 << 20
+MAX_ADDED_HEADERS, DELEGATION_BYTES = 4, 16_384
+"""What a daemon adds at most to the headers of a request that it hands to another."""
 
 
 @attrs.frozen
@@ -167,6 +173,7 @@
     router: Router
     requests: RequestMeter
     clock: object
+    delegate: DelegateApplication
     traffic: TrafficMeter = attrs.Factory(TrafficMeter)
     cpu: CpuMeter = attrs.Factory(CpuMeter)
     caller_server: object = None
@@ -216,6 +223,7 @@
             settings.bounds,
             requests,
             clock,
+            PeerDelegator(settings.name, settings.failure_domain, view, peers, clock),
         )
         granter = Granter(
             view,
@@ -236,6 +244,7 @@
             router=router,
             requests=requests,
             clock=clock,
+            delegate=DelegateApplication(router, view, clock, DELEGATED_PREFIX),
         )
         daemon._add_servers()
         return daemon
@@ -253,6 +262,7 @@
             self.follower,
             Relay(self.ports.grants, clock),
             self._metrics_page,
+            self.delegate,
         )
         self.peer_server = DaemonServer(
             settings.peer_address, application, clock, self.traffic
@@ -285,6 +295,7 @@
         keep_running(self.follower.run_missing)
         keep_running(self.leadership.run)
         keep_running(self.granter.run)
+        keep_running(self.router.prober.run)
         open_task = keep_running(self._open)
         keep_running(self._tidy)
         self.stopped.wait()
@@ -345,19 +356,40 @@
             idle_ms=int(limits.idle_timeout_ms),
             body_bytes=limits.body_bytes,
         )
+        # A request that another daemon hands over has more headers than the caller's.
+        usual = Limits()
+        self.peer_server.limits = attrs.evolve(
+            usual,
+            request_line_bytes=usual.request_line_bytes + len(DELEGATED_PREFIX),
+            header_line_bytes=max(
+                usual.header_line_bytes, self.caller_server.limits.header_line_bytes
+            ),
+            header_block_bytes=min(
+                MAX_HEADER_BLOCK_BYTES,
+                max(usual.header_block_bytes, limits.header_bytes + DELEGATION_BYTES),
+            ),
+            header_count=MAX_HEADER_LINES + MAX_ADDED_HEADERS,
+        )
 
     def _tidy(self):
         """Periodically drop the state of removed servers and finished moves."""
         while True:
             gevent.sleep(10.0)
             self.router.selector.retain(self.view.directory.servers)
-            self.router.paths.retain(self.view.directory.servers)
+            self.router.monitor.retain(self.view.directory.servers)
             self.router.owners.clear_slow_moves()
 
     def _serve_readiness(self, environ, start_response):
         if environ["PATH_INFO"] != self.ports.ready_path:
             return json_reply(start_response, 404, {})
-        return json_reply(start_response, 200 if self.is_ready else 503, {})
+        return json_reply(start_response, 200 if self._takes_callers else 503, {})
+
+    @property
+    def _takes_callers(self):
+        """Whether callers may be sent here: their requests can reach a server."""
+        router = self.router
+        is_stranded = router.monitor.is_cut_off and router.delegator.is_stranded
+        return self.is_ready and not is_stranded
 
     def _drain(self):
         """Shut down in an order that fails no request.
@@ -371,12 +403,17 @@
         was_ready, self.is_ready = self.is_ready, False
         log_event("daemon-draining", was_ready=was_ready)
         gevent.spawn(self.leadership.resign)
+        self.delegate.draining = True
         self.caller_server.begin_shutdown()
         if was_ready:
             gevent.sleep(UNREADY_MS / 1000.0)
         end_ms = began_ms + self.settings.bounds.grace_ms - GRACE_MARGIN_MS
         left_ms = max(MIN_DRAIN_MS, end_ms - self.clock.now_ms())
         drained = self.caller_server.drain(DRAIN_IDLE_MS, left_ms)
+        while self.delegate.in_progress and self.clock.now_ms() < end_ms:
+            gevent.sleep(DRAIN_POLL_MS / 1000.0)
+        # The last response is still being written.
+        gevent.sleep(DRAIN_POLL_MS / 1000.0)
         log_event("daemon-stopped", requests_cut=drained.n_aborted)
 
     def _metrics_page(self):
@@ -396,7 +433,9 @@
             self.settings.name, self.requests, self.traffic, self.cpu, self.started_ns
         )
         count, gauge = metrics.add_counter, metrics.add_gauge
-        gauge("ready", "1 if callers may be sent here.", lambda: int(self.is_ready))
+        gauge(
+            "ready", "1 if callers may be sent here.", lambda: int(self._takes_callers)
+        )
         gauge("leads", "1 if it gives out keys.", lambda: int(self.leadership.leads))
         gauge("daemons", "Daemons heard of.", lambda: len(self.view.daemons))
         gauge(
@@ -407,7 +446,12 @@
         gauge(
             "servers.heard",
             "Backend servers that have answered a request in the last 2 s.",
-            lambda: self.router.paths.n_heard(self.clock.now_ms()),
+            lambda: self.router.monitor.n_heard(self.clock.now_ms()),
+        )
+        gauge(
+            "cut_off",
+            "1 if it reaches no backend server.",
+            lambda: int(self.router.monitor.is_cut_off),
         )
         gauge("manifest.version", "Manifest in force.", self._manifest_version)
         gauge(
@@ -430,9 +474,21 @@
         count(
             "exchanges.failed",
             "Failed exchanges with backend servers.",
-            lambda: dict(self.router.paths.failures),
+            lambda: dict(self.router.monitor.failures),
             "cause",
         )
+        count(
+            "delegations",
+            "Requests handed to other daemons.",
+            lambda: dict(self.router.delegator.counts),
+            "result",
+        )
+        count(
+            "delegated.requests",
+            "Requests taken from other daemons.",
+            lambda: dict(self.delegate.counts),
+            "result",
+        )
         count("tasks.failures", "Failed rounds of a task.", task_failures, "task")
         count("log.lines_suppressed", "Log lines left out.", log_lines_suppressed)
         return metrics
--- a/src/tarragonramp/fleet_view.py
+++ b/src/tarragonramp/fleet_view.py
@@ -39,6 +39,8 @@
         By service.
     daemons : dict of str to str
         Addresses of all daemons that the leader has recently heard from, by name.
+    daemon_domains : dict of str to str
+        Failure domains of daemons, by name, as far as known.
     watchers : frozenset of str
         Names of the daemons that this daemon, as leader, has told to follow the store;
         empty if it does not lead.
@@ -53,6 +55,7 @@
     routes: object = None
     tables: dict = attrs.Factory(dict)
     daemons: dict = attrs.Factory(dict)
+    daemon_domains: dict = attrs.Factory(dict)
     watchers: frozenset = frozenset()
     servers_loaded: bool = False
     key_load_recorder: KeyLoadRecorder = attrs.Factory(KeyLoadRecorder)
--- a/src/tarragonramp/manifest.py
+++ b/src/tarragonramp/manifest.py
@@ -79,6 +79,8 @@
         Duration of the cold start of a server.
     cold_per_s : float
         Requests per second that a server can handle in a cold start.
+    health_path : str
+        Target of a request that a server answers without work.
     """
 
     name: str
@@ -86,6 +88,7 @@
     connections: int = 64
     warmup_ms: float = 0.0
     cold_per_s: float = 0.0
+    health_path: str = "/health"
 
 
 @attrs.frozen
--- a/src/tarragonramp/meters.py
+++ b/src/tarragonramp/meters.py
@@ -161,6 +161,8 @@
         return {"watch": "watch", "vms": "vm-list"}.get(
             parts[1], f"platform-{operation}"
         )
+    if parts[:2] == ["peer", "request"]:
+        return "request"
     if parts[0] in ("tarragon", "peer") and len(parts) == 2:
         known = {"grant", "clock", "ping", "digest", "news"}
         return parts[1] if parts[1] in known else OTHER
--- /dev/null
+++ b/src/tarragonramp/roles/delegate.py
@@ -0,0 +1,137 @@
+"""Serves requests that other daemons hand to this one."""
+
+import collections
+
+import attrs
+
+from ..adapters.logs import log_event
+from ..adapters.usage import mark_request_work
+from ..adapters.web import HEADERS_KEY, TARGET_KEY, backend_reply, error_reply
+from ..delegation import (
+    DECLINED,
+    DELEGATION_HEADER,
+    REFUSED,
+    SERVED,
+    Delegation,
+    Report,
+)
+from ..errors import RequestError
+from ..meters import NOT_RUN
+from ..request import end_to_end_response_headers
+from .refusals import ABANDONED_STATUS
+
+__all__ = ["DelegateApplication"]
+
+VERSION_WAIT_MS = 200.0
+"""How long a request waits for the version of the manifest that its sender has used."""
+
+
+@attrs.define(eq=False, repr=False)
+class DelegateApplication:
+    """WSGI application for requests of other daemons' callers.
+
+    Parameters
+    ----------
+    router : Router
+    view : FleetView
+    clock : Clock
+    prefix : str
+        Stands before the request target.
+    draining : bool
+        Whether further requests are declined.
+    in_progress : int
+    counts : Counter
+        Requests by what became of them, for the metrics.
+    """
+
+    router: object
+    view: object
+    clock: object
+    prefix: str
+    draining: bool = False
+    in_progress: int = 0
+    counts: collections.Counter = attrs.Factory(collections.Counter)
+
+    def __call__(self, environ, start_response):
+        """Serve one request; the response carries a Report."""
+        mark_request_work()
+        self.in_progress += 1
+        try:
+            return self._respond(environ, start_response)
+        finally:
+            self.in_progress -= 1
+
+    def _respond(self, environ, start_response):
+        try:
+            delegation = self._read(environ)
+        except (TypeError, ValueError):
+            error = RequestError(400, NOT_RUN, "delegation not understood")
+            return error_reply(start_response, error)
+        try:
+            self._check_able(delegation)
+            response = self.router.serve_delegated(environ, delegation)
+        except RequestError as error:
+            return self._refuse(start_response, environ, error)
+        headers = [
+            header
+            for header in end_to_end_response_headers(response)
+            if header[0].lower() != DELEGATION_HEADER
+        ]
+        headers.append(self._report(SERVED).to_header())
+        return backend_reply(
+            start_response, environ["REQUEST_METHOD"], response, headers
+        )
+
+    def _read(self, environ):
+        """Return the Delegation, and restore the request target."""
+        delegation = Delegation.from_header(
+            dict(environ[HEADERS_KEY]).get(DELEGATION_HEADER)
+        )
+        for key in (TARGET_KEY, "PATH_INFO"):
+            environ[key] = environ[key].removeprefix(self.prefix)
+        return delegation
+
+    def _check_able(self, delegation):
+        """Raise if this daemon can't take a request."""
+        if self.draining:
+            raise _DeclinedError(503, NOT_RUN, "daemon is stopping")
+        if self.router.monitor.is_cut_off:
+            raise _DeclinedError(503, NOT_RUN, "reaches no server")
+        until_ms = self.clock.now_ms() + VERSION_WAIT_MS
+        while self._version < delegation.manifest_version:
+            left_ms = until_ms - self.clock.now_ms()
+            if left_ms <= 0:
+                raise _DeclinedError(503, NOT_RUN, "manifest is older")
+            self.view.wait(left_ms)
+
+    @property
+    def _version(self):
+        return self.view.manifest.version if self.view.manifest else 0
+
+    def _refuse(self, start_response, environ, error):
+        is_declined = isinstance(error, _DeclinedError) or (
+            error.outcome == NOT_RUN and self.router.monitor.is_cut_off
+        )
+        report = self._report(DECLINED if is_declined else REFUSED, error)
+        if error.status != ABANDONED_STATUS:
+            log_event(
+                "delegated-request-refused",
+                id=dict(environ[HEADERS_KEY]).get("request-id", ""),
+                result=report.result,
+                outcome=error.outcome,
+                reason=error.reason,
+                **error.inputs,
+            )
+        return error_reply(start_response, error, [report.to_header()])
+
+    def _report(self, result, error=None):
+        self.counts[result] += 1
+        if error is None:
+            return Report(result, self._version)
+        return Report(
+            result, self._version, error.outcome, error.reason, error.retry_after_s
+        )
+
+
+class _DeclinedError(RequestError):
+    """This daemon can't take a request, which another one may."""
--- a/src/tarragonramp/roles/leadership.py
+++ b/src/tarragonramp/roles/leadership.py
@@ -162,7 +162,6 @@
         lambda: InFlightReports(IN_FLIGHT_VALID_MS)
     )
     _last_heard_ms: dict = attrs.Factory(dict)
-    _domains: dict = attrs.Factory(dict)
     _clock_readings: dict = attrs.Factory(dict)
     _logged_hears_store: bool = True
     _unanswered_pings: int = 0
@@ -175,6 +174,7 @@
         """Start without a known leader."""
         self.leadership_state = LeadershipState(self.address, self.boot_id, self.timing)
         self.view.daemons[self.name] = self.address
+        self.view.daemon_domains[self.name] = self.selector.failure_domain
 
     @property
     def leads(self):
@@ -282,7 +282,7 @@
         if name not in self.view.daemons:
             log_event("daemon-heard", peer=name, address=address)
         self._record_daemon(name, address)
-        self._domains[name] = message.get("domain", "")
+        self.view.daemon_domains[name] = str(message.get("domain", ""))
         self.record_clock_reading(address, message.get("clock_ms"))
         self._key_loads.add(message.get("heat", {}), self.clock.now_ms())
         self.follower.compare_digests(name, message.get("digest", {}))
@@ -301,6 +301,7 @@
         }
         if message.get("n_daemons") != len(self.view.daemons):
             answer["daemons"] = self.view.daemons
+            answer["domains"] = self.view.daemon_domains
         answer["loads"] = self.follower.roster.pack(
             self._in_flight_except(name, now_ms)
         )
@@ -387,7 +388,7 @@
             self.view.daemons[name]
             for name, heard_ms in self._last_heard_ms.items()
             if heard_ms >= oldest_ms
-            and self._domains.get(name) == domain
+            and self.view.daemon_domains.get(name) == domain
             and name in self.view.daemons
         ]
 
@@ -458,6 +459,7 @@
             if heard_ms < oldest_ms and other != self.name:
                 del self._last_heard_ms[other]
                 self._clock_readings.pop(self.view.daemons.pop(other, None), None)
+                self.view.daemon_domains.pop(other, None)
                 log_event("daemon-lost", peer=other)
 
     def _renew_record(self):
@@ -704,6 +706,9 @@
         daemons = response.get("daemons")
         if isinstance(daemons, dict) and self.name in daemons:
             self.view.daemons = dict(daemons)
+            domains = response.get("domains")
+            if isinstance(domains, dict):
+                self.view.daemon_domains.update(domains)
         try:
             self.follower.apply_updates(response.get("news", {}))
             loads = self.follower.roster.unpack(response["loads"])
--- a/src/tarragonramp/roles/routed_request.py
+++ b/src/tarragonramp/roles/routed_request.py
@@ -36,6 +36,11 @@
         Servers to which it was sent.
     in_doubt : bool
         Whether one of them may have run it.
+    may_delegate : bool
+        Whether it may be handed to another daemon: not if it came from one, nor if none
+        took it.
+    is_credited : bool
+        Whether the retry budget has been credited for it.
     """
 
     request_id: str
@@ -52,6 +57,13 @@
     clock: object
     tried: list = attrs.Factory(list)
     in_doubt: bool = False
+    may_delegate: bool = True
+    is_credited: bool = False
+
+    @property
+    def may_repeat(self):
+        """Whether it may be sent to one more server although one may have run it."""
+        return self.route.idempotent and len(self.tried) < self.route.attempts
 
     def refusal(self, status, reason, retry_after_s=None, **inputs):
         """Return the error for a request that is not sent, or not sent again.
--- a/src/tarragonramp/roles/router.py
+++ b/src/tarragonramp/roles/router.py
@@ -19,12 +19,13 @@
 from ..balancing import Rejection, Requirements
 from ..connections import connection_share, may_connect
 from ..errors import AbandonedError, NotSentError, RequestError
-from ..meters import ANSWERED, NOT_RUN, UNKNOWN
+from ..meters import ANSWERED, NOT_RUN, UNKNOWN, RequestTimes
 from ..request import end_to_end_response_headers
 from ..results import is_successful
 from ..retries import RetryBudget
-from ..server_paths import ServerPaths
+from ..server_paths import PathMonitor
 from .owners import NO_OWNER_RETRY_S, OwnerResolver
+from .path_prober import PathProber
 from .refusals import ABANDONED_STATUS, log_refusal
 from .routed_request import RoutedRequest
 
@@ -77,9 +78,12 @@
     clock : Clock
     counts : collections.Counter
         Failed attempts and refusals by service and reason, for the metrics.
+    delegator : PeerDelegator
+        Has other daemons serve requests while this one reaches no server.
     owners : OwnerResolver
-    paths : ServerPaths
-        Which servers have answered this daemon.
+    monitor : PathMonitor
+        Whether this daemon reaches servers.
+    prober : PathProber
     """
 
     view: object
@@ -90,15 +94,18 @@
     bounds: object
     meter: object
     clock: object
+    delegator: object
     counts: collections.Counter = attrs.Factory(collections.Counter)
-    paths: ServerPaths = attrs.Factory(ServerPaths)
+    monitor: PathMonitor = attrs.Factory(PathMonitor)
+    prober: PathProber = attrs.field(init=False)
     _budgets: dict = attrs.Factory(dict)
     owners: OwnerResolver = attrs.field(init=False)
     _rng: random.Random = attrs.Factory(random.Random)
 
     def __attrs_post_init__(self):
-        """Create the owner resolver on the same view."""
+        """Create the parts that share its view and connections."""
         self.owners = OwnerResolver(self.view, self.clock)
+        self.prober = PathProber(self.monitor, self.view, self.pools, self.clock)
 
     def __call__(self, environ, start_response):
         """Serve one request of a caller."""
@@ -107,7 +114,8 @@
         try:
             facts = self._read_facts(environ)
             request_id = facts.request_id
-            response = self._serve(environ, facts, times)
+            request = self._read_request(environ, facts, times)
+            response = self._deliver(request, times)
             outcome = ANSWERED
         except RequestError as error:
             outcome, now_ms = error.outcome, self.clock.now_ms()
@@ -122,12 +130,40 @@
             start_response, environ["REQUEST_METHOD"], response, headers
         )
 
+    def serve_delegated(self, environ, delegation):
+        """Serve a request that another daemon has handed to this one.
+
+        Parameters
+        ----------
+        environ : dict
+            WSGI environment, with the request target as the caller sent it.
+        delegation : Delegation
+
+        Returns
+        -------
+        response : Response
+
+        Raises
+        ------
+        RequestError
+        """
+        times = RequestTimes(environ[ARRIVED_KEY] - delegation.elapsed_ms)
+        facts = self._read_facts(environ)
+        request = self._read_request(environ, facts, times, delegation.service)
+        request.tried += delegation.tried
+        request.in_doubt = bool(delegation.tried)
+        request.is_credited = delegation.is_credited
+        request.may_delegate = False
+        return self._deliver(request, times)
+
     def _describe_paths(self, now_ms):
         """Return what tells a cut-off daemon from busy servers in a log line."""
-        silence_ms = self.paths.silence_ms(now_ms)
+        heard_ms_ago = self.monitor.heard_ms_ago(now_ms)
         return {
-            "servers_heard": self.paths.n_heard(now_ms),
-            "heard_ms_ago": round(silence_ms) if silence_ms < math.inf else "never",
+            "servers_heard": self.monitor.n_heard(now_ms),
+            "heard_ms_ago": "never"
+            if heard_ms_ago == math.inf
+            else round(heard_ms_ago),
         }
 
     def _read_facts(self, environ):
@@ -136,18 +172,25 @@
         except ValueError as error:
             raise RequestError(400, NOT_RUN, "malformed header") from error
 
-    def _serve(self, environ, facts, times):
+    def _read_request(self, environ, facts, times, chosen_service=""):
+        """Return the RoutedRequest of an environment, with its body.
+
+        ``chosen_service`` is taken if the route leads there.
+        """
         routes = self.view.routes
         if routes is None:
             raise RequestError(503, NOT_RUN, "no manifest yet", NO_ROUTES_RETRY_S)
         route = routes.find(facts.host, environ["PATH_INFO"])
         if route is None:
             raise RequestError(404, NOT_RUN, "no route")
-        times.service = routes.choose_service(route, self._rng.random())
+        if any(part.service == chosen_service for part in route.parts):
+            times.service = chosen_service
+        else:
+            times.service = routes.choose_service(route, self._rng.random())
         caller_timeout_ms = route.timeout_ms
         if facts.caller_timeout_ms is not None:
             caller_timeout_ms = min(caller_timeout_ms, facts.caller_timeout_ms)
-        request = RoutedRequest(
+        return RoutedRequest(
             request_id=facts.request_id,
             method=environ["REQUEST_METHOD"],
             target=environ[TARGET_KEY],
@@ -163,13 +206,19 @@
             is_wanted=lambda: not caller_disconnected(environ),
             clock=self.clock,
         )
-        return self._deliver(request, times)
 
     def _deliver(self, request, times):
         """Send a request until it has a final response or may not be sent again."""
         budget = self._budget(request.service)
-        budget.earn()
         while True:
+            if self._should_delegate(request):
+                response = self.delegator.serve(request)
+                if response is not None:
+                    return response
+                request.may_delegate = False
+            if not request.is_credited:
+                budget.earn()
+                request.is_credited = True
             chosen = self._choose_server(request)
             request.tried.append(chosen.server.name)
             result, took_ms = self._exchange(request, chosen)
@@ -183,6 +232,17 @@
                 continue
             self._handle_failure(request, chosen, result.failure(), budget)
 
+    def _should_delegate(self, request):
+        """Return whether another daemon is asked to serve a request.
+
+        While this daemon reaches no server, and afterwards until it knows the manifest
+        that other daemons have used for its callers.
+        """
+        return request.may_delegate and (
+            self.monitor.is_cut_off
+            or self.view.manifest.version < self.delegator.seen_version
+        )
+
     def _budget(self, service):
         """Return this daemon's retry budget for a service."""
         budget = self._budgets.get(service)
@@ -302,6 +362,7 @@
         share = connection_share(limit, self._n_daemons())
         pool.max_idle = min(MAX_IDLE_CONNECTIONS, share)
         self.selector.record_sent(chosen)
+        self.monitor.record_sent(began_ms)
         try:
             result = pool.exchange(
                 request.method,
@@ -309,11 +370,13 @@
                 headers,
                 request.body,
                 left_ms,
-                request.is_wanted,
+                lambda: request.is_wanted() and not self._waits_in_vain(request),
             )
         except BaseException:
             self.selector.record_cancellation(chosen)
             raise
+        finally:
+            self.monitor.record_end()
         now_ms = self.clock.now_ms()
         took_ms = now_ms - began_ms
         if self.view.service(request.service).divided:
@@ -321,7 +384,7 @@
         if not is_successful(result):
             self._record_failure(request, chosen, result.failure(), now_ms)
             return result, took_ms
-        self.paths.record_answer(server.name, now_ms)
+        self.monitor.record_answer(server.name, now_ms)
         result = result.map(
             lambda response: (response, self.dialect.read_response(response))
         )
@@ -332,9 +395,19 @@
             self.selector.record_response(chosen, took_ms, facts.load, now_ms)
         return result, took_ms
 
+    def _waits_in_vain(self, request):
+        """Return whether a request can be repeated and its server can't be heard."""
+        return (
+            request.may_delegate
+            and request.may_repeat
+            and self.monitor.is_cut_off
+            and self.monitor.is_silent(self.clock.now_ms())
+        )
+
     def _record_failure(self, request, chosen, error, now_ms):
         if not isinstance(error, AbandonedError):
-            self.paths.record_failure(error)
+            self.monitor.record_failure(error)
+            self.prober.suspect()
         if isinstance(error, AbandonedError) or now_ms >= request.until_ms:
             self.selector.record_cancellation(chosen)
             return
@@ -393,10 +466,15 @@
         That failure cannot be distinguished from a server that died after it ran the
         request. Only an exchange of which no byte was sent therefore counts as not run.
         """
-        if isinstance(error, AbandonedError):
+        if isinstance(error, AbandonedError) and not request.is_wanted():
             raise RequestError(ABANDONED_STATUS, UNKNOWN, "caller has gone")
-        self._log_failed_attempt(request, str(error))
+        gave_up = isinstance(error, AbandonedError)
+        self._log_failed_attempt(
+            request, "no server answers" if gave_up else str(error)
+        )
         if isinstance(error, NotSentError):
+            if request.may_delegate and self.prober.confirm_cut_off():
+                return
             if self.view.service(request.service).divided or len(request.tried) > 3:
                 raise request.retryable_refusal("server not reached", NO_OWNER_RETRY_S)
             return
@@ -404,13 +482,13 @@
         if self.clock.now_ms() >= request.until_ms:
             raise RequestError(504, UNKNOWN, "no whole answer in time")
         self._check_retry(request, budget)
+        if request.may_delegate:
+            # The retry takes another way if this daemon reaches no server.
+            self.prober.confirm_cut_off()
 
     def _check_retry(self, request, budget):
         """Raise unless a request with unknown outcome may be sent again."""
-        may_repeat = (
-            request.route.idempotent and len(request.tried) < request.route.attempts
-        )
-        if not may_repeat or not self._has_time(request) or not budget.spend():
+        if not request.may_repeat or not self._has_time(request) or not budget.spend():
             raise RequestError(502, UNKNOWN, "no whole answer from the server")
 
     def _has_time(self, request):
--- a/tests/fleet_simulation.py
+++ b/tests/fleet_simulation.py
@@ -300,7 +300,7 @@
                     and other.is_up
                 ):
                     self.leadership._record_daemon(name, name)
-                    self.leadership._domains[name] = other.process.domain
+                    self.view.daemon_domains[name] = other.process.domain
                     self.leadership.record_clock_reading(name, other.clock.now_ms())
             self.simulation.scheduler.sleep(STORE_POLL_MS / 1000.0)
 
--- a/tests/test_faults_server_paths.py
+++ b/tests/test_faults_server_paths.py
@@ -1,6 +1,7 @@
 """Entry VMs that lose their paths to all backend servers, and nothing else."""
 
 import collections
+import signal
 import time
 import unittest
 
@@ -58,13 +59,13 @@
         faults = [Fault(list(daemons), list(SERVERS), kind) for kind in kinds]
         self.site.set_faults(*faults)
 
-    def call_all(self, for_s):
-        """Send requests to all daemons for some time, each once, and record them."""
+    def call_all(self, for_s, daemons=tuple(DAEMONS)):
+        """Send requests to daemons for some time, each once, and record them."""
         self.statuses.clear()
         until_s = time.monotonic() + for_s
         callers = [
             gevent.spawn(self._call_repeatedly, daemon, i, until_s)
-            for daemon in DAEMONS
+            for daemon in daemons
             for i in range(CALLERS_PER_DAEMON)
         ]
         gevent.joinall(callers, raise_error=True)
@@ -151,6 +152,17 @@
     def test_callers_are_served_while_a_failure_domain_is_cut_off(self):
         self.check_cut([n for n, domain in DAEMONS.items() if domain == "b"], "cut")
 
+    def test_callers_are_served_while_a_daemon_that_serves_them_stops(self):
+        """Guards against requests of other daemons that are lost in a drain."""
+        cut_off, stopped = self.followers[0], self.followers[1]
+        self.cut([cut_off], "cut")
+        self.call_all(CONTACT_S)
+        stopping = gevent.spawn_later(0.5, self.site.signal, stopped, signal.SIGTERM)
+        self.call_all(MEASURED_S, [cut_off])
+        stopping.get()
+        self.assertEqual(dict(self._n_by_status()).keys(), {200})
+        self.assert_promises_kept()
+
     def test_callers_are_served_while_the_leader_is_cut_off(self):
         """The servers' holds end meanwhile unless another daemon renews them."""
         self.check_cut([self.leader], "cut", LONGER_THAN_A_HOLD_S)
--- a/tests/test_fleet_news.py
+++ b/tests/test_fleet_news.py
@@ -55,7 +55,7 @@
         self.link, self.servers, self.entries = LeaderLink(), {}, {}
         self.leader = self.new_daemon("e0")
         self.link.application = PeerApplication(
-            self.leader, self.leader.follower, None, None
+            self.leader, self.leader.follower, None, None, None
         )
         nothing = {"version": 1, "names": [], "objects": []}
         self.leader.follower.apply_updates(dict.fromkeys(FOLLOWED_KINDS, nothing))
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -112,7 +112,7 @@
 
     def test_leader_disconnects_before_message_is_read(self):
         """A relay may resume with an old unread message."""
-        application = PeerApplication(None, None, self.relay, None)
+        application = PeerApplication(None, None, self.relay, None, None)
         server = DaemonServer(free_address(), application, self.clock)
         server.start()
         self.addCleanup(server.close)
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -3,16 +3,18 @@
 import types
 import unittest
 
+import attrs
 from returns.result import Failure, Success
 
 from tarragonramp import Clock
 from tarragonramp.adapters.http import Response
-from tarragonramp.adapters.web import HEADERS_KEY, TARGET_KEY
+from tarragonramp.adapters.web import ARRIVED_KEY, HEADERS_KEY, TARGET_KEY
 from tarragonramp.balancing import ServerSelector
 from tarragonramp.cold_start import ColdStartLimiter
+from tarragonramp.delegation import Delegation
 from tarragonramp.dialect import RequestFacts, ResponseFacts
 from tarragonramp.directory import BackendServer
-from tarragonramp.errors import NotSentError, UnansweredError
+from tarragonramp.errors import NotSentError, RequestError, UnansweredError
 from tarragonramp.fleet import FleetBounds
 from tarragonramp.fleet_view import FleetView
 from tarragonramp.manifest import (
@@ -23,7 +25,7 @@
     RouteTable,
     WeightedService,
 )
-from tarragonramp.meters import RequestMeter
+from tarragonramp.meters import NOT_RUN, UNKNOWN, RequestMeter
 from tarragonramp.ranges import KeyRange, RangeTable
 from tarragonramp.roles.router import Router
 
@@ -68,7 +70,7 @@
     """Three servers of a shared service, and two of a divided one."""
 
     def setUp(self):
-        clock = Clock()
+        self.clock = clock = Clock()
         self.view = FleetView(clock)
         routes = (
             Route(
@@ -124,9 +126,20 @@
             FleetBounds(),
             RequestMeter(),
             clock,
+            types.SimpleNamespace(seen_version=0, serve=self.delegate),
+        )
+        self.delegated, self.delegated_response = [], None
+        self.router.prober = types.SimpleNamespace(
+            confirm_cut_off=lambda: self.router.monitor.is_cut_off,
+            suspect=lambda: None,
         )
         self.assign_all("p1")
 
+    def delegate(self, request):
+        """Record a request that is handed to another daemon; None if none takes it."""
+        self.delegated.append((list(request.tried), request.in_doubt))
+        return self.delegated_response
+
     def assign_all(self, owner, token=1, old_owner=""):
         """Assign all keys to a server of the divided service."""
         item = KeyRange(0, N_KEYS - 1, owner, 1, token, old_owner, 1, token - 2)
@@ -159,6 +172,110 @@
         status, headers = responses[0]
         return int(status[:3]), dict(headers)
 
+    def test_requests_are_handed_over_while_no_server_is_reached(self):
+        self.router.monitor.record_check(False, 0.0)
+        self.delegated_response = OK.unwrap()
+        for path, key in (("/safe/", None), ("/once/", None), ("/keyed/", 7)):
+            self.assertEqual(self.send_request(path, key)[0], 200)
+        self.assertEqual(self.delegated, [([], False)] * 3)
+        self.assertEqual(self.sent, [])
+
+    def test_a_request_that_no_daemon_takes_is_sent_by_this_one(self):
+        """Guards against refusals because of a wrong verdict on the paths."""
+        self.router.monitor.record_check(False, 0.0)
+        self.assertEqual(self.send_request("/safe/")[0], 200)
+        self.assertEqual((len(self.delegated), len(self.sent)), (1, 1))
+
+    def test_a_request_that_was_not_sent_is_handed_over_once_a_cut_is_found(self):
+        self.delegated_response = OK.unwrap()
+        self.scripted["all"] = [UNREACHABLE]
+        self.router.prober.confirm_cut_off = lambda: (
+            self.router.monitor.record_check(False, 0.0) or True
+        )
+        for path, key in (("/once/", None), ("/keyed/", 7)):
+            self.router.monitor.cut_off_since_ms = None
+            self.delegated.clear()
+            self.assertEqual(self.send_request(path, key)[0], 200)
+            ((tried, in_doubt),) = self.delegated
+            self.assertEqual((len(tried), in_doubt), (1, False))
+
+    def test_only_an_idempotent_request_in_doubt_is_handed_over(self):
+        """Guards against a second run by another daemon."""
+        self.delegated_response = OK.unwrap()
+        self.router.prober.confirm_cut_off = lambda: (
+            self.router.monitor.record_check(False, 0.0) or True
+        )
+        for path, status in (("/safe/", 200), ("/once/", 502)):
+            self.router.monitor.cut_off_since_ms = None
+            self.delegated.clear()
+            self.scripted["all"] = [UNANSWERED]
+            self.assertEqual(self.send_request(path)[0], status)
+            self.assertEqual(len(self.delegated), status == 200)
+        self.assertEqual(len(self.sent), 2)
+
+    def test_requests_are_handed_over_until_the_used_manifest_is_known(self):
+        """Guards against callers' routes that go back to an older manifest."""
+        self.router.delegator.seen_version = 2
+        self.delegated_response = OK.unwrap()
+        self.send_request("/safe/")
+        self.view.update_routes(RouteTable(attrs.evolve(self.view.manifest, version=2)))
+        self.send_request("/safe/")
+        self.assertEqual((len(self.delegated), len(self.sent)), (1, 1))
+
+    def serve_delegated(self, path, **delegation):
+        """Serve a request of another daemon; return the response or the error."""
+        environ = {
+            "REQUEST_METHOD": "GET",
+            "PATH_INFO": path,
+            HEADERS_KEY: [],
+            TARGET_KEY: path,
+            ARRIVED_KEY: self.clock.now_ms(),
+        }
+        fields = {"elapsed_ms": 0.0, "service": "desk", "manifest_version": 1}
+        try:
+            return self.router.serve_delegated(
+                environ, Delegation(**{**fields, **delegation})
+            )
+        except RequestError as error:
+            return error
+
+    def test_a_request_of_another_daemon_is_never_handed_over(self):
+        """Guards against requests that go in circles among daemons."""
+        self.router.monitor.record_check(False, 0.0)
+        self.delegated_response = OK.unwrap()
+        self.assertEqual(self.serve_delegated("/safe/").status, 200)
+        self.assertEqual(self.delegated, [])
+
+    def test_time_at_another_daemon_counts(self):
+        error = self.serve_delegated("/safe/", elapsed_ms=990.0)
+        self.assertEqual((error.status, error.outcome), (503, NOT_RUN))
+        self.assertEqual(self.sent, [])
+
+    def test_tries_of_another_daemon_count(self):
+        """Guards against more attempts than the route allows, and false "not run"."""
+        self.scripted["all"] = [UNANSWERED]
+        error = self.serve_delegated("/safe/", tried=["s9"])
+        self.assertEqual((error.outcome, len(self.sent)), (UNKNOWN, 1))
+        self.scripted["all"] = [SHED]
+        self.sent.clear()
+        error = self.serve_delegated("/safe/", tried=["s9"])
+        self.assertEqual((error.status, error.outcome), (502, UNKNOWN))
+
+    def test_the_retry_budget_is_credited_by_one_daemon(self):
+        """Guards against twice the retries for requests that two daemons handle."""
+        earned = []
+        self.router._budgets["desk"] = types.SimpleNamespace(
+            earn=lambda: earned.append(1), spend=lambda: True
+        )
+        self.serve_delegated("/safe/")
+        self.assertEqual(len(earned), 1)
+        self.serve_delegated("/safe/", is_credited=True)
+        self.assertEqual(len(earned), 1)
+        self.router.monitor.record_check(False, 0.0)
+        self.delegated_response = OK.unwrap()
+        self.send_request("/safe/")
+        self.assertEqual(len(earned), 1)
+
     def test_shed_request_is_sent_to_another_server(self):
         self.scripted["all"] = [SHED, OK]
         self.assertEqual(self.send_request("/once/")[0], 200)
