A leader or relay that reaches no server leaves its work to others

What callers saw: with the leader cut off from all servers for longer than a hold (7 s), keys lost their owners one after the other, for callers of all VMs: 179 refusals in 9 s, 1,585 of 1,717 first tries served at the VMs that were not cut off, after delegation was in place.

Cause: as for callers' requests, a daemon judged servers by its own paths only. The leader renewed through relays what it could; for the servers of its own failure domain there is no relay, and it could neither release nor fence. A relay that is cut off let each renewal time out, 600 ms each, and left it in doubt.

Fix: daemons tell the leader in their pings that they reach no server; they are not chosen as relays, and answer \"not sent\" at once to a message that comes all the same. A leader that has reached no server for a second gives up its record, if another daemon reports to reach some; a daemon that reaches none waits for a lease and two seconds before it takes over, so others come first, and one leads when all paths are back.

--- a/src/tarragonramp/fleet.py
+++ b/src/tarragonramp/fleet.py
@@ -225,6 +225,7 @@
             clock,
             PeerDelegator(settings.name, settings.failure_domain, view, peers, clock),
         )
+        leadership.monitor = router.monitor
         granter = Granter(
             view,
             leadership,
@@ -260,7 +261,7 @@
         application = PeerApplication(
             self.leadership,
             self.follower,
-            Relay(self.ports.grants, clock),
+            Relay(self.ports.grants, clock, self.router.monitor),
             self._metrics_page,
             self.delegate,
         )
--- a/src/tarragonramp/leadership.py
+++ b/src/tarragonramp/leadership.py
@@ -9,6 +9,7 @@
 import attrs
 
 __all__ = [
+    "CUT_OFF_DELAY_MS",
     "LATE_GRANT_MS",
     "InheritedGrants",
     "LeaderRecord",
@@ -19,6 +20,12 @@
 LATE_GRANT_MS = 15_000.0
 """How long an unanswered grant may be delayed before it takes effect."""
 
+CUT_OFF_DELAY_MS = 2000.0
+"""How much longer than a lease a daemon that reaches no server waits to take over.
+
+Another daemon may reach servers and lead at once. If none does, one still has to lead
+when the paths are back."""
+
 
 @attrs.frozen
 class LeaseTiming:
@@ -234,12 +241,16 @@
         lease_ms = self.timing.lease_ms / self.timing.drift
         return self._confirmed_ms + lease_ms - self.timing.margin_ms
 
-    def may_take_over(self, now_ms):
+    def may_take_over(self, now_ms, is_cut_off=False):
         """Tell whether this daemon may replace the record by its own.
 
-        At once if there is no record, if it names no daemon, or if it names an earlier
+        If it reaches no server, only after a lease and ``CUT_OFF_DELAY_MS``. Else at
+        once if there is no record, if it names no daemon, or if it names an earlier
         process at this address, which has ended because its port is bound here.
         """
+        if is_cut_off:
+            delay_ms = self.timing.lease_ms + CUT_OFF_DELAY_MS
+            return now_ms >= self._changed_ms + delay_ms
         if self.record is None or not self.record.name:
             return True
         if self.record.address == self.address:
--- a/src/tarragonramp/roles/leadership.py
+++ b/src/tarragonramp/roles/leadership.py
@@ -18,6 +18,7 @@
     LeaseTiming,
 )
 from ..results import is_successful
+from ..server_paths import PathMonitor
 
 __all__ = ["Leadership"]
 
@@ -66,6 +67,13 @@
 RESIGN_POLL_MS = 200.0
 """Interval at which a resigning leader checks whether the store responds to it."""
 
+YIELD_AFTER_MS = 1000.0
+"""How long a leader reaches no server until another daemon replaces it.
+
+It can't renew the grants of its own failure domain, nor move keys. Longer than two
+checks of the paths, as a change of leader leaves earlier grants in doubt; the servers'
+holds last longer."""
+
 IN_FLIGHT_VALID_MS = 1500.0
 """How long a daemon's counts of its requests in flight are passed on."""
 
@@ -140,6 +148,8 @@
         Of the leaders before this one.
     in_doubt_grants : callable
         Returns the InheritedGrants for the next leader.
+    monitor : PathMonitor
+        Whether this daemon reaches servers.
     """
 
     name: str
@@ -157,11 +167,13 @@
     stopping: bool = False
     inherited: InheritedGrants = InheritedGrants()
     in_doubt_grants: object = InheritedGrants
+    monitor: PathMonitor = attrs.Factory(PathMonitor)
     _key_loads: KeyLoadAggregate = attrs.Factory(KeyLoadAggregate)
     _reported_in_flight: InFlightReports = attrs.Factory(
         lambda: InFlightReports(IN_FLIGHT_VALID_MS)
     )
     _last_heard_ms: dict = attrs.Factory(dict)
+    _cut_off_daemons: set = attrs.Factory(set)
     _clock_readings: dict = attrs.Factory(dict)
     _logged_hears_store: bool = True
     _unanswered_pings: int = 0
@@ -201,7 +213,10 @@
     def run(self):
         """Lead, or follow the leader, forever."""
         while True:
-            if self.leadership_state.is_named:
+            if self._should_yield():
+                self._release_record("reaches no server")
+                pause_ms = MIN_PING_INTERVAL_MS
+            elif self.leadership_state.is_named:
                 self._renew_record()
                 pause_ms = self.timing.renew_ms
             elif self.leadership_state.record is None:
@@ -245,8 +260,25 @@
         self.stopping = True
         while self.leadership_state.is_named and not self._is_confirmed():
             gevent.sleep(RESIGN_POLL_MS / 1000.0)
-        if not self.leadership_state.is_named:
-            return
+        if self.leadership_state.is_named:
+            self._release_record("stopping")
+
+    def _should_yield(self):
+        """Return whether another daemon should lead, since it reaches servers."""
+        since_ms, now_ms = self.monitor.cut_off_since_ms, self.clock.now_ms()
+        if since_ms is None or now_ms < since_ms + YIELD_AFTER_MS:
+            return False
+        if not self.leadership_state.is_named or not self._is_confirmed():
+            return False
+        oldest_ms = now_ms - RECENTLY_HEARD_MS
+        return any(
+            heard_ms >= oldest_ms and name not in self._cut_off_daemons
+            for name, heard_ms in self._last_heard_ms.items()
+            if name != self.name
+        )
+
+    def _release_record(self, reason):
+        """Stop leading, and let another daemon take over at once."""
         version = self.leadership_state.version
         term = self.leadership_state.record.term
         # Renewals stop before the write, as the successor relies on the record to mean
@@ -254,7 +286,9 @@
         self.leadership_state.give_up()
         record = attrs.evolve(NO_LEADER, term=term)
         result = self.store.put(LEADER_KIND, LEADER_NAME, record.to_spec(), version)
-        log_event("leader-resigned", told_store=is_successful(result))
+        if is_successful(result):
+            self._observe_record(record, result.unwrap().version)
+        log_event("leader-resigned", reason=reason, told_store=is_successful(result))
 
     def _is_confirmed(self):
         age_ms = self.leadership_state.confirmed_age_ms(self.clock.now_ms())
@@ -283,6 +317,10 @@
             log_event("daemon-heard", peer=name, address=address)
         self._record_daemon(name, address)
         self.view.daemon_domains[name] = str(message.get("domain", ""))
+        if message.get("cut_off"):
+            self._cut_off_daemons.add(name)
+        else:
+            self._cut_off_daemons.discard(name)
         self.record_clock_reading(address, message.get("clock_ms"))
         self._key_loads.add(message.get("heat", {}), self.clock.now_ms())
         self.follower.compare_digests(name, message.get("digest", {}))
@@ -377,9 +415,10 @@
         )
 
     def daemons_in(self, domain):
-        """Return addresses of another domain's daemons that were recently heard from.
+        """Return addresses of another domain's daemons that may renew grants there.
 
-        Empty if the domain is this daemon's own.
+        They were heard from recently and reach servers. Empty if the domain is this
+        daemon's own.
         """
         if domain == self.selector.failure_domain:
             return []
@@ -388,6 +427,7 @@
             self.view.daemons[name]
             for name, heard_ms in self._last_heard_ms.items()
             if heard_ms >= oldest_ms
+            and name not in self._cut_off_daemons
             and self.view.daemon_domains.get(name) == domain
             and name in self.view.daemons
         ]
@@ -460,6 +500,7 @@
                 del self._last_heard_ms[other]
                 self._clock_readings.pop(self.view.daemons.pop(other, None), None)
                 self.view.daemon_domains.pop(other, None)
+                self._cut_off_daemons.discard(other)
                 log_event("daemon-lost", peer=other)
 
     def _renew_record(self):
@@ -528,7 +569,10 @@
         else:
             self.follower.follow_store("leader not known")
             return False
-        if not self.stopping and self.leadership_state.may_take_over(now_ms):
+        is_cut_off = self.monitor.is_cut_off
+        if not self.stopping and self.leadership_state.may_take_over(
+            now_ms, is_cut_off
+        ):
             self._take_over()
         return True
 
@@ -669,6 +713,8 @@
             "n_daemons": len(self.view.daemons),
             "loads": self.selector.in_flight_by_server(),
         }
+        if self.monitor.is_cut_off:
+            message["cut_off"] = True
         if self.follower.follows_store:
             message["digest"] = self.view.digest()
         result = self.peers.ping(address, message, MAX_UPDATE_WAIT_MS)
--- a/src/tarragonramp/roles/relay.py
+++ b/src/tarragonramp/roles/relay.py
@@ -19,6 +19,7 @@
     WrongServerError,
 )
 from ..results import is_successful
+from ..server_paths import PathMonitor
 
 __all__ = ["Relay", "RelayPool", "has_no_connection"]
 
@@ -76,10 +77,13 @@
     grants : object
         See :class:`.FleetPorts`.
     clock : Clock
+    monitor : PathMonitor
+        Whether this daemon reaches servers.
     """
 
     grants: object
     clock: object
+    monitor: PathMonitor = attrs.Factory(PathMonitor)
 
     def send(self, message, is_wanted=lambda: True):
         """Send the renewals of a message one after the other.
@@ -111,6 +115,8 @@
         may_send_new_token = lambda: self.clock.now_ms() < new_token_until_ms
         server, address = message["server"], message["address"]
         results = []
+        if self.monitor.is_cut_off:
+            return {"results": ["not sent"]}
         if self.grants.has_closed_connection(address):
             # The server may have restarted, which the leader has to find out first.
             return {"results": ["not sent"]}
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -18,6 +18,7 @@
 from tarragonramp.roles.leadership import (
     MIN_PING_INTERVAL_MS,
     WATCHERS_WHEN_CUT_OFF,
+    YIELD_AFTER_MS,
     Leadership,
 )
 from tarragonramp.roster import Roster
@@ -351,6 +352,79 @@
         self.assertTrue(self.other.leads)
         self.assertLessEqual(self.other.inherited.stopped_ms, self.clock.now_ms())
 
+    def cut_off(self, daemon):
+        """Let a daemon find that it reaches no server, long enough to matter."""
+        daemon.monitor.record_check(False, self.clock.now_ms())
+        self.clock.advance(YIELD_AFTER_MS)
+        daemon._renew_record()
+
+    def ping_leader(self):
+        """Let the second daemon ping the first one, which leads."""
+        self.one.follower.updates_since = lambda versions: {"any": {}}
+        self.other._discover_leader()
+        self.other._ping()
+
+    def test_leader_that_reaches_no_server_is_replaced(self):
+        """Guards against keys without owners, as nobody renews their grants."""
+        self.one._discover_leader()
+        self.ping_leader()
+        self.assertFalse(self.one._should_yield())
+        self.cut_off(self.one)
+        self.assertTrue(self.one._should_yield())
+        self.one._release_record("reaches no server")
+        self.assertFalse(self.one.leads)
+        self.one._check_record()
+        self.assertFalse(self.one.leads)
+        self.other._check_record()
+        self.assertTrue(self.other.leads)
+        self.assertLessEqual(self.other.inherited.stopped_ms, self.clock.now_ms())
+
+    def test_leader_stays_if_no_other_daemon_reaches_servers(self):
+        """Guards against a fleet that nobody leads when the paths are back."""
+        self.one._discover_leader()
+        self.cut_off(self.one)
+        self.assertFalse(self.one._should_yield())
+        self.other.monitor.record_check(False, 0.0)
+        self.ping_leader()
+        self.assertFalse(self.one._should_yield())
+        self.other.monitor.record_check(True, 0.0)
+        self.other._ping()
+        self.assertTrue(self.one._should_yield())
+
+    def test_leader_stays_while_the_store_does_not_confirm_it(self):
+        """Guards against a resignation that the successor does not learn of."""
+        self.one._discover_leader()
+        self.ping_leader()
+        self.cut_off(self.one)
+        self.clock.advance(2 * self.one.timing.renew_ms)
+        self.ping_leader()
+        self.assertFalse(self.one._should_yield())
+
+    def test_a_short_loss_of_the_servers_changes_no_leader(self):
+        self.one._discover_leader()
+        self.ping_leader()
+        self.one.monitor.record_check(False, self.clock.now_ms())
+        self.clock.advance(YIELD_AFTER_MS - 1.0)
+        self.assertFalse(self.one._should_yield())
+
+    def test_daemons_that_reach_no_server_are_no_relays(self):
+        self.one._discover_leader()
+        self.other.selector.failure_domain = "b"
+        self.ping_leader()
+        self.assertEqual(self.one.daemons_in("b"), ["d2:1"])
+        self.other.monitor.record_check(False, 0.0)
+        self.other._ping()
+        self.assertEqual(self.one.daemons_in("b"), [])
+        self.other.monitor.record_check(True, 0.0)
+        self.other._ping()
+        self.assertEqual(self.one.daemons_in("b"), ["d2:1"])
+
+    def test_daemons_learn_the_failure_domains_of_others(self):
+        self.one._discover_leader()
+        self.other.selector.failure_domain = "b"
+        self.ping_leader()
+        self.assertEqual(self.other.view.daemon_domains, {"d1": "a", "d2": "b"})
+
     def test_resigning_leader_keeps_renewing_during_outage(self):
         """The store is unavailable while the leader is told to stop.
 
--- a/tests/test_leading.py
+++ b/tests/test_leading.py
@@ -4,7 +4,12 @@
 import types
 import unittest
 
-from tarragonramp.leadership import LeaderRecord, LeadershipState, LeaseTiming
+from tarragonramp.leadership import (
+    CUT_OFF_DELAY_MS,
+    LeaderRecord,
+    LeadershipState,
+    LeaseTiming,
+)
 
 TIMING = LeaseTiming()
 OWN = LeaderRecord("d1", "b1", "10.0.0.1:1", 3)
@@ -39,6 +44,16 @@
         self.leadership_state.observe(LeaderRecord("", "", "", 4), 5, 0.0)
         self.assertTrue(self.leadership_state.may_take_over(1.0))
 
+    def test_daemon_that_reaches_no_server_takes_over_last(self):
+        """Guards against a leader that can grant no keys while others could."""
+        end_ms = TIMING.lease_ms + CUT_OFF_DELAY_MS
+        for name in ("", "d2"):
+            self.leadership_state.observe(
+                LeaderRecord(name, "b9", "10.0.0.2:1", 4), 5, 0.0
+            )
+            self.assertFalse(self.leadership_state.may_take_over(end_ms - 1.0, True))
+            self.assertTrue(self.leadership_state.may_take_over(end_ms, True))
+
     def test_moves_stop_before_another_daemon_can_take_over(self):
         """An unconfirmed leader renews grants but moves no keys."""
         self.leadership_state.confirmed(OWN, 7, 1000.0)
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -77,6 +77,12 @@
         self.clock.advance(1.0)
         self.assertFalse(may_send())
 
+    def test_relay_that_reaches_no_server_says_so_at_once(self):
+        """Guards against renewals in doubt, one time-out each, at a relay cut off."""
+        self.relay.monitor.record_check(False, 0.0)
+        self.assertEqual(self.statuses(), ["not sent"])
+        self.assertEqual(self.sent, [])
+
     def test_new_tokens_of_older_message_open_no_connection(self):
         """Guards against a token that the next leader has raised meanwhile."""
         self.relay.send({**MESSAGE, "new_token_until_ms": 1000.0})
