A check of the paths spares cut-off failure domains and full servers

Cause: one answer of six is less than the share that must answer, and a reset counted as no path. Fix: all checked servers of the own failure domain are enough; of a server that other daemons keep full a connection is enough.

--- a/src/tarragonramp/roles/leadership.py
+++ b/src/tarragonramp/roles/leadership.py
@@ -317,10 +317,7 @@
             log_event("daemon-heard", peer=name, address=address)
         self._record_daemon(name, address)
         self.view.daemon_domains[name] = str(message.get("domain", ""))
-        if message.get("cut_off"):
-            self._cut_off_daemons.add(name)
-        else:
-            self._cut_off_daemons.discard(name)
+        self.record_reach(name, bool(message.get("cut_off")))
         self.record_clock_reading(address, message.get("clock_ms"))
         self._key_loads.add(message.get("heat", {}), self.clock.now_ms())
         self.follower.compare_digests(name, message.get("digest", {}))
@@ -432,6 +429,13 @@
             and name in self.view.daemons
         ]
 
+    def record_reach(self, name, is_cut_off):
+        """Record whether a daemon reaches servers, as it has just reported."""
+        if is_cut_off:
+            self._cut_off_daemons.add(name)
+        else:
+            self._cut_off_daemons.discard(name)
+
     def record_clock_reading(self, address, clock_ms):
         """Record a reading of a daemon's clock that has just been received."""
         self._clock_readings[address] = ClockReading(clock_ms, self.clock.now_ms())
--- a/src/tarragonramp/roles/path_prober.py
+++ b/src/tarragonramp/roles/path_prober.py
@@ -10,8 +10,9 @@
 from gevent.event import Event
 
 from ..adapters.logs import log_event
+from ..errors import UnansweredError
 from ..results import is_successful
-from ..server_paths import pick_probe_targets, required_answers
+from ..server_paths import pick_probe_targets, reaches_servers
 
 __all__ = ["PathProber"]
 
@@ -20,8 +21,8 @@
 """Interval of checks while the servers are not reached."""
 
 HEALTH_TIMEOUT_MS = 300.0
-"""How long a server may take to answer a health check over a new connection. Servers
-answer these within milliseconds also while they are full."""
+"""How long a server may take to answer a health check over a new connection. One with a
+free slot answers within milliseconds."""
 
 N_FIRST_TARGETS, N_TARGETS, MIN_TARGETS = 2, 6, 2
 """Servers that are checked first, those that are checked if not all of these answer,
@@ -46,12 +47,15 @@
     pools : HttpPools
         Those of callers' requests: a connection that a check has opened is kept there.
     clock : Clock
+    selector : ServerSelector
+        Knows this daemon's failure domain, and what other daemons have in flight.
     """
 
     monitor: object
     view: object
     pools: object
     clock: object
+    selector: object
     _check_ended: object = None
     _suspicion: Event = attrs.Factory(Event)
     _rng: random.Random = attrs.Factory(random.Random)
@@ -107,17 +111,17 @@
         targets = self._pick_targets()
         if len(targets) < MIN_TARGETS:
             return
-        answered, n_required = set(), required_answers(len(targets), was_cut_off)
+        answered = set()
+        is_enough = lambda: reaches_servers(
+            targets, answered, self.selector.failure_domain, was_cut_off
+        )
         n_first = 0 if was_cut_off else N_FIRST_TARGETS
         probes = self._start_probes(targets[:n_first], answered)
         gevent.joinall(probes, timeout=HEDGE_MS / 1000.0)
         is_reached = 0 < n_first == len(answered)
         if not is_reached:
             probes += self._start_probes(targets[n_first:], answered)
-            for _ in gevent.iwait(probes):
-                if len(answered) >= n_required:
-                    break
-            is_reached = len(answered) >= n_required
+            is_reached = any(is_enough() for _ in gevent.iwait(probes))
         now_ms = self.clock.now_ms()
         if is_reached or now_ms - began_ms <= MAX_CHECK_MS:
             self._record(is_reached, targets, answered)
@@ -126,21 +130,39 @@
         directory = self.view.directory
         usable = [s for s in directory.servers.values() if directory.may_serve(s)]
         servers = directory.warm(usable) or usable
-        return pick_probe_targets(servers, N_TARGETS, self._rng)
+        return pick_probe_targets(
+            servers, N_TARGETS, self.selector.failure_domain, self._rng
+        )
 
     def _start_probes(self, servers, answered):
         return [gevent.spawn(self._probe, server, answered) for server in servers]
 
     def _probe(self, server, answered):
-        """Send a health check; add the server's name to ``answered`` if it answers."""
+        """Send a health check; add the server's name to ``answered`` if it is reached.
+
+        Full servers reset new connections or leave them waiting, so from these a
+        connection is enough.
+        """
         path = self.view.service(server.service).health_path
         pool = self.pools.at(server.address)
         result = pool.exchange(
             "GET", path, (), b"", HEALTH_TIMEOUT_MS, new_connection=True
         )
-        if is_successful(result):
+        is_connected = is_successful(result) or isinstance(
+            result.failure(), UnansweredError
+        )
+        if is_successful(result) or (is_connected and self._is_full(server)):
             answered.add(server.name)
 
+    def _is_full(self, server):
+        """Tell whether other daemons keep a server busy, as far as this one knows.
+
+        Its own requests do not count: they may be waiting in vain.
+        """
+        now_ms = self.clock.now_ms()
+        in_flight = self.selector.peer_in_flight(server.name, now_ms)
+        return in_flight is not None and in_flight >= server.slots
+
     def _record(self, is_reached, targets, answered):
         """Record the result of a check; log a change."""
         now_ms, since_ms = self.clock.now_ms(), self.monitor.cut_off_since_ms
--- a/src/tarragonramp/roles/router.py
+++ b/src/tarragonramp/roles/router.py
@@ -105,7 +105,9 @@
     def __attrs_post_init__(self):
         """Create the parts that share its view and connections."""
         self.owners = OwnerResolver(self.view, self.clock)
-        self.prober = PathProber(self.monitor, self.view, self.pools, self.clock)
+        self.prober = PathProber(
+            self.monitor, self.view, self.pools, self.clock, self.selector
+        )
 
     def __call__(self, environ, start_response):
         """Serve one request of a caller."""
--- a/src/tarragonramp/server_paths.py
+++ b/src/tarragonramp/server_paths.py
@@ -11,7 +11,7 @@
     "HEARD_WINDOW_MS",
     "PathMonitor",
     "pick_probe_targets",
-    "required_answers",
+    "reaches_servers",
 ]
 
 HEARD_WINDOW_MS = 2000.0
@@ -121,14 +121,34 @@
 servers, and to count so again. A few servers may still be within reach of a daemon that
 can serve hardly any request."""
 
+N_NEAR_TARGETS = 2
 
-def required_answers(n_targets, was_cut_off):
-    """Return how many of the checked servers must answer for a daemon to reach them."""
+
+def reaches_servers(targets, answered, failure_domain, was_cut_off):
+    """Tell from a check whether a daemon reaches the servers.
+
+    It does if all that were checked in its own failure domain answer: if the failure
+    domain is cut off from all others, only its own daemons can use its servers.
+
+    Parameters
+    ----------
+    targets : sequence of BackendServer
+        The servers that are checked.
+    answered : collection of str
+        Names of those that have answered.
+    failure_domain : str
+        Of the daemon.
+    was_cut_off : bool
+        Whether it counts as cut off.
+    """
+    near = [s.name for s in targets if s.failure_domain == failure_domain]
+    if near and all(name in answered for name in near):
+        return True
     share = REACHED_AGAIN_SHARE if was_cut_off else REACHED_SHARE
-    return math.ceil(n_targets * share)
+    return len(answered) >= len(targets) * share
 
 
-def pick_probe_targets(servers, count, rng):
+def pick_probe_targets(servers, count, failure_domain, rng):
     """Pick servers to check the paths with, spread over services and failure domains.
 
     A failure domain without power, or a service whose servers are all gone, must not
@@ -138,21 +158,29 @@
     ----------
     servers : sequence of BackendServer
     count : int
+    failure_domain : str
+        Of the daemon; two of its servers are among the targets, if it has as many.
     rng : random.Random
 
     Returns
     -------
     targets : list of BackendServer
-        At most ``count``.
+        At most ``count``; the first two are of different failure domains if possible.
     """
     remaining, targets = rng.sample(servers, len(servers)), []
-    n_picked = collections.Counter()
+    n_picked, n_near = collections.Counter(), 0
+
+    def rank(server):
+        is_near = server.failure_domain == failure_domain
+        is_wanted = is_near and n_near < N_NEAR_TARGETS and len(targets) != 1
+        n_similar = n_picked[server.failure_domain] + n_picked[server.service]
+        return not is_wanted, n_similar
+
     while remaining and len(targets) < count:
-        target = min(
-            remaining, key=lambda s: n_picked[s.failure_domain] + n_picked[s.service]
-        )
+        target = min(remaining, key=rank)
         remaining.remove(target)
         targets.append(target)
+        n_near += target.failure_domain == failure_domain
         n_picked.update((target.failure_domain, target.service))
     return targets
 
