Daemons take others' requests only while ready; refusals say for how long they are cut off

A daemon that starts may be known to others before it has read the range tables, and would refuse what another one could serve. explain-request leaves out what delegates refused of other requests.

--- a/src/tarragonramp/fleet.py
+++ b/src/tarragonramp/fleet.py
@@ -333,7 +333,7 @@
             self.view.wait(500.0)
         self._apply_limits()
         self.caller_server.start()
-        self.is_ready = True
+        self.is_ready = self.delegate.is_open = True
         log_event("daemon-ready", boot_id=self.leadership.boot_id)
         while True:
             self.view.wait(60_000.0)
@@ -404,7 +404,7 @@
         was_ready, self.is_ready = self.is_ready, False
         log_event("daemon-draining", was_ready=was_ready)
         gevent.spawn(self.leadership.resign)
-        self.delegate.draining = True
+        self.delegate.is_open = False
         self.caller_server.begin_shutdown()
         if was_ready:
             gevent.sleep(UNREADY_MS / 1000.0)
--- a/src/tarragonramp/roles/delegate.py
+++ b/src/tarragonramp/roles/delegate.py
@@ -37,8 +37,8 @@
     clock : Clock
     prefix : str
         Stands before the request target.
-    draining : bool
-        Whether further requests are declined.
+    is_open : bool
+        Whether requests are taken: not before the daemon is ready, nor while it drains.
     in_progress : int
     counts : Counter
         Requests by what became of them, for the metrics.
@@ -48,7 +48,7 @@
     view: object
     clock: object
     prefix: str
-    draining: bool = False
+    is_open: bool = False
     in_progress: int = 0
     counts: collections.Counter = attrs.Factory(collections.Counter)
 
@@ -93,8 +93,8 @@
 
     def _check_able(self, delegation):
         """Raise if this daemon can't take a request."""
-        if self.draining:
-            raise _DeclinedError(503, NOT_RUN, "daemon is stopping")
+        if not self.is_open:
+            raise _DeclinedError(503, NOT_RUN, "daemon is starting or stopping")
         if self.router.monitor.is_cut_off:
             raise _DeclinedError(503, NOT_RUN, "reaches no server")
         until_ms = self.clock.now_ms() + VERSION_WAIT_MS
--- a/src/tarragonramp/timelines.py
+++ b/src/tarragonramp/timelines.py
@@ -23,7 +23,9 @@
 different daemons within this time is uncertain."""
 
 _PAIR = re.compile(r'([a-z_]+)=("(?:[^"\\]|\\.)*"|[^ ]*)')
-REQUEST_EVENTS = frozenset(("request-refused", "request-served", "try-failed"))
+REQUEST_EVENTS = frozenset(
+    ("delegated-request-refused", "request-refused", "request-served", "try-failed")
+)
 
 
 @attrs.frozen
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -2,6 +2,7 @@
 
 import types
 import unittest
+from unittest import mock
 
 import attrs
 from returns.result import Failure, Success
@@ -213,6 +214,17 @@
             self.assertEqual(len(self.delegated), status == 200)
         self.assertEqual(len(self.sent), 2)
 
+    def test_refusals_of_a_daemon_that_is_cut_off_say_so(self):
+        """Guards against refusals that look like those beside busy servers."""
+        self.scripted["all"] = [UNREACHABLE]
+        self.router.monitor.record_check(False, self.clock.now_ms())
+        with mock.patch("tarragonramp.roles.refusals.log_event") as log:
+            self.assertEqual(self.send_request("/keyed/", 7)[0], 503)
+        logged = log.call_args.kwargs
+        self.assertEqual(logged["servers_heard"], 0)
+        self.assertEqual(logged["heard_ms_ago"], "never")
+        self.assertIn("cut_off_ms", logged)
+
     def test_requests_are_handed_over_until_the_used_manifest_is_known(self):
         """Guards against callers' routes that go back to an older manifest."""
         self.router.delegator.seen_version = 2
