--- a/src/tarragonramp/roles/router.py
+++ b/src/tarragonramp/roles/router.py
@@ -160,13 +160,14 @@
 
     def _describe_paths(self, now_ms):
         """Return what tells a cut-off daemon from busy servers in a log line."""
-        heard_ms_ago = self.monitor.heard_ms_ago(now_ms)
-        return {
+        ago_ms = self.monitor.heard_ms_ago(now_ms)
+        described = {
             "servers_heard": self.monitor.n_heard(now_ms),
-            "heard_ms_ago": "never"
-            if heard_ms_ago == math.inf
-            else round(heard_ms_ago),
+            "heard_ms_ago": "never" if ago_ms == math.inf else round(ago_ms),
         }
+        if self.monitor.is_cut_off:
+            described["cut_off_ms"] = round(now_ms - self.monitor.cut_off_since_ms)
+        return described
 
     def _read_facts(self, environ):
         try:
