Soak: daemons are cut off from all servers, one, the leader or a failure domain

Connections hang, one way or both, are reset, or new ones refused, for 2 to 9 s, in series and overlapping all other faults. A new check compares what callers of such a daemon get, from 3 s after the cut on, with those of others; a request that another daemon sent for it may meet that daemon's lack of changes in the check of leaving servers, which binds daemons in touch only.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from .plan import DAEMONS
+
 __all__ = ["Outcome", "Probe", "RunRecord", "find_violations"]
 
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
@@ -15,6 +17,10 @@
 """Holds of two servers may overlap by this: processes log the same instant at slightly
 different times."""
 
+CONTACT_MS = 3000.0
+"""From this time after it was cut off from all servers a daemon's callers have to be
+served."""
+
 STORE_RECOVERY_MS = 6000.0
 """How long after a fault of the store has ended daemons may still lack a change: the
 response to a watch may have been lost, which shows only when the watch times out."""
@@ -87,6 +93,10 @@
     link_faults : list of (str, float, float)
         Name of a server to which links were faulty, so that requests may have been
         delayed on the way; start and end.
+    server_cuts : list of (str, float, float)
+        Name of a daemon that was cut off from all servers; start and end.
+    outages : list of (str, float, float)
+        Name of a process that was down, frozen or stopping; start and end.
     """
 
     outcomes: list = attrs.Factory(list)
@@ -96,6 +106,8 @@
     store_faults: list = attrs.Factory(list)
     daemon_faults: list = attrs.Factory(list)
     link_faults: list = attrs.Factory(list)
+    server_cuts: list = attrs.Factory(list)
+    outages: list = attrs.Factory(list)
 
 
 def find_violations(run):
@@ -122,6 +134,7 @@
         "increasing tokens": _increasing_tokens(run.entries),
         "leaving servers get no new work": _no_late_work(run),
         "new routes are in force": _missing_routes(run),
+        "callers of daemons without servers are served": _unserved_cuts(run),
     }
 
 
@@ -240,6 +253,9 @@
             continue
         daemon = senders.get(details[0], "")
         exempt_spans = _update_delays(run, daemon)
+        if _overlaps(_spans_of(run.server_cuts, daemon), at_ms, at_ms):
+            # Another daemon sent it, and may be the one that lacks changes.
+            exempt_spans = _update_delays(run, *DAEMONS)
         exempt_spans += [
             (a, b + DRAIN_PROPAGATION_MS)
             for name, a, b in run.link_faults
@@ -262,11 +278,48 @@
     ]
 
 
-def _update_delays(run, daemon):
-    """Return the spans of time in which a daemon may lack recent changes."""
+def _unserved_cuts(run):
+    """Return the cuts whose callers are served far worse than those of other daemons.
+
+    Compared are requests sent from ``CONTACT_MS`` after a daemon was cut off from all
+    servers, while it runs and nothing else affects it or the store.
+    """
+    violations = []
+    for daemon, from_ms, to_ms in run.server_cuts:
+        since_ms = from_ms + CONTACT_MS
+        disturbed = [
+            *_spans_of(run.outages, daemon),
+            *_update_delays(run, daemon),
+        ]
+        disturbed = [(a, b + CONTACT_MS) for a, b in disturbed]
+        own, others = collections.Counter(), collections.Counter()
+        cut_off = [cut for cut in run.server_cuts if cut[0] != daemon]
+        for o in run.outcomes:
+            if not since_ms <= o.sent_ms <= o.answered_ms <= to_ms:
+                continue
+            if _overlaps(disturbed, o.sent_ms, o.answered_ms):
+                continue
+            if o.daemon == daemon:
+                own[o.status == 200] += 1
+            elif not _overlaps(_spans_of(cut_off, o.daemon), o.sent_ms, o.answered_ms):
+                others[o.status == 200] += 1
+        n_failed = own[False] + others[False]
+        if n_failed <= 10 + (own.total() + others.total()) / 50 or not others.total():
+            continue
+        if own[True] / max(1, own.total()) < 2 / 3 * others[True] / others.total():
+            violations.append(f"{daemon}: {dict(own)}, others {dict(others)}")
+    return violations
+
+
+def _spans_of(faults, name):
+    return [(from_ms, to_ms) for found, from_ms, to_ms in faults if found == name]
+
+
+def _update_delays(run, *daemons):
+    """Return the spans of time in which daemons may lack recent changes."""
     fault_spans = [
         *run.store_faults,
-        *((a, b) for d, a, b in run.daemon_faults if d == daemon),
+        *((a, b) for d, a, b in run.daemon_faults if d in daemons),
     ]
     return [(from_ms, to_ms + STORE_RECOVERY_MS) for from_ms, to_ms in fault_spans]
 
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -7,6 +7,7 @@
 __all__ = [
     "DAEMONS",
     "DOMAINS",
+    "FIRST_CUT_SEED",
     "FIRST_EXTENDED_SEED",
     "FIRST_OUTAGE_SEED",
     "SERVERS",
@@ -35,6 +36,13 @@
 """First seed whose plans also restart servers around outages of the store, and whose
 runs end a fault only once every event that caused it has ended."""
 
+FIRST_CUT_SEED = 3_000_000
+"""First seed whose plans also cut daemons off from all servers."""
+
+CUT_FAULTS = ("cut", "cut-requests", "cut-answers", "refuse", "reset")
+MAX_CUT_MS = 9000.0
+"""Maximum duration of a cut from all servers: longer than a hold."""
+
 MAX_DURATION_MS = 5000.0
 """Maximum duration of a fault: longer than a leader's lease, shorter than a hold."""
 
@@ -99,9 +107,27 @@
         at_ms += rng.expovariate(1.0) * mean_gap_ms
     if seed >= FIRST_OUTAGE_SEED:
         events = sorted([*events, *_outages(rng, run_ms)], key=lambda e: e.at_ms)
+    if seed >= FIRST_CUT_SEED:
+        events = sorted([*events, *_server_cuts(rng, run_ms)], key=lambda e: e.at_ms)
     return [event for event in events if event.at_ms < run_ms]
 
 
+def _server_cuts(rng, run_ms):
+    """Return cuts of daemons, up to whole failure domains, from all servers."""
+    events, at_ms = [], rng.uniform(1000.0, 4000.0)
+    while at_ms + MAX_DURATION_MS < run_ms:
+        domain = rng.choice(DOMAINS)
+        in_domain = [name for name, own in DAEMONS.items() if own == domain]
+        names = rng.choice((["leader"], [rng.choice(list(DAEMONS))], in_domain))
+        lasts_ms = min(rng.uniform(2000.0, MAX_CUT_MS), run_ms - at_ms)
+        kind = rng.choice(CUT_FAULTS)
+        for name in names:
+            events.append(FaultEvent(at_ms, "cut-servers", name, lasts_ms, kind))
+            at_ms += rng.uniform(0.0, 500.0)
+        at_ms += rng.choice((rng.uniform(0.0, lasts_ms), lasts_ms + 2000.0))
+    return events
+
+
 def _outages(rng, run_ms):
     """Return outages of the store with restarts of servers and changes of leader."""
     owners = [name for name, (service, _) in SERVERS.items() if service == "parts"]
--- a/soak/run.py
+++ b/soak/run.py
@@ -29,7 +29,7 @@
 from tarragonramp.manifest import N_KEYS  # noqa: E402
 
 from .checks import Outcome, Probe, RunRecord, find_violations  # noqa: E402
-from .plan import DAEMONS, FIRST_OUTAGE_SEED, SERVERS, generate_plan  # noqa: E402
+from .plan import DAEMONS, FIRST_CUT_SEED, FIRST_OUTAGE_SEED, SERVERS, generate_plan  # noqa: E402
 
 __all__ = ["Soak", "main"]
 
@@ -156,10 +156,16 @@
     def _kill(self, event, duration_s):
         if not self._is_up(event.name):
             return
+        began_ms = time.time() * 1000.0
         self.site.kill(event.name)
         self.record.kills.append((event.name, time.time() * 1000.0))
         gevent.sleep(duration_s)
         self._restart(event.name)
+        self._record_outage(event.name, began_ms)
+
+    def _record_outage(self, name, began_ms):
+        """Record that a process has been down, frozen or stopping since a time."""
+        self.record.outages.append((name, began_ms, time.time() * 1000.0))
 
     def _kill_all(self, event, duration_s):
         tasks = [
@@ -176,6 +182,7 @@
         process.send_signal(signal.SIGSTOP)
         gevent.sleep(duration_s)
         process.send_signal(signal.SIGCONT)
+        self._record_outage(event.name, began_ms)
         if event.name in DAEMONS:
             fault_span = event.name, began_ms, time.time() * 1000.0
             self.record.daemon_faults.append(fault_span)
@@ -183,7 +190,7 @@
     def _stop(self, event, duration_s):
         if not self._is_up(event.name):
             return
-        process = self.site.processes[event.name]
+        process, began_ms = self.site.processes[event.name], time.time() * 1000.0
         is_starting = self._is_starting(event.name)
         process.terminate()
         with gevent.Timeout(12.0, False):
@@ -194,6 +201,7 @@
             self.anomalies.append(f"{event.name}: exit code {process.poll()}")
         gevent.sleep(duration_s)
         self._restart(event.name)
+        self._record_outage(event.name, began_ms)
 
     def _leave(self, event, duration_s):
         if not self._is_up(event.name) or event.name in self.starting:
@@ -273,6 +281,18 @@
         else:
             self.record.link_faults.append((event.target, began_ms, ended_ms))
 
+    def _cut_servers(self, event, duration_s):
+        fault = Fault([event.name], list(SERVERS), event.detail)
+        began_ms = time.time() * 1000.0
+        self.active_link_faults.append(fault)
+        self.site.set_faults(*self.active_link_faults)
+        gevent.sleep(duration_s)
+        self.active_link_faults.remove(fault)
+        self.site.set_faults(*self.active_link_faults)
+        ended_ms = time.time() * 1000.0
+        self.record.server_cuts.append((event.name, began_ms, ended_ms))
+        self.record.link_faults += [(name, began_ms, ended_ms) for name in SERVERS]
+
     def _store(self, event, duration_s):
         if event.detail == "forget":
             self.site.control_store(forget_history=True)
@@ -399,9 +419,7 @@
     length_s : float
         Duration of the faults in each run, in seconds.
     """
-    fresh_seeds = (
-        FIRST_OUTAGE_SEED + secrets.randbelow(1_000_000) for _ in range(fresh)
-    )
+    fresh_seeds = (FIRST_CUT_SEED + secrets.randbelow(1_000_000) for _ in range(fresh))
     chosen = [*seeds, *fresh_seeds]
     return sum(not run_seed(seed, length_s) for seed in chosen or regression_seeds())
 
