--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -379,6 +379,13 @@
         self.assertTrue(self.other.leads)
         self.assertLessEqual(self.other.inherited.stopped_ms, self.clock.now_ms())
 
+    def test_leader_that_gave_up_names_itself_to_nobody(self):
+        """Guards against starting daemons that follow it while the store is away."""
+        self.one._discover_leader()
+        self.one._release_record("reaches no server")
+        message = {"name": "d9", "address": "d9:1", "versions": {}}
+        self.assertEqual(self.one.handle_ping(message)["leader"], "")
+
     def test_leader_stays_if_no_other_daemon_reaches_servers(self):
         """Guards against a fleet that nobody leads when the paths are back."""
         self.one._discover_leader()
