--- a/soak/checks.py
+++ b/soak/checks.py
@@ -282,14 +282,14 @@
     """Return the cuts whose callers are served far worse than those of other daemons.
 
     Compared are requests sent from ``CONTACT_MS`` after a daemon was cut off from all
-    servers, while it runs and nothing else affects it or the store.
+    servers, while it runs and reaches the store. Faults of the store affect all alike.
     """
     violations = []
     for daemon, from_ms, to_ms in run.server_cuts:
         since_ms = from_ms + CONTACT_MS
         disturbed = [
             *_spans_of(run.outages, daemon),
-            *_update_delays(run, daemon),
+            *_spans_of(run.daemon_faults, daemon),
         ]
         disturbed = [(a, b + CONTACT_MS) for a, b in disturbed]
         own, others = collections.Counter(), collections.Counter()
