--- a/soak/checks.py
+++ b/soak/checks.py
@@ -282,26 +282,30 @@
     """Return the cuts whose callers are served far worse than those of other daemons.
 
     Compared are requests sent from ``CONTACT_MS`` after a daemon was cut off from all
-    servers, while it runs and reaches the store. Faults of the store affect all alike.
+    servers, while it runs and reaches the store, and another daemon does so and reaches
+    the servers, too. Faults of the store affect all alike.
     """
     violations = []
     for daemon, from_ms, to_ms in run.server_cuts:
         since_ms = from_ms + CONTACT_MS
-        disturbed = [
-            *_spans_of(run.outages, daemon),
-            *_spans_of(run.daemon_faults, daemon),
-        ]
-        disturbed = [(a, b + CONTACT_MS) for a, b in disturbed]
         own, others = collections.Counter(), collections.Counter()
-        cut_off = [cut for cut in run.server_cuts if cut[0] != daemon]
         for o in run.outcomes:
             if not since_ms <= o.sent_ms <= o.answered_ms <= to_ms:
                 continue
-            if _overlaps(disturbed, o.sent_ms, o.answered_ms):
-                continue
-            if o.daemon == daemon:
+            helpers = [
+                name
+                for name in DAEMONS
+                if name != daemon
+                and not _is_disturbed(run, name, o)
+                and not _overlaps(
+                    _spans_of(run.server_cuts, name, CONTACT_MS),
+                    o.sent_ms,
+                    o.answered_ms,
+                )
+            ]
+            if o.daemon == daemon and helpers and not _is_disturbed(run, daemon, o):
                 own[o.status == 200] += 1
-            elif not _overlaps(_spans_of(cut_off, o.daemon), o.sent_ms, o.answered_ms):
+            elif o.daemon in helpers:
                 others[o.status == 200] += 1
         n_failed = own[False] + others[False]
         if n_failed <= 10 + (own.total() + others.total()) / 50 or not others.total():
@@ -311,8 +315,15 @@
     return violations
 
 
-def _spans_of(faults, name):
-    return [(from_ms, to_ms) for found, from_ms, to_ms in faults if found == name]
+def _is_disturbed(run, daemon, outcome):
+    """Tell whether a daemon was down or without the store around a request."""
+    spans = _spans_of([*run.outages, *run.daemon_faults], daemon, CONTACT_MS)
+    return _overlaps(spans, outcome.sent_ms, outcome.answered_ms)
+
+
+def _spans_of(faults, name, longer_ms=0.0):
+    """Return the spans of a process's faults, each ``longer_ms`` longer."""
+    return [(start, end + longer_ms) for found, start, end in faults if found == name]
 
 
 def _update_delays(run, *daemons):
--- a/soak/run.py
+++ b/soak/run.py
@@ -164,7 +164,11 @@
         self._record_outage(event.name, began_ms)
 
     def _record_outage(self, name, began_ms):
-        """Record that a process has been down, frozen or stopping since a time."""
+        """Record that a process was not ready or frozen since a time, until now."""
+        if name in DAEMONS:
+            with gevent.Timeout(RECOVERY_TIMEOUT_S, False):
+                while self._is_up(name) and self._is_starting(name):
+                    gevent.sleep(0.05)
         self.record.outages.append((name, began_ms, time.time() * 1000.0))
 
     def _kill_all(self, event, duration_s):
