--- a/soak/run.py
+++ b/soak/run.py
@@ -271,31 +271,29 @@
     def _link(self, event, duration_s):
         sources = list(DAEMONS) if event.name == "*" else [event.name]
         fault = Fault(sources, [event.target], event.detail, 300.0)
-        began_ms = time.time() * 1000.0
-        self.active_link_faults.append(fault)
-        self.site.set_faults(*self.active_link_faults)
-        gevent.sleep(duration_s)
-        self.active_link_faults.remove(fault)
-        self.site.set_faults(*self.active_link_faults)
-        ended_ms = time.time() * 1000.0
+        span_ms = self._inject_link_fault(fault, duration_s)
         if event.target == "store" and len(sources) > 1:
-            self.record.store_faults.append((began_ms, ended_ms))
+            self.record.store_faults.append(span_ms)
         elif event.target == "store":
-            self.record.daemon_faults.append((event.name, began_ms, ended_ms))
+            self.record.daemon_faults.append((event.name, *span_ms))
         else:
-            self.record.link_faults.append((event.target, began_ms, ended_ms))
+            self.record.link_faults.append((event.target, *span_ms))
 
     def _cut_servers(self, event, duration_s):
         fault = Fault([event.name], list(SERVERS), event.detail)
+        span_ms = self._inject_link_fault(fault, duration_s)
+        self.record.server_cuts.append((event.name, *span_ms))
+        self.record.link_faults += [(name, *span_ms) for name in SERVERS]
+
+    def _inject_link_fault(self, fault, duration_s):
+        """Inject a fault for some time; return its start and end in Unix ms."""
         began_ms = time.time() * 1000.0
         self.active_link_faults.append(fault)
         self.site.set_faults(*self.active_link_faults)
         gevent.sleep(duration_s)
         self.active_link_faults.remove(fault)
         self.site.set_faults(*self.active_link_faults)
-        ended_ms = time.time() * 1000.0
-        self.record.server_cuts.append((event.name, began_ms, ended_ms))
-        self.record.link_faults += [(name, began_ms, ended_ms) for name in SERVERS]
+        return began_ms, time.time() * 1000.0
 
     def _store(self, event, duration_s):
         if event.detail == "forget":
