--- a/tests/test_path_prober.py
+++ b/tests/test_path_prober.py
@@ -101,6 +101,16 @@
             self.monitor.record_answer(name, self.clock.now_ms())
         self.assertFalse(task.get())
 
+    def test_reset_connections_beside_answered_requests_are_a_cut(self):
+        """Guards against VMs that live on old connections while new ones are reset."""
+        self.lost, self.error = set(SERVERS), UnansweredError("reset by peer")
+        self.delay_ms = 50.0
+        task = gevent.spawn(self.prober.confirm_cut_off)
+        gevent.sleep(0.02)
+        for name in SERVERS[:2]:
+            self.monitor.record_answer(name, self.clock.now_ms())
+        self.assertTrue(task.get())
+
     def test_one_lost_service_or_failure_domain_is_no_cut(self):
         for lost in (SERVERS[:4], SERVERS[4:], SERVERS[::2], SERVERS[1::2]):
             self.lost = set(lost)
