--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,103 +1,143 @@
-"""OWNER: an entry of another writer makes the leader take an upstream for ended."""
+"""REFUSED: an order that an upstream runs is answered 503, which says "not run"."""
 
-import itertools
+import http.client
 import os
-import signal
 import sys
+import threading
 import time
 
-sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), os.pardir))
+FOLDER = os.path.dirname(os.path.abspath(__file__))
+sys.path.insert(0, os.path.join(FOLDER, os.pardir))
 
-from harness import Consumers, run_case  # noqa: E402
+from harness import HOST, ReviewSite, run_case  # noqa: E402
 
 from standins.fleet_site import manifest  # noqa: E402
 
-UPSTREAMS = ("parts0", "parts1", "parts2")
-LEAVING = "parts0"
-KEYS = range(0, 65_536, 701)
-MAX_OVERLAP_S = 0.5
-"""Bound of the rule: two upstreams hold the same keys for over half a second."""
-
+UPSTREAMS = {"parts0": "a", "parts1": "b", "parts2": "a"}
+FAULTY = "parts0"
+N_CONSUMERS = 12
 CALM_S = 4.0
 """Longer than ``contact`` (3 s), so that all machines are in touch."""
 
-AFTER_S = 9.0
-"""Longer than a hold, so that the end of each is seen."""
+LOAD_S = 45.0
+PROMISES = (408, 421, 429, 503)
+KEY_STEP = 7919
+
+
+class Site(ReviewSite):
+    """A site with the upstreams of this case."""
+
+    def start_upstream(self, name, domain, is_faulty):
+        """Start an upstream of the divided service."""
+        address = self.reserve_address(name)
+        environment = {**self.helper_environment(), "FAULTY": "1" if is_faulty else "0"}
+        arguments = (name, "parts", domain, address, self.store, "--divided")
+        module = os.path.join(FOLDER, "upstream.py")
+        options = ("--work-ms", "40")
+        self._start(name, module, *arguments, *options, environment=environment)
+        self._wait_for_port(address, self.processes[name])
 
 
 def case(site, record, with_trouble):
-    """Have an upstream leave; return where two upstreams held the same keys."""
+    """Send orders for a while; return those that were refused although they ran."""
     site.start_store()
-    site.control_store(write=["config", "main", manifest(1), None])
-    site.start_server("desk0", "desk", "a")
-    for name, domain in zip(UPSTREAMS, "aba", strict=True):
-        site.start_server(name, "parts", domain, "--work-ms", "40")
+    site.control_store(write=["config", "main", orders_to_divided_service(), None])
+    for name, domain in UPSTREAMS.items():
+        site.start_upstream(name, domain, with_trouble and name == FAULTY)
     site.start_daemon("front-a-1", "a")
     site.start_daemon("front-b-1", "b")
     site.wait_ready("front-a-1", "front-b-1")
-    consumers = Consumers(site, record, "/parts/list", 0.05, KEYS)
-    consumers.start()
     time.sleep(CALM_S)
-    if with_trouble:
-        entry = {
-            "addr": site.server_addresses[LEAVING],
-            "born": int(time.time() * 1000),
-            "info": {"service": "inventory", "version": "v1", "zone": "a", "slots": 4},
-            "status": {"state": "ready", "seq": 1, "warmupLeft": "0ms"},
-        }
-        site.control_store(write=["servers", "i-note", entry, None])
-        record.add(f"another writer has written servers/i-note: {entry}")
-        time.sleep(1.0)
-    site.signal(LEAVING, signal.SIGUSR1)
-    record.add(f"{LEAVING} reports that it is draining, and goes on serving")
-    time.sleep(AFTER_S)
-    consumers.stop()
-    is_up = site.processes[LEAVING].poll() is None
-    record.add(f"{LEAVING} is {'up' if is_up else 'down'}")
-    holds = [hold for name in UPSTREAMS for hold in read_holds(site, record, name)]
-    return describe_overlaps(holds)
-
-
-def read_holds(site, record, name):
-    """Return what an upstream held, as (name, first, last, token, begin_s, end_s).
-
-    A hold ends with its time, or once the upstream has answered its release.
-    """
-    holds = {}
-    for kind, at_ms, *details in site.server_log_entries(name):
-        record.add(f"{name} {kind} {details}", at_ms / 1000.0)
-        if kind == "grant":
-            first, last, token, hold_ms = details
-            begin_s, end_s = at_ms / 1000.0, (at_ms + hold_ms) / 1000.0
-            spans = holds.setdefault((name, first, last, token), [])
-            if spans and begin_s <= spans[-1][1]:
-                spans[-1][1] = end_s
-            else:
-                spans.append([begin_s, end_s])
-        elif kind == "release":
-            for (_, first, last, _), spans in holds.items():
-                if details[0] <= first and last <= details[1]:
-                    spans[-1][1] = min(spans[-1][1], at_ms / 1000.0)
-    return [(*key, *span) for key, spans in holds.items() for span in spans]
-
-
-def describe_overlaps(holds):
-    """Return a line for each two upstreams that held a key for too long together."""
-    longest = {}
-    for one, other in itertools.combinations(holds, 2):
-        if one[0] == other[0] or one[1] > other[2] or other[1] > one[2]:
-            continue
-        overlap_s = min(one[5], other[5]) - max(one[4], other[4])
-        pair = tuple(sorted((one[0], other[0])))
-        if overlap_s > MAX_OVERLAP_S and overlap_s > longest.get(pair, (0.0,))[0]:
-            keys = f"{max(one[1], other[1])} to {min(one[2], other[2])}"
-            longest[pair] = overlap_s, keys, one[3], other[3]
+    consumers = [Consumer(site, record, number) for number in range(N_CONSUMERS)]
+    until_s = time.time() + LOAD_S
+    threads = [
+        threading.Thread(target=consumer.run, args=(until_s,)) for consumer in consumers
+    ]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    time.sleep(1.0)
+    runs = read_runs(site, record)
+    answers = {}
+    for consumer in consumers:
+        answers.update(consumer.answers)
+    record.conclude(f"{len(answers)} orders were sent, {len(runs)} of them have run")
+    for request_id, where in runs.items():
+        if len(where) > 1:
+            record.conclude(f"also TWICE: {request_id} has run at {', '.join(where)}")
     return [
-        f"OWNER: {a} and {b}, both up, held keys {keys} together for {overlap_s:.2f} s,"
-        f" under fencing tokens {one} and {other}"
-        for (a, b), (overlap_s, keys, one, other) in longest.items()
+        f"REFUSED: {request_id} was answered {answers[request_id]} and has run at"
+        f" {', '.join(where)}"
+        for request_id, where in runs.items()
+        if answers.get(request_id) in PROMISES
     ]
 
 
+def orders_to_divided_service():
+    """Return a manifest whose ``unsafe`` route leads to the divided service."""
+    found = manifest(1)
+    for rule in found["listeners"][0]["rules"]:
+        if rule["kind"] == "unsafe":
+            rule["action"]["service"] = "parts"
+    return found
+
+
+def read_runs(site, record):
+    """Return the upstreams at which each order has run, by its id."""
+    runs = {}
+    for name in UPSTREAMS:
+        for kind, at_ms, *details in site.server_log_entries(name):
+            if kind == "run":
+                runs.setdefault(details[0], []).append(name)
+            if kind in ("run", "shed"):
+                text = "begins to run" if kind == "run" else "answers 503, not run, to"
+                record.add(f"{name} {text} {details[0]}", at_ms / 1000.0)
+    return runs
+
+
+class Consumer:
+    """Sends one order after the other, each once, on connections of its own."""
+
+    def __init__(self, site, record, number):
+        daemons = sorted(site.daemons)
+        self._address = site.daemons[daemons[number % len(daemons)]]["front"]
+        self._record, self._number = record, number
+        self.answers = {}
+
+    def run(self, until_s):
+        """Send orders until a time; after a refusal, wait as it says."""
+        count = 0
+        while time.time() < until_s:
+            count += 1
+            retry_after_s = self._send(f"order-{self._number}-{count}", count)
+            time.sleep(retry_after_s)
+
+    def _send(self, request_id, count):
+        host, _, port = self._address.rpartition(":")
+        connection = http.client.HTTPConnection(host, int(port), timeout=3.0)
+        headers = {
+            "Host": HOST,
+            "Request-Id": request_id,
+            "Deadline-Ms": "1500",
+            "Shard-Key": str((self._number * 5003 + count * KEY_STEP) % 65_536),
+        }
+        sent_s, retry_after_s = time.time(), 0.0
+        try:
+            connection.request("POST", "/book/visit", b"order", headers)
+            response = connection.getresponse()
+            response.read()
+            answer = response.status
+            retry_after_s = float(response.headers.get("Retry-After", "0"))
+        except (OSError, http.client.HTTPException) as error:
+            answer = type(error).__name__
+        finally:
+            connection.close()
+        self.answers[request_id] = answer
+        text = f"{request_id} sent; got {answer} at {time.time() - sent_s:.3f} s"
+        self._record.add(text, sent_s)
+        return retry_after_s
+
+
 if __name__ == "__main__":
-    run_case(os.path.dirname(os.path.abspath(__file__)), case)
+    run_case(FOLDER, case, Site)
--- a/review/harness.py
+++ b/review/harness.py
@@ -78,10 +78,18 @@
         }
         self._start(name, "-S", "platform/run.py", environment=environment)
 
+    def reserve_address(self, name):
+        """Return a free address for an upstream, and record it."""
+        address = self.servers[name] = self.server_addresses[name] = free_address()
+        return address
+
+    def helper_environment(self):
+        """Return the environment of a stand-in."""
+        paths = os.pathsep.join((ROOT, os.path.join(ROOT, "src"), DEPENDENCIES))
+        return {**os.environ, "PYTHONPATH": paths}
+
     def _start(self, name, *arguments, environment=None):
-        if environment is None:
-            paths = os.pathsep.join((ROOT, os.path.join(ROOT, "src"), DEPENDENCIES))
-            environment = {**os.environ, "PYTHONPATH": paths}
+        environment = environment or self.helper_environment()
         super()._start(name, *arguments, environment=environment)
 
 
@@ -155,7 +163,7 @@
         )
 
 
-def run_case(folder, case):
+def run_case(folder, case, site_class=ReviewSite):
     """Run a case and exit: 1 if the rule was broken, 0 if it held, 2 otherwise.
 
     Parameters
@@ -165,10 +173,11 @@
     case : callable
         ``case(site, record, with_trouble)`` returns the reasons why the rule counts as
         broken.
+    site_class : type, default=ReviewSite
     """
     os.chdir(ROOT)
     with_trouble = os.environ.get("TROUBLE", "1") != "0"
-    record, site = Record(folder), ReviewSite()
+    record, site = Record(folder), site_class()
     watchdog = threading.Timer(MAX_CASE_S, _give_up, (site, record))
     watchdog.daemon = True
     watchdog.start()
