--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,132 +1,102 @@
-"""LOST: a stopping daemon breaks off a request that was sent behind another one."""
+"""OWNER: an entry of another writer makes the leader take an upstream for ended."""
 
+import itertools
 import os
-import re
 import signal
-import socket
 import sys
-import threading
 import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), os.pardir))
 
-from harness import HOST, run_case  # noqa: E402
+from harness import Consumers, run_case  # noqa: E402
 
 from standins.fleet_site import manifest  # noqa: E402
 
-UPSTREAMS = ("desk0", "desk1", "desk2", "desk3")
-STOPPED = "front-a-1"
-WORK_MS = 400
-N_CONSUMERS = 6
+UPSTREAMS = ("parts0", "parts1", "parts2")
+LEAVING = "parts0"
+KEYS = range(0, 65_536, 701)
+MAX_OVERLAP_S = 0.5
+"""Bound of the rule: two upstreams hold the same keys for over half a second."""
+
 CALM_S = 4.0
 """Longer than ``contact`` (3 s), so that all machines are in touch."""
 
-STOP_AFTER_S = 0.2
-"""When SIGTERM comes after the first requests: an upstream is at work on each of them.
-"""
-
-READ_S = 4.0
-DEADLINE_MS = 1500
-BODY = b'{"quote": 17}'
+AFTER_S = 9.0
+"""Longer than a hold, so that the end of each is seen."""
 
 
 def case(site, record, with_trouble):
-    """Stop a daemon while requests wait behind others; return those broken off."""
+    """Have an upstream leave; return where two upstreams held the same keys."""
     site.start_store()
     site.control_store(write=["config", "main", manifest(1), None])
-    for name in UPSTREAMS:
-        site.start_server(name, "desk", "a", "--work-ms", str(WORK_MS))
-    site.start_server("parts0", "parts", "a")
-    site.start_daemon(STOPPED, "a")
+    site.start_server("desk0", "desk", "a")
+    for name, domain in zip(UPSTREAMS, "aba", strict=True):
+        site.start_server(name, "parts", domain, "--work-ms", "40")
+    site.start_daemon("front-a-1", "a")
     site.start_daemon("front-b-1", "b")
-    site.wait_ready(STOPPED, "front-b-1")
+    site.wait_ready("front-a-1", "front-b-1")
+    consumers = Consumers(site, record, "/parts/list", 0.05, KEYS)
+    consumers.start()
     time.sleep(CALM_S)
-    consumers = [Consumer(site, record, number) for number in range(N_CONSUMERS)]
-    threads = [threading.Thread(target=consumer.run) for consumer in consumers]
-    for thread in threads:
-        thread.start()
-    time.sleep(STOP_AFTER_S)
     if with_trouble:
-        record.add(f"{STOPPED} gets SIGTERM")
-        site.signal(STOPPED, signal.SIGTERM)
-    for thread in threads:
-        thread.join()
-    runs = {}
-    for name in UPSTREAMS:
-        for kind, at_ms, *details in site.server_log_entries(name):
-            if kind == "run":
-                record.add(f"{name} begins to run {details[0]}", at_ms / 1000.0)
-                runs[details[0]] = name
-    return [reason for consumer in consumers for reason in consumer.broken_off(runs)]
-
-
-class Consumer:
-    """Sends two safe requests on one connection without waiting for the first answer.
-
-    Both have a third of their time limit left when their upstreams have ended the work.
+        entry = {
+            "addr": site.server_addresses[LEAVING],
+            "born": int(time.time() * 1000),
+            "info": {"service": "inventory", "version": "v1", "zone": "a", "slots": 4},
+            "status": {"state": "ready", "seq": 1, "warmupLeft": "0ms"},
+        }
+        site.control_store(write=["servers", "i-note", entry, None])
+        record.add(f"another writer has written servers/i-note: {entry}")
+        time.sleep(1.0)
+    site.signal(LEAVING, signal.SIGUSR1)
+    record.add(f"{LEAVING} reports that it is draining, and goes on serving")
+    time.sleep(AFTER_S)
+    consumers.stop()
+    is_up = site.processes[LEAVING].poll() is None
+    record.add(f"{LEAVING} is {'up' if is_up else 'down'}")
+    holds = [hold for name in UPSTREAMS for hold in read_holds(site, record, name)]
+    return describe_overlaps(holds)
+
+
+def read_holds(site, record, name):
+    """Return what an upstream held, as (name, first, last, token, begin_s, end_s).
+
+    A hold ends with its time, or once the upstream has answered its release.
     """
-
-    def __init__(self, site, record, number):
-        self._address = site.daemons[STOPPED]["front"]
-        self._record, self._name = record, f"consumer-{number}"
-        self._ids = [f"{self._name}-first", f"{self._name}-second"]
-        self._data = b""
-
-    def run(self):
-        """Send the requests, and read until the connection ends or no more comes."""
-        host, _, port = self._address.rpartition(":")
-        with socket.create_connection((host, int(port)), timeout=READ_S) as connection:
-            connection.sendall(_request("GET", self._ids[0]))
-            self._record.add(f"{self._name} sends {self._ids[0]} (GET)")
-            time.sleep(0.02)
-            connection.sendall(_request("POST", self._ids[1], BODY))
-            self._record.add(f"{self._name} sends {self._ids[1]} (POST) behind it")
-            until_s = time.time() + READ_S
-            try:
-                while time.time() < until_s and self._data.count(b"HTTP/1.1 ") < 3:
-                    connection.settimeout(max(0.01, until_s - time.time()))
-                    piece = connection.recv(65_536)
-                    if not piece:
-                        self._record.add(f"{self._name}: the connection has ended")
-                        break
-                    self._record.add(f"{self._name} reads {piece!r}")
-                    self._data += piece
-            except OSError as error:
-                self._record.add(f"{self._name}: {error!r}")
-
-    def broken_off(self, runs):
-        """Return why the rule counts as broken for each request passed on.
-
-        It has not got its upstream's answer, although no time limit was reached.
-        """
-        answers = {}
-        for text in re.split(r"(?=HTTP/1\.1 )", self._data.decode("latin-1")):
-            head, _, _ = text.partition("\r\n\r\n")
-            found = re.search(r"(?mi)^request-id: (\S+)", head)
-            if found:
-                answers[found[1]] = head
-        reasons = []
-        for request_id in self._ids:
-            head = answers.get(request_id, "")
-            if request_id in runs and "upstream-stamp" not in head.lower():
-                got = head.partition("\r\n")[0] or "no answer"
-                reasons.append(
-                    f"LOST: {request_id} was passed on to {runs[request_id]}, which was"
-                    f" at work on it; the consumer got: {got}"
-                )
-        return reasons
-
-
-def _request(method, request_id, body=b""):
-    lines = [
-        f"{method} /view/quote HTTP/1.1",
-        f"Host: {HOST}",
-        f"Request-Id: {request_id}",
-        f"Deadline-Ms: {DEADLINE_MS}",
+    holds = {}
+    for kind, at_ms, *details in site.server_log_entries(name):
+        record.add(f"{name} {kind} {details}", at_ms / 1000.0)
+        if kind == "grant":
+            first, last, token, hold_ms = details
+            begin_s, end_s = at_ms / 1000.0, (at_ms + hold_ms) / 1000.0
+            spans = holds.setdefault((name, first, last, token), [])
+            if spans and begin_s <= spans[-1][1]:
+                spans[-1][1] = end_s
+            else:
+                spans.append([begin_s, end_s])
+        elif kind == "release":
+            for (_, first, last, _), spans in holds.items():
+                if details[0] <= first and last <= details[1]:
+                    spans[-1][1] = min(spans[-1][1], at_ms / 1000.0)
+    return [(*key, *span) for key, spans in holds.items() for span in spans]
+
+
+def describe_overlaps(holds):
+    """Return a line for each two upstreams that held a key for too long together."""
+    longest = {}
+    for one, other in itertools.combinations(holds, 2):
+        if one[0] == other[0] or one[1] > other[2] or other[1] > one[2]:
+            continue
+        overlap_s = min(one[5], other[5]) - max(one[4], other[4])
+        pair = tuple(sorted((one[0], other[0])))
+        if overlap_s > MAX_OVERLAP_S and overlap_s > longest.get(pair, (0.0,))[0]:
+            keys = f"{max(one[1], other[1])} to {min(one[2], other[2])}"
+            longest[pair] = overlap_s, keys, one[3], other[3]
+    return [
+        f"OWNER: {a} and {b}, both up, held keys {keys} together for {overlap_s:.2f} s,"
+        f" under fencing tokens {one} and {other}"
+        for (a, b), (overlap_s, keys, one, other) in longest.items()
     ]
-    if body:
-        lines.append(f"Content-Length: {len(body)}")
-    return "\r\n".join([*lines, "", ""]).encode() + body
 
 
 if __name__ == "__main__":
