--- a/review/1/case.py
+++ b/review/1/case.py
@@ -22,6 +22,11 @@
 LOAD_S = 45.0
 PROMISES = (408, 421, 429, 503)
 KEY_STEP = 7919
+TEXTS = {
+    "run": "begins to run",
+    "shed": "answers 503, not run, to",
+    "copy": "sends a late copy of its answer to",
+}
 
 
 class Site(ReviewSite):
@@ -90,9 +95,8 @@
         for kind, at_ms, *details in site.server_log_entries(name):
             if kind == "run":
                 runs.setdefault(details[0], []).append(name)
-            if kind in ("run", "shed"):
-                text = "begins to run" if kind == "run" else "answers 503, not run, to"
-                record.add(f"{name} {text} {details[0]}", at_ms / 1000.0)
+            if kind in TEXTS:
+                record.add(f"{name} {TEXTS[kind]} {details[0]}", at_ms / 1000.0)
     return runs
 
 
--- a/review/1/upstream.py
+++ b/review/1/upstream.py
@@ -8,6 +8,7 @@
 
 import os
 import random
+import re
 import sys
 
 ROOT = os.path.join(os.path.dirname(os.path.abspath(__file__)), os.pardir, os.pardir)
@@ -51,6 +52,8 @@
         line = super().read_requestline()
         if line and self.copied:
             copied, self.copied = self.copied, b""
+            request_id = re.search(rb"\r\nRequest-Id: ([^\r]*)", copied)[1].decode()
+            self.server.application._record("copy", request_id, copied[9:12].decode())
             self.socket.sendall(copied)
         return line
 
