--- a/review/1/case.py
+++ b/review/1/case.py
@@ -68,6 +68,8 @@
     for consumer in consumers:
         answers.update(consumer.answers)
     record.conclude(f"{len(answers)} orders were sent, {len(runs)} of them have run")
+    if len(runs) < len(answers) / 2:
+        raise RuntimeError("the fleet did not serve the orders")
     for request_id, where in runs.items():
         if len(where) > 1:
             record.conclude(f"also TWICE: {request_id} has run at {', '.join(where)}")
@@ -144,4 +146,4 @@
 
 
 if __name__ == "__main__":
-    run_case(FOLDER, case, Site)
+    run_case(case, Site)
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -52,9 +52,11 @@
     record.add(f"{LEAVING} reports that it is draining, and goes on serving")
     time.sleep(AFTER_S)
     consumers.stop()
-    is_up = site.processes[LEAVING].poll() is None
-    record.add(f"{LEAVING} is {'up' if is_up else 'down'}")
+    if any(site.processes[name].poll() is not None for name in UPSTREAMS):
+        raise RuntimeError("an upstream has ended")
     holds = [hold for name in UPSTREAMS for hold in read_holds(site, record, name)]
+    if {hold[0] for hold in holds} != set(UPSTREAMS):
+        raise RuntimeError("not all upstreams were given keys")
     return describe_overlaps(holds)
 
 
@@ -100,4 +102,4 @@
 
 
 if __name__ == "__main__":
-    run_case(os.path.dirname(os.path.abspath(__file__)), case)
+    run_case(case)
--- a/review/harness.py
+++ b/review/harness.py
@@ -6,6 +6,7 @@
 
 import http.client
 import os
+import signal
 import sys
 import threading
 import time
@@ -20,7 +21,9 @@
 
 __all__ = ["HOST", "Consumers", "Record", "ReviewSite", "run_case"]
 
-HELD, BROKEN, NOT_RUN = 0, 1, 2
+HELD, BROKEN, NOT_RUN = 0, 10, 2
+"""Exit codes of a case; ``run.sh`` translates them."""
+
 MAX_CASE_S = 110.0
 
 
@@ -29,14 +32,12 @@
 
     Parameters
     ----------
-    folder : str
-        Folder of the case.
+    path : str
     """
 
-    def __init__(self, folder):
+    def __init__(self, path):
         self._began_s = time.time()
         self._lock = threading.Lock()
-        path = os.path.join(folder, "record.txt")
         self._stream = open(path, "w", encoding="utf-8")  # noqa: SIM115
 
     def add(self, text, at_s=None):
@@ -163,13 +164,11 @@
         )
 
 
-def run_case(folder, case, site_class=ReviewSite):
-    """Run a case and exit: 1 if the rule was broken, 0 if it held, 2 otherwise.
+def run_case(case, site_class=ReviewSite):
+    """Run a case and exit with its code; the record's path is the first argument.
 
     Parameters
     ----------
-    folder : str
-        Folder of the case, for its ``record.txt``.
     case : callable
         ``case(site, record, with_trouble)`` returns the reasons why the rule counts as
         broken.
@@ -177,7 +176,9 @@
     """
     os.chdir(ROOT)
     with_trouble = os.environ.get("TROUBLE", "1") != "0"
-    record, site = Record(folder), site_class()
+    record, site = Record(sys.argv[1]), site_class()
+    # Ends the processes also if the case itself is told to stop.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     watchdog = threading.Timer(MAX_CASE_S, _give_up, (site, record))
     watchdog.daemon = True
     watchdog.start()
