--- a/standins/fleet_site.py
+++ b/standins/fleet_site.py
@@ -138,7 +138,7 @@
         self._start(name, *module, *arguments, "--listen", listen, *divided, *options)
         self._wait_for_port(listen, self.processes[name])
 
-    def start_daemon(self, name, domain, extra_settings=""):
+    def start_daemon(self, name, domain, extra_settings="", refusals=""):
         """Start a daemon of the users' platform.
 
         Parameters
@@ -146,6 +146,8 @@
         name, domain : str
         extra_settings : str
             TOML to append to the table ``self`` of its settings.
+        refusals : str
+            Calls that the kernel refuses, as for ``standins.refused_calls``.
         """
         if name not in self.daemons:
             self.daemons[name] = {
@@ -162,7 +164,8 @@
         with open(path, "w", encoding="utf-8") as stream:
             stream.write(settings)
         environment = {**os.environ, "TARRAGONRAMP_CONFIG": path}
-        self._start(name, "platform/run.py", environment=environment)
+        launcher = ("-m", "standins.refused_calls", refusals) if refusals else ()
+        self._start(name, *launcher, "platform/run.py", environment=environment)
 
     def control_store(self, **command):
         """Control the store's stand-in; return its objects and counts of calls.
--- /dev/null
+++ b/standins/stop_load.py
@@ -0,0 +1,191 @@
+"""Callers that use a daemon until its process is gone, and what they get."""
+
+import time
+
+import attrs
+import gevent
+from gevent import socket
+
+from tarragonramp.adapters.http import split_address
+
+from .fleet_site import HOST
+
+__all__ = ["Attempt", "StopLoad"]
+
+RECEIVE_BYTES = 65_536
+
+
+@attrs.define(eq=False)
+class Attempt:
+    """One request and what its caller got.
+
+    Parameters
+    ----------
+    request_id : str
+    sent_ms : float
+        Since the start of the load.
+    status : int
+        Of a whole response; 0 without one.
+    failure : str
+        Why there is no whole response: ``refused`` if no connection was established, or
+        how the connection ended.
+    """
+
+    request_id: str
+    sent_ms: float
+    status: int = 0
+    failure: str = ""
+
+
+@attrs.define(eq=False)
+class StopLoad:
+    """Callers of one daemon.
+
+    Parameters
+    ----------
+    address : str
+        Where the daemon takes callers.
+    attempts : list of Attempt
+    """
+
+    address: str
+    attempts: list = attrs.Factory(list)
+    _began_s: float = attrs.Factory(time.monotonic)
+    _callers: list = attrs.Factory(list)
+
+    def start_new_connections(self, gap_ms, lasts_ms):
+        """Send one GET on a new connection at each interval."""
+
+        def run():
+            until_s = time.monotonic() + lasts_ms / 1000.0
+            while time.monotonic() < until_s:
+                self._callers.append(gevent.spawn(self._call_once))
+                gevent.sleep(gap_ms / 1000.0)
+
+        self._callers.append(gevent.spawn(run))
+
+    def start_kept_connections(self, count, pause_ms, lasts_ms):
+        """Send one GET after the other on kept connections, until the daemon is gone.
+
+        A connection that the daemon has closed is replaced by a new one.
+        """
+        for _ in range(count):
+            self._callers.append(gevent.spawn(self._call_kept, pause_ms, lasts_ms))
+
+    def start_pipelined(self, count):
+        """Send a GET and behind it a POST with a body on a connection each, once."""
+        for _ in range(count):
+            self._callers.append(gevent.spawn(self._call_pipelined))
+
+    def wait(self):
+        """Wait until all callers have ended; raise their unexpected errors."""
+        gevent.joinall(self._callers, raise_error=True)
+
+    def lost(self, runs):
+        """Return the attempts that a server has run and that got no whole response.
+
+        Parameters
+        ----------
+        runs : dict of str to int
+            How often servers ran each request.
+        """
+        return [a for a in self.attempts if runs.get(a.request_id) and not a.status]
+
+    def _now_ms(self):
+        return (time.monotonic() - self._began_s) * 1000.0
+
+    def _new_attempt(self):
+        attempt = Attempt(f"stop-{self.address}-{len(self.attempts)}", self._now_ms())
+        self.attempts.append(attempt)
+        return attempt
+
+    def _connect(self, attempt):
+        """Return a connection, or None if the daemon refuses it."""
+        try:
+            return socket.create_connection(split_address(self.address), timeout=8.0)
+        except ConnectionRefusedError:
+            attempt.failure = "refused"
+            return None
+
+    def _call_once(self):
+        attempt = self._new_attempt()
+        connection = self._connect(attempt)
+        if connection is not None:
+            with connection:
+                self._exchange(connection, attempt)
+
+    def _call_kept(self, pause_ms, lasts_ms):
+        until_s, connection = time.monotonic() + lasts_ms / 1000.0, None
+        while time.monotonic() < until_s:
+            attempt = self._new_attempt()
+            connection = connection or self._connect(attempt)
+            if connection is None:
+                return
+            if not self._exchange(connection, attempt):
+                connection.close()
+                connection = None
+            gevent.sleep(pause_ms / 1000.0)
+
+    def _call_pipelined(self):
+        first, second = self._new_attempt(), self._new_attempt()
+        connection = self._connect(first)
+        if connection is None:
+            second.failure = first.failure
+            return
+        with connection:
+            post = _request("POST", second.request_id, b"lookup")
+            try:
+                connection.sendall(_request("GET", first.request_id) + post)
+                data = self._receive(connection, first, b"")
+                if data is not None:
+                    self._receive(connection, second, data)
+            except OSError as error:
+                attempt = second if first.status else first
+                attempt.failure = type(error).__name__
+
+    def _exchange(self, connection, attempt):
+        """Send a GET and read the response; return whether the connection stays open.
+
+        A connection that ends before any byte of the response is an attempt without a
+        response, also if the daemon had closed it before the request was sent.
+        """
+        try:
+            connection.sendall(_request("GET", attempt.request_id))
+            data = self._receive(connection, attempt, b"")
+        except OSError as error:
+            attempt.failure = type(error).__name__
+            return False
+        return data is not None
+
+    def _receive(self, connection, attempt, data):
+        """Read one response; return what follows it, or None if the connection ends."""
+        while b"\r\n\r\n" not in data:
+            piece = connection.recv(RECEIVE_BYTES)
+            if not piece:
+                attempt.failure = "closed"
+                return None
+            data += piece
+        head, _, body = data.partition(b"\r\n\r\n")
+        lines = head.decode("latin-1").split("\r\n")
+        headers = dict(line.lower().split(": ", 1) for line in lines[1:])
+        length = int(headers.get("content-length", 0))
+        while len(body) < length:
+            piece = connection.recv(RECEIVE_BYTES)
+            if not piece:
+                attempt.failure = "closed within the response"
+                return None
+            body += piece
+        attempt.status = int(lines[0].split()[1])
+        return None if headers.get("connection") == "close" else body[length:]
+
+
+def _request(method, request_id, body=b""):
+    head = [
+        f"{method} /view/ HTTP/1.1",
+        f"Host: {HOST}",
+        f"Request-Id: {request_id}",
+        "Deadline-Ms: 1500",
+    ]
+    if body:
+        head.append(f"Content-Length: {len(body)}")
+    return ("\r\n".join(head) + "\r\n\r\n").encode() + body
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -1,5 +1,7 @@
 """Graceful shutdown and start-up of daemons, with real processes under load."""
 
+import errno
+import os
 import shutil
 import signal
 import socket
@@ -90,6 +92,24 @@
         self.assertTrue(queued.recv(65536).endswith(b"ok"))
         self.assertEqual(drain.get().n_aborted, 0)
 
+    def test_queued_connection_is_accepted_behind_one_that_fails(self):
+        """Guards against a failed accept that leaves the others to be reset."""
+        queued = gevent.socket.create_connection(self.server.address)
+        self.addCleanup(queued.close)
+        queued.sendall(b"GET /x HTTP/1.1\r\nHost: h\r\n\r\n")
+        self.server.stop_accepting()
+        accept, errors = self.server.do_read, [errno.ECONNABORTED, errno.EPERM]
+
+        def failing_accept():
+            if errors:
+                number = errors.pop()
+                raise OSError(number, os.strerror(number))
+            return accept()
+
+        self.server.do_read = failing_accept
+        self.assertEqual(self.server.drain(200, 2000).n_aborted, 0)
+        self.assertTrue(queued.recv(65536).endswith(b"ok"))
+
     def test_no_connection_is_established_between_last_accept_and_close(self):
         """Callers connect continuously while the server stops.
 
@@ -347,6 +367,19 @@
             "requests_cut=1", last_log_line(self.site, "d5", "daemon-stopped")
         )
 
+    def test_request_that_is_cut_is_logged(self):
+        """Guards against a request that ends with the process and leaves no line."""
+        self.start("d7", unready_ms=0, drain_ms=300)
+        pool = HttpPool(self.site.caller_address("d7"))
+        headers = [("X-Request-Id", "cut-1")]
+        call = gevent.spawn(pool.exchange, "POST", "/claims", headers, b"claim", 5000)
+        gevent.sleep(0.3)
+        self.assertEqual(self.site.terminate("d7"), 0)
+        call.get()
+        cut = last_log_line(self.site, "d7", "request-cut")
+        self.assertIn("id=cut-1", cut)
+        self.assertIn("held_ms=", cut)
+
     def test_interrupt_drains(self):
         self.start("d6")
         self.site.signal("d6", signal.SIGINT)
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -124,6 +124,26 @@
         self.assertEqual(found["message"], "in a greenlet")
         self.assertIn("Traceback", found["trace"])
 
+    def test_failed_call_survives_a_shortened_line(self):
+        """Guards against an error whose line no longer says which call failed."""
+
+        def open_the_missing_file():
+            raise PermissionError(1, "Operation not permitted")
+
+        def fail(depth):
+            return fail(depth - 1) if depth else open_the_missing_file()
+
+        gevent.spawn(fail, 60).join()
+        line = self.stream.getvalue().partition(" event=")[2][:200]
+        self.assertIn("open_the_missing_file", line)
+        self.setUp()
+        try:
+            fail(60)
+        except PermissionError as error:
+            log_event("something", error=error)
+        line = self.stream.getvalue().partition(" event=")[2][:200]
+        self.assertIn("open_the_missing_file", line)
+
     def test_failing_task_is_counted_and_started_again(self):
         rounds = []
 
--- a/tests/test_pipelining.py
+++ b/tests/test_pipelining.py
@@ -98,6 +98,39 @@
         self.assertEqual(data.count(b"HTTP/1.1 200"), 1)
         self.assertIn(b"Connection: close", data)
 
+    def test_request_with_a_body_behind_another_is_not_cut_by_a_stop(self):
+        """Guards against a request that is served after the close was announced."""
+        connection = self.connect()
+        post = b"POST /100/p HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nhi"
+        connection.sendall(get("/200/a") + post)
+        gevent.sleep(0.05)
+        self.server.begin_shutdown()
+        data = self.read(connection)
+        self.assertEqual(self.abandoned, [])
+        self.assertEqual(data.count(b"HTTP/1.1 200"), len(self.served))
+        self.assertEqual(data.count(b"Connection: close"), 1)
+        self.assertGreater(data.index(b"Connection: close"), data.rindex(b"HTTP/1.1"))
+
+    def test_request_read_while_the_close_is_announced_is_not_served(self):
+        """Guards against a request that is served after the close was announced."""
+        for method, rest in (("GET", b""), ("POST", b"Content-Length: 0\r\n")):
+            with self.subTest(method):
+                self.served.clear()
+                self.server.shutting_down = False
+                connection = self.connect()
+                connection.sendall(
+                    get("/200/a") + f"{method} /1/b HTTP/1.1\r\n".encode()
+                )
+                gevent.sleep(0.1)
+                self.server.begin_shutdown()
+                (handler,) = (h for h in self.server.connections if h.busy)
+                gevent.sleep(0.12)
+                self.assertTrue(handler.pipeline.closing)
+                connection.sendall(b"Host: h\r\n" + rest + b"\r\n")
+                data = self.read(connection, 0.5)
+                self.assertEqual(self.served, ["/200/a"])
+                self.assertEqual(data.count(b"HTTP/1.1 "), 1, data)
+
     def test_only_the_last_response_closes_the_connection(self):
         connection = self.connect()
         connection.sendall(get("/200/a") + get("/250/b"))
