Logs name the call that failed and each request that ends with the process

On call, an error's line was cut before the end of its traceback, so the call that the kernel had refused could not be told; a request in hand at the end of a process left no line, and daemon-stopped did not say how long after the signal it was.

--- a/src/tarragonramp/adapters/logs.py
+++ b/src/tarragonramp/adapters/logs.py
@@ -176,11 +176,13 @@
     level : int, default=logbook.INFO
     **fields : object
         Logged as ``key=value``; values with spaces are quoted. An exception with a
-        traceback gets a further field ``trace``.
+        traceback gets the further fields ``raised_in`` and ``trace``.
     """
     error = fields.get("error")
     if isinstance(error, BaseException) and error.__traceback__ is not None:
-        fields["trace"] = _format_trace(type(error), error, error.__traceback__)
+        trace = error.__traceback__
+        fields = {"raised_in": _innermost_call(trace), **fields}
+        fields["trace"] = _format_trace(type(error), error, trace)
     pairs = " ".join(f"{key}={_quote(value)}" for key, value in fields.items())
     line = f"event={event} {pairs}".rstrip()
     _LOGGER.log(level, "{}", line, extra={"event": event})
@@ -197,12 +199,26 @@
         "uncaught-error",
         level=logbook.ERROR,
         context=name,
+        raised_in=_innermost_call(trace),
         kind=kind.__name__,
         message=error,
         trace=_format_trace(kind, error, trace),
     )
 
 
+def _innermost_call(trace):
+    """Return ``file:line:function`` of the code that raised an error.
+
+    Logged before the traceback, whose end is lost if the line is shortened.
+    """
+    if trace is None:
+        return ""
+    while trace.tb_next is not None:
+        trace = trace.tb_next
+    code = trace.tb_frame.f_code
+    return f"{os.path.basename(code.co_filename)}:{trace.tb_lineno}:{code.co_name}"
+
+
 def _format_trace(kind, error, trace):
     return "".join(traceback.format_exception(kind, error, trace))
 
--- a/src/tarragonramp/adapters/serving.py
+++ b/src/tarragonramp/adapters/serving.py
@@ -6,12 +6,15 @@
 
 import attrs
 import gevent
+import logbook
 
 from ..meters import kind_of
+from ..request import REQUEST_ID_HEADER
+from .logs import log_event
 from .usage import mark_request_work
 from .web import ARRIVED_KEY, SOCKET_KEY, WebHandler, WebServer
 
-__all__ = ["DaemonServer", "DrainResult"]
+__all__ = ["DaemonServer", "DrainResult", "RequestInProgress", "log_requests_cut"]
 
 DRAIN_POLL_MS = 20
 
@@ -32,6 +35,24 @@
 )
 
 
+@attrs.frozen
+class RequestInProgress:
+    """A request that has been read and whose response has not been written.
+
+    Parameters
+    ----------
+    request_id : str
+        Empty if the caller sent none.
+    path : str
+    held_ms : float
+        Time since its arrival.
+    """
+
+    request_id: str
+    path: str
+    held_ms: float
+
+
 @attrs.frozen
 class DrainResult:
     """Result of draining a server.
@@ -39,10 +60,14 @@
     Parameters
     ----------
     n_aborted : int
-        Number of requests still in progress when the timeout expired.
+        Number of connections still in use when the timeout expired: a request is in
+        progress or being read.
+    requests : tuple of RequestInProgress
+        Requests in progress at that time.
     """
 
     n_aborted: int
+    requests: tuple = ()
 
 
 class DaemonHandler(WebHandler):
@@ -69,6 +94,14 @@
         self.arrived_ms = self.server.clock.now_ms()
         return line
 
+    def handle_one_response(self):
+        """Serve a request, which counts as in progress meanwhile."""
+        self.server.handlers_in_progress.add(self)
+        try:
+            super().handle_one_response()
+        finally:
+            self.server.handlers_in_progress.discard(self)
+
     def get_environ(self):
         """Return the WSGI environment of a request."""
         environ = super().get_environ()
@@ -134,17 +167,29 @@
         Counts the exchanges of a server for control traffic. The CPU time of such a
         server is accounted to control work, that of a server without a meter to
         callers' requests.
+    id_header : str, default="x-request-id"
+        Lower-case name of the header with a request's id.
     **options : object
         Passed to :class:`WebServer`.
     """
 
     handler_class = DaemonHandler
 
-    def __init__(self, address, application, clock, traffic=None, **options):
+    def __init__(
+        self,
+        address,
+        application,
+        clock,
+        traffic=None,
+        id_header=REQUEST_ID_HEADER,
+        **options,
+    ):
         super().__init__(address, application, **options)
         self.clock = clock
         self.traffic = traffic
+        self.id_header = id_header
         self.connections = set()
+        self.handlers_in_progress = set()
         self.shutting_down = False
 
     def handle(self, sock, address):
@@ -153,6 +198,18 @@
             mark_request_work()
         super().handle(sock, address)
 
+    def requests_in_progress(self):
+        """Return the requests in progress as a tuple of RequestInProgress."""
+        now_ms = self.clock.now_ms()
+        return tuple(
+            RequestInProgress(
+                dict(handler.headers).get(self.id_header, ""),
+                handler.path,
+                now_ms - handler.arrived_ms,
+            )
+            for handler in self.handlers_in_progress
+        )
+
     def begin_shutdown(self):
         """Keep serving, but close each connection after its next response."""
         self.shutting_down = True
@@ -187,7 +244,8 @@
                 if not handler.busy and handler.idle_since_ms <= idle_before_ms:
                     handler.shut_down_receive()
             gevent.sleep(DRAIN_POLL_MS / 1000.0)
-        return DrainResult(sum(handler.busy for handler in self.connections))
+        n_aborted = sum(handler.busy for handler in self.connections)
+        return DrainResult(n_aborted, self.requests_in_progress())
 
     def _drop_new_handshakes(self):
         """Drop new connection attempts (SYN segments) at this listener.
@@ -214,3 +272,19 @@
             if not accepted:
                 return
             self.do_handle(*accepted)
+
+
+def log_requests_cut(requests):
+    """Log each of the requests that end with this process.
+
+    Parameters
+    ----------
+    requests : iterable of RequestInProgress
+    """
+    for request in requests:
+        log_event(
+            "request-cut",
+            level=logbook.WARNING,
+            id=request.request_id,
+            held_ms=round(request.held_ms),
+        )
--- a/src/tarragonramp/daemon.py
+++ b/src/tarragonramp/daemon.py
@@ -32,7 +32,7 @@
 from .adapters.metrics import Metrics  # noqa: E402
 from .adapters.peers import GrpcPeers, PeerServer  # noqa: E402
 from .adapters.platform import HttpPlatform  # noqa: E402
-from .adapters.serving import DaemonServer  # noqa: E402
+from .adapters.serving import DaemonServer, log_requests_cut  # noqa: E402
 from .adapters.usage import CpuMeter, LoopWatch  # noqa: E402
 from .clock import Clock  # noqa: E402
 from .credentials import Secrets  # noqa: E402
@@ -267,7 +267,7 @@
         completes the requests in progress. Terms are handed over only after that, since
         these requests may need a steward of this daemon.
         """
-        timing = self.settings.timing
+        timing, began_ms = self.settings.timing, self.entry.clock.now_ms()
         was_ready, self.ready = self.ready, False
         log_event("daemon-draining", was_ready=was_ready)
         self.keeper.leave()
@@ -275,6 +275,7 @@
         if was_ready:
             gevent.sleep(timing.unready_ms / 1000.0)
         drained = self.caller_server.drain(timing.drain_idle_ms, timing.drain_ms)
+        log_requests_cut(drained.requests)
         all_handed = self.keeper.hand_over_all(timing.handover_ms)
         unregistered = all_handed and self.membership.unregister()
         self.control_server.drain(CONTROL_DRAIN_IDLE_MS, timing.control_timeout_ms * 2)
@@ -285,6 +286,7 @@
             requests_cut=drained.n_aborted,
             all_terms_handed_over=all_handed,
             unregistered=unregistered,
+            after_ms=round(self.entry.clock.now_ms() - began_ms),
         )
 
     def _readiness(self):
--- a/src/tarragonramp/dialect.py
+++ b/src/tarragonramp/dialect.py
@@ -56,10 +56,12 @@
 class Dialect(Protocol):
     """Parses and builds the headers that callers and servers use.
 
+    ``request_id_header`` is the lower-case name of the header with a request's id.
     ``echoed_headers`` are the lower-case names of request headers that, if present in a
     response, have the value that was sent.
     """
 
+    request_id_header: str
     echoed_headers: tuple
 
     def read_request(self, headers):
--- a/src/tarragonramp/fleet.py
+++ b/src/tarragonramp/fleet.py
@@ -17,7 +17,7 @@
 from .adapters.http import HttpPools
 from .adapters.logs import log_event, log_lines_suppressed, set_up_logs
 from .adapters.pipelining import PipeliningServer
-from .adapters.serving import DaemonServer
+from .adapters.serving import DaemonServer, log_requests_cut
 from .adapters.usage import CpuMeter
 from .adapters.web import json_reply
 from .balancing import ServerSelector
@@ -252,8 +252,9 @@
 
     def _add_servers(self):
         settings, clock = self.settings, self.clock
+        id_header = self.ports.dialect.request_id_header
         self.caller_server = PipeliningServer(
-            settings.caller_address, self.router, clock
+            settings.caller_address, self.router, clock, id_header=id_header
         )
         self.readiness_server = DaemonServer(
             settings.ready_address, self._serve_readiness, clock, self.traffic
@@ -266,7 +267,7 @@
             self.delegate,
         )
         self.peer_server = DaemonServer(
-            settings.peer_address, application, clock, self.traffic
+            settings.peer_address, application, clock, self.traffic, id_header
         )
         if settings.metrics_address:
             self._add_metrics_server(settings.metrics_address, application)
@@ -415,7 +416,20 @@
             gevent.sleep(DRAIN_POLL_MS / 1000.0)
         # The last response is still being written.
         gevent.sleep(DRAIN_POLL_MS / 1000.0)
-        log_event("daemon-stopped", requests_cut=drained.n_aborted)
+        log_requests_cut((*drained.requests, *self._delegated_requests()))
+        log_event(
+            "daemon-stopped",
+            requests_cut=drained.n_aborted,
+            after_ms=round(self.clock.now_ms() - began_ms),
+        )
+
+    def _delegated_requests(self):
+        """Return the requests of other daemons' callers that are in progress here."""
+        return [
+            request
+            for request in self.peer_server.requests_in_progress()
+            if request.path.startswith(DELEGATED_PREFIX)
+        ]
 
     def _metrics_page(self):
         """Return the metrics page, and its content type.
