A call that the kernel refuses no longer ends a drain

Cause: drain() attaches a socket filter and accepts the queue in the main greenlet. Both only help connections that are being established; when the kernel refused one of them the error ended run(), and with it the process and all requests in its hands.

Fix: the filter, the accepts and the close are optional steps (adapters/optional.py): logged, counted, and passed over. A failed accept is tried again, as it may concern one connection only. Without the filter the queue is accepted and the listener closed with no wait in between.

--- a/src/tarragonramp/adapters/serving.py
+++ b/src/tarragonramp/adapters/serving.py
@@ -11,6 +11,7 @@
 from ..meters import kind_of
 from ..request import REQUEST_ID_HEADER
 from .logs import log_event
+from .optional import optional_step
 from .usage import mark_request_work
 from .web import ARRIVED_KEY, SOCKET_KEY, WebHandler, WebServer
 
@@ -21,6 +22,9 @@
 # How long a draining server waits for TCP handshakes in progress to complete.
 HANDSHAKE_WAIT_MS = 20
 
+MAX_FAILED_ACCEPTS = 20
+ACCEPT_RETRY_MS = 1
+
 # Classic BPF program for a listening socket: drops segments with SYN set.
 _SO_ATTACH_FILTER = 26
 _FLAGS_OFFSET, _SYN = 13, 0x02
@@ -232,11 +236,8 @@
         drained : DrainResult
         """
         self.begin_shutdown()
-        if self.started:
-            self._drop_new_handshakes()
-            gevent.sleep(HANDSHAKE_WAIT_MS / 1000.0)
-            self._accept_queued()
-        self.close()
+        with optional_step("listener-close"):
+            self._stop_listening()
         until_ms = self.clock.now_ms() + timeout_ms
         while self.connections and self.clock.now_ms() < until_ms:
             idle_before_ms = self.clock.now_ms() - idle_ms
@@ -247,6 +248,16 @@
         n_aborted = sum(handler.busy for handler in self.connections)
         return DrainResult(n_aborted, self.requests_in_progress())
 
+    def _stop_listening(self):
+        """Close the listener behind the connections that are queued at it."""
+        if self.started:
+            with optional_step("listener-filter"):
+                self._drop_new_handshakes()
+                gevent.sleep(HANDSHAKE_WAIT_MS / 1000.0)
+            with optional_step("listener-accept"):
+                self._accept_queued()
+        self.close()
+
     def _drop_new_handshakes(self):
         """Drop new connection attempts (SYN segments) at this listener.
 
@@ -266,9 +277,22 @@
 
         When a listener is closed, the kernel resets the connections queued at it, even
         if other processes listen on the same port.
+
+        Raises
+        ------
+        OSError
+            If too many calls fail. The failure of one may concern one connection only.
         """
+        n_failed = 0
         while True:
-            accepted = self.do_read()
+            try:
+                accepted = self.do_read()
+            except OSError:
+                n_failed += 1
+                if n_failed == MAX_FAILED_ACCEPTS:
+                    raise
+                gevent.sleep(ACCEPT_RETRY_MS / 1000.0)
+                continue
             if not accepted:
                 return
             self.do_handle(*accepted)
