An error in the main greenlet is a request to stop, not the end of the process

Callers: whatever was in a daemon's hands ended without an answer.

Cause: gevent raises a SystemError, SystemExit or KeyboardInterrupt of any greenlet in the main greenlet, which waited for the stop and drained by itself; an error there ended the process like a kill. The handler of the signal logged before it set the event, so an error of the log would have lost the stop; a metrics listener that could not listen ended the start, and an address that could not be listened at was reported by a traceback.

Fix: run_until_drained() waits in the main greenlet and drains in another one; errors are logged as daemon-failed and the exit code is 1. Both daemons use it.

--- a/src/tarragonramp/daemon.py
+++ b/src/tarragonramp/daemon.py
@@ -52,14 +52,14 @@
 from .roles.planner import Planners  # noqa: E402
 from .roles.status import StatusReporter  # noqa: E402
 from .roles.steward import Stewards  # noqa: E402
-from .roles.tasks import keep_running, task_failures  # noqa: E402
+from .roles.tasks import keep_running, run_until_drained, task_failures  # noqa: E402
 from .roles.terms import TermKeeper  # noqa: E402
 from .settings import load_settings  # noqa: E402
 from .view import View  # noqa: E402
 
 __all__ = ["Daemon", "main"]
 
-EXIT_ADDRESS = 1
+EXIT_FAILED = 1
 EXIT_SETTINGS = 2
 
 # Interval of the log line of a daemon that still waits for the platform.
@@ -96,6 +96,7 @@
     peer_server: object = None
     control_server: object = None
     caller_server: object = None
+    startup_tasks: list = attrs.Factory(list)
     ready: bool = False
     stopped: Event = attrs.Factory(Event)
     loop_watch: LoopWatch = attrs.Factory(lambda: LoopWatch(_log_blocked))
@@ -221,6 +222,16 @@
 
         If the platform is unavailable at the start, the daemon runs without a view,
         reports not ready, and keeps trying to read the platform.
+
+        Returns
+        -------
+        is_clean : bool
+            Whether no error in the main greenlet has ended the service.
+
+        Raises
+        ------
+        AddressError
+            If it cannot listen on one of its addresses.
         """
         self.cpu.start()
         self.peer_server.start()
@@ -228,15 +239,14 @@
         keep_running(self.loop_watch.run)
         keep_running(self.news.run)
         keep_running(self.news.run_vm_list)
-        startup_tasks = [keep_running(self._join_fleet), keep_running(self._open)]
-        self.stopped.wait()
-        gevent.killall(startup_tasks)
-        self._drain()
+        self.startup_tasks = [keep_running(self._join_fleet), keep_running(self._open)]
+        return run_until_drained(self.stopped, self._drain)
 
     def stop(self):
         """Start draining; further calls have no effect."""
-        log_event("daemon-told-to-stop", again=self.stopped.is_set())
+        is_repeated = self.stopped.is_set()
         self.stopped.set()
+        log_event("daemon-told-to-stop", again=is_repeated)
 
     def _join_fleet(self):
         """Register this daemon, then start the control roles."""
@@ -268,6 +278,7 @@
         these requests may need a steward of this daemon.
         """
         timing, began_ms = self.settings.timing, self.entry.clock.now_ms()
+        gevent.killall(self.startup_tasks)
         was_ready, self.ready = self.ready, False
         log_event("daemon-draining", was_ready=was_ready)
         self.keeper.leave()
@@ -362,7 +373,8 @@
     Returns
     -------
     exit_code : int
-        0 after a graceful stop, 1 if an address is in use, 2 for invalid settings.
+        0 after a graceful stop, 1 if an address is in use or an error has ended the
+        service, 2 for invalid settings.
     """
     parser = argparse.ArgumentParser("tarragonrampd", description=__doc__)
     parser.add_argument("--settings", required=True, help="YAML settings file")
@@ -377,13 +389,13 @@
     set_up_logs(settings.name, settings.log_level)
     try:
         daemon = Daemon.from_config(settings)
+        for signum in (signal.SIGTERM, signal.SIGINT):
+            gevent.signal_handler(signum, daemon.stop)
+        is_clean = daemon.run()
     except AddressError as error:
         log_event("daemon-not-started", error=error)
-        return EXIT_ADDRESS
-    for signum in (signal.SIGTERM, signal.SIGINT):
-        gevent.signal_handler(signum, daemon.stop)
-    daemon.run()
-    return 0
+        return EXIT_FAILED
+    return 0 if is_clean else EXIT_FAILED
 
 
 if __name__ == "__main__":
--- a/src/tarragonramp/fleet.py
+++ b/src/tarragonramp/fleet.py
@@ -16,6 +16,7 @@
 from .adapters.fleet_peers import DELEGATED_PREFIX, FleetPeers, PeerApplication
 from .adapters.http import HttpPools
 from .adapters.logs import log_event, log_lines_suppressed, set_up_logs
+from .adapters.optional import optional_step
 from .adapters.pipelining import PipeliningServer
 from .adapters.serving import DaemonServer, log_requests_cut
 from .adapters.usage import CpuMeter
@@ -36,11 +37,11 @@
 from .roles.peer_delegator import PeerDelegator
 from .roles.relay import Relay, RelayPool
 from .roles.router import Router
-from .roles.tasks import keep_running, task_failures
+from .roles.tasks import keep_running, run_until_drained, task_failures
 
 __all__ = ["FleetBounds", "FleetDaemon", "FleetPorts", "FleetSettings", "run_daemon"]
 
-EXIT_ADDRESS = 1
+EXIT_FAILED = 1
 
 UNREADY_MS = 2600.0
 """How long a stopping daemon reports not ready and still accepts connections: the load
@@ -181,6 +182,7 @@
     peer_server: object = None
     metrics_server: object = None
     metrics: object = None
+    open_task: object = None
     started_ns: int = attrs.Factory(time.time_ns)
     is_ready: bool = False
     stopped: Event = attrs.Factory(Event)
@@ -286,28 +288,39 @@
             log_event("metrics-not-served", level=logbook.WARNING, reason=str(error))
 
     def run(self):
-        """Serve until :meth:`stop` is called, then drain."""
+        """Serve until :meth:`stop` is called, then drain.
+
+        Returns
+        -------
+        is_clean : bool
+            Whether no error in the main greenlet has ended the service.
+
+        Raises
+        ------
+        AddressError
+            If it cannot listen on one of its addresses.
+        """
         self.cpu.start()
         self.readiness_server.start()
         self.peer_server.start()
         if self.metrics_server is not None:
-            self.metrics_server.start()
+            with optional_step("metrics-listen"):
+                self.metrics_server.start()
         for kind in FOLLOWED_KINDS:
             keep_running(lambda kind=kind: self.follower.run(kind))
         keep_running(self.follower.run_missing)
         keep_running(self.leadership.run)
         keep_running(self.granter.run)
         keep_running(self.router.prober.run)
-        open_task = keep_running(self._open)
+        self.open_task = keep_running(self._open)
         keep_running(self._tidy)
-        self.stopped.wait()
-        open_task.kill()
-        self._drain()
+        return run_until_drained(self.stopped, self._drain)
 
     def stop(self):
         """Start draining; further calls have no effect."""
-        log_event("daemon-told-to-stop", again=self.stopped.is_set())
+        is_repeated = self.stopped.is_set()
         self.stopped.set()
+        log_event("daemon-told-to-stop", again=is_repeated)
 
     def reload(self):
         """Read the settings file again and apply its bounds.
@@ -402,6 +415,7 @@
         progress.
         """
         began_ms = self.clock.now_ms()
+        self.open_task.kill()
         was_ready, self.is_ready = self.is_ready, False
         log_event("daemon-draining", was_ready=was_ready)
         gevent.spawn(self.leadership.resign)
@@ -528,11 +542,11 @@
     log_event("daemon-starting", domain=settings.failure_domain)
     try:
         daemon = FleetDaemon.from_config(settings, ports)
+        for signum in (signal.SIGTERM, signal.SIGINT):
+            gevent.signal_handler(signum, daemon.stop)
+        gevent.signal_handler(signal.SIGHUP, daemon.reload)
+        is_clean = daemon.run()
     except AddressError as error:
         log_event("daemon-not-started", error=error)
-        return EXIT_ADDRESS
-    for signum in (signal.SIGTERM, signal.SIGINT):
-        gevent.signal_handler(signum, daemon.stop)
-    gevent.signal_handler(signal.SIGHUP, daemon.reload)
-    daemon.run()
-    return 0
+        return EXIT_FAILED
+    return 0 if is_clean else EXIT_FAILED
--- a/src/tarragonramp/roles/tasks.py
+++ b/src/tarragonramp/roles/tasks.py
@@ -1,4 +1,4 @@
-"""Runs the endless tasks of a daemon."""
+"""Runs the tasks of a daemon: endless ones, and the drain that ends it."""
 
 import time
 
@@ -7,7 +7,7 @@
 
 from ..adapters.logs import log_event
 
-__all__ = ["keep_running", "task_failures"]
+__all__ = ["keep_running", "run_until_drained", "task_failures"]
 
 MIN_RESTART_DELAY_MS = 200
 MAX_RESTART_DELAY_MS = 5000
@@ -58,3 +58,39 @@
             restart_delay_ms = min(restart_delay_ms * 2, MAX_RESTART_DELAY_MS)
 
     return gevent.spawn(run)
+
+
+def run_until_drained(stopped, drain):
+    """Wait in the main greenlet until a daemon is to stop, then drain it.
+
+    gevent raises a SystemError, SystemExit or KeyboardInterrupt of any greenlet in the
+    main greenlet, whose end is the end of the process and of callers' requests. Such an
+    error is a request to stop here, and does not end a drain.
+
+    Parameters
+    ----------
+    stopped : Event
+        Set when the daemon is to stop.
+    drain : callable
+        Called without arguments.
+
+    Returns
+    -------
+    is_clean : bool
+        Whether no error occurred.
+    """
+    errors = []
+    _note_error(stopped.wait, errors)
+    stopped.set()
+    draining = gevent.spawn(drain)
+    while not draining.ready():
+        _note_error(draining.join, errors)
+    return not errors and draining.successful()
+
+
+def _note_error(call, errors):
+    try:
+        call()
+    except BaseException as error:
+        errors.append(error)
+        log_event("daemon-failed", level=logbook.ERROR, error=error)
