A request behind the last response of a stopping daemon is not passed on

Callers: of a GET and a POST with a body behind it on one connection, the POST got no answer after a SIGTERM, though a server was at work on it.

Cause: the GET's response announced the close, as only requests that overlap counted as behind it; the handler then served the POST that it had read without looking whether the close had been announced meanwhile. The shutdown of the receiving side was noted on the copy of the handler that served the GET, so the POST's caller was taken for gone and its work was broken off after 50 ms. A head that was still being read was answered 400 after the last response.

--- a/src/tarragonramp/adapters/pipelining.py
+++ b/src/tarragonramp/adapters/pipelining.py
@@ -30,6 +30,8 @@
         Set once the response to the latest request has been sent.
     in_progress : int
         Number of requests whose responses have not been sent.
+    is_next_read : bool
+        Whether a request that does not overlap with others waits for their responses.
     closing : bool
         Whether no further request is served, because the connection closes after the
         last response.
@@ -37,6 +39,7 @@
 
     last_sent: Event
     in_progress: int = 0
+    is_next_read: bool = False
     closing: bool = False
 
 
@@ -99,13 +102,26 @@
         if result is not True:
             # The connection is about to be closed: wait until all responses are sent.
             self.pipeline.last_sent.wait()
+            if self.pipeline.closing:
+                # The caller assumes that a request behind the last response was not
+                # read, also if it was malformed.
+                return None
         return result
 
     def handle_one_response(self):
         """Serve a request concurrently with earlier ones if possible."""
         pipeline = self.pipeline
-        if not self._can_overlap():
+        can_overlap = self._can_overlap()
+        if not can_overlap:
+            pipeline.is_next_read = True
             pipeline.last_sent.wait()
+            pipeline.is_next_read = False
+        if pipeline.closing:
+            # The close was announced while this request was being read.
+            self.close_connection = True
+            self.wsgi_input._discard()
+            return
+        if not can_overlap:
             super().handle_one_response()
             return
         pipeline.in_progress += 1
@@ -134,7 +150,7 @@
             self.sent.set()
             if self.pipeline.closing and self.pipeline.last_sent is self.sent:
                 # Wake the handler that waits for the next request.
-                self.shut_down_receive()
+                self.connection_handler.shut_down_receive()
 
     def finalize_headers(self):
         """Send ``Connection: close`` only with the last response.
@@ -142,7 +158,7 @@
         After a response with this header, a caller assumes that its later requests were
         not read and sends them again, so none of them may have been sent to a server.
         """
-        if self.sent is None or self.pipeline.last_sent is self.sent:
+        if self.sent is None or self._is_last():
             super().finalize_headers()
             self.pipeline.closing = self.pipeline.closing or self.close_connection
             return
@@ -152,6 +168,10 @@
         # shutting down.
         WebHandler.finalize_headers(self)
 
+    def _is_last(self):
+        """Return whether no request behind this one has been read."""
+        return self.pipeline.last_sent is self.sent and not self.pipeline.is_next_read
+
     def _remove_connection_header(self):
         self.response_headers = [
             item for item in self.response_headers if item[0].lower() != b"connection"
