Socket options that only help may be refused; a needed one is named at the start

Callers: with TCP_NODELAY or keep-alive refused no connection to a server or to the store could be opened and each caller's connection ended unread; with TCP_USER_TIMEOUT refused no daemon became ready and nothing said why.

Fix: TCP_NODELAY, keep-alive and SO_REUSEADDR are optional steps, counted in optional_steps.failures. TCP_USER_TIMEOUT and SO_LINGER keep a request from reaching a server long after its timeout, so a daemon checks them at its start and ends with daemon-not-started and exit code 1. A connection whose options fail is closed at once.

--- a/src/tarragonramp/adapters/http.py
+++ b/src/tarragonramp/adapters/http.py
@@ -22,13 +22,15 @@
 
 from ..errors import (
     AbandonedError,
+    KernelError,
     NoConnectionError,
     NotSentError,
     UnansweredError,
 )
 from ..meters import kind_of
+from .optional import optional_step
 
-__all__ = ["Response", "HttpPool", "HttpPools", "split_address"]
+__all__ = ["Response", "HttpPool", "HttpPools", "check_bounded_sends", "split_address"]
 
 RECEIVE_BYTES = 65_536
 MAX_IDLE_CONNECTIONS = 64
@@ -272,11 +274,17 @@
         connection = socket.create_connection(
             split_address(self.address), timeout=timeout_s
         )
-        connection.setsockopt(plain_socket.IPPROTO_TCP, plain_socket.TCP_NODELAY, 1)
+        with optional_step("server-connection-nodelay"):
+            connection.setsockopt(plain_socket.IPPROTO_TCP, plain_socket.TCP_NODELAY, 1)
         if self.user_timeout_ms:
-            _set_user_timeout(connection, self.user_timeout_ms)
+            try:
+                _set_user_timeout(connection, self.user_timeout_ms)
+            except OSError:
+                connection.close()
+                raise
         if self.keepalive:
-            _enable_keepalive(connection)
+            with optional_step("server-connection-keepalive"):
+                _enable_keepalive(connection)
         return connection
 
     def _read(self, connection, method, deadline_s, is_wanted):
@@ -341,6 +349,23 @@
         return pool
 
 
+def check_bounded_sends():
+    """Check that the kernel lets a connection's unsent data be discarded in time.
+
+    Raises
+    ------
+    KernelError
+        If it refuses. A request could then be delivered long after its timeout.
+    """
+    with plain_socket.socket(plain_socket.AF_INET, plain_socket.SOCK_STREAM) as probe:
+        try:
+            _set_user_timeout(probe, 1000.0)
+        except OSError as error:
+            raise KernelError(
+                f"TCP_USER_TIMEOUT and SO_LINGER are needed: {error.strerror}"
+            ) from error
+
+
 def _set_user_timeout(connection, user_timeout_ms):
     """Keep the kernel from delivering a request long after it has timed out.
 
--- a/src/tarragonramp/adapters/web.py
+++ b/src/tarragonramp/adapters/web.py
@@ -13,6 +13,7 @@
 from ..limits import Limits
 from ..meters import NOT_RUN
 from .http import split_address
+from .optional import optional_step
 
 __all__ = [
     "ARRIVED_KEY",
@@ -320,10 +321,11 @@
     def __init__(self, address, application, reuse_port=False, limits=None):
         self.limits = limits or Limits()
         listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        if reuse_port:
-            listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+        with optional_step("listener-reuse-address"):
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         try:
+            if reuse_port:
+                listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
             listener.bind(split_address(address))
         except OSError as error:
             listener.close()
@@ -345,7 +347,8 @@
 
     def handle(self, sock, address):
         """Serve one connection."""
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        with optional_step("caller-connection-nodelay"):
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         sock.settimeout(self.limits.idle_ms / 1000.0)
         super().handle(sock, address)
 
--- a/src/tarragonramp/daemon.py
+++ b/src/tarragonramp/daemon.py
@@ -23,20 +23,21 @@
 from gevent.event import Event  # noqa: E402
 
 from .adapters.backends import HttpBackends  # noqa: E402
-from .adapters.http import HttpPools  # noqa: E402
+from .adapters.http import HttpPools, check_bounded_sends  # noqa: E402
 from .adapters.logs import (  # noqa: E402
     log_event,
     log_lines_suppressed,
     set_up_logs,
 )  # noqa: E402
 from .adapters.metrics import Metrics  # noqa: E402
+from .adapters.optional import optional_step_failures  # noqa: E402
 from .adapters.peers import GrpcPeers, PeerServer  # noqa: E402
 from .adapters.platform import HttpPlatform  # noqa: E402
 from .adapters.serving import DaemonServer, log_requests_cut  # noqa: E402
 from .adapters.usage import CpuMeter, LoopWatch  # noqa: E402
 from .clock import Clock  # noqa: E402
 from .credentials import Secrets  # noqa: E402
-from .errors import AddressError  # noqa: E402
+from .errors import AddressError, KernelError  # noqa: E402
 from .meters import RequestMeter, TrafficMeter  # noqa: E402
 from .model import Member  # noqa: E402
 from .propagation import PLATFORM  # noqa: E402
@@ -104,6 +105,7 @@
     @classmethod
     def from_config(cls, settings):
         """Create a daemon with its roles and adapters from the settings."""
+        check_bounded_sends()
         clock, timing = Clock(), settings.timing
         me = Member(
             settings.name,
@@ -337,6 +339,12 @@
             lambda: self.loop_watch.count,
         )
         count("tasks.failures", "Failed rounds of a task.", task_failures, "task")
+        count(
+            "optional_steps.failures",
+            "Failed steps that only help.",
+            optional_step_failures,
+            "step",
+        )
         count(
             "log.lines_suppressed",
             "Log lines left out because there were too many.",
@@ -373,8 +381,8 @@
     Returns
     -------
     exit_code : int
-        0 after a graceful stop, 1 if an address is in use or an error has ended the
-        service, 2 for invalid settings.
+        0 after a graceful stop; 1 if an address is in use, the kernel refuses what the
+        daemon needs, or an error has ended the service; 2 for invalid settings.
     """
     parser = argparse.ArgumentParser("tarragonrampd", description=__doc__)
     parser.add_argument("--settings", required=True, help="YAML settings file")
@@ -392,7 +400,7 @@
         for signum in (signal.SIGTERM, signal.SIGINT):
             gevent.signal_handler(signum, daemon.stop)
         is_clean = daemon.run()
-    except AddressError as error:
+    except (AddressError, KernelError) as error:
         log_event("daemon-not-started", error=error)
         return EXIT_FAILED
     return 0 if is_clean else EXIT_FAILED
--- a/src/tarragonramp/errors.py
+++ b/src/tarragonramp/errors.py
@@ -15,6 +15,7 @@
     "ExchangeError",
     "FaultsError",
     "HistoryGoneError",
+    "KernelError",
     "NoConnectionError",
     "NotFoundError",
     "NotSentError",
@@ -41,6 +42,10 @@
     """The daemon cannot bind one of its addresses."""
 
 
+class KernelError(TarragonError):
+    """The kernel refuses a socket option that the daemon relies on."""
+
+
 class FaultsError(TarragonError):
     """Input is invalid.
 
--- a/src/tarragonramp/fleet.py
+++ b/src/tarragonramp/fleet.py
@@ -14,9 +14,9 @@
 from gevent.event import Event
 
 from .adapters.fleet_peers import DELEGATED_PREFIX, FleetPeers, PeerApplication
-from .adapters.http import HttpPools
+from .adapters.http import HttpPools, check_bounded_sends
 from .adapters.logs import log_event, log_lines_suppressed, set_up_logs
-from .adapters.optional import optional_step
+from .adapters.optional import optional_step, optional_step_failures
 from .adapters.pipelining import PipeliningServer
 from .adapters.serving import DaemonServer, log_requests_cut
 from .adapters.usage import CpuMeter
@@ -24,7 +24,7 @@
 from .balancing import ServerSelector
 from .clock import SuspendAwareClock
 from .cold_start import ColdStartLimiter
-from .errors import AddressError
+from .errors import AddressError, KernelError
 from .fleet_view import FOLLOWED_KINDS, FleetView
 from .leadership import LeaseTiming
 from .limits import Limits
@@ -190,6 +190,7 @@
     @classmethod
     def from_config(cls, settings, ports):
         """Create a daemon with its roles and adapters from the settings."""
+        check_bounded_sends()
         clock = SuspendAwareClock()
         view = FleetView(clock)
         peers = FleetPeers(view, settings.name)
@@ -519,6 +520,12 @@
             "result",
         )
         count("tasks.failures", "Failed rounds of a task.", task_failures, "task")
+        count(
+            "optional_steps.failures",
+            "Failed steps that only help.",
+            optional_step_failures,
+            "step",
+        )
         count("log.lines_suppressed", "Log lines left out.", log_lines_suppressed)
         return metrics
 
@@ -546,7 +553,7 @@
             gevent.signal_handler(signum, daemon.stop)
         gevent.signal_handler(signal.SIGHUP, daemon.reload)
         is_clean = daemon.run()
-    except AddressError as error:
+    except (AddressError, KernelError) as error:
         log_event("daemon-not-started", error=error)
         return EXIT_FAILED
     return 0 if is_clean else EXIT_FAILED
