Own interface: a failing step of a drain keeps forwarded requests

Callers: requests that other daemons had forwarded to a steward would end with its process if its hand-over or the close of its control port raised, as the wait for them comes last.

Both steps are optional now. FailingStepTest failed before for each of three steps.

--- a/src/tarragonramp/daemon.py
+++ b/src/tarragonramp/daemon.py
@@ -30,7 +30,7 @@
     set_up_logs,
 )  # noqa: E402
 from .adapters.metrics import Metrics  # noqa: E402
-from .adapters.optional import optional_step_failures  # noqa: E402
+from .adapters.optional import optional_step, optional_step_failures  # noqa: E402
 from .adapters.peers import GrpcPeers, PeerServer  # noqa: E402
 from .adapters.platform import HttpPlatform  # noqa: E402
 from .adapters.serving import DaemonServer, log_requests_cut  # noqa: E402
@@ -289,9 +289,14 @@
             gevent.sleep(timing.unready_ms / 1000.0)
         drained = self.caller_server.drain(timing.drain_idle_ms, timing.drain_ms)
         log_requests_cut(drained.requests)
-        all_handed = self.keeper.hand_over_all(timing.handover_ms)
-        unregistered = all_handed and self.membership.unregister()
-        self.control_server.drain(CONTROL_DRAIN_IDLE_MS, timing.control_timeout_ms * 2)
+        all_handed = unregistered = False
+        with optional_step("terms-hand-over"):
+            all_handed = self.keeper.hand_over_all(timing.handover_ms)
+            unregistered = all_handed and self.membership.unregister()
+        with optional_step("control-close"):
+            self.control_server.drain(
+                CONTROL_DRAIN_IDLE_MS, timing.control_timeout_ms * 2
+            )
         # gRPC calls may carry callers' requests forwarded by other daemons.
         self.peer_server.stop(timing.drain_ms)
         log_event(
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -7,6 +7,7 @@
 import socket
 import time
 import unittest
+from unittest import mock
 
 import gevent
 
@@ -16,9 +17,11 @@
 from standins.pauses import read_pauses
 from standins.site import Backend, DaemonSpec, Site, free_address
 from tarragonramp.adapters.http import HttpPool, split_address
-from tarragonramp.adapters.serving import DaemonServer
+from tarragonramp.adapters.serving import DaemonServer, DrainResult
 from tarragonramp.adapters.web import caller_disconnected
 from tarragonramp.clock import Clock
+from tarragonramp.daemon import Daemon
+from tarragonramp.settings import Timing
 
 TIMING = {"unready_ms": 300, "drain_idle_ms": 300}
 
@@ -138,6 +141,30 @@
             sock.close()
 
 
+class FailingStepTest(unittest.TestCase):
+    """A daemon whose drain has steps that raise."""
+
+    STEPS = (
+        "keeper.hand_over_all",
+        "membership.unregister",
+        "control_server.drain",
+    )
+
+    def test_failing_step_of_a_drain_keeps_forwarded_requests(self):
+        """Guards against an error that ends a drain before its last wait."""
+        for step in self.STEPS:
+            with self.subTest(step):
+                daemon = mock.Mock()
+                part, _, method = step.partition(".")
+                getattr(getattr(daemon, part), method).side_effect = OSError(1, "no")
+                daemon.settings.timing = Timing(unready_ms=0)
+                daemon.entry.clock.now_ms.return_value = 0.0
+                daemon.startup_tasks = []
+                daemon.caller_server.drain.return_value = DrainResult(0)
+                Daemon._drain(daemon)
+                daemon.peer_server.stop.assert_called_once()
+
+
 class RollingRestartTest(unittest.TestCase):
     """Two daemons in each of two failure domains, and eight backend servers."""
 
