A log line that cannot be formatted ends nothing

A value without a text raised through log_event into the work that was logged, a drain among it. The line is counted as left out. test_value_without_a_text_ends_nothing failed before.

--- a/src/tarragonramp/adapters/logs.py
+++ b/src/tarragonramp/adapters/logs.py
@@ -177,15 +177,14 @@
     **fields : object
         Logged as ``key=value``; values with spaces are quoted. An exception with a
         traceback gets the further fields ``raised_in`` and ``trace``.
+
+    An error here is counted as a line that was left out: what is logged goes on.
     """
-    error = fields.get("error")
-    if isinstance(error, BaseException) and error.__traceback__ is not None:
-        trace = error.__traceback__
-        fields = {"raised_in": _innermost_call(trace), **fields}
-        fields["trace"] = _format_trace(type(error), error, trace)
-    pairs = " ".join(f"{key}={_quote(value)}" for key, value in fields.items())
-    line = f"event={event} {pairs}".rstrip()
-    _LOGGER.log(level, "{}", line, extra={"event": event})
+    try:
+        line = _format_event(event, fields)
+        _LOGGER.log(level, "{}", line, extra={"event": event})
+    except Exception:
+        _LIMITER.total += 1
 
 
 def log_lines_suppressed():
@@ -206,6 +205,16 @@
     )
 
 
+def _format_event(event, fields):
+    error = fields.get("error")
+    if isinstance(error, BaseException) and error.__traceback__ is not None:
+        trace = error.__traceback__
+        fields = {"raised_in": _innermost_call(trace), **fields}
+        fields["trace"] = _format_trace(type(error), error, trace)
+    pairs = " ".join(f"{key}={_quote(value)}" for key, value in fields.items())
+    return f"event={event} {pairs}".rstrip()
+
+
 def _innermost_call(trace):
     """Return ``file:line:function`` of the code that raised an error.
 
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -15,7 +15,12 @@
 
 from standins.site import DaemonSpec, Site
 from tarragonramp.adapters.http import HttpPool
-from tarragonramp.adapters.logs import LogLimiter, log_event, set_up_logs
+from tarragonramp.adapters.logs import (
+    LogLimiter,
+    log_event,
+    log_lines_suppressed,
+    set_up_logs,
+)
 from tarragonramp.adapters.usage import LoopWatch
 from tarragonramp.roles.tasks import keep_running, task_failures
 
@@ -144,6 +149,17 @@
         line = self.stream.getvalue().partition(" event=")[2][:200]
         self.assertIn("open_the_missing_file", line)
 
+    def test_value_without_a_text_ends_nothing(self):
+        """Guards against a log line that ends the work that it is about."""
+
+        class Unprintable:
+            def __str__(self):
+                raise ValueError("no text")
+
+        n_before = log_lines_suppressed()
+        log_event("something", value=Unprintable())
+        self.assertEqual(log_lines_suppressed(), n_before + 1)
+
     def test_failing_task_is_counted_and_started_again(self):
         rounds = []
 
