A response to another daemon is in progress until it has been written

Callers: the process of a stopping daemon could end within a response to a request that another daemon had handed to it, which ends as 502 there.

Cause: such a request counted as done when the application returned; what was left was 20 ms for the writing. It now counts until the server closes the body. test_response_being_written_is_in_progress failed before.

--- a/src/tarragonramp/roles/delegate.py
+++ b/src/tarragonramp/roles/delegate.py
@@ -40,6 +40,7 @@
     is_open : bool
         Whether requests are taken: not before the daemon is ready, nor while it drains.
     in_progress : int
+        Requests whose responses have not been written.
     counts : Counter
         Requests by what became of them, for the metrics.
     """
@@ -57,9 +58,14 @@
         mark_request_work()
         self.in_progress += 1
         try:
-            return self._respond(environ, start_response)
-        finally:
-            self.in_progress -= 1
+            body = self._respond(environ, start_response)
+        except BaseException:
+            self._end_request()
+            raise
+        return _Body(body, self._end_request)
+
+    def _end_request(self):
+        self.in_progress -= 1
 
     def _respond(self, environ, start_response):
         try:
@@ -133,5 +139,17 @@
         )
 
 
+class _Body(list):
+    """A response body whose ``close`` the server calls once it has been written."""
+
+    def __init__(self, parts, on_close):
+        super().__init__(parts)
+        self._on_close = on_close
+
+    def close(self):
+        """Report that the response has been written, or cannot be."""
+        self._on_close()
+
+
 class _DeclinedError(RequestError):
     """This daemon can't take a request, which another one may."""
--- a/tests/test_delegate.py
+++ b/tests/test_delegate.py
@@ -158,6 +158,22 @@
         task.join()
         self.assertEqual(self.delegate.in_progress, 0)
 
+    def test_response_being_written_is_in_progress(self):
+        """Guards against a process that ends within a response to another daemon."""
+        self.response = Response(200, (("Upstream-Stamp", "m"),), b"x" * (8 << 20))
+        host, port = self.address.split(":")
+        reader = gevent.socket.create_connection((host, int(port)), timeout=5)
+        self.addCleanup(reader.close)
+        head = f"GET {DELEGATED_PREFIX}/a HTTP/1.1\r\nHost: h\r\n"
+        name, value = DELEGATION.to_header()
+        reader.sendall(f"{head}{name}: {value}\r\n\r\n".encode())
+        gevent.sleep(0.1)
+        self.assertEqual(self.delegate.in_progress, 1)
+        n_received = 0
+        while self.delegate.in_progress:
+            n_received += len(reader.recv(1 << 20))
+        self.assertGreater(n_received, 4 << 20)
+
     def test_an_older_manifest_is_waited_for_or_the_request_declined(self):
         """Guards against callers' routes that go back to an older manifest."""
         newer = attrs.evolve(DELEGATION, manifest_version=5)
