--- a/src/tarragonramp/adapters/http.py
+++ b/src/tarragonramp/adapters/http.py
@@ -277,11 +277,7 @@
         with optional_step("server-connection-nodelay"):
             connection.setsockopt(plain_socket.IPPROTO_TCP, plain_socket.TCP_NODELAY, 1)
         if self.user_timeout_ms:
-            try:
-                _set_user_timeout(connection, self.user_timeout_ms)
-            except OSError:
-                connection.close()
-                raise
+            _set_user_timeout(connection, self.user_timeout_ms)
         if self.keepalive:
             with optional_step("server-connection-keepalive"):
                 _enable_keepalive(connection)
--- a/src/tarragonramp/adapters/serving.py
+++ b/src/tarragonramp/adapters/serving.py
@@ -236,8 +236,7 @@
         drained : DrainResult
         """
         self.begin_shutdown()
-        with optional_step("listener-close"):
-            self._stop_listening()
+        self._stop_listening()
         until_ms = self.clock.now_ms() + timeout_ms
         while self.connections and self.clock.now_ms() < until_ms:
             idle_before_ms = self.clock.now_ms() - idle_ms
--- a/src/tarragonramp/adapters/web.py
+++ b/src/tarragonramp/adapters/web.py
@@ -342,7 +342,8 @@
         try:
             self.socket.listen(BACKLOG)
         except OSError as error:
-            raise AddressError(f"{self.address}: {error.strerror}") from error
+            address = "{}:{}".format(*self.address)
+            raise AddressError(f"{address}: {error.strerror}") from error
         super().init_socket()
 
     def handle(self, sock, address):
--- a/standins/refused_calls.py
+++ b/standins/refused_calls.py
@@ -11,11 +11,15 @@
     Each Nth call to accept a connection fails; the next one accepts it.
 ``accept-empty``
     A call to accept a connection fails if none is waiting.
+``listen=N``
+    The Nth call to listen fails.
 ``close-listener``, ``receive-shutdown``
     A listening socket cannot be closed; the receiving side of a connection cannot be
     shut down.
 ``memory``
     The file with this process's memory usage cannot be opened.
+``output``
+    Standard output is closed, so that no line of the log can be written.
 ``system-error``
     No refused call: on SIGUSR2 a greenlet raises SystemError, which gevent raises again
     in the main greenlet.
@@ -54,19 +58,23 @@
         As on the command line.
     """
     for refusal in refusals:
-        name, _, every = refusal.partition("=")
+        name, _, number = refusal.partition("=")
         if name == "filter":
             _lock_filter()
         elif name == "accept":
-            _refuse_each_accept(int(every))
+            _refuse_each_accept(int(number))
         elif name == "accept-empty":
             _refuse_empty_accept()
+        elif name == "listen":
+            _refuse_one_listen(int(number))
         elif name == "close-listener":
             _refuse_closing_listeners()
         elif name == "receive-shutdown":
             _refuse_method("shutdown", lambda how: how == socket.SHUT_RD)
         elif name == "memory":
             _refuse_memory_file()
+        elif name == "output":
+            os.close(sys.stdout.fileno())
         elif name == "system-error":
             gevent.signal_handler(signal.SIGUSR2, _raise_system_error)
         else:
@@ -118,6 +126,17 @@
     _Socket._accept = refusing
 
 
+def _refuse_one_listen(number):
+    n_calls = 0
+
+    def is_refused(*args):
+        nonlocal n_calls
+        n_calls += 1
+        return n_calls == number
+
+    _refuse_method("listen", is_refused)
+
+
 def _refuse_empty_accept():
     accept = _Socket._accept
 
--- a/standins/stop_load.py
+++ b/standins/stop_load.py
@@ -52,6 +52,7 @@
     attempts: list = attrs.Factory(list)
     _began_s: float = attrs.Factory(time.monotonic)
     _callers: list = attrs.Factory(list)
+    _n_attempts: int = 0
 
     def start_new_connections(self, gap_ms, lasts_ms):
         """Send one GET on a new connection at each interval."""
@@ -95,7 +96,8 @@
         return (time.monotonic() - self._began_s) * 1000.0
 
     def _new_attempt(self):
-        attempt = Attempt(f"stop-{self.address}-{len(self.attempts)}", self._now_ms())
+        self._n_attempts += 1
+        attempt = Attempt(f"stop-{self.address}-{self._n_attempts}", self._now_ms())
         self.attempts.append(attempt)
         return attempt
 
--- a/tests/test_delegate.py
+++ b/tests/test_delegate.py
@@ -158,6 +158,12 @@
         task.join()
         self.assertEqual(self.delegate.in_progress, 0)
 
+    def test_request_that_fails_is_not_in_progress(self):
+        """Guards against a drain that waits for a request that has ended."""
+        self.error = ZeroDivisionError()
+        self.assertEqual(self.hand_over().unwrap().status, 500)
+        self.assertEqual(self.delegate.in_progress, 0)
+
     def test_response_being_written_is_in_progress(self):
         """Guards against a process that ends within a response to another daemon."""
         self.response = Response(200, (("Upstream-Stamp", "m"),), b"x" * (8 << 20))
--- a/tests/test_fleet_stop.py
+++ b/tests/test_fleet_stop.py
@@ -1,12 +1,16 @@
 """Stops of daemons on the users' platform under load, with calls that are refused."""
 
+import collections
 import signal
 import unittest
 
 import gevent
 
 from standins.fleet_site import FleetSite, manifest
+from standins.proxy import Fault
+from standins.site import free_address
 from standins.stop_load import StopLoad
+from tarragonramp.adapters.http import HttpPool
 
 WORK_MS = 400
 GRACE_S = 6.0
@@ -103,10 +107,43 @@
 
     def test_connections_are_served_without_options_that_only_help(self):
         """Guards against a refused TCP_NODELAY or keep-alive that ends connections."""
-        refusals = "TCP_NODELAY,SO_KEEPALIVE,TCP_KEEPIDLE,TCP_KEEPCNT,memory"
+        refusals = "TCP_NODELAY,SO_KEEPALIVE,TCP_KEEPIDLE,TCP_KEEPCNT,SO_REUSEADDR"
         self.assertEqual(self.stop_under_new_connections("f6", refusals), 0)
         self.assertIn("event=optional-step-failed", self.site.log_text("f6"))
 
+    def test_metrics_are_served_without_the_memory_figure(self):
+        """Guards against one figure that cannot be read and takes all others along."""
+        self.start("f9", "memory")
+        pool = HttpPool(self.site.daemons["f9"]["control"])
+        page = pool.exchange("GET", "/metrics", (), b"", 3000).unwrap()
+        self.assertIn(b"store_calls", page.body)
+        self.assertNotIn(b"memory_resident", page.body)
+
+    def test_daemon_runs_without_listening_at_its_metrics_address(self):
+        """Guards against a scraper's address without which no caller is served."""
+        settings = 'ip = "127.0.0.79"'
+        self.site.start_daemon("g1", "a", settings, refusals="listen=3")
+        self.addCleanup(self.end, "g1")
+        self.site.wait_ready("g1")
+        self.assertIn("step=metrics-listen", self.site.log_text("g1"))
+
+    def test_daemon_that_cannot_listen_names_the_address_and_ends(self):
+        """Guards against a start that ends with a traceback alone."""
+        self.site.start_daemon("g2", "a", refusals="listen=2")
+        self.addCleanup(self.end, "g2")
+        self.site.wait(lambda: self.site.processes["g2"].poll() is not None, "exit")
+        self.assertEqual(self.site.processes["g2"].returncode, 1)
+        found = [x for x in self.site.log_text("g2").splitlines() if "not-started" in x]
+        self.assertIn(self.site.daemons["g2"]["control"], "".join(found))
+
+    def test_stop_without_a_log_answers_requests_in_hand(self):
+        """Guards against a log that cannot be written and ends the drain."""
+        load = self.start("f8", "output,filter")
+        load.start_new_connections(40.0, LOAD_MS)
+        gevent.sleep(0.2)
+        self.assertEqual(self.stop("f8"), 0)
+        self.assert_answered("f8", load, 50)
+
     def test_daemon_without_bounded_retransmission_names_the_reason_and_ends(self):
         """Guards against a daemon that never becomes ready and does not say why."""
         self.site.start_daemon("f7", "a", refusals="TCP_USER_TIMEOUT")
@@ -148,6 +185,101 @@
         self.assertIn("requests_cut=0", self.site.log_text("m2"))
 
 
+class StopInSeriesTest(unittest.TestCase):
+    """Three daemons whose listeners take no filter, behind a fault proxy."""
+
+    NAMES = ("d1", "d2", "d3")
+
+    def setUp(self):
+        self.site = FleetSite(proxy=free_address())
+        self.addCleanup(self.site.close)
+        self.site.start_store()
+        self.site.control_store(write=["config", "main", manifest(1), None])
+        options = ("--slots", "64", "--work-ms", str(WORK_MS))
+        for i in range(3):
+            self.site.start_server(f"desk{i}", "desk", "ab"[i % 2], *options)
+        self.site.start_server("parts0", "parts", "a")
+        for name in self.NAMES:
+            self.site.start_daemon(name, "a", refusals="filter")
+        self.site.wait_ready(*self.NAMES)
+        self.loads = {
+            name: StopLoad(self.site.daemons[name]["front"]) for name in self.NAMES
+        }
+
+    def start_load(self, lasts_ms=LOAD_MS):
+        """Start callers of all daemons, on new and on kept connections."""
+        for load in self.loads.values():
+            load.start_new_connections(80.0, lasts_ms)
+            load.start_kept_connections(3, 50.0, lasts_ms)
+        gevent.sleep(0.4)
+
+    def wait_for_end(self, *names):
+        """Wait until daemons have ended by themselves within the grace period."""
+        with gevent.Timeout(GRACE_S):
+            while any(self.site.processes[name].poll() is None for name in names):
+                gevent.sleep(0.02)
+        codes = {name: self.site.processes[name].returncode for name in names}
+        self.assertEqual(codes, dict.fromkeys(names, 0))
+
+    def assert_answered(self, statuses=(200,)):
+        """Assert that what servers ran was answered, with these statuses only."""
+        for load in self.loads.values():
+            load.wait()
+        runs = self.site.runs()
+        lost = [a for load in self.loads.values() for a in load.lost(runs)]
+        self.assertEqual(lost, [])
+        attempts = [a for load in self.loads.values() for a in load.attempts]
+        found = collections.Counter(a.status for a in attempts if a.status)
+        self.assertGreater(found[200], 100)
+        self.assertLessEqual(set(found), set(statuses), found)
+
+    def test_all_stop_at_once_without_the_store(self):
+        """Guards against a stop of a leader or relay that needs the store."""
+        self.start_load()
+        self.site.control_store(faults={"down": True})
+        for name in self.NAMES:
+            self.site.signal(name, signal.SIGTERM)
+        self.wait_for_end(*self.NAMES)
+        self.assert_answered()
+
+    def test_signals_in_series(self):
+        """Guards against a later signal that ends or prolongs a drain."""
+        self.start_load()
+        for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGHUP, signal.SIGTERM):
+            self.site.signal("d1", number)
+            gevent.sleep(0.3)
+        self.site.signal("d1", signal.SIGINT)
+        self.wait_for_end("d1")
+        self.assert_answered()
+
+    def test_stop_of_a_daemon_that_serves_and_of_one_that_delegates(self):
+        """Guards against a delegated request that ends with either daemon."""
+        self.start_load(9000.0)
+        servers = list(self.site.servers)
+        self.site.set_faults(Fault(["d1"], servers, "cut"))
+        while "event=servers-not-reached" not in self.site.log_text("d1"):
+            gevent.sleep(0.05)
+        gevent.sleep(1.5)
+        for load in self.loads.values():
+            load.attempts.clear()
+        self.site.signal("d2", signal.SIGTERM)
+        gevent.sleep(1.0)
+        self.site.signal("d1", signal.SIGTERM)
+        self.wait_for_end("d1", "d2")
+        self.assert_answered((200, 503))
+
+    def test_stop_while_starting(self):
+        """Guards against a start that outlives its grace period or ends in an error."""
+        for i, wait_s in enumerate((0.2, 0.4, 0.5, 0.6, 0.7, 0.9)):
+            name = f"e{i}"
+            self.site.start_daemon(name, "b", refusals="filter")
+            gevent.sleep(wait_s)
+            self.site.signal(name, signal.SIGTERM)
+        for i in range(6):
+            process = self.site.processes[f"e{i}"]
+            self.assertIn(process.wait(GRACE_S), (0, -signal.SIGTERM))
+
+
 class PipelinedStopTest(StopTestCase):
     """Callers send a request behind another one on their connection."""
 
