Pipelining: tests for each guard of a connection's close

Taken out one by one on a scratch copy, four of the guards were missed by no test; each is now. Noting the shutdown of the receiving side on the connection's handler gained nothing, as no request is served after it, and is out again.

--- a/src/tarragonramp/adapters/pipelining.py
+++ b/src/tarragonramp/adapters/pipelining.py
@@ -150,7 +150,7 @@
             self.sent.set()
             if self.pipeline.closing and self.pipeline.last_sent is self.sent:
                 # Wake the handler that waits for the next request.
-                self.connection_handler.shut_down_receive()
+                self.shut_down_receive()
 
     def finalize_headers(self):
         """Send ``Connection: close`` only with the last response.
--- a/tests/test_pipelining.py
+++ b/tests/test_pipelining.py
@@ -131,6 +131,45 @@
                 self.assertEqual(self.served, ["/200/a"])
                 self.assertEqual(data.count(b"HTTP/1.1 "), 1, data)
 
+    def test_request_with_a_body_behind_another_is_served_by_a_stopping_server(self):
+        """Guards against a response that announces the close before the last one."""
+        connection = self.connect()
+        post = b"POST /1/p HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nhi"
+        connection.sendall(get("/200/a") + post)
+        gevent.sleep(0.05)
+        self.server.begin_shutdown()
+        self.read(connection)
+        self.assertEqual(self.served, ["/200/a", "/1/p"])
+
+    def test_stop_after_a_request_with_a_body_is_announced(self):
+        """Guards against a connection whose close is never announced."""
+        connection = self.connect()
+        post = b"POST /1/p HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nhi"
+        connection.sendall(get("/1/a") + post)
+        self.read(connection, 0.3)
+        self.server.begin_shutdown()
+        connection.sendall(get("/1/b"))
+        self.assertIn(b"Connection: close", self.read(connection, 0.5))
+
+    def test_request_read_after_the_close_was_announced_is_discarded(self):
+        """Guards against a request that runs and whose response is not awaited."""
+        body = b"x" * 200_000
+        length = f"Content-Length: {len(body)}\r\n".encode()
+        for line, rest in (
+            (b"GET /1/a HTTP/1.1\r\n", b"\r\n"),
+            (b"POST /1/p HTTP/1.1\r\n", length + b"\r\n" + body),
+        ):
+            with self.subTest(line):
+                connection = self.connect()
+                connection.sendall(line)
+                gevent.sleep(0.05)
+                (handler,) = (h for h in self.server.connections if h.busy)
+                handler.pipeline.closing = True
+                connection.sendall(b"Host: h\r\n" + rest)
+                connection.settimeout(2.0)
+                self.assertEqual(connection.recv(65_536), b"")
+                self.assertEqual(self.served, [])
+
     def test_only_the_last_response_closes_the_connection(self):
         connection = self.connect()
         connection.sendall(get("/200/a") + get("/250/b"))
