--- a/standins/site.py
+++ b/standins/site.py
@@ -120,6 +120,9 @@
         Settings of daemons, by name.
     vms : list of dict
         The platform's VM list.
+    refusals : dict of str to str
+        Calls that the kernel refuses daemons, by name, as for
+        ``standins.refused_calls``.
     """
 
     folder: str = attrs.Factory(lambda: tempfile.mkdtemp(prefix="site-"))
@@ -130,6 +133,7 @@
     addresses: dict = attrs.Factory(dict)
     settings: dict = attrs.Factory(dict)
     vms: list = attrs.Factory(list)
+    refusals: dict = attrs.Factory(dict)
     _backends: dict = attrs.Factory(dict)
     _links: dict = attrs.Factory(dict)
 
@@ -211,7 +215,9 @@
         path = os.path.join(self.folder, f"{name}.yaml")
         with open(path, "w", encoding="utf-8") as stream:
             yaml.safe_dump(self.settings[name], stream)
-        self._spawn(name, ["-m", "tarragonramp.daemon", "--settings", path])
+        refusals = self.refusals.get(name)
+        launcher = ["-m", "standins.refused_calls", refusals] if refusals else ["-m"]
+        self._spawn(name, [*launcher, "tarragonramp.daemon", "--settings", path])
 
     def wait_ready(self, names):
         """Wait until daemons report that they are ready."""
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -434,6 +434,66 @@
             gevent.sleep(0.05)
 
 
+class RefusedCallTest(unittest.TestCase):
+    """The kernel refuses a daemon's calls, or an error reaches its main greenlet."""
+
+    @classmethod
+    def setUpClass(cls):
+        cls.site = start_site(cls)
+        cls.site.start_backend(
+            Backend("slow", "a", "fraser-valley", "claims", False, 8, 1500.0)
+        )
+        cls.site.start_backend(Backend("records1", "a", "fraser-valley", "records"))
+        cls.start("d1")
+        declare_teams(cls.site, "fraser-valley")
+        cls.site.wait_owned("d1")
+
+    @classmethod
+    def start(cls, name, refusals=""):
+        """Start a daemon that stops at once, and wait until it is ready."""
+        cls.site.refusals[name] = refusals
+        timing = {**TIMING, "unready_ms": 0}
+        cls.site.start_daemon(DaemonSpec(name, "a"), timing=timing)
+        cls.site.wait_ready([name])
+
+    def start_claim(self, name):
+        """Send a claim to a daemon, and wait until it is in progress."""
+        pool = HttpPool(self.site.caller_address(name))
+        call = gevent.spawn(pool.exchange, "POST", "/claims", (), b"claim", 5000)
+        gevent.sleep(0.3)
+        return call
+
+    def wait_for_exit(self, name):
+        """Wait for a process to exit; return its exit code."""
+        return self.site.processes[name].wait(20)
+
+    def test_stop_with_refused_calls_answers_requests_in_hand(self):
+        """Guards against a refused call that ends the process in its drain."""
+        refusals = "filter,accept-empty,close-listener,receive-shutdown,TCP_NODELAY"
+        self.start("d2", refusals)
+        call = self.start_claim("d2")
+        self.assertEqual(self.site.terminate("d2"), 0)
+        self.assertEqual(call.get().unwrap().status, 200)
+        stopped = last_log_line(self.site, "d2", "daemon-stopped")
+        self.assertIn("requests_cut=0", stopped)
+
+    def test_error_in_the_main_greenlet_drains(self):
+        """Guards against an error anywhere that ends the process with its requests."""
+        self.start("d3", "system-error")
+        call = self.start_claim("d3")
+        self.site.signal("d3", signal.SIGUSR2)
+        self.assertEqual(self.wait_for_exit("d3"), 1)
+        self.assertEqual(call.get().unwrap().status, 200)
+
+    def test_daemon_without_bounded_retransmission_names_the_reason_and_ends(self):
+        """Guards against a daemon that cannot keep a request from being late."""
+        self.site.refusals["d4"] = "TCP_USER_TIMEOUT"
+        self.site.start_daemon(DaemonSpec("d4", "a"), timing=TIMING)
+        self.assertEqual(self.wait_for_exit("d4"), 1)
+        line = last_log_line(self.site, "d4", "daemon-not-started")
+        self.assertIn("TCP_USER_TIMEOUT", line)
+
+
 class StartTest(unittest.TestCase):
     """Start-up of daemons without a platform or with an address in use."""
 
