Soak: stops in series, refused calls, and an order behind a look-up

Seeds from 4,000,000 stop one to all daemons at once or shortly after each other, start each daemon with some of its calls refused, and have callers that pipeline an order behind a look-up. New check: a request that ran at a daemon that is being stopped, and not killed or frozen besides, has a whole response. Plans of earlier seeds are unchanged (test_soak's digests).

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -41,6 +41,8 @@
         Of the response.
     daemon : str
         The daemon that the request was sent to.
+    failure : str
+        How the connection ended without a complete response.
     """
 
     request_id: str
@@ -51,6 +53,7 @@
     status: int = 0
     body: bytes = b""
     daemon: str = ""
+    failure: str = ""
 
 
 @attrs.frozen
@@ -97,6 +100,10 @@
         Name of a daemon that was cut off from all servers; start and end.
     outages : list of (str, float, float)
         Name of a process that was down, frozen or stopping; start and end.
+    stops : list of (str, float, float)
+        Name of a daemon that was told to stop; when, and when its process ended.
+    unplanned : list of (str, float, float)
+        Name of a process that was killed or frozen; start and end.
     """
 
     outcomes: list = attrs.Factory(list)
@@ -108,6 +115,8 @@
     link_faults: list = attrs.Factory(list)
     server_cuts: list = attrs.Factory(list)
     outages: list = attrs.Factory(list)
+    stops: list = attrs.Factory(list)
+    unplanned: list = attrs.Factory(list)
 
 
 def find_violations(run):
@@ -135,6 +144,7 @@
         "leaving servers get no new work": _no_late_work(run),
         "new routes are in force": _missing_routes(run),
         "callers of daemons without servers are served": _unserved_cuts(run),
+        "stops cut no request": _cut_by_stops(run, executions),
     }
 
 
@@ -315,6 +325,23 @@
     return violations
 
 
+def _cut_by_stops(run, executions):
+    """Return requests that ran and whose connection a stopping daemon ended.
+
+    A caller that has waited too long closes the connection itself. Requests are exempt
+    if their daemon was also killed or frozen.
+    """
+    return [
+        f"{o.request_id} of {o.daemon}: {o.failure}, {executions[o.request_id]}"
+        for o in run.outcomes
+        if not o.status
+        and o.request_id in executions
+        and "timed out" not in o.failure
+        and _overlaps(_spans_of(run.stops, o.daemon), o.sent_ms, o.answered_ms)
+        and not _overlaps(_spans_of(run.unplanned, o.daemon), o.sent_ms, o.answered_ms)
+    ]
+
+
 def _is_disturbed(run, daemon, outcome):
     """Tell whether a daemon was down or without the store around a request."""
     spans = _spans_of([*run.outages, *run.daemon_faults], daemon, CONTACT_MS)
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -10,6 +10,8 @@
     "FIRST_CUT_SEED",
     "FIRST_EXTENDED_SEED",
     "FIRST_OUTAGE_SEED",
+    "FIRST_STOP_SEED",
+    "REFUSALS",
     "SERVERS",
     "FaultEvent",
     "generate_plan",
@@ -39,6 +41,21 @@
 FIRST_CUT_SEED = 3_000_000
 """First seed whose plans also cut daemons off from all servers."""
 
+FIRST_STOP_SEED = 4_000_000
+"""First seed whose plans also stop daemons in series. The kernel refuses calls of these
+daemons, and some callers send an order behind a look-up."""
+
+REFUSALS = (
+    "",
+    "filter",
+    "accept=5",
+    "filter,accept=7",
+    "accept-empty",
+    "filter,receive-shutdown,close-listener",
+    "TCP_NODELAY,SO_KEEPALIVE,memory",
+)
+"""Calls that a daemon is refused, as for ``standins.refused_calls``."""
+
 CUT_FAULTS = ("cut", "cut-requests", "cut-answers", "refuse", "reset")
 MAX_CUT_MS = 9000.0
 """Maximum duration of a cut from all servers: longer than a hold."""
@@ -109,9 +126,22 @@
         events = sorted([*events, *_outages(rng, run_ms)], key=lambda e: e.at_ms)
     if seed >= FIRST_CUT_SEED:
         events = sorted([*events, *_server_cuts(rng, run_ms)], key=lambda e: e.at_ms)
+    if seed >= FIRST_STOP_SEED:
+        events = sorted([*events, *_stops(rng, run_ms)], key=lambda e: e.at_ms)
     return [event for event in events if event.at_ms < run_ms]
 
 
+def _stops(rng, run_ms):
+    """Return stops of one to all daemons, at once or shortly after each other."""
+    events, at_ms = [], rng.uniform(1000.0, 3000.0)
+    while at_ms + MAX_DURATION_MS < run_ms:
+        for name in rng.sample(list(DAEMONS), rng.randint(1, len(DAEMONS))):
+            events.append(FaultEvent(at_ms, "stop", name, rng.uniform(100.0, 1500.0)))
+            at_ms += rng.choice((0.0, rng.uniform(0.0, 1500.0)))
+        at_ms += rng.uniform(4000.0, 8000.0)
+    return events
+
+
 def _server_cuts(rng, run_ms):
     """Return cuts of daemons, up to whole failure domains, from all servers."""
     events, at_ms = [], rng.uniform(1000.0, 4000.0)
--- a/soak/run.py
+++ b/soak/run.py
@@ -25,11 +25,19 @@
 from standins.fleet_site import HOST, FleetSite, manifest  # noqa: E402
 from standins.proxy import Fault  # noqa: E402
 from standins.site import free_address  # noqa: E402
+from standins.stop_load import StopLoad  # noqa: E402
 from tarragonramp.adapters.http import HttpPool  # noqa: E402
 from tarragonramp.manifest import N_KEYS  # noqa: E402
 
 from .checks import Outcome, Probe, RunRecord, find_violations  # noqa: E402
-from .plan import DAEMONS, FIRST_CUT_SEED, FIRST_OUTAGE_SEED, SERVERS, generate_plan  # noqa: E402
+from .plan import (  # noqa: E402
+    DAEMONS,
+    FIRST_OUTAGE_SEED,
+    FIRST_STOP_SEED,
+    REFUSALS,
+    SERVERS,
+    generate_plan,
+)
 
 __all__ = ["Soak", "main"]
 
@@ -39,6 +47,7 @@
 
 N_CALLERS = 8
 PAUSE_MS = 40.0
+PIPELINED_GAP_S = 0.15
 UNLIMITED = 10_000
 ROUTE_PROPAGATION_S = 2.0
 SEEDS_FILE = "soak/seeds.txt"
@@ -76,6 +85,8 @@
         Servers that are being started.
     start_locks : dict of str to BoundedSemaphore
         Held while a process is checked and started, by name.
+    n_starts : Counter
+        How often each daemon was started.
     """
 
     seed: int
@@ -90,6 +101,7 @@
     anomalies: list = attrs.Factory(list)
     log_offsets: dict = attrs.Factory(dict)
     starting: set = attrs.Factory(set)
+    n_starts: collections.Counter = attrs.Factory(collections.Counter)
     start_locks: dict = attrs.Factory(lambda: collections.defaultdict(BoundedSemaphore))
 
     def execute(self):
@@ -101,6 +113,8 @@
         try:
             self._start()
             callers = [gevent.spawn(self._call, i) for i in range(N_CALLERS)]
+            if self.seed >= FIRST_STOP_SEED:
+                callers.append(gevent.spawn(self._call_pipelined))
             self._run_plan()
             recovered = self._recovers()
             self.stopping = True
@@ -128,7 +142,12 @@
     def _start_daemon(self, name):
         was_started = name in self.site.processes
         self.log_offsets[name] = len(self.site.log_text(name)) if was_started else 0
-        self.site.start_daemon(name, DAEMONS[name])
+        if self.seed < FIRST_STOP_SEED:
+            self.site.start_daemon(name, DAEMONS[name])
+            return
+        n_start = self.n_starts[name] = self.n_starts[name] + 1
+        rng = random.Random(f"{self.seed} {name} {n_start}")
+        self.site.start_daemon(name, DAEMONS[name], "", rng.choice(REFUSALS))
 
     def _is_starting(self, name):
         """Tell whether a daemon's process has not yet reported that it is ready."""
@@ -159,6 +178,7 @@
         began_ms = time.time() * 1000.0
         self.site.kill(event.name)
         self.record.kills.append((event.name, time.time() * 1000.0))
+        self.record.unplanned.append((event.name, began_ms, time.time() * 1000.0))
         gevent.sleep(duration_s)
         self._restart(event.name)
         self._record_outage(event.name, began_ms)
@@ -186,6 +206,7 @@
         process.send_signal(signal.SIGSTOP)
         gevent.sleep(duration_s)
         process.send_signal(signal.SIGCONT)
+        self.record.unplanned.append((event.name, began_ms, time.time() * 1000.0))
         self._record_outage(event.name, began_ms)
         if event.name in DAEMONS:
             fault_span = event.name, began_ms, time.time() * 1000.0
@@ -200,6 +221,7 @@
         with gevent.Timeout(12.0, False):
             while process.poll() is None:
                 gevent.sleep(0.05)
+        self.record.stops.append((event.name, began_ms, time.time() * 1000.0))
         expected = {0, -signal.SIGKILL} | ({-signal.SIGTERM} if is_starting else set())
         if process.poll() not in expected:
             self.anomalies.append(f"{event.name}: exit code {process.poll()}")
@@ -373,9 +395,31 @@
         status, text = (response.status, response.body) if response else (0, b"")
         answered_ms = time.time() * 1000.0
         times_ms = sent_ms, answered_ms
-        outcome = Outcome(request_id, method, path, *times_ms, status, text, daemon)
+        failure = "" if response else str(result.failure())
+        outcome = Outcome(
+            request_id, method, path, *times_ms, status, text, daemon, failure
+        )
         self.record.outcomes.append(outcome)
 
+    def _call_pipelined(self):
+        """Send a look-up and a request with a body behind it to random daemons."""
+        rng = random.Random(self.seed)
+        loads = {
+            name: StopLoad(addresses["front"])
+            for name, addresses in self.site.daemons.items()
+        }
+        while not self.stopping:
+            loads[rng.choice(list(DAEMONS))].start_pipelined(1, "/book/")
+            gevent.sleep(PIPELINED_GAP_S)
+        for name, load in loads.items():
+            load.wait()
+            for a in load.attempts:
+                times_ms = a.sent_ms, a.answered_ms
+                outcome = Outcome(
+                    a.request_id, a.method, a.path, *times_ms, a.status, a.body, name
+                )
+                self.record.outcomes.append(attrs.evolve(outcome, failure=a.failure))
+
     def _recovers(self):
         """Wait until every daemon serves keys of the whole key space.
 
@@ -421,7 +465,7 @@
     length_s : float
         Duration of the faults in each run, in seconds.
     """
-    fresh_seeds = (FIRST_CUT_SEED + secrets.randbelow(1_000_000) for _ in range(fresh))
+    fresh_seeds = (FIRST_STOP_SEED + secrets.randbelow(1_000_000) for _ in range(fresh))
     chosen = [*seeds, *fresh_seeds]
     return sum(not run_seed(seed, length_s) for seed in chosen or regression_seeds())
 
--- a/standins/stop_load.py
+++ b/standins/stop_load.py
@@ -10,7 +10,9 @@
 
 from .fleet_site import HOST
 
-__all__ = ["Attempt", "StopLoad"]
+__all__ = ["PATH", "Attempt", "StopLoad"]
+
+PATH = "/view/"
 
 RECEIVE_BYTES = 65_536
 
@@ -21,21 +23,31 @@
 
     Parameters
     ----------
-    request_id : str
-    sent_ms : float
-        Since the start of the load.
+    request_id, method, path : str
+    sent_ms, answered_ms : float
+        Unix time; the second also of a connection's end without a whole response.
     status : int
         Of a whole response; 0 without one.
+    body : bytes
+        Of the response.
     failure : str
         Why there is no whole response: ``refused`` if no connection was established, or
         how the connection ended.
     """
 
     request_id: str
-    sent_ms: float
+    method: str = "GET"
+    path: str = PATH
+    sent_ms: float = attrs.Factory(lambda: time.time() * 1000.0)
+    answered_ms: float = 0.0
     status: int = 0
+    body: bytes = b""
     failure: str = ""
 
+    def fail(self, failure):
+        """Record the end of the connection."""
+        self.failure, self.answered_ms = failure, time.time() * 1000.0
+
 
 @attrs.define(eq=False)
 class StopLoad:
@@ -50,7 +62,6 @@
 
     address: str
     attempts: list = attrs.Factory(list)
-    _began_s: float = attrs.Factory(time.monotonic)
     _callers: list = attrs.Factory(list)
     _n_attempts: int = 0
 
@@ -73,10 +84,13 @@
         for _ in range(count):
             self._callers.append(gevent.spawn(self._call_kept, pause_ms, lasts_ms))
 
-    def start_pipelined(self, count):
-        """Send a GET and behind it a POST with a body on a connection each, once."""
+    def start_pipelined(self, count, path=PATH):
+        """Send a GET and behind it a POST with a body on a connection each, once.
+
+        ``path`` is that of the POST.
+        """
         for _ in range(count):
-            self._callers.append(gevent.spawn(self._call_pipelined))
+            self._callers.append(gevent.spawn(self._call_pipelined, path))
 
     def wait(self):
         """Wait until all callers have ended; raise their unexpected errors."""
@@ -92,12 +106,10 @@
         """
         return [a for a in self.attempts if runs.get(a.request_id) and not a.status]
 
-    def _now_ms(self):
-        return (time.monotonic() - self._began_s) * 1000.0
-
-    def _new_attempt(self):
+    def _new_attempt(self, method="GET", path=PATH):
         self._n_attempts += 1
-        attempt = Attempt(f"stop-{self.address}-{self._n_attempts}", self._now_ms())
+        request_id = f"stop-{self.address}-{self._n_attempts}"
+        attempt = Attempt(request_id, method, path)
         self.attempts.append(attempt)
         return attempt
 
@@ -106,8 +118,10 @@
         try:
             return socket.create_connection(split_address(self.address), timeout=8.0)
         except ConnectionRefusedError:
-            attempt.failure = "refused"
-            return None
+            attempt.fail("refused")
+        except OSError as error:
+            attempt.fail(f"not connected: {type(error).__name__}")
+        return None
 
     def _call_once(self):
         attempt = self._new_attempt()
@@ -128,14 +142,14 @@
                 connection = None
             gevent.sleep(pause_ms / 1000.0)
 
-    def _call_pipelined(self):
-        first, second = self._new_attempt(), self._new_attempt()
+    def _call_pipelined(self, path):
+        first, second = self._new_attempt(), self._new_attempt("POST", path)
         connection = self._connect(first)
         if connection is None:
-            second.failure = first.failure
+            second.fail(first.failure)
             return
         with connection:
-            post = _request("POST", second.request_id, b"lookup")
+            post = _request("POST", second.request_id, b"lookup", path)
             try:
                 connection.sendall(_request("GET", first.request_id) + post)
                 data = self._receive(connection, first, b"")
@@ -143,7 +157,9 @@
                     self._receive(connection, second, data)
             except OSError as error:
                 attempt = second if first.status else first
-                attempt.failure = type(error).__name__
+                attempt.fail(_describe(error))
+        if not second.status and not second.failure:
+            second.fail(first.failure or "behind the last response")
 
     def _exchange(self, connection, attempt):
         """Send a GET and read the response; return whether the connection stays open.
@@ -155,7 +171,7 @@
             connection.sendall(_request("GET", attempt.request_id))
             data = self._receive(connection, attempt, b"")
         except OSError as error:
-            attempt.failure = type(error).__name__
+            attempt.fail(_describe(error))
             return False
         return data is not None
 
@@ -164,7 +180,7 @@
         while b"\r\n\r\n" not in data:
             piece = connection.recv(RECEIVE_BYTES)
             if not piece:
-                attempt.failure = "closed"
+                attempt.fail("closed")
                 return None
             data += piece
         head, _, body = data.partition(b"\r\n\r\n")
@@ -174,16 +190,17 @@
         while len(body) < length:
             piece = connection.recv(RECEIVE_BYTES)
             if not piece:
-                attempt.failure = "closed within the response"
+                attempt.fail("closed within the response")
                 return None
             body += piece
         attempt.status = int(lines[0].split()[1])
+        attempt.answered_ms, attempt.body = time.time() * 1000.0, body[:length]
         return None if headers.get("connection") == "close" else body[length:]
 
 
-def _request(method, request_id, body=b""):
+def _request(method, request_id, body=b"", path=PATH):
     head = [
-        f"{method} /view/ HTTP/1.1",
+        f"{method} {path} HTTP/1.1",
         f"Host: {HOST}",
         f"Request-Id: {request_id}",
         "Deadline-Ms: 1500",
@@ -191,3 +208,7 @@
     if body:
         head.append(f"Content-Length: {len(body)}")
     return ("\r\n".join(head) + "\r\n\r\n").encode() + body
+
+
+def _describe(error):
+    return "timed out" if isinstance(error, TimeoutError) else type(error).__name__
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -3,6 +3,7 @@
 import contextlib
 import hashlib
 import io
+import itertools
 import os
 import shutil
 import types
@@ -18,6 +19,8 @@
     DAEMONS,
     FIRST_CUT_SEED,
     FIRST_OUTAGE_SEED,
+    FIRST_STOP_SEED,
+    REFUSALS,
     SERVERS,
     FaultEvent,
     generate_plan,
@@ -28,6 +31,7 @@
 
 SHORT_S = 12.0
 SEED = 5
+STOP_SEED = FIRST_STOP_SEED + 5
 
 PLAN_DIGESTS = {17: "ea30f2133152", 510: "e93c7342d24b", 1_108_563: "aa3c6038f699"}
 """Start of the SHA-256 digest of the plan of 30 s, by seed."""
@@ -124,6 +128,28 @@
         self.assertEqual(violated_checks(answered), [])
 
 
+class StopCheckTest(unittest.TestCase):
+    """A request that ran at a daemon that stops from 0 to 100 ms."""
+
+    def violations(self, status=0, failure="closed", **record):
+        """Return the violations if a caller gets an outcome."""
+        lost = Outcome("r1", "GET", "/view/", 50.0, 90.0, status, b"", "d1", failure)
+        entry = ("desk0", 1, "run", 60.0, "r1", "GET", None, "900")
+        run = RunRecord([lost], [entry], **record)
+        return find_violations(run)["stops cut no request"]
+
+    def test_cut_connection_is_a_violation(self):
+        self.assertEqual(len(self.violations(stops=[("d1", 0.0, 100.0)])), 1)
+
+    def test_other_ends_are_none(self):
+        stops = [("d1", 0.0, 100.0)]
+        self.assertEqual(self.violations(stops=[("d2", 0.0, 100.0)]), [])
+        self.assertEqual(self.violations(503, "", stops=stops), [])
+        self.assertEqual(self.violations(failure="a: timed out", stops=stops), [])
+        killed = [("d1", 80.0, 81.0)]
+        self.assertEqual(self.violations(stops=stops, unplanned=killed), [])
+
+
 class ServerCutTest(unittest.TestCase):
     """Callers of a daemon that is cut off from all servers, from 0 to 10 s."""
 
@@ -214,6 +240,24 @@
         for kind in kinds:
             self.assertTrue(callable(getattr(Soak, f"_{kind.replace('-', '_')}")))
 
+    def test_daemons_stop_in_series(self):
+        """Guards against a soak in which stops never overlap."""
+        for seed in range(FIRST_STOP_SEED, FIRST_STOP_SEED + 20):
+            stops = [e for e in generate_plan(seed, 30_000.0) if e.kind == "stop"]
+            gaps_ms = [b.at_ms - a.at_ms for a, b in itertools.pairwise(stops)]
+            self.assertLess(min(gaps_ms), 2000.0, seed)
+
+    def test_daemons_are_refused_calls(self):
+        """Guards against a soak in which the kernel never refuses a call."""
+        started = []
+        site = types.SimpleNamespace(
+            processes={}, start_daemon=lambda *arguments: started.append(arguments[-1])
+        )
+        soak = Soak(FIRST_STOP_SEED, SHORT_S, site)
+        for _ in range(60):
+            soak._start_daemon("d1")
+        self.assertEqual(set(started), set(REFUSALS))
+
     def test_regression_seeds_are_numbers(self):
         self.assertTrue(all(isinstance(seed, int) for seed in regression_seeds()))
 
@@ -343,6 +387,16 @@
         raise RuntimeError("an event failed")
 
 
+class StopSoakTest(unittest.TestCase):
+    """Some seconds of stops in series from a fixed seed, with refused calls."""
+
+    def test_no_invariant_is_violated(self):
+        soak = Soak(STOP_SEED, SHORT_S)
+        found = {name: faults for name, faults in soak.execute().items() if faults}
+        self.assertEqual(found, {})
+        self.assertGreater(len(soak.record.stops), 2)
+
+
 class ShortSoakTest(unittest.TestCase):
     """A few seconds of faults from a fixed seed."""
 
