An entry of another writer that cannot be read hides no other entry

Cause: the spec of a stored entry was unpacked as a mapping before anything had looked at it. Its TypeError ended the task that follows the servers, as often as it was started again, so that no daemon counted as having read all kinds. Nothing stood between the store and the decisions that catches what one entry raises.

--- a/src/tarragonramp/roles/follower.py
+++ b/src/tarragonramp/roles/follower.py
@@ -12,9 +12,10 @@
 import gevent
 import logbook
 from gevent.event import Event
+from returns.result import Failure
 
 from ..adapters.logs import log_event
-from ..errors import HistoryGoneError
+from ..errors import EntryError, HistoryGoneError
 from ..fleet_view import FOLLOWED_KINDS, MANIFEST, RANGES, SERVER, TAKEN_OUT
 from ..manifest import RouteTable
 from ..model import Stored
@@ -540,7 +541,7 @@
             self._apply_ranges(item)
 
     def _apply_manifest(self, item, via):
-        result = self.ports.read_manifest(item.spec)
+        result = _read(self.ports.read_manifest, item.spec)
         if not is_successful(result):
             self._log_unreadable(item, result.failure())
             return
@@ -555,7 +556,7 @@
             )
 
     def _apply_server(self, item, via):
-        result = self.ports.read_server(item)
+        result = _read(self.ports.read_server, item)
         if not is_successful(result):
             self._log_unreadable(item, result.failure())
             return
@@ -627,3 +628,11 @@
             version=item.version,
             reason=str(error),
         )
+
+
+def _read(parse, stored):
+    """Parse what other programs have stored; whatever that raises is a Failure."""
+    try:
+        return parse(stored)
+    except Exception as error:
+        return Failure(EntryError(repr(error)))
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -71,6 +71,25 @@
         return self.follower.updates_since({kind: since_version})
 
 
+class UnreadableEntryTest(unittest.TestCase):
+    """Entries whose parsing raises an error that nobody foresaw."""
+
+    def test_other_entries_are_applied(self):
+        """Guards against one entry that ends the task that follows all of them."""
+
+        def read(item):
+            if item.name == "bad":
+                raise OverflowError("too large")
+            return read_server(item)
+
+        ports = types.SimpleNamespace(read_server=read)
+        follower = Follower(FleetView(ManualClock()), None, None, ports, ManualClock())
+        rows = [["bad", 5, {}], ["s1", 5, {}]]
+        listed = {"version": 5, "names": ["bad", "s1"], "objects": rows}
+        follower.apply_updates({SERVER: listed})
+        self.assertEqual(list(follower.view.directory.servers), ["s1"])
+
+
 class MissingServerTest(unittest.TestCase):
     """A server's entry is missing after a store failure."""
 
--- a/tests/test_platform_folder.py
+++ b/tests/test_platform_folder.py
@@ -141,6 +141,34 @@
         self.assertEqual([item.name for item in parsed], ["a", "b"])
         self.assertEqual(version, 10)
 
+    def test_items_that_cannot_be_read_do_not_hide_the_others(self):
+        """Guards against one entry that ends the task that follows all of them."""
+        good = {"meta": {"name": "a", "rev": 5}, "spec": {"born": 1}, "status": {}}
+        bad = [
+            {**good, "spec": "text"},
+            {**good, "spec": [1]},
+            {**good, "status": "text"},
+            {**good, "meta": None},
+            {**good, "meta": {"name": "\ud800", "rev": 5}},
+            {**good, "meta": {"name": "b", "rev": "five"}},
+            {"meta": {"name": "c"}},
+            "text",
+            None,
+        ]
+        store = MetadataStore("10.0.0.1:80")
+        page = {"items": [*bad, good], "hasMore": False, "storeRevision": 10}
+        store._pool = PagedPool(page)
+        _, items = store.snapshot("server").unwrap()
+        self.assertEqual(items[-1].spec, {"born": 1, "status": {}})
+        self.assertFalse(any(is_successful(read_server(item)) for item in items))
+        events = [{"object": item} for item in (*bad, good)]
+        deleted = {"object": good, "deleted": True}
+        store._pool = PagedPool({"events": [*events, deleted], "storeRevision": 11})
+        _, items = store.watch("server", 10, 100).unwrap()
+        self.assertEqual(items[-2].spec, {"born": 1, "status": {}})
+        self.assertIsNone(items[-1].spec)
+        self.assertEqual([i.name for i in items[:-2] if i.spec is None], [])
+
 
 class FolderTest(unittest.TestCase):
     """The separation of the product from the platform's adapters."""
@@ -179,6 +207,12 @@
             ("addr", "10.0.0.1:99999"),
             ("born", True),
             ("born", "1000"),
+            ("born", 10**400),
+            ("addr", "a\ud800:80"),
+            ("info.slots", 10**400),
+            ("info.zone", "\udc00"),
+            ("info.service", "x" * 5000),
+            ("status.warmupLeft", "9" * 400 + "ms"),
             ("info", None),
             ("info.slots", 0),
             ("info.slots", "3"),
