A server's entry whose status stands in its spec is read again

The check of shapes took a status of null beside the spec for the status itself, so that no daemon became ready with such entries.

--- a/tests/test_platform_folder.py
+++ b/tests/test_platform_folder.py
@@ -155,7 +155,11 @@
             "text",
             None,
         ]
+        inner = {**good, "spec": {"status": {"seq": 1}}, "status": None}
         store = MetadataStore("10.0.0.1:80")
+        store._pool = PagedPool({"items": [inner], "storeRevision": 9})
+        _, items = store.snapshot("server").unwrap()
+        self.assertEqual(items[0].spec, {"status": {"seq": 1}})
         page = {"items": [*bad, good], "hasMore": False, "storeRevision": 10}
         store._pool = PagedPool(page)
         _, items = store.snapshot("server").unwrap()
