A request whose service loses its routes while it is read is served

Callers: 500 for a request that arrived just before a manifest that leaves its service without a route. is_urgent() looked the service up in the new table. test_route_of_an_earlier_manifest_is_compared failed before (KeyError).

--- a/src/tarragonramp/manifest.py
+++ b/src/tarragonramp/manifest.py
@@ -140,9 +140,13 @@
                 self._top_priority[part.service] = min(known, route.priority)
 
     def is_urgent(self, route):
-        """Tell whether no other route to one of its services is more urgent."""
+        """Tell whether no other route to one of its services is more urgent.
+
+        The route may come from an earlier manifest.
+        """
         return any(
-            self._top_priority[part.service] == route.priority for part in route.parts
+            self._top_priority.get(part.service, route.priority) == route.priority
+            for part in route.parts
         )
 
     def find(self, host, path):
--- a/tests/test_fleet_routes.py
+++ b/tests/test_fleet_routes.py
@@ -64,6 +64,10 @@
         self.assertTrue(self.table.is_urgent(urgent))
         self.assertTrue(self.table.is_urgent(other))
 
+    def test_route_of_an_earlier_manifest_is_compared(self):
+        """Guards against a request that fails as its service has lost its routes."""
+        self.assertTrue(self.table.is_urgent(route("/old/", ("gone", 1), priority=3)))
+
 
 class VersionTest(unittest.TestCase):
     """A manifest in force is never replaced by an older one."""
