--- a/tests/test_fleet_stop.py
+++ b/tests/test_fleet_stop.py
@@ -3,6 +3,7 @@
 import collections
 import signal
 import unittest
+from unittest import mock
 
 import gevent
 
@@ -10,7 +11,11 @@
 from standins.proxy import Fault
 from standins.site import free_address
 from standins.stop_load import StopLoad
+from tarragonramp.adapters.fleet_peers import DELEGATED_PREFIX
 from tarragonramp.adapters.http import HttpPool
+from tarragonramp.adapters.serving import DrainResult, RequestInProgress
+from tarragonramp.clock import Clock
+from tarragonramp.fleet import FleetDaemon
 
 WORK_MS = 400
 GRACE_S = 6.0
@@ -280,6 +285,37 @@
             self.assertIn(process.wait(GRACE_S), (0, -signal.SIGTERM))
 
 
+class DelegatedDrainTest(unittest.TestCase):
+    """A drain with requests of other daemons' callers in progress."""
+
+    def drain(self, grace_ms):
+        """Drain a daemon with one such request; return the requests logged as cut."""
+        self.daemon = mock.Mock(is_ready=False, clock=Clock())
+        self.daemon.settings.bounds.grace_ms = grace_ms
+        mine = RequestInProgress("r1", "/view/", 9.0)
+        self.daemon.caller_server.drain.return_value = DrainResult(1, (mine,))
+        self.daemon.delegate.in_progress = 1
+        delegated = RequestInProgress("r2", f"{DELEGATED_PREFIX}/view/", 9.0)
+        self.daemon._delegated_requests.side_effect = lambda: (
+            [delegated] if self.daemon.delegate.in_progress else []
+        )
+        ending = gevent.spawn_later(
+            0.3, lambda: setattr(self.daemon.delegate, "in_progress", 0)
+        )
+        with mock.patch("tarragonramp.fleet.log_requests_cut") as log:
+            FleetDaemon._drain(self.daemon)
+        ending.kill()
+        return [request.request_id for request in log.call_args.args[0]]
+
+    def test_drain_waits_for_delegated_requests(self):
+        """Guards against a request that ends with the process that has taken it."""
+        self.assertEqual(self.drain(4000.0), ["r1"])
+
+    def test_requests_in_hand_at_the_end_of_grace_are_logged(self):
+        """Guards against a request that ends with the process and leaves no line."""
+        self.assertEqual(self.drain(500.0), ["r1", "r2"])
+
+
 class PipelinedStopTest(StopTestCase):
     """Callers send a request behind another one on their connection."""
 
