--- a/tests/test_platform_folder.py
+++ b/tests/test_platform_folder.py
@@ -163,6 +163,8 @@
         page = {"items": [*bad, good], "hasMore": False, "storeRevision": 10}
         store._pool = PagedPool(page)
         _, items = store.snapshot("server").unwrap()
+        # A name that can be read stays listed, as its server has not left.
+        self.assertEqual([item.name for item in items], ["a"] * 4)
         self.assertEqual(items[-1].spec, {"born": 1, "status": {}})
         self.assertFalse(any(is_successful(read_server(item)) for item in items))
         events = [{"object": item} for item in (*bad, good)]
