An owner is asked to release its keys where it was granted them

Cause: renewals and releases went to the address that is listed under the owner's name now. Any program may write such an entry. The server that has that address rightly answers 421 to a message for another name, and this counted as proof that the owner's process had ended, so its keys went to others while it held them.

Fix: a table records addresses by process, name and life, and not by name alone; the stored form had a row for each process already. All messages about a range go to the address that was recorded when the range was given to that process. An answer from there is an answer of the process that was granted the keys, or proof that another one has its address. A listed process that is granted keys at another address gets no more until it has none. A process that starts again under its name at a new address proves nothing about the earlier one; its keys wait for the end of its grants.

Also: a fence for a range that moves between two lives of one server was sent as if to the later life, as only names were compared.

--- a/src/tarragonramp/range_placement.py
+++ b/src/tarragonramp/range_placement.py
@@ -48,6 +48,11 @@
     slots: int = 1
     slowdown: float = 1.0
 
+    @property
+    def identity(self):
+        """Name and life, which identify the process that a grant is for."""
+        return self.name, self.life
+
 
 def initial_table(service, candidates):
     """Return a table in which adjacent ranges have different owners.
@@ -66,7 +71,7 @@
         # Shifted by one in each round, so that no two servers are always adjacent.
         owner = ordered[(place + turn) % len(ordered)]
         ranges.append(KeyRange(first, last, owner.name, owner.life, 1))
-    addresses = {candidate.name: candidate.address for candidate in ordered}
+    addresses = {candidate.identity: candidate.address for candidate in ordered}
     return RangeTable(service, tuple(ranges), addresses, n_ranges)
 
 
--- a/src/tarragonramp/ranges.py
+++ b/src/tarragonramp/ranges.py
@@ -65,6 +65,16 @@
     old_life: int = 0
     old_token: int = 0
 
+    @property
+    def identity(self):
+        """Name and life of the owner's process."""
+        return self.owner, self.life
+
+    @property
+    def old_identity(self):
+        """Name and life of the previous owner's process."""
+        return self.old_owner, self.old_life
+
     @property
     def is_moving(self):
         """Whether the previous owner may still hold the keys."""
@@ -118,9 +128,9 @@
     ----------
     service : str
     ranges : tuple of KeyRange
-    addresses : dict of str to str
-        Addresses of the owners, including those that are no longer registered. Some
-        former owners may still be among them.
+    addresses : dict of (str, int) to str
+        By name and life, the address at which each owner is granted its ranges, also if
+        another one is registered by now. Some former owners may still be among them.
     n_initial : int
         Number of equal ranges into which the key space was divided initially, before
         any range was split; 0 for a table that does not cover all keys.
@@ -146,7 +156,7 @@
         if self._by_owner is None:
             self._by_owner = {}
             for item in self.ranges:
-                self._by_owner.setdefault((item.owner, item.life), []).append(item)
+                self._by_owner.setdefault(item.identity, []).append(item)
         return self._by_owner
 
     @property
@@ -170,8 +180,8 @@
         ----------
         changed : iterable of KeyRange
             If a range was split, all of its pieces.
-        addresses : dict of str to str
-            Addresses of new owners.
+        addresses : dict of (str, int) to str
+            Addresses of new owners, by name and life.
 
         Raises
         ------
@@ -192,11 +202,11 @@
             at = bisect.bisect_right(firsts, item.first)
             ranges.insert(at, item)
             firsts.insert(at, item.first)
-        named, added = _names_in(changed), dict(addresses)
+        named, added = _identities_in(changed), dict(addresses)
         known = {**self.addresses, **{n: a for n, a in added.items() if n in named}}
         if len(known) > len(ranges):
             # Former owners are dropped only now, as it takes a pass over all ranges.
-            named = _names_in(ranges)
+            named = _identities_in(ranges)
             known = {n: address for n, address in known.items() if n in named}
         return RangeTable(self.service, tuple(ranges), known, self.n_initial)
 
@@ -231,13 +241,13 @@
         range would be three times as long; each move writes the table twice, and other
         daemons read it over metered links.
         """
-        owners = {(r.owner, r.life) for r in self.ranges}
-        owners |= {(r.old_owner, r.old_life) for r in self.ranges if r.is_moving}
+        owners = {r.identity for r in self.ranges}
+        owners |= {r.old_identity for r in self.ranges if r.is_moving}
         servers = sorted(owners)
         index = {identity: at for at, identity in enumerate(servers)}
         return {
             "service": self.service,
-            "servers": [[n, life, self.addresses.get(n, "")] for n, life in servers],
+            "servers": [[*owner, self.addresses.get(owner, "")] for owner in servers],
             **self._bounds_spec(),
             "owners": [index[r.owner, r.life] for r in self.ranges],
             "tokens": [r.token for r in self.ranges],
@@ -268,7 +278,7 @@
         """
         try:
             owners = [(name, life) for name, life, _ in spec["servers"]]
-            addresses = {name: address for name, _, address in spec["servers"]}
+            addresses = {(name, life): text for name, life, text in spec["servers"]}
             bounds, n_initial = spec["bounds"], 0
             if isinstance(bounds, int):
                 n_initial = bounds
@@ -284,9 +294,9 @@
             raise ValueError(f"invalid range table: {error!r}") from error
 
 
-def _names_in(ranges):
-    """Return the names of all current and earlier owners of some ranges."""
-    return {name for item in ranges for name in (item.owner, item.old_owner)}
+def _identities_in(ranges):
+    """Return name and life of all current and earlier owners of some ranges."""
+    return {owner for item in ranges for owner in (item.identity, item.old_identity)}
 
 
 def even_bounds(n_ranges):
--- a/src/tarragonramp/roles/granter.py
+++ b/src/tarragonramp/roles/granter.py
@@ -156,7 +156,7 @@
 
         A range is granted to its new owner only once the store records it as free.
         """
-        candidates = self._candidates(service)
+        candidates = self._candidates(service, table)
         if table is None:
             return self._assign_initially(service, candidates)
         freed = [
@@ -193,7 +193,7 @@
                 owners=_join_names(item.owner for item in moved),
             )
             self.n_moves += len(moved)
-        addresses = {candidate.name: candidate.address for candidate in candidates}
+        addresses = {c.identity: c.address for c in candidates}
         # Recorded before anything, including this leader's next round, can read the
         # split ranges.
         self._record_splits(service, newer, changed)
@@ -277,9 +277,13 @@
             table, candidates, self.leadership.recent_load(service)
         )
 
-    def _candidates(self, service):
+    def _candidates(self, service, table):
         directory, now_ms = self.view.directory, self.clock.now_ms()
-        usable = directory.usable(service)
+        usable = [
+            server
+            for server in directory.usable(service)
+            if not self._is_granted_elsewhere(table, server)
+        ]
         warm = [server for server in usable if not directory.is_cold(server.name)]
         reached = [
             s for s in warm or usable if not self.tracker.is_unreachable(s.identity)
@@ -295,6 +299,17 @@
             for server in reached or warm or usable
         ]
 
+    def _is_granted_elsewhere(self, table, server):
+        """Return whether a listed process is granted keys at another address.
+
+        One of the two addresses is not its own. It gets no more keys until it has none.
+        """
+        if table is None or server.address == table.addresses.get(server.identity):
+            return False
+        return server.identity in table.by_owner or any(
+            item.old_identity == server.identity for item in table.moving
+        )
+
     def _keeps_owner(self, service, item):
         """Return whether a range stays with its owner, even a cold or unreachable one.
 
@@ -304,6 +319,8 @@
         server = self.view.directory.servers.get(item.owner)
         if server is None or server.life != item.life:
             return False
+        if self._is_granted_elsewhere(self.view.tables[service], server):
+            return False
         if not self.view.directory.may_serve(server):
             return False
         if not self.tracker.is_unreachable(server.identity):
@@ -367,7 +384,7 @@
                 break
             # The flag is kept until tokens are raised: a closed connection is reported
             # only once.
-            if self.tracker.has_closed_connection(service, identity[0]):
+            if self.tracker.has_closed_connection(service, identity):
                 log_event("server-closed-connection", server=identity[0])
                 connection_state.is_broken = True
             if connection_state.is_broken and not self._raise_tokens(service, owned):
@@ -481,7 +498,7 @@
         if not relay:
             return self._renew_directly(service, due, connection_state)
         send = functools.partial(self.relays.send, relay)
-        results = self.tracker.renew_via_relay(send, service, owner, due)
+        results = self.tracker.renew_via_relay(send, service, identity, due)
         unconfirmed = [
             (item, result)
             for item, result in zip(due, results, strict=True)
@@ -550,7 +567,7 @@
         """Renew one range and record the outcome in ``connection_state``."""
         if not self._is_due(service, item):
             return
-        result = self.tracker.grant(service, item, item.owner, item.token)
+        result = self.tracker.grant(service, item, item.identity, item.token)
         if self._handle_renewal(service, item, result, connection_state):
             return
         if has_no_connection(result):
--- a/src/tarragonramp/roles/grants.py
+++ b/src/tarragonramp/roles/grants.py
@@ -169,7 +169,7 @@
         self,
         service,
         item,
-        owner,
+        identity,
         token,
         handover="",
         hold_ms=None,
@@ -186,8 +186,8 @@
         ----------
         service : str
         item : KeyRange
-        owner : str
-            The server that gets the grant.
+        identity : (str, int)
+            Name and life of the server that gets the grant.
         token : int
         handover : str, default=""
             State that the previous owner handed over.
@@ -200,9 +200,10 @@
         -------
         result : Result
         """
-        address = self._address(service, owner)
+        address = self._address(service, identity)
         if not address:
             return NO_ADDRESS
+        name, life = identity
         key = service, item.first, token
         is_new_token = record is not None or key in self._unsent
         self._unsent.discard(key)
@@ -215,7 +216,7 @@
         state.n_in_flight += 1
         try:
             result = self.grants.grant(
-                owner,
+                name,
                 address,
                 item.first,
                 item.last,
@@ -223,7 +224,7 @@
                 hold_ms,
                 handover,
                 GRANT_TIMEOUT_MS,
-                life=item.life if owner == item.owner else item.old_life,
+                life=life,
                 **options,
             )
         finally:
@@ -240,7 +241,7 @@
         """
         return self.clock.now_ms() < self.leadership.sole_until_ms
 
-    def renew_via_relay(self, send, service, owner, items):
+    def renew_via_relay(self, send, service, identity, items):
         """Renew ranges of one owner through another daemon.
 
         Parameters
@@ -248,7 +249,9 @@
         send : callable
             ``send(owner, address, items, hold_ms, are_new_tokens)``, which returns a
             list of Results.
-        service, owner : str
+        service : str
+        identity : (str, int)
+            Name and life of the owner.
         items : list of KeyRange
 
         Returns
@@ -256,7 +259,7 @@
         results : list of Result
             One for each range.
         """
-        address = self._address(service, owner)
+        address = self._address(service, identity)
         if not address:
             return [NO_ADDRESS] * len(items)
         keys = [(service, item.first, item.token) for item in items]
@@ -267,7 +270,9 @@
         for state in states:
             state.n_in_flight += 1
         try:
-            results = send(owner, address, items, self.timing.hold_ms, are_new_tokens)
+            results = send(
+                identity[0], address, items, self.timing.hold_ms, are_new_tokens
+            )
         finally:
             for state in states:
                 state.n_in_flight -= 1
@@ -348,11 +353,14 @@
             ranges[key] = max(until_ms, ranges.get(key, 0.0))
         return attrs.evolve(before, ranges=ranges)
 
-    def _address(self, service, name):
-        server = self.view.directory.servers.get(name)
-        if server is not None:
-            return server.address
-        return self.view.tables[service].addresses.get(name, "")
+    def _address(self, service, identity):
+        """Return the address at which a process instance is granted keys.
+
+        It is the recorded one, also if another one is listed by now. Any program may
+        write an entry, and an answer from another address proves nothing about the
+        process that holds the keys.
+        """
+        return self.view.tables[service].addresses.get(identity, "")
 
     def forget(self, service, first, token):
         """Discard the grants of a range under a token that can no longer be held."""
@@ -389,7 +397,7 @@
         result : Result
             Success with the state that the old owner hands over.
         """
-        address = self._address(service, item.old_owner)
+        address = self._address(service, item.old_identity)
         if not address:
             return NO_ADDRESS
         token = item.old_token
@@ -432,7 +440,7 @@
         result = self.grant(
             service,
             item,
-            item.old_owner,
+            item.old_identity,
             token,
             hold_ms=FENCE_HOLD_MS,
             record=item.old_token,
@@ -465,7 +473,7 @@
         server = self.view.directory.servers.get(name)
         return server is not None and server.life > life
 
-    def has_closed_connection(self, service, name):
+    def has_closed_connection(self, service, identity):
         """Return whether a server has closed the connection that its grants use."""
-        address = self._address(service, name)
+        address = self._address(service, identity)
         return bool(address) and self.grants.has_closed_connection(address)
--- a/src/tarragonramp/roles/mover.py
+++ b/src/tarragonramp/roles/mover.py
@@ -120,8 +120,9 @@
         process instance of it is asked as well: a grant meant for the earlier instance
         may have reached it before it was listed.
 
-        What is stored about other servers proves nothing, as any program may write it:
-        that the address has another server is learned from whoever answers there.
+        Stored entries prove nothing, as any program may write them. The old owner is
+        asked at the address of its grants: that another server has the address by now
+        is learned from whoever answers there.
         """
         release_tried = self.view.directory.servers.get(item.old_owner) is None
         while self.tracker.may_act(service, item):
@@ -173,7 +174,9 @@
         that the state that the old owner handed over is not lost.
         """
         while self.tracker.is_current(service, item):
-            result = self.tracker.grant(service, item, item.owner, item.token, handover)
+            result = self.tracker.grant(
+                service, item, item.identity, item.token, handover
+            )
             if is_successful(result):
                 return True
             if has_no_connection(result):
--- a/tests/fleet_mutants.py
+++ b/tests/fleet_mutants.py
@@ -40,7 +40,7 @@
 
 
 def _release_without_fence(self, service, item):
-    address = self._address(service, item.old_owner)
+    address = self._address(service, item.old_identity)
     return self.grants.release(
         item.old_owner, address, item.first, item.last, item.old_token, 8000.0
     )
@@ -83,7 +83,7 @@
     self._release_tasks.pop(key, None)
     proof, handover = self._prove_release(service, item)
     if proof is not None:
-        self.tracker.grant(service, item, item.owner, item.token, handover)
+        self.tracker.grant(service, item, item.identity, item.token, handover)
 
 
 def _leave_tokens_unraised(self, service, items):
--- /dev/null
+++ b/tests/test_fleet_entries.py
@@ -0,0 +1,138 @@
+"""Entries that other programs write into the store, beside running owners of keys.
+
+Real processes; the servers' logs tell which keys each of them held, and when.
+"""
+
+import json
+import signal
+import time
+import unittest
+
+import gevent
+
+from soak.checks import RunRecord, find_violations
+from standins.fleet_site import FleetSite, manifest
+
+OWNERS = ("parts0", "parts1", "parts2")
+LEAVING, OTHER = OWNERS[:2]
+DAEMONS = {"d1": "a", "d2": "b"}
+KEYS = range(0, 65_536, 701)
+
+CALL_INTERVAL_S = 0.05
+WRITE_INTERVAL_S, WRITING_S = 0.03, 4.0
+"""Shorter than the interval of the servers' own writes, which replace an entry."""
+
+AFTER_DRAIN_S = 8.0
+"""Longer than a hold, so that the end of each hold is seen."""
+
+
+class EntriesOfOtherWritersTest(unittest.TestCase):
+    """A server drains and goes on serving while another program writes entries."""
+
+    def setUp(self):
+        self.site = FleetSite()
+        self.addCleanup(self.site.close)
+        self.site.start_store()
+        self.site.control_store(write=["config", "main", manifest(1), None])
+        self.site.start_server("desk0", "desk", "a")
+        for name, domain in zip(OWNERS, "aba", strict=True):
+            self.site.start_server(name, "parts", domain, "--work-ms", "40")
+        for name, domain in DAEMONS.items():
+            self.site.start_daemon(name, domain)
+        self.site.wait_ready(*DAEMONS)
+        self.statuses = []
+        tasks = [gevent.spawn(self.call_forever, name) for name in DAEMONS]
+        self.addCleanup(gevent.killall, tasks)
+        self.site.wait(lambda: all(map(self.holds_keys, OWNERS)), "owners have keys")
+        gevent.sleep(1.0)
+
+    def call_forever(self, daemon):
+        """Send requests for all keys in turn."""
+        number = 0
+        while True:
+            number += 1
+            key = KEYS[number % len(KEYS)]
+            answer = self.site.call(daemon, "/parts/", f"{daemon}-{number}", key)
+            self.statuses.append(answer.status if answer is not None else 0)
+            gevent.sleep(CALL_INTERVAL_S)
+
+    def holds_keys(self, name):
+        """Return whether a server has been granted keys."""
+        return any(entry[0] == "grant" for entry in self.site.server_log_entries(name))
+
+    def entry(self, address_of, service="parts", **status):
+        """Return an entry of a process that has started now."""
+        return {
+            "addr": self.site.server_addresses[address_of],
+            "born": int(time.time() * 1000),
+            "info": {"service": service, "version": "v1", "zone": "a", "slots": 4},
+            "status": {"state": "ready", "seq": 1, "warmupLeft": "0ms", **status},
+        }
+
+    def write(self, name, entry):
+        """Write an entry into the store."""
+        self.site.control_store(write=["servers", name, entry, None])
+
+    def write_repeatedly(self, name, entry):
+        """Start to write an entry, more often than the server writes its own."""
+
+        def write():
+            until_s = time.monotonic() + WRITING_S
+            while time.monotonic() < until_s:
+                self.write(name, entry)
+                gevent.sleep(WRITE_INTERVAL_S)
+
+        self.addCleanup(gevent.spawn(write).kill)
+        gevent.sleep(1.0)
+
+    def drain_and_check(self, name=LEAVING):
+        """Have a server drain; no key may have two owners, and keys are served."""
+        self.site.signal(name, signal.SIGUSR1)
+        gevent.sleep(AFTER_DRAIN_S)
+        entries = [
+            json.loads(line)
+            for owner in OWNERS
+            for line in self.site.log_text(owner).splitlines()
+            if line.startswith("[")
+        ]
+        violations = find_violations(RunRecord(entries=entries))
+        self.assertEqual(violations["one owner"], [])
+        self.assertEqual(violations["increasing tokens"], [])
+        last = self.statuses[-2 * len(KEYS) // 3 :]
+        self.assertGreater(last.count(200), 0.9 * len(last), last)
+
+    def test_owner_is_asked_despite_entry_of_unknown_service(self):
+        """Guards against a release that goes to an address of no server in use."""
+        self.write_repeatedly(LEAVING, self.entry(OTHER, service="inventory"))
+        self.drain_and_check()
+
+    def test_owner_is_asked_at_the_address_of_its_grants(self):
+        """Guards against a release that goes to the address that is listed now."""
+        self.write_repeatedly(LEAVING, self.entry(OTHER))
+        self.drain_and_check()
+
+    def test_owner_is_asked_by_a_leader_that_reads_the_entry_first(self):
+        """Guards against a new leader that asks at the address that is listed."""
+        self.write_repeatedly(LEAVING, self.entry(OTHER))
+        for name in DAEMONS:
+            self.site.kill(name)
+        for name, domain in DAEMONS.items():
+            self.site.start_daemon(name, domain)
+        self.site.wait_ready(*DAEMONS)
+        self.drain_and_check()
+
+    def test_owner_is_asked_although_its_entry_is_deleted(self):
+        """Guards against a missing entry that counts as the end of its server."""
+
+        def delete():
+            for _ in range(round(WRITING_S / WRITE_INTERVAL_S)):
+                self.site.control_store(delete=["servers", LEAVING])
+                gevent.sleep(WRITE_INTERVAL_S)
+
+        self.addCleanup(gevent.spawn(delete).kill)
+        gevent.sleep(1.0)
+        self.drain_and_check()
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_granter.py
+++ b/tests/test_granter.py
@@ -53,7 +53,7 @@
 
     def __init__(self):
         self.calls, self.answers, self.lost = [], {}, False
-        self.bounds = []
+        self.bounds, self.addresses = [], []
 
     def has_closed_connection(self, address):
         """Return whether the kept connection was closed."""
@@ -63,11 +63,13 @@
         """Record a grant."""
         self.calls.append(("grant", server, token))
         self.bounds.append(bounds)
+        self.addresses.append(("grant", server, address))
         return self.answers.get(("grant", server), Success(None))
 
     def release(self, server, address, first, last, token, timeout_ms):
         """Record a release."""
         self.calls.append(("release", server, token))
+        self.addresses.append(("release", server, address))
         return self.answers.get(("release", server), Success("handover"))
 
 
@@ -117,7 +119,7 @@
     def assign_all(self, owner="old", token=1, life=1):
         """Assign all keys to a server, in the store and in the leader's view."""
         item = KeyRange(0, N_KEYS - 1, owner, life, token)
-        table = RangeTable("parts", (item,), {owner: f"{owner}:80"})
+        table = RangeTable("parts", (item,), {(owner, life): f"{owner}:80"})
         stored = self.store.put("ramp-ranges", "parts", table.to_spec(), 0).unwrap()
         self.view.update_table(table, stored.version)
 
@@ -433,7 +435,9 @@
             KeyRange(first, first + N_KEYS // 64 - 1, owner, 1, 1)
             for first, owner in zip(bounds, owners, strict=True)
         )
-        table = RangeTable("parts", ranges, {"lost": "lost:80", "old": "old:80"})
+        table = RangeTable(
+            "parts", ranges, {("lost", 1): "lost:80", ("old", 1): "old:80"}
+        )
         stored = self.store.put("ramp-ranges", "parts", table.to_spec(), 0).unwrap()
         self.view.update_table(table, stored.version)
         self.servers.answers["release", "lost"] = REFUSED
@@ -468,6 +472,68 @@
         gevent.sleep(0.3)
         self.assertEqual(self.grants_to("new"), [])
 
+    def answer_misdirected(self, address):
+        """Have another server answer for ``old`` at an address."""
+        release = self.servers.release
+
+        def release_there(name, at, *arguments):
+            result = release(name, at, *arguments)
+            if (name, at) == ("old", address):
+                return Failure(WrongServerError("another server"))
+            return result
+
+        self.servers.release = release_there
+
+    def check_release_despite(self, listed):
+        """Fail unless ``old`` is asked where it was granted keys, and nowhere else."""
+        self.assign_all()
+        self.register(attrs.evolve(listed, draining=True), server("new"))
+        self.set_previous_leader_stop(0.0)
+        self.answer_misdirected(listed.address)
+        self.servers.answers["release", "old"] = UNANSWERED
+        self.start_leader()
+        self.assertTrue(self.wait(lambda: self.releases_of("old")))
+        gevent.sleep(0.3)
+        self.assertEqual(self.grants_to("new"), [])
+        asked = {at for _, name, at in self.servers.addresses if name == "old"}
+        self.assertEqual(asked, {"old:80"})
+
+    def test_owner_is_released_at_the_address_of_its_grants(self):
+        """Guards against the answer of another server as proof of the owner's end."""
+        self.check_release_despite(attrs.evolve(server("old"), address="other:80"))
+
+    def test_later_life_at_another_address_is_not_asked_for_the_earlier_one(self):
+        """Guards against a listed later life whose address is another server's."""
+        later = attrs.evolve(server("old", life=2), address="other:80")
+        self.check_release_despite(later)
+
+    def test_owner_listed_at_another_address_gets_no_more_keys(self):
+        """Guards against renewals that go to the address that is listed now."""
+        self.assign_all()
+        elsewhere = attrs.evolve(server("old"), address="other:80")
+        self.register(elsewhere, server("new"))
+        self.servers.answers["release", "old"] = UNANSWERED
+        self.start_leader()
+        self.assertTrue(self.wait(lambda: self.releases_of("old")))
+        self.assertEqual({at for *_, at in self.servers.addresses}, {"old:80"})
+        item = self.view.tables["parts"].find(0)
+        self.assertEqual((item.owner, item.old_identity), ("new", ("old", 1)))
+        self.servers.answers.clear()
+        self.assertTrue(self.wait(lambda: self.grants_to("new")))
+
+    def test_owner_that_has_no_keys_left_is_granted_at_its_new_address(self):
+        """Guards against a server that gets no keys as it once had another address."""
+        self.assign_all()
+        elsewhere = attrs.evolve(server("old"), address="other:80")
+        self.register(elsewhere, server("new"))
+        self.start_leader()
+        self.assertTrue(self.wait(lambda: self.grants_to("new")))
+        draining = attrs.evolve(server("new"), draining=True)
+        self.register(draining)
+        granted = ("grant", "old", "other:80")
+        self.assertTrue(self.wait(lambda: granted in self.servers.addresses))
+        self.assertNotIn(("release", "old", "other:80"), self.servers.addresses)
+
     def test_restarted_owner_gets_higher_token(self):
         self.assign_all()
         self.register(server("old", life=2))
@@ -726,7 +792,7 @@
         """Otherwise it would renew owners that the previous leader replaced."""
         self.assign_all()
         moved = KeyRange(0, N_KEYS - 1, "new", 1, 1 + TOKEN_STEP)
-        table = RangeTable("parts", (moved,), {"new": "new:80"})
+        table = RangeTable("parts", (moved,), {("new", 1): "new:80"})
         version = self.view.table_version("parts")
         self.store.put("ramp-ranges", "parts", table.to_spec(), version)
         self.register(server("old"), server("new"))
@@ -817,7 +883,7 @@
         ranges = tuple(
             KeyRange(first, last, owner, 1, 1) for first, last in even_bounds(n_ranges)
         )
-        table = RangeTable("parts", ranges, {owner: f"{owner}:80"})
+        table = RangeTable("parts", ranges, {(owner, 1): f"{owner}:80"})
         stored = self.store.put("ramp-ranges", "parts", table.to_spec(), 0).unwrap()
         self.view.update_table(table, stored.version)
 
@@ -912,7 +978,7 @@
     def test_conflicting_table_is_adopted(self):
         self.assign_all()
         item = KeyRange(0, N_KEYS - 1, "old", 1, 9)
-        other = RangeTable("parts", (item,), {"old": "old:80"})
+        other = RangeTable("parts", (item,), {("old", 1): "old:80"})
         version = self.view.table_version("parts")
         self.store.put("ramp-ranges", "parts", other.to_spec(), version)
         self.register(server("new"))
--- a/tests/test_ranges.py
+++ b/tests/test_ranges.py
@@ -31,7 +31,7 @@
         candidates = [Candidate(f"s{i}", 7, f"10.0.0.{i}:80") for i in range(3)]
         table = initial_table("parts", candidates)
         changed = [table.ranges[i].moved_to("s9", 3) for i in moved]
-        table = table.with_ranges(changed, {"s9": "10.0.0.9:80"})
+        table = table.with_ranges(changed, {("s9", 3): "10.0.0.9:80"})
         restored = RangeTable.from_spec(table.to_spec())
         self.assertEqual(restored.ranges, table.ranges)
         self.assertEqual(restored.addresses, table.addresses)
@@ -40,7 +40,7 @@
     def test_difference_updates_an_earlier_table(self, before, after):
         candidates = [Candidate(f"s{i}", 7, f"10.0.0.{i}:80") for i in range(3)]
         table = initial_table("parts", candidates)
-        places = {"s8": "10.0.0.8:80", "s9": "10.0.0.9:80"}
+        places = {("s8", 3): "10.0.0.8:80", ("s9", 3): "10.0.0.9:80"}
         moved = [table.ranges[i].moved_to("s8", 3) for i in before]
         earlier = table.with_ranges(moved, places)
         settled = [earlier.ranges[i].settled().moved_to("s9", 3) for i in after]
@@ -58,10 +58,11 @@
             name = f"s{number}"
             item = table.ranges[number % len(table.ranges)].settled()
             moved = item.moved_to(name, number).settled()
-            table = table.with_ranges([moved], {name: f"10.0.0.{number}:80"})
-            self.assertEqual(table.addresses[name], f"10.0.0.{number}:80")
+            address = f"10.0.0.{number}:80"
+            table = table.with_ranges([moved], {moved.identity: address})
+            self.assertEqual(table.addresses[moved.identity], address)
             self.assertLessEqual(len(table.addresses), len(table.ranges))
-        owners = {item.owner for item in table.ranges}
+        owners = {item.identity for item in table.ranges}
         self.assertLessEqual(owners, table.addresses.keys())
 
     @given(st.lists(st.integers(0, N_KEYS - 2), min_size=1, max_size=30))
