An entry of a service that the manifest does not name is nobody's

Callers: while another program writes an entry under the name of a running server, with a service of no manifest, the keys of that server move away and back: 226 releases in 4 s, for entries written each 30 ms.

Cause: such an entry was listed like any other, so that its life, address, state and failure domain replaced those of the server.

Fix: an entry is applied once a manifest names its service. Until then it is kept aside, as servers may register before the manifest is read or names them. A server in use stays known while a manifest leaves its service out, so that its draining state is still read.

Evidence: test_entry_of_unknown_service_moves_no_key (real daemons; 226 releases before, none now) and the three tests of UnusedServiceTest failed before. Three tests of news between daemons now have a manifest that names their servers' service; their checks are the same.

--- a/src/tarragonramp/manifest.py
+++ b/src/tarragonramp/manifest.py
@@ -139,6 +139,10 @@
                 known = self._top_priority.get(part.service, route.priority)
                 self._top_priority[part.service] = min(known, route.priority)
 
+    def names_service(self, name):
+        """Tell whether the manifest declares a service or routes requests to it."""
+        return name in self.manifest.services or name in self._top_priority
+
     def is_urgent(self, route):
         """Tell whether no other route to one of its services is more urgent.
 
--- a/src/tarragonramp/roles/follower.py
+++ b/src/tarragonramp/roles/follower.py
@@ -117,6 +117,7 @@
     _last_failure_ms: float = float("-inf")
     _follows_store: Event = attrs.Factory(Event)
     _logged_unreadable: set = attrs.Factory(set)
+    _unused_servers: dict = attrs.Factory(dict)
     _to_reread: set = attrs.Factory(set)
     _watch_tasks: dict = attrs.Factory(dict)
     _kinds_catching_up: set = attrs.Factory(set)
@@ -527,6 +528,7 @@
         has_failed_lately = self._failure_age_ms() is not None
         may_return = has_failed_lately or len(names) >= MASS_LOSS_COUNT
         for name in names:
+            self._unused_servers.pop(name, None)
             if name in self.view.directory.servers:
                 log_event("server-gone", server=name, may_return=may_return)
             missing_for_ms = missing_ms.get(name, 0.0)
@@ -554,14 +556,21 @@
                 store_version=item.version,
                 via=via,
             )
+            for unused in list(self._unused_servers.values()):
+                self._apply_server(unused, via)
 
     def _apply_server(self, item, via):
+        self._unused_servers.pop(item.name, None)
         result = _read(self.ports.read_server, item)
         if not is_successful(result):
             self._log_unreadable(item, result.failure())
             return
         server, directory = result.unwrap(), self.view.directory
         before = directory.servers.get(server.name)
+        if not self._is_used(server, before):
+            self._unused_servers[item.name] = item
+            self._log_unused(server, item)
+            return
         missing_ms = directory.missing_ms(server.name)
         directory.upsert(server)
         if missing_ms is not None:
@@ -592,6 +601,25 @@
                 via=via,
             )
 
+    def _is_used(self, server, before):
+        """Return whether requests may be routed to a server of this service.
+
+        An entry of any other service is nobody's, also under the name of a server that
+        is in use. A server that was in use stays known while a manifest leaves its
+        service out.
+        """
+        routes = self.view.routes
+        if routes is None:
+            return False
+        return routes.names_service(server.service) or (
+            before is not None and before.service == server.service
+        )
+
+    def _log_unused(self, server, item):
+        """Log an entry that is left out although the manifest is known."""
+        if self.view.routes is not None:
+            self._log_unreadable(item, f"no service {server.service!r} in the manifest")
+
     def _apply_ranges(self, item):
         try:
             self.history.record(self._load_table(item), item.version)
--- a/tests/test_fleet_entries.py
+++ b/tests/test_fleet_entries.py
@@ -106,6 +106,24 @@
         self.write_repeatedly(LEAVING, self.entry(OTHER, service="inventory"))
         self.drain_and_check()
 
+    def test_entry_of_unknown_service_moves_no_key(self):
+        """Guards against a running owner whose entry counts as replaced."""
+        n_releases, n_calls = self.n_releases(), len(self.statuses)
+        self.write_repeatedly(LEAVING, self.entry(OTHER, service="inventory"))
+        gevent.sleep(WRITING_S)
+        self.assertEqual(self.n_releases(), n_releases)
+        statuses = self.statuses[n_calls:]
+        self.assertGreater(len(statuses), len(KEYS) / 2)
+        self.assertEqual(set(statuses), {200})
+
+    def n_releases(self):
+        """Return how many ranges have been released by any server."""
+        return sum(
+            entry[0] == "release"
+            for name in OWNERS
+            for entry in self.site.server_log_entries(name)
+        )
+
     def test_owner_is_asked_at_the_address_of_its_grants(self):
         """Guards against a release that goes to the address that is listed now."""
         self.write_repeatedly(LEAVING, self.entry(OTHER))
--- a/tests/test_fleet_news.py
+++ b/tests/test_fleet_news.py
@@ -15,6 +15,7 @@
 from tarragonramp.directory import MISSING_ROUTABLE_MS, BackendServer
 from tarragonramp.fleet_view import FOLLOWED_KINDS, SERVER, FleetView
 from tarragonramp.leadership import LeaderRecord
+from tarragonramp.manifest import FleetService, Manifest, RouteTable
 from tarragonramp.roles.follower import Follower
 from tarragonramp.roles.leadership import Leadership
 
@@ -73,6 +74,8 @@
     def new_daemon(self, name):
         """Return the leadership of a daemon whose view is empty."""
         view = FleetView(self.clock)
+        services = {"desk": FleetService("desk")}
+        view.update_routes(RouteTable(Manifest(1, (), services)))
         ports = types.SimpleNamespace(read_server=self.read_server)
         follower = Follower(view, None, None, ports, self.clock)
         arguments = f"boot-{name}", f"{name}:1", view, None, self.link, follower
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -10,7 +10,8 @@
 
 from tarragonramp.clock import Clock, ManualClock
 from tarragonramp.directory import MISSING_ROUTABLE_MS, BackendServer
-from tarragonramp.fleet_view import RANGES, SERVER, FleetView
+from tarragonramp.fleet_view import MANIFEST, RANGES, SERVER, FleetView
+from tarragonramp.manifest import FleetService, Manifest, RouteTable
 from tarragonramp.model import Stored
 from tarragonramp.range_placement import Candidate, initial_table
 from tarragonramp.ranges import RangeTable
@@ -30,6 +31,12 @@
     return Follower(FleetView(clock), None, None, None, clock)
 
 
+def use_services(follower, *names):
+    """Let a follower read a manifest that declares some services."""
+    services = {name: FleetService(name) for name in names}
+    follower.view.update_routes(RouteTable(Manifest(1, (), services)))
+
+
 def read(follower, version):
     """Let a follower apply all tables as stored at a version."""
     row = ["parts", version, table_at(version).to_spec()]
@@ -84,12 +91,69 @@
 
         ports = types.SimpleNamespace(read_server=read)
         follower = Follower(FleetView(ManualClock()), None, None, ports, ManualClock())
+        use_services(follower, "desk")
         rows = [["bad", 5, {}], ["s1", 5, {}]]
         listed = {"version": 5, "names": ["bad", "s1"], "objects": rows}
         follower.apply_updates({SERVER: listed})
         self.assertEqual(list(follower.view.directory.servers), ["s1"])
 
 
+class UnusedServiceTest(unittest.TestCase):
+    """Entries of services that the manifest may or may not name."""
+
+    def setUp(self):
+        clock = ManualClock(10_000.0)
+        ports = types.SimpleNamespace(
+            read_server=lambda item: Success(
+                BackendServer(item.name, item.version, item.spec, "s:80", "a", 1)
+            ),
+            read_manifest=lambda spec: Success(
+                Manifest(spec[0], (), {name: FleetService(name) for name in spec[1]})
+            ),
+        )
+        self.follower = Follower(FleetView(clock), None, None, ports, clock)
+        self.version = 0
+
+    def update(self, kind, **specs):
+        """Apply a list of objects of a kind, by name."""
+        self.version += 1
+        rows = [[name, self.version, spec] for name, spec in specs.items()]
+        found = {"version": self.version, "names": list(specs), "objects": rows}
+        self.follower.apply_updates({kind: found})
+
+    def services(self):
+        """Return the services of the known servers, by name."""
+        servers = self.follower.view.directory.servers
+        return {name: server.service for name, server in servers.items()}
+
+    def test_entry_of_unknown_service_replaces_no_server(self):
+        """Guards against a running owner whose entry another program has replaced."""
+        self.update(MANIFEST, main=[1, ["parts"]])
+        self.update(SERVER, s1="parts")
+        self.update(SERVER, s1="inventory", s2="inventory")
+        self.assertEqual(self.services(), {"s1": "parts"})
+
+    def test_servers_are_known_once_a_manifest_names_their_service(self):
+        """Guards against servers that are registered before their service."""
+        self.update(SERVER, s1="parts", s2="desk", s3="inventory")
+        self.assertEqual(self.services(), {})
+        self.update(MANIFEST, main=[1, ["parts"]])
+        self.assertEqual(self.services(), {"s1": "parts"})
+        self.update(SERVER, s1="parts", s2="desk")
+        self.update(MANIFEST, main=[2, ["parts", "desk", "inventory"]])
+        self.assertEqual(self.services(), {"s1": "parts", "s2": "desk"})
+
+    def test_server_stays_known_while_no_manifest_names_its_service(self):
+        """Guards against requests to a server whose draining state was not read."""
+        self.update(MANIFEST, main=[1, ["parts"]])
+        self.update(SERVER, s1="parts")
+        self.update(MANIFEST, main=[2, ["desk"]])
+        self.update(SERVER, s1="parts", s2="parts")
+        self.assertEqual(self.services(), {"s1": "parts"})
+        server = self.follower.view.directory.servers["s1"]
+        self.assertEqual(server.life, self.version)
+
+
 class MissingServerTest(unittest.TestCase):
     """A server's entry is missing after a store failure."""
 
@@ -100,6 +164,7 @@
         row = ["s1", 5, {}]
         listed = {"version": 5, "names": ["s1"], "objects": [row]}
         for follower in chain:
+            use_services(follower, "desk")
             follower.apply_updates({SERVER: listed})
         chain[0].record_store_failure()
         chain[0].apply_updates({SERVER: {"version": 7, "names": [], "objects": []}})
