A late copy of an earlier answer no longer passes for that to a release

Cause: a server may send an extra response late, where the next one is due. So an answer was matched to a call by its place on the connection, and the copy of a grant's 200 was taken for the answer to the release that followed, which comes only once running work has ended. In the same way the copy of a refusal passed for the answer to the next grant, and the server held keys that it seemed to have refused.

Fix: a release has a connection of its own, which has carried no answer before and carries none afterwards. A grant's connection is kept only after a 200; the copy of a 200 can make a grant count as held for longer than it is, never for shorter.

The stand-in of a server can now copy its answers.

--- a/src/tarragonramp/adapters/http.py
+++ b/src/tarragonramp/adapters/http.py
@@ -147,6 +147,7 @@
         may_send=None,
         new_connection=False,
         carriers=None,
+        kept_after=None,
     ) -> Result:
         """Send a request once and read the complete response.
 
@@ -179,6 +180,9 @@
             Connections that have carried the same request. None of them is used, as a
             late copy of an earlier response would be taken for this one's; the
             connection that is used is added.
+        kept_after : collection of int, optional
+            Statuses after which the connection is kept for other requests; by default
+            any. A late copy of the response would be taken for that of the next one.
 
         Returns
         -------
@@ -232,7 +236,8 @@
             raise
         if self.traffic is not None:
             self.traffic.received(kind_of(method, target), n_received)
-        self._release(connection, parser)
+        is_kept = kept_after is None or parser.status_code in kept_after
+        self._release(connection, parser, is_kept)
         response = Response(
             parser.status_code, tuple(parser.items()), bytes(parser._body_buffer)
         )
@@ -316,8 +321,8 @@
                 raise HTTPParseError("response body longer than the limit")
         return parser, n_received
 
-    def _release(self, connection, parser):
-        closes = parser.should_close() or not parser.is_final
+    def _release(self, connection, parser, is_kept):
+        closes = not is_kept or parser.should_close() or not parser.is_final
         if closes or len(self._idle) >= self.max_idle:
             connection.close()
             return
--- a/standins/fleet_server.py
+++ b/standins/fleet_server.py
@@ -14,10 +14,11 @@
 import gevent  # noqa: E402
 
 from tarragonramp.adapters.http import HttpPool  # noqa: E402
-from tarragonramp.adapters.web import HEADERS_KEY, WebServer  # noqa: E402
+from tarragonramp.adapters.web import HEADERS_KEY, WebHandler, WebServer  # noqa: E402
 
 HEARTBEAT_INTERVAL_MS = 300.0
 LOG, FAULTS = "/stand-in/log", "/stand-in/faults"
+GRANT, RELEASE = "/-/grant", "/-/release"
 
 
 @attrs.define
@@ -38,6 +39,9 @@
         The response lacks the header ``Upstream-Stamp``.
     silent_grants : int
         Grants that are applied but not answered in time.
+    copy_answers : int
+        Grants and releases whose answer is followed by a copy, sent late, where the
+        next answer on the connection is expected.
     """
 
     shed: int = 0
@@ -46,6 +50,7 @@
     foreign: int = 0
     unmarked: int = 0
     silent_grants: int = 0
+    copy_answers: int = 0
 
     def consume(self, name):
         """Tell whether a fault occurs now, and decrement its counter."""
@@ -110,9 +115,9 @@
         expected = headers.get("expect-upstream")
         if expected and expected != self.name:
             return self._not_run(start_response, 421)
-        if path == "/-/grant":
+        if path == GRANT:
             return self._grant(json.loads(body), start_response)
-        if path == "/-/release":
+        if path == RELEASE:
             return self._release(json.loads(body), start_response)
         if "request-id" not in headers:
             return self._not_run(start_response, 400)
@@ -226,6 +231,32 @@
         self._record("draining")
 
 
+class CopyingHandler(WebHandler):
+    """Sends copies of some answers before the next answer on their connection."""
+
+    _copy = b""
+
+    def read_requestline(self):
+        """Wait for the next request; send the copy of the last answer, if any."""
+        line = super().read_requestline()
+        if line and self._copy:
+            copy, self._copy = self._copy, b""
+            self.socket.sendall(copy)
+        return line
+
+    def _sendall(self, data):
+        super()._sendall(data)
+        is_answer = self.path in (GRANT, RELEASE) and data.startswith(b"HTTP/1.1 ")
+        if is_answer and self.server.application.faults.consume("copy_answers"):
+            self._copy = data
+
+
+class Server(WebServer):
+    """A web server that may send copies of answers."""
+
+    handler_class = CopyingHandler
+
+
 def _control_store(store, **command):
     store.exchange("POST", "/control", (), json.dumps(command).encode(), 500)
 
@@ -269,7 +300,7 @@
     gevent.signal_handler(signal.SIGUSR1, start_draining)
     gevent.signal_handler(signal.SIGUSR2, deregister)
     gevent.spawn(server.run_heartbeats, options.store)
-    WebServer(options.listen or options.address, server).serve_forever()
+    Server(options.listen or options.address, server).serve_forever()
 
 
 if __name__ == "__main__":
--- a/tests/fleet_simulation.py
+++ b/tests/fleet_simulation.py
@@ -435,11 +435,15 @@
         reuse_only=False,
         tag=None,
         may_send=None,
+        new_connection=False,
+        kept_after=(),
     ):
         """Send a grant or release request, as ``HttpPool`` does."""
         simulation, server = self.daemon.simulation, self.server
         until_ms = simulation.scheduler.now_ms + timeout_ms
-        connection = self._take_idle(tag if reuse_only else None)
+        connection = None
+        if not new_connection:
+            connection = self._take_idle(tag if reuse_only else None)
         if connection is None and reuse_only:
             return Failure(NoConnectionError("no open connection"))
         if connection is None:
@@ -458,7 +462,7 @@
         boot = connection.boot
         request = ServerRequest(target.endswith("grant"), json.loads(body))
         result = simulation.call_server(self.daemon, server, boot, request, timeout_ms)
-        if isinstance(result, Success):
+        if isinstance(result, Success) and result.unwrap().status in kept_after:
             self._idle.append(connection)
         return result
 
--- a/tests/test_fleet_exploration.py
+++ b/tests/test_fleet_exploration.py
@@ -34,7 +34,9 @@
         run_scenario, "leader partitioned with its servers"
     ),
     "a grant without a response is not in doubt": partial(run_seed, 24),
-    "renewals open connections without the store": partial(run_seed, 38),
+    "renewals open connections without the store": partial(
+        run_scenario, "server and relay restart without the store"
+    ),
     "in-doubt grants are not handed over": partial(
         run_scenario, "leader replaced while requests are delayed"
     ),
--- a/tests/test_fleet_entries.py
+++ b/tests/test_fleet_owners.py
@@ -1,8 +1,9 @@
-"""Entries that other programs write into the store, beside running owners of keys.
+"""Owners of keys that serve on, beside other programs' entries and late answers.
 
 Real processes; the servers' logs tell which keys each of them held, and when.
 """
 
+import itertools
 import json
 import signal
 import time
@@ -17,6 +18,7 @@
 LEAVING, OTHER = OWNERS[:2]
 DAEMONS = {"d1": "a", "d2": "b"}
 KEYS = range(0, 65_536, 701)
+UNLIMITED = 100_000
 
 CALL_INTERVAL_S = 0.05
 WRITE_INTERVAL_S, WRITING_S = 0.03, 4.0
@@ -26,8 +28,10 @@
 """Longer than a hold, so that the end of each hold is seen."""
 
 
-class EntriesOfOtherWritersTest(unittest.TestCase):
-    """A server drains and goes on serving while another program writes entries."""
+class OwnersTestCase(unittest.TestCase):
+    """Three servers that own keys, two daemons, and callers of all keys."""
+
+    work_ms, slots, n_callers = 40, 4, 1
 
     def setUp(self):
         self.site = FleetSite()
@@ -36,23 +40,26 @@
         self.site.control_store(write=["config", "main", manifest(1), None])
         self.site.start_server("desk0", "desk", "a")
         for name, domain in zip(OWNERS, "aba", strict=True):
-            self.site.start_server(name, "parts", domain, "--work-ms", "40")
+            options = ("--work-ms", str(self.work_ms), "--slots", str(self.slots))
+            self.site.start_server(name, "parts", domain, *options)
         for name, domain in DAEMONS.items():
             self.site.start_daemon(name, domain)
         self.site.wait_ready(*DAEMONS)
         self.statuses = []
-        tasks = [gevent.spawn(self.call_forever, name) for name in DAEMONS]
+        tasks = [
+            gevent.spawn(self.call_forever, name, number)
+            for name in DAEMONS
+            for number in range(self.n_callers)
+        ]
         self.addCleanup(gevent.killall, tasks)
         self.site.wait(lambda: all(map(self.holds_keys, OWNERS)), "owners have keys")
         gevent.sleep(1.0)
 
-    def call_forever(self, daemon):
+    def call_forever(self, daemon, caller):
         """Send requests for all keys in turn."""
-        number = 0
-        while True:
-            number += 1
-            key = KEYS[number % len(KEYS)]
-            answer = self.site.call(daemon, "/parts/", f"{daemon}-{number}", key)
+        for number in itertools.count(caller * len(KEYS) // self.n_callers):
+            key, request_id = KEYS[number % len(KEYS)], f"{daemon}-{caller}-{number}"
+            answer = self.site.call(daemon, "/parts/", request_id, key)
             self.statuses.append(answer.status if answer is not None else 0)
             gevent.sleep(CALL_INTERVAL_S)
 
@@ -60,6 +67,26 @@
         """Return whether a server has been granted keys."""
         return any(entry[0] == "grant" for entry in self.site.server_log_entries(name))
 
+    def drain_and_check(self, name=LEAVING):
+        """Have a server drain; no key may have two owners, and keys are served."""
+        self.site.signal(name, signal.SIGUSR1)
+        gevent.sleep(AFTER_DRAIN_S)
+        entries = [
+            json.loads(line)
+            for owner in OWNERS
+            for line in self.site.log_text(owner).splitlines()
+            if line.startswith("[")
+        ]
+        violations = find_violations(RunRecord(entries=entries))
+        self.assertEqual(violations["one owner"], [])
+        self.assertEqual(violations["increasing tokens"], [])
+        last = self.statuses[-2 * len(KEYS) // 3 :]
+        self.assertGreater(last.count(200), 0.9 * len(last), last)
+
+
+class EntriesOfOtherWritersTest(OwnersTestCase):
+    """A server drains and goes on serving while another program writes entries."""
+
     def entry(self, address_of, service="parts", **status):
         """Return an entry of a process that has started now."""
         return {
@@ -85,22 +112,6 @@
         self.addCleanup(gevent.spawn(write).kill)
         gevent.sleep(1.0)
 
-    def drain_and_check(self, name=LEAVING):
-        """Have a server drain; no key may have two owners, and keys are served."""
-        self.site.signal(name, signal.SIGUSR1)
-        gevent.sleep(AFTER_DRAIN_S)
-        entries = [
-            json.loads(line)
-            for owner in OWNERS
-            for line in self.site.log_text(owner).splitlines()
-            if line.startswith("[")
-        ]
-        violations = find_violations(RunRecord(entries=entries))
-        self.assertEqual(violations["one owner"], [])
-        self.assertEqual(violations["increasing tokens"], [])
-        last = self.statuses[-2 * len(KEYS) // 3 :]
-        self.assertGreater(last.count(200), 0.9 * len(last), last)
-
     def test_owner_is_asked_despite_entry_of_unknown_service(self):
         """Guards against a release that goes to an address of no server in use."""
         self.write_repeatedly(LEAVING, self.entry(OTHER, service="inventory"))
@@ -152,5 +163,18 @@
         self.drain_and_check()
 
 
+class LateAnswersTest(OwnersTestCase):
+    """Servers send a late second copy of each of their answers to grants."""
+
+    work_ms, slots, n_callers = 400, 12, 6
+
+    def test_late_copy_of_a_grant_answer_is_no_release(self):
+        """Guards against a new owner while the old one is at work on the keys."""
+        for name in OWNERS:
+            self.site.inject_server_faults(name, copy_answers=UNLIMITED)
+        gevent.sleep(3.0)
+        self.drain_and_check()
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_platform_folder.py
+++ b/tests/test_platform_folder.py
@@ -7,6 +7,8 @@
 import sys
 import unittest
 
+import gevent
+from gevent.server import StreamServer
 from returns.pipeline import is_successful
 from returns.result import Success
 
@@ -126,6 +128,61 @@
         self.assertEqual(self.tokens, [8])
 
 
+class LateCopyTest(unittest.TestCase):
+    """Grants and releases at a server that sends a late copy of each response."""
+
+    def setUp(self):
+        self.handled, self.statuses = [], []
+        self.server = StreamServer(("127.0.0.1", 0), self.handle)
+        self.server.start()
+        self.addCleanup(self.server.stop)
+        self.address = f"127.0.0.1:{self.server.server_port}"
+        self.grants = HttpGrants(HttpPools())
+
+    def handle(self, connection, peer):
+        """Respond to each request, after a copy of the connection's last response."""
+        copy = b""
+        while request := connection.recv(4096):
+            connection.sendall(copy)
+            kind = request.split(b" ")[1].decode()
+            if kind == "/-/release":
+                # Requests for the keys are still being executed.
+                gevent.sleep(0.2)
+            self.handled.append(kind)
+            status = self.statuses.pop(0) if self.statuses else 200
+            copy = f"HTTP/1.1 {status} S\r\nContent-Length: 0\r\n\r\n".encode()
+            connection.sendall(copy)
+
+    def grant(self, token):
+        """Grant keys 0 to 9; return the Result."""
+        return self.grants.grant("s1", self.address, 0, 9, token, 7e3, "", 1e3, life=1)
+
+    def release(self):
+        """Release keys 0 to 9; return the Result."""
+        return self.grants.release("s1", self.address, 0, 9, 1, 1000.0)
+
+    def test_copy_of_a_grant_response_does_not_answer_a_release(self):
+        """Guards against keys that count as released while requests are executed."""
+        self.assertTrue(is_successful(self.grant(1)))
+        self.assertTrue(is_successful(self.release()))
+        self.assertEqual(self.handled, ["/-/grant", "/-/release"])
+
+    def test_copy_of_a_release_response_does_not_answer_another_call(self):
+        """Guards against a second release, or a grant, that counts as carried out."""
+        for call in (self.release, self.release, lambda: self.grant(1)):
+            n_handled = len(self.handled)
+            self.assertTrue(is_successful(call()))
+            self.assertEqual(len(self.handled), n_handled + 1)
+
+    def test_copy_of_a_refusal_does_not_answer_the_next_grant(self):
+        """Guards against keys that a server holds although it seems to refuse them."""
+        for status in (409, 421):
+            with self.subTest(status):
+                self.grants, self.statuses = HttpGrants(HttpPools()), [status]
+                self.assertFalse(is_successful(self.grant(1)))
+                self.assertTrue(is_successful(self.grant(2)))
+
+
 class ListTest(unittest.TestCase):
     """Objects of a kind, read from the store in several pages."""
 
