Another name at an owner's address no longer closes its grant connections

Callers: while the store is away, the keys of a server whose address stands in another server's entry would no longer be renewed, since new connections need new tokens. With the store, its tokens were raised and a connection was opened every 2.6 s.

Cause: connections for grants, and the life that they lead to, were kept by address. Grants to two names at one address closed each other's connections as those of an earlier process.

Fix: they are kept by address and name.

Evidence: test_another_name_at_the_address_closes_no_connection failed before. Stubs of the port take the server's name as well.

--- a/src/tarragonramp/adapters/http.py
+++ b/src/tarragonramp/adapters/http.py
@@ -332,7 +332,7 @@
 
 @attrs.define(eq=False, repr=False)
 class HttpPools:
-    """One pool per address, created on first use.
+    """One pool per address and user, created on first use.
 
     Parameters
     ----------
@@ -348,11 +348,11 @@
     options: dict = attrs.Factory(dict)
     _pools: dict = attrs.Factory(dict)
 
-    def at(self, address):
-        """Return the pool of an address."""
-        pool = self._pools.get(address)
+    def at(self, address, user=""):
+        """Return the pool of an address, with connections that only ``user`` shares."""
+        pool = self._pools.get((address, user))
         if pool is None:
-            pool = self._pools[address] = HttpPool(
+            pool = self._pools[address, user] = HttpPool(
                 address,
                 self.answer_bytes,
                 self.traffic,
--- a/src/tarragonramp/roles/grants.py
+++ b/src/tarragonramp/roles/grants.py
@@ -476,4 +476,6 @@
     def has_closed_connection(self, service, identity):
         """Return whether a server has closed the connection that its grants use."""
         address = self._address(service, identity)
-        return bool(address) and self.grants.has_closed_connection(address)
+        if not address:
+            return False
+        return self.grants.has_closed_connection(identity[0], address)
--- a/src/tarragonramp/roles/relay.py
+++ b/src/tarragonramp/roles/relay.py
@@ -117,7 +117,7 @@
         results = []
         if self.monitor.is_cut_off:
             return {"results": ["not sent"]}
-        if self.grants.has_closed_connection(address):
+        if self.grants.has_closed_connection(server, address):
             # The server may have restarted, which the leader has to find out first.
             return {"results": ["not sent"]}
         for first, last, token, is_new_token in message["ranges"]:
--- a/tests/fleet_simulation.py
+++ b/tests/fleet_simulation.py
@@ -277,9 +277,9 @@
         for task in (self.run_leadership, self.poll_store, self.granter.run):
             simulation.scheduler.spawn_in(process, task)
 
-    def pool(self, address):
+    def pool(self, address, user):
         """Return the connection pool of a backend server."""
-        return self.pools.setdefault(address, ConnectionPool(self, address))
+        return self.pools.setdefault((address, user), ConnectionPool(self, address))
 
     def run_leadership(self):
         """Renew the leader's record while leading, otherwise check it."""
--- a/tests/test_granter.py
+++ b/tests/test_granter.py
@@ -55,7 +55,7 @@
         self.calls, self.answers, self.lost = [], {}, False
         self.bounds, self.addresses = [], []
 
-    def has_closed_connection(self, address):
+    def has_closed_connection(self, server, address):
         """Return whether the kept connection was closed."""
         return self.lost
 
@@ -661,7 +661,7 @@
         self.assertTrue(self.wait(lambda: self.grants_to("old")))
         self.leader.may_move = False
         closed = iter([True])
-        self.servers.has_closed_connection = lambda address: next(closed, False)
+        self.servers.has_closed_connection = lambda *peer: next(closed, False)
         before = len(self.grants_to("old"))
         gevent.sleep(TIMING.regrant_ms / 1000.0 + 3.0)
         self.assertEqual(len(self.grants_to("old")), before)
--- a/tests/test_platform_folder.py
+++ b/tests/test_platform_folder.py
@@ -81,10 +81,10 @@
         start_response("200 OK", [("Content-Length", "0")])
         return []
 
-    def grant(self, token, life=1, reuse_only=False):
+    def grant(self, token, life=1, reuse_only=False, server="s1"):
         """Grant keys 0 to 9; return the type of the error, or None."""
         result = self.grants.grant(
-            "s1",
+            server,
             self.address,
             0,
             9,
@@ -127,6 +127,13 @@
         self.assertIs(self.grant(5, life=1, reuse_only=True), NoConnectionError)
         self.assertEqual(self.tokens, [8])
 
+    def test_another_name_at_the_address_closes_no_connection(self):
+        """Guards against an owner that is not renewed because of another entry."""
+        self.grant(5)
+        self.grant(1, life=2, server="s2")
+        self.assertIsNone(self.grant(5, reuse_only=True))
+        self.assertFalse(self.grants.has_closed_connection("s1", self.address))
+
 
 class LateCopyTest(unittest.TestCase):
     """Grants and releases at a server that sends a late copy of each response."""
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -51,7 +51,7 @@
         self.answers, self.took_ms, self.bounds = {}, 0.0, []
         self.relay = Relay(self, self.clock)
 
-    def has_closed_connection(self, address):
+    def has_closed_connection(self, server, address):
         """Return whether the kept connection was closed."""
         return self.lost
 
