--- a/tests/test_granter.py
+++ b/tests/test_granter.py
@@ -507,6 +507,20 @@
         later = attrs.evolve(server("old", life=2), address="other:80")
         self.check_release_despite(later)
 
+    def test_fence_is_sent_to_the_earlier_life_of_the_new_owner(self):
+        """Guards against a fence that closes the connections to the new process."""
+        item = KeyRange(0, N_KEYS - 1, "old", 1, 1).moved_to("old", 2)
+        places = {("old", 1): "old:80", ("old", 2): "later:80"}
+        table = RangeTable("parts", (item,), places)
+        stored = self.store.put("ramp-ranges", "parts", table.to_spec(), 0).unwrap()
+        self.view.update_table(table, stored.version)
+        self.register(attrs.evolve(server("old", life=2), address="later:80"))
+        self.set_previous_leader_stop(0.0)
+        self.start_leader()
+        self.assertTrue(self.wait(lambda: FENCE in self.grants_to("old")))
+        self.assertEqual(self.servers.bounds[0]["life"], 1)
+        self.assertEqual(self.servers.addresses[0], ("grant", "old", "old:80"))
+
     def test_owner_listed_at_another_address_gets_no_more_keys(self):
         """Guards against renewals that go to the address that is listed now."""
         self.assign_all()
