An answer without a boot id is no proof that an earlier leader has ended

Found by reading, as a path of the same kind: a new leader asks for the end of the earlier one at its address, and any answer whose boot id differed counted as that of a later process there, also one without any. The daemons always send theirs, so an answer without one comes from some other program, and the earlier leader may be paused and renew grants once it resumes.

Fix: such an answer counts like none; the earlier leader's right has to end.

Evidence: test_answer_without_a_boot_id_does_not_end_the_leader failed before (stopped 9 s too early). Not seen with real processes.

--- a/src/tarragonramp/roles/leadership.py
+++ b/src/tarragonramp/roles/leadership.py
@@ -684,7 +684,11 @@
         if not is_successful(result):
             return self._inherited_after(self._latest_right_end_ms())
         response, now_ms = result.unwrap(), self.clock.now_ms()
-        if response.get("boot_id") != before.boot_id:
+        boot_id = response.get("boot_id")
+        if not boot_id:
+            # Whoever answers is no daemon, which proves nothing about the leader.
+            return self._inherited_after(self._latest_right_end_ms())
+        if boot_id != before.boot_id:
             return self._inherited_after(now_ms)
         if response.get("leads", True):
             return self._inherited_after(self._latest_right_end_ms())
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -337,6 +337,18 @@
             self.other.inherited.stopped_ms, self.clock.now_ms() + right_ms
         )
 
+    def test_answer_without_a_boot_id_does_not_end_the_leader(self):
+        """Guards against another program at the address of a leader that is paused."""
+        self.one._discover_leader()
+        answer = lambda *message: {}
+        stranger = types.SimpleNamespace(handle_step_down=answer, handle_ping=answer)
+        self.daemons["d1:1"] = stranger
+        self.let_record_go_stale(self.other)
+        right_ms = self.other.timing.right_ms
+        self.assertGreater(
+            self.other.inherited.stopped_ms, self.clock.now_ms() + right_ms
+        )
+
     def test_restarted_leader_takes_over_immediately(self):
         self.one._discover_leader()
         again = self.daemon("d1", boot="c")
