Explored: an owner that another program lists at another address

Three scenarios of the simulated fleet, whose servers now answer 421 to a message for another name: the same life or a later one listed elsewhere, and a leader killed meanwhile; other keys are about to be given to that owner. Two mutants, of the address that is asked and of the guard for new keys, are seen by them.

--- a/tests/fleet_mutants.py
+++ b/tests/fleet_mutants.py
@@ -46,6 +46,13 @@
     )
 
 
+def _listed_address(self, service, identity):
+    server = self.view.directory.servers.get(identity[0])
+    if server is not None:
+        return server.address
+    return self.view.tables[service].addresses.get(identity, "")
+
+
 def _inherit_no_grants(self, before, term):
     return InheritedGrants(-1e9, -1e9)
 
@@ -115,6 +122,12 @@
         GrantTracker, "have_expired", _expired_after_half_the_hold
     ),
     "release without a fence": _patch(GrantTracker, "release", _release_without_fence),
+    "an owner is asked at the address that is listed": _patch(
+        GrantTracker, "_address", _listed_address
+    ),
+    "keys are granted to an owner that is listed elsewhere": _patch(
+        Granter, "_is_granted_elsewhere", lambda self, table, server: False
+    ),
     "a new leader does not wait for earlier grants": _patch(
         Leadership, "_inherit", _inherit_no_grants
     ),
--- a/tests/fleet_simulation.py
+++ b/tests/fleet_simulation.py
@@ -62,6 +62,7 @@
 MAX_DELIVERY_DELAY_MS, STARTUP_MS = 12_000.0, 50.0
 SETTLING_MS, RECOVERY_MS = 6000.0, 60_000.0
 YIELDS_PER_EVENT = 12
+NAME_HEADER, MISDIRECTED = "Expect-Upstream", 421
 DAEMONS = {"d0": "a", "d1": "a", "d2": "b", "d3": "b"}
 SERVERS = {"s0": "a", "s1": "a", "s2": "b"}
 
@@ -178,6 +179,7 @@
 
     is_grant: bool
     fields: dict
+    name: str
     arrived_ms: float = 0.0
     is_token_checked: bool = False
 
@@ -460,7 +462,9 @@
             return Failure(NotSentError("right to send has expired"))
         connection.tags.add(tag)
         boot = connection.boot
-        request = ServerRequest(target.endswith("grant"), json.loads(body))
+        request = ServerRequest(
+            target.endswith("grant"), json.loads(body), dict(headers)[NAME_HEADER]
+        )
         result = simulation.call_server(self.daemon, server, boot, request, timeout_ms)
         if isinstance(result, Success) and result.unwrap().status in kept_after:
             self._idle.append(connection)
@@ -674,6 +678,8 @@
 
     def execute(self, server, request):
         """Execute a request at a server; return the HTTP status."""
+        if request.name != server.name:
+            return MISDIRECTED
         first, last, token = request.first, request.last, request.token
         if not request.is_grant:
             for key_range in server.overlapping(first, last):
@@ -924,6 +930,28 @@
     return undo_actions
 
 
+def _owner_listed_elsewhere(simulation, life_step=1, kills_leader=False):
+    """Let another program list an owner at another server's address, and drain it."""
+    owner, store = simulation.servers["s0"], simulation.store
+    undo_actions = []
+    for number in range(30):
+        if number == 10:
+            # Its keys would be given to the owner.
+            undo_actions.append(simulation.drain("s2"))
+        entry = simulation.entry(owner)
+        foreign = attrs.evolve(
+            entry, life=entry.life + life_step, address=simulation.servers["s1"].address
+        )
+        found = store.objects.get((SERVER, owner.name))
+        store.put(SERVER, owner.name, foreign, found.version if found else 0)
+        simulation.run(simulation.random.uniform(30, 200))
+    undo_actions.append(simulation.drain(owner.name))
+    if kills_leader:
+        simulation.kill(leader_of(simulation))()
+    simulation.run(9000)
+    return undo_actions
+
+
 def _leader_killed_after_move(simulation):
     """Kill the leader just after a move that no other daemon has observed."""
     leader = leader_of(simulation)
@@ -1189,6 +1217,13 @@
     "leader replaced while requests are delayed": _leader_replaced_during_delays,
     "leader isolated for long": _leader_isolated_for_long,
     "server isolated": _server_isolated,
+    "owner listed at another address": functools.partial(
+        _owner_listed_elsewhere, life_step=0
+    ),
+    "later life listed at another address": _owner_listed_elsewhere,
+    "later life listed elsewhere, leader killed": functools.partial(
+        _owner_listed_elsewhere, kills_leader=True
+    ),
     "leader killed after an unobserved move": _leader_killed_after_move,
     "relay paused for long": _relay_paused,
     "relay paused and partitioned": functools.partial(
--- a/tests/test_fleet_exploration.py
+++ b/tests/test_fleet_exploration.py
@@ -23,6 +23,12 @@
     "release without a fence": partial(
         run_scenario, "leader replaced while requests are delayed"
     ),
+    "an owner is asked at the address that is listed": partial(
+        run_scenario, "later life listed at another address"
+    ),
+    "keys are granted to an owner that is listed elsewhere": partial(
+        run_scenario, "owner listed at another address"
+    ),
     "granted before the release is written to the store": partial(run_seed, 0),
     "tokens are not raised for a new connection": partial(
         run_scenario, "server restarts without the store"
