Stand-in: a server that releases a part of a grant holds that part no longer

A range had been cut at a busy key and one part had moved; the stand-in ended only grants with exactly the bounds of a release, so it went on to hold the whole, and said so in its log. "A part of a grant may be released", and a release stops new work on its keys at once.

The stand-in now holds what is left of a cut grant, and logs that the whole has ended and that its parts begin. The soak's check of owners compared holds of the same bounds only; it compares all that have a key in common.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -216,16 +216,25 @@
 
 
 def _one_owner(run):
-    violations = []
-    for keys, held in _hold_periods(run).items():
-        held.sort()
-        latest = None
-        for item in held:
-            is_other_owner = latest is not None and latest[2:] != item[2:]
-            if is_other_owner and latest[1] > item[0] + OVERLAP_TOLERANCE_MS:
-                violations.append(f"{keys}: {latest} and {item}")
-            if latest is None or item[1] > latest[1]:
-                latest = item
+    """Return where two processes held a key at a time, also under different bounds."""
+    held = [
+        (*period, keys)
+        for keys, periods in _hold_periods(run).items()
+        for period in periods
+    ]
+    held.sort()
+    violations, open_holds = [], []
+    for item in held:
+        since_ms, _, *owner, keys = item
+        open_holds = [o for o in open_holds if o[1] > since_ms + OVERLAP_TOLERANCE_MS]
+        violations += [
+            f"{keys}: {other} and {item}"
+            for other in open_holds
+            if other[2:4] != tuple(owner)
+            and other[4][0] <= keys[1]
+            and other[4][1] >= keys[0]
+        ]
+        open_holds.append(item)
     return violations
 
 
--- a/standins/fleet_server.py
+++ b/standins/fleet_server.py
@@ -140,10 +140,30 @@
         return _reply(start_response, 200, b"{}")
 
     def _release(self, message, start_response):
-        keys = message["from"], message["to"]
-        self.hold_ends_s.pop(keys, None)
-        while any(keys[0] <= key <= keys[1] for key in self.running_keys):
+        """Release keys, which may be a part of what was granted.
+
+        In the log, a grant that is cut ends, and each part that is left begins.
+        """
+        first, last = keys = message["from"], message["to"]
+        cut = [k for k in self.hold_ends_s if k[0] <= last and k[1] >= first]
+        ends_s = {held: self.hold_ends_s.pop(held) for held in cut}
+        rests = {
+            (a, b): (held, end_s)
+            for held, end_s in ends_s.items()
+            for a, b in ((held[0], first - 1), (last + 1, held[1]))
+            if a <= b
+        }
+        for rest, (_, end_s) in rests.items():
+            self.hold_ends_s[rest] = max(end_s, self.hold_ends_s.get(rest, 0.0))
+        while any(first <= key <= last for key in self.running_keys):
             gevent.sleep(0.002)
+        for held in cut:
+            if held != keys:
+                self._record("release", *held, self.tokens[held])
+        for rest, (held, end_s) in rests.items():
+            left_ms = (end_s - time.monotonic()) * 1000
+            if left_ms > 0:
+                self._record("grant", *rest, self.tokens[held], left_ms)
         self._record("release", *keys, message["fence"])
         return _reply(start_response, 200, b"{}", [("Handover", "h")])
 
--- a/tests/test_fleet_owners.py
+++ b/tests/test_fleet_owners.py
@@ -13,6 +13,8 @@
 
 from soak.checks import RunRecord, find_violations
 from standins.fleet_site import FleetSite, manifest
+from tarragonramp.range_placement import RANGES_PER_SERVER
+from tarragonramp.ranges import RangeTable
 
 OWNERS = ("parts0", "parts1", "parts2")
 LEAVING, OTHER = OWNERS[:2]
@@ -32,6 +34,7 @@
     """Three servers that own keys, two daemons, and callers of all keys."""
 
     work_ms, slots, n_callers = 40, 4, 1
+    keys, call_interval_s = KEYS, CALL_INTERVAL_S
 
     def setUp(self):
         self.site = FleetSite()
@@ -57,11 +60,12 @@
 
     def call_forever(self, daemon, caller):
         """Send requests for all keys in turn."""
-        for number in itertools.count(caller * len(KEYS) // self.n_callers):
-            key, request_id = KEYS[number % len(KEYS)], f"{daemon}-{caller}-{number}"
+        for number in itertools.count(caller * len(self.keys) // self.n_callers):
+            key = self.keys[number % len(self.keys)]
+            request_id = f"{daemon}-{caller}-{number}"
             answer = self.site.call(daemon, "/parts/", request_id, key)
             self.statuses.append(answer.status if answer is not None else 0)
-            gevent.sleep(CALL_INTERVAL_S)
+            gevent.sleep(self.call_interval_s)
 
     def holds_keys(self, name):
         """Return whether a server has been granted keys."""
@@ -176,5 +180,26 @@
         self.drain_and_check()
 
 
+class CutRangesTest(OwnersTestCase):
+    """A few keys are so busy that their ranges are cut and divided among servers."""
+
+    n_callers, call_interval_s = 2, 0.005
+    keys = (30_000, 30_001, 40_000, 30_000, 30_001, 30_000)
+
+    def test_parts_of_a_cut_range_have_one_owner_each(self):
+        """Guards against an owner that is taken to hold a part it has released."""
+        self.site.wait(lambda: self.n_ranges() > RANGES_PER_SERVER * len(OWNERS), "cut")
+        gevent.sleep(1.0)
+        tables = self.site.control_store()["objects"]["ramp-ranges"]
+        spec = tables["parts"]["spec"]
+        hot = RangeTable.from_spec(spec).find(self.keys[0])
+        self.drain_and_check(hot.owner)
+
+    def n_ranges(self):
+        """Return the number of ranges in the store."""
+        tables = self.site.control_store()["objects"]["ramp-ranges"]
+        return len(tables["parts"]["spec"]["tokens"])
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -85,6 +85,21 @@
             violated_checks(RunRecord([], [first, second], [("parts0", 400.0)])), []
         )
 
+    def test_two_owners_of_a_part_of_a_range(self):
+        """Guards against a range that is cut while its owner holds the whole."""
+        whole = ("parts0", 1, "grant", 0.0, 0, 99, 1, 7000.0)
+        part = ("parts1", 1, "grant", 500.0, 20, 29, 65537, 7000.0)
+        self.assertEqual(violated_checks(RunRecord([], [whole, part])), ["one owner"])
+        beside = ("parts1", 1, "grant", 500.0, 100, 199, 65537, 7000.0)
+        self.assertEqual(violated_checks(RunRecord([], [whole, beside])), [])
+        rests = [
+            ("parts0", 1, "release", 400.0, 0, 99, 1),
+            ("parts0", 1, "grant", 400.0, 0, 19, 1, 6600.0),
+            ("parts0", 1, "grant", 400.0, 30, 99, 1, 6600.0),
+        ]
+        released = RunRecord([], [whole, *rests, part])
+        self.assertEqual(violated_checks(released), [])
+
     def test_a_reused_token(self):
         entries = [
             ("parts0", 1, "grant", 0.0, 0, 99, 5, 10.0),
