Soak: other programs write and delete entries of servers that leave

Seeds from 5,000,000 on: entries of a service of no manifest, unreadable ones, a later process at another server's address, another name at its address, and deleted ones, once or for up to two seconds, with a leader killed in some. Plans of lower seeds are unchanged.

--- a/soak/plan.py
+++ b/soak/plan.py
@@ -7,7 +7,9 @@
 __all__ = [
     "DAEMONS",
     "DOMAINS",
+    "ENTRY_KINDS",
     "FIRST_CUT_SEED",
+    "FIRST_ENTRY_SEED",
     "FIRST_EXTENDED_SEED",
     "FIRST_OUTAGE_SEED",
     "FIRST_STOP_SEED",
@@ -45,6 +47,14 @@
 """First seed whose plans also stop daemons in series. The kernel refuses calls of these
 daemons, and some callers send an order behind a look-up."""
 
+FIRST_ENTRY_SEED = 5_000_000
+"""First seed whose plans also have another program write and delete server entries."""
+
+ENTRY_KINDS = ("unused service", "unreadable", "elsewhere", "beside", "deleted")
+"""What another program does to a server's entry: it replaces it by one of a service
+that no manifest names, by an unreadable one or by one of a later process at another
+server's address, lists another name at its address, or deletes it."""
+
 REFUSALS = (
     "",
     "filter",
@@ -128,6 +138,8 @@
         events = sorted([*events, *_server_cuts(rng, run_ms)], key=lambda e: e.at_ms)
     if seed >= FIRST_STOP_SEED:
         events = sorted([*events, *_stops(rng, run_ms)], key=lambda e: e.at_ms)
+    if seed >= FIRST_ENTRY_SEED:
+        events = sorted([*events, *_entries(rng, run_ms)], key=lambda e: e.at_ms)
     return [event for event in events if event.at_ms < run_ms]
 
 
@@ -142,6 +154,25 @@
     return events
 
 
+def _entries(rng, run_ms):
+    """Return entries of another program, each beside a server that leaves or serves."""
+    owners = [name for name, (service, _) in SERVERS.items() if service == "parts"]
+    events, at_ms = [], rng.uniform(500.0, 2000.0)
+    while at_ms + MAX_DURATION_MS < run_ms:
+        name, other = rng.sample(owners, 2)
+        lasts_ms = rng.choice((0.0, rng.uniform(300.0, 2000.0)))
+        kind = rng.choice(ENTRY_KINDS)
+        events.append(FaultEvent(at_ms, "entry", name, lasts_ms, kind, other))
+        leaves_ms = at_ms + rng.uniform(0.0, 1000.0)
+        if rng.random() < 0.6:
+            how = rng.choice(("", "unsaid"))
+            events.append(FaultEvent(leaves_ms, "leave", name, 1000.0, how))
+        if rng.random() < 0.2:
+            events.append(FaultEvent(leaves_ms, "kill", "leader", 200.0))
+        at_ms += rng.uniform(1000.0, 5000.0)
+    return events
+
+
 def _server_cuts(rng, run_ms):
     """Return cuts of daemons, up to whole failure domains, from all servers."""
     events, at_ms = [], rng.uniform(1000.0, 4000.0)
--- a/soak/run.py
+++ b/soak/run.py
@@ -32,6 +32,7 @@
 from .checks import Outcome, Probe, RunRecord, find_violations  # noqa: E402
 from .plan import (  # noqa: E402
     DAEMONS,
+    FIRST_ENTRY_SEED,
     FIRST_OUTAGE_SEED,
     FIRST_STOP_SEED,
     REFUSALS,
@@ -53,6 +54,9 @@
 SEEDS_FILE = "soak/seeds.txt"
 LOG_FOLDER = "out/soak"
 
+ENTRY_INTERVAL_S = 0.1
+"""Interval at which another program writes an entry: shorter than that of servers."""
+
 READY_LINE = "event=daemon-ready"
 """Logged by a daemon once it is ready. Before that it serves no callers, and it may not
 have installed its signal handlers yet, so that SIGTERM ends it at once."""
@@ -328,6 +332,39 @@
             self.site.control_store(faults={event.detail: type(value)()})
         self.record.store_faults.append((began_ms, time.time() * 1000.0))
 
+    def _entry(self, event, duration_s):
+        """Have another program write or delete a server's entry, once or repeatedly."""
+        until_s = time.monotonic() + duration_s
+        while True:
+            self._write_entry(event)
+            if time.monotonic() >= until_s:
+                break
+            gevent.sleep(ENTRY_INTERVAL_S)
+        if event.detail == "beside":
+            self.site.control_store(delete=["servers", f"beside-{event.name}"])
+
+    def _write_entry(self, event):
+        """Write the entry of an event, based on what the server itself has written."""
+        name, kind = event.name, event.detail
+        if kind == "deleted":
+            self.site.control_store(delete=["servers", name])
+            return
+        if kind == "unreadable":
+            self.site.control_store(write=["servers", name, {"addr": 7}, None])
+            return
+        servers = self.site.control_store()["objects"].get("servers", {})
+        entry = servers.get(name, {}).get("spec", {})
+        if "info" not in entry:
+            return
+        if kind in ("beside", "unused service"):
+            entry["info"]["service"] = "inventory"
+        if kind == "beside":
+            name = f"beside-{name}"
+        else:
+            entry["addr"] = self.site.server_addresses[event.target]
+        entry["born"] = int(time.time() * 1000)
+        self.site.control_store(write=["servers", name, entry, None])
+
     def _take_out(self, event, duration_s):
         self.site.control_store(write=["evacuations", event.name, {}, None])
         if self._wait_for_end(event, duration_s):
@@ -465,7 +502,9 @@
     length_s : float
         Duration of the faults in each run, in seconds.
     """
-    fresh_seeds = (FIRST_STOP_SEED + secrets.randbelow(1_000_000) for _ in range(fresh))
+    fresh_seeds = (
+        FIRST_ENTRY_SEED + secrets.randbelow(1_000_000) for _ in range(fresh)
+    )
     chosen = [*seeds, *fresh_seeds]
     return sum(not run_seed(seed, length_s) for seed in chosen or regression_seeds())
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -17,7 +17,9 @@
 from soak.checks import Outcome, Probe, RunRecord, find_violations
 from soak.plan import (
     DAEMONS,
+    ENTRY_KINDS,
     FIRST_CUT_SEED,
+    FIRST_ENTRY_SEED,
     FIRST_OUTAGE_SEED,
     FIRST_STOP_SEED,
     REFUSALS,
@@ -31,7 +33,7 @@
 
 SHORT_S = 12.0
 SEED = 5
-STOP_SEED = FIRST_STOP_SEED + 3
+STOP_SEED, ENTRY_SEED = FIRST_STOP_SEED + 3, FIRST_ENTRY_SEED + 15
 
 PLAN_DIGESTS = {17: "ea30f2133152", 510: "e93c7342d24b", 1_108_563: "aa3c6038f699"}
 """Start of the SHA-256 digest of the plan of 30 s, by seed."""
@@ -250,11 +252,23 @@
 
     def test_every_kind_is_generated_and_implemented(self):
         seeds = [*range(40), *range(FIRST_CUT_SEED, FIRST_CUT_SEED + 40)]
+        seeds.append(FIRST_ENTRY_SEED)
         kinds = {s.kind for seed in seeds for s in generate_plan(seed, 30_000.0)}
         self.assertGreater(len(kinds), 8)
         for kind in kinds:
             self.assertTrue(callable(getattr(Soak, f"_{kind.replace('-', '_')}")))
 
+    def test_owners_leave_beside_entries_of_other_programs(self):
+        """Guards against a soak in which only servers write their entries."""
+        kinds = set()
+        for seed in range(FIRST_ENTRY_SEED, FIRST_ENTRY_SEED + 20):
+            plan = generate_plan(seed, 30_000.0)
+            entries = [event for event in plan if event.kind == "entry"]
+            leaving = {event.name for event in plan if event.kind == "leave"}
+            self.assertTrue(leaving & {event.name for event in entries}, seed)
+            kinds.update(event.detail for event in entries)
+        self.assertEqual(kinds, set(ENTRY_KINDS))
+
     def test_daemons_stop_in_series(self):
         """Guards against a soak in which stops never overlap."""
         for seed in range(FIRST_STOP_SEED, FIRST_STOP_SEED + 20):
@@ -412,6 +426,15 @@
         self.assertGreater(len(soak.record.stops), 2)
 
 
+class EntriesSoakTest(unittest.TestCase):
+    """Some seconds of other programs' entries from a fixed seed."""
+
+    def test_no_invariant_is_violated(self):
+        soak = Soak(ENTRY_SEED, SHORT_S)
+        found = {name: faults for name, faults in soak.execute().items() if faults}
+        self.assertEqual(found, {})
+
+
 class ShortSoakTest(unittest.TestCase):
     """A few seconds of faults from a fixed seed."""
 
