--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -11,7 +11,13 @@
 from tarragonramp.clock import Clock, ManualClock
 from tarragonramp.directory import MISSING_ROUTABLE_MS, BackendServer
 from tarragonramp.fleet_view import MANIFEST, RANGES, SERVER, FleetView
-from tarragonramp.manifest import FleetService, Manifest, RouteTable
+from tarragonramp.manifest import (
+    FleetService,
+    Manifest,
+    Route,
+    RouteTable,
+    WeightedService,
+)
 from tarragonramp.model import Stored
 from tarragonramp.range_placement import Candidate, initial_table
 from tarragonramp.ranges import RangeTable
@@ -143,6 +149,22 @@
         self.update(MANIFEST, main=[2, ["parts", "desk", "inventory"]])
         self.assertEqual(self.services(), {"s1": "parts", "s2": "desk"})
 
+    def test_later_entry_replaces_one_that_was_left_out(self):
+        """Guards against an old entry that a new manifest brings back."""
+        self.update(MANIFEST, main=[1, ["parts"]])
+        self.update(SERVER, s1="inventory")
+        self.update(SERVER, s1="parts")
+        self.update(MANIFEST, main=[2, ["parts", "inventory"]])
+        self.assertEqual(self.services(), {"s1": "parts"})
+
+    def test_service_that_is_only_routed_to_is_named(self):
+        """Guards against requests for a service whose servers are left out."""
+        part = WeightedService("parts")
+        route = Route("h", "/", (part,), True, 1000.0, 500.0)
+        self.follower.view.update_routes(RouteTable(Manifest(1, (route,))))
+        self.update(SERVER, s1="parts")
+        self.assertEqual(self.services(), {"s1": "parts"})
+
     def test_server_stays_known_while_no_manifest_names_its_service(self):
         """Guards against requests to a server whose draining state was not read."""
         self.update(MANIFEST, main=[1, ["parts"]])
--- a/tests/test_granter.py
+++ b/tests/test_granter.py
@@ -535,6 +535,25 @@
         self.servers.answers.clear()
         self.assertTrue(self.wait(lambda: self.grants_to("new")))
 
+    def test_owner_that_releases_keys_gets_none_at_another_address(self):
+        """Guards against a release that goes where only new keys were granted."""
+        ranges = (
+            KeyRange(0, 9, "old", 1, 1).moved_to("new", 1),
+            KeyRange(10, N_KEYS - 1, "new", 1, 1),
+        )
+        places = {("old", 1): "old:80", ("new", 1): "new:80"}
+        table = RangeTable("parts", ranges, places)
+        stored = self.store.put("ramp-ranges", "parts", table.to_spec(), 0).unwrap()
+        self.view.update_table(table, stored.version)
+        elsewhere = attrs.evolve(server("old"), address="other:80")
+        self.register(elsewhere, attrs.evolve(server("new"), draining=True))
+        self.servers.answers["release", "old"] = UNANSWERED
+        self.set_previous_leader_stop(0.0)
+        self.start_leader()
+        self.assertTrue(self.wait(lambda: len(self.releases_of("old")) >= 4))
+        asked = {at for _, name, at in self.servers.addresses if name == "old"}
+        self.assertEqual(asked, {"old:80"})
+
     def test_owner_that_has_no_keys_left_is_granted_at_its_new_address(self):
         """Guards against a server that gets no keys as it once had another address."""
         self.assign_all()
--- a/tests/test_platform_folder.py
+++ b/tests/test_platform_folder.py
@@ -65,7 +65,8 @@
     """Grants to a server in this process that may be restarted at its address."""
 
     def setUp(self):
-        self.clock, self.address, self.tokens = Clock(), free_address(), []
+        self.clock, self.address = Clock(), free_address()
+        self.tokens, self.ports = [], []
         self.grants = HttpGrants(HttpPools())
         self.start_server()
 
@@ -78,6 +79,7 @@
     def accept_grant(self, environ, start_response):
         """Record the token of a grant and accept it."""
         self.tokens.append(json.loads(environ["wsgi.input"].read())["fence"])
+        self.ports.append(environ["REMOTE_PORT"])
         start_response("200 OK", [("Content-Length", "0")])
         return []
 
@@ -127,6 +129,19 @@
         self.assertIs(self.grant(5, life=1, reuse_only=True), NoConnectionError)
         self.assertEqual(self.tokens, [8])
 
+    def test_a_later_life_gets_a_connection_of_its_own(self):
+        """Guards against a token of a later process that goes to an earlier one."""
+        self.grant(5)
+        self.grant(8, life=2)
+        self.assertEqual(len(set(self.ports)), 2)
+
+    def test_a_closed_connection_is_reported(self):
+        """Guards against renewals that wait for a server that has restarted."""
+        self.grant(5)
+        self.assertFalse(self.grants.has_closed_connection("s1", self.address))
+        self.server.drain(0, 1000)
+        self.assertTrue(self.grants.has_closed_connection("s1", self.address))
+
     def test_another_name_at_the_address_closes_no_connection(self):
         """Guards against an owner that is not renewed because of another entry."""
         self.grant(5)
@@ -176,10 +191,12 @@
 
     def test_copy_of_a_release_response_does_not_answer_another_call(self):
         """Guards against a second release, or a grant, that counts as carried out."""
-        for call in (self.release, self.release, lambda: self.grant(1)):
-            n_handled = len(self.handled)
-            self.assertTrue(is_successful(call()))
-            self.assertEqual(len(self.handled), n_handled + 1)
+        self.statuses = [409, 200, 200, 409]
+        self.assertFalse(is_successful(self.grant(1)))
+        for n_handled in (2, 3):
+            self.assertTrue(is_successful(self.release()))
+            self.assertEqual(len(self.handled), n_handled)
+        self.assertFalse(is_successful(self.grant(2)))
 
     def test_copy_of_a_refusal_does_not_answer_the_next_grant(self):
         """Guards against keys that a server holds although it seems to refuse them."""
