Versions of entries that were left out no longer accumulate

Found by reading: each version of an entry that cannot be used was kept, to log it once. The last version of each entry is kept now.

Evidence: test_versions_that_were_left_out_do_not_accumulate failed before. The figure is reckoned from 200 bytes an entry, not measured.

--- a/src/tarragonramp/roles/follower.py
+++ b/src/tarragonramp/roles/follower.py
@@ -116,7 +116,7 @@
     history: TableHistory = attrs.Factory(TableHistory)
     _last_failure_ms: float = float("-inf")
     _follows_store: Event = attrs.Factory(Event)
-    _logged_unreadable: set = attrs.Factory(set)
+    _logged_unreadable: dict = attrs.Factory(dict)
     _unused_servers: dict = attrs.Factory(dict)
     _to_reread: set = attrs.Factory(set)
     _watch_tasks: dict = attrs.Factory(dict)
@@ -645,9 +645,9 @@
 
     def _log_unreadable(self, item, error):
         """Log once for each version that an object cannot be decoded."""
-        if (item.kind, item.name, item.version) in self._logged_unreadable:
+        if self._logged_unreadable.get((item.kind, item.name)) == item.version:
             return
-        self._logged_unreadable.add((item.kind, item.name, item.version))
+        self._logged_unreadable[item.kind, item.name] = item.version
         log_event(
             "entry-not-understood",
             level=logbook.WARNING,
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -149,6 +149,13 @@
         self.update(MANIFEST, main=[2, ["parts", "desk", "inventory"]])
         self.assertEqual(self.services(), {"s1": "parts", "s2": "desk"})
 
+    def test_versions_that_were_left_out_do_not_accumulate(self):
+        """Guards against memory that grows with each write of another program."""
+        self.update(MANIFEST, main=[1, ["parts"]])
+        for _ in range(20):
+            self.update(SERVER, s1="inventory")
+        self.assertEqual(len(self.follower._logged_unreadable), 1)
+
     def test_later_entry_replaces_one_that_was_left_out(self):
         """Guards against an old entry that a new manifest brings back."""
         self.update(MANIFEST, main=[1, ["parts"]])
