Grant connections of servers that have ended are dropped at their address

Before, the next server at the address closed them. Now the first grant to another process at an address discards the pools there that have no open connection.

Evidence: test_pools_of_servers_that_have_ended_do_not_accumulate failed before (5 servers, 6 pools).

--- a/src/tarragonramp/adapters/http.py
+++ b/src/tarragonramp/adapters/http.py
@@ -361,6 +361,12 @@
             )
         return pool
 
+    def discard(self, address, user=""):
+        """Close a pool and forget it."""
+        pool = self._pools.pop((address, user), None)
+        if pool is not None:
+            pool.close()
+
 
 def check_bounded_sends():
     """Check that the kernel lets a connection's unsent data be discarded in time.
--- a/tests/fleet_simulation.py
+++ b/tests/fleet_simulation.py
@@ -249,7 +249,9 @@
         services = {SERVICE: FleetService(SERVICE, divided=True)}
         self.view.update_routes(RouteTable(Manifest(1, (), services)))
         self.pools = {}
-        self.grants = HttpGrants(types.SimpleNamespace(at=self.pool))
+        self.grants = HttpGrants(
+            types.SimpleNamespace(at=self.pool, discard=self.discard_pool)
+        )
         self.monitor = PathMonitor()
         self.relay = relay.Relay(self.grants, self.clock, self.monitor)
         follower = mock.Mock(failing_since_ms={})
@@ -283,6 +285,10 @@
         """Return the connection pool of a backend server."""
         return self.pools.setdefault((address, user), ConnectionPool(self, address))
 
+    def discard_pool(self, address, user):
+        """Forget the connection pool of a backend server."""
+        self.pools.pop((address, user), None)
+
     def run_leadership(self):
         """Renew the leader's record while leading, otherwise check it."""
         while True:
@@ -416,6 +422,10 @@
         """Backend server that listens on the address."""
         return self.daemon.simulation.servers[self.address.partition(":")[0]]
 
+    def has_open_idle(self):
+        """Return whether the next idle connection is open; if not, drop all."""
+        return bool(self._idle) and not self.has_closed_idle()
+
     def has_closed_idle(self):
         """Return whether the next idle connection was closed; if so, drop all."""
         if not self._idle or self._is_open(self._idle[-1]):
--- a/tests/test_platform_folder.py
+++ b/tests/test_platform_folder.py
@@ -142,6 +142,15 @@
         self.server.drain(0, 1000)
         self.assertTrue(self.grants.has_closed_connection("s1", self.address))
 
+    def test_pools_of_servers_that_have_ended_do_not_accumulate(self):
+        """Guards against descriptors that run out, as each start has a new name."""
+        for number in range(5):
+            self.grant(5, server=f"s{number}")
+            self.server.drain(0, 1000)
+            self.start_server()
+        self.grant(5, server="last")
+        self.assertEqual(len(self.grants.pools._pools), 1)
+
     def test_another_name_at_the_address_closes_no_connection(self):
         """Guards against an owner that is not renewed because of another entry."""
         self.grant(5)
