Stand-in: servers of other programs are started in place of its own again

The case review/1 puts its own server into standins.fleet_server under the name WebServer. Since main() started a class bound when the module is read, so the faulty server never ran: the case shed requests, sent no late copy, and held without testing anything.

The files under review/ are unchanged.

--- a/standins/fleet_server.py
+++ b/standins/fleet_server.py
@@ -13,8 +13,9 @@
 import attrs  # noqa: E402
 import gevent  # noqa: E402
 
+from tarragonramp.adapters import web  # noqa: E402
 from tarragonramp.adapters.http import HttpPool  # noqa: E402
-from tarragonramp.adapters.web import HEADERS_KEY, WebHandler, WebServer  # noqa: E402
+from tarragonramp.adapters.web import HEADERS_KEY, WebHandler  # noqa: E402
 
 HEARTBEAT_INTERVAL_MS = 300.0
 LOG, FAULTS = "/stand-in/log", "/stand-in/faults"
@@ -271,8 +272,12 @@
             self._copy = data
 
 
-class Server(WebServer):
-    """A web server that may send copies of answers."""
+class WebServer(web.WebServer):
+    """A web server that may send copies of answers.
+
+    ``main`` looks up this class and ``FleetServer`` by name, so that other programs can
+    put classes of their own in their place.
+    """
 
     handler_class = CopyingHandler
 
@@ -320,7 +325,7 @@
     gevent.signal_handler(signal.SIGUSR1, start_draining)
     gevent.signal_handler(signal.SIGUSR2, deregister)
     gevent.spawn(server.run_heartbeats, options.store)
-    Server(options.listen or options.address, server).serve_forever()
+    WebServer(options.listen or options.address, server).serve_forever()
 
 
 if __name__ == "__main__":
