An extra response that is recognized no longer costs a request its answer

Cause: a response with another id than the one sent ended the exchange and the connection. The id of a request that the connection has carried before tells more: the response is an extra one, and the one due follows it.

Fix: such a response is put aside and the exchange reads on, within 8 responses and the pool's limit of bytes. Ids that the connection is not known to have carried, and malformed bytes, end the connection as before. Each extra response is logged with its id and the one awaited.

--- a/src/tarragonramp/adapters/http.py
+++ b/src/tarragonramp/adapters/http.py
@@ -20,7 +20,7 @@
 )
 from returns.result import Failure, Result, Success
 
-from ..echoes import EchoHistory
+from ..echoes import EchoHistory, ResponseMatch
 from ..errors import (
     AbandonedError,
     KernelError,
@@ -29,6 +29,7 @@
     UnansweredError,
 )
 from ..meters import kind_of
+from .logs import log_event
 from .optional import optional_step
 
 __all__ = ["Response", "HttpPool", "HttpPools", "check_bounded_sends", "split_address"]
@@ -37,6 +38,8 @@
 MAX_IDLE_CONNECTIONS = 64
 MAX_RESPONSE_HEAD_BYTES = 65_536
 SWITCHING_PROTOCOLS = 101
+MAX_EXTRA_RESPONSES = 8
+"""Extra responses put aside in one exchange; more look like a server out of step."""
 
 # Interval at which a pending exchange checks whether its caller is still connected.
 # Responses that arrive sooner cost no check.
@@ -105,7 +108,7 @@
         closing a connection also discards its unsent data.
     echoed_headers : tuple of str
         Lower-case names of headers that, if present in a response, must have the value
-        that was sent.
+        that was sent. They tell extra responses, which are put aside.
     max_idle : int
         Maximum number of idle connections kept.
     max_idle_ms : float
@@ -156,10 +159,8 @@
         ----------
         method, target : str
         headers : list of (str, str)
-            Without framing headers, which are set here. If the response repeats one
-            of the pool's ``echoed_headers``, it must have the value that was sent. A
-            connection is not used if the copy of an earlier response on it could pass
-            for the response to these.
+            Without framing headers, which are set here. A connection is not used if
+            the copy of an earlier response could pass for the response to these.
         body : bytes
         timeout_ms : float
             For the whole exchange.
@@ -212,13 +213,13 @@
         if tag is not None:
             self._tags.setdefault(connection, set()).add(tag)
         history = self._histories.setdefault(connection, EchoHistory())
+        parser = _StrictResponseParser(method, self._matcher(history, sent))
         try:
             connection.settimeout(_remaining_s(deadline_s))
             connection.sendall(data)
             if self.traffic is not None:
                 self.traffic.sent(kind_of(method, target), len(data))
-            parser, n_received = self._read(connection, method, deadline_s, is_wanted)
-            _check_echo(parser, headers, self.echoed_headers)
+            n_received = self._read(connection, parser, deadline_s, is_wanted)
         except AbandonedError as error:
             connection.close()
             return Failure(error)
@@ -273,6 +274,29 @@
                 found[lower] = f"{found[lower]}, {value}" if lower in found else value
         return frozenset(found.items())
 
+    def _matcher(self, history, sent):
+        """Return a function that tells whether a response is an extra one.
+
+        It raises HTTPParseError if the response belongs to no known request.
+        """
+
+        def is_extra(parser):
+            echoed = self._echoed_part(parser.items())
+            match = history.match(echoed, sent)
+            if match is ResponseMatch.FOREIGN:
+                raise HTTPParseError("response belongs to another request")
+            if match is ResponseMatch.EXTRA:
+                log_event(
+                    "extra-response",
+                    address=self.address,
+                    status=parser.status_code,
+                    id=_joined_values(echoed),
+                    awaited=_joined_values(sent),
+                )
+            return match is ResponseMatch.EXTRA
+
+        return is_extra
+
     def _acquire_idle(self, tag, sent):
         """Remove and return an open idle connection, or None.
 
@@ -309,13 +333,13 @@
                 _enable_keepalive(connection)
         return connection
 
-    def _read(self, connection, method, deadline_s, is_wanted):
-        parser = _StrictResponseParser(method)
-        n_received = 0
+    def _read(self, connection, parser, deadline_s, is_wanted):
+        """Feed a parser until the response is complete; return the bytes received."""
+        n_received = n_head = 0
         while not parser.is_final:
             data = _receive(connection, deadline_s, is_wanted)
             if not data:
-                if self.takes_unframed and parser.is_close_delimited():
+                if self.takes_unframed and parser.end_by_close():
                     break
                 # Close-delimited responses are refused as well: they cannot be
                 # distinguished from truncated ones.
@@ -324,11 +348,12 @@
                 )
             parser.feed(data)
             n_received += len(data)
-            if not parser.headers_complete and n_received > MAX_RESPONSE_HEAD_BYTES:
+            n_head = 0 if parser.headers_complete else n_head + len(data)
+            if n_head > MAX_RESPONSE_HEAD_BYTES:
                 raise HTTPParseError("response headers longer than the limit")
-            if len(parser._body_buffer) > self.answer_bytes:
+            if len(parser._body_buffer) + parser.n_extra_bytes > self.answer_bytes:
                 raise HTTPParseError("response body longer than the limit")
-        return parser, n_received
+        return n_received
 
     def _release(self, connection, parser, is_kept):
         closes = not is_kept or parser.should_close() or not parser.is_final
@@ -430,23 +455,34 @@
 
     The library's parser continues with whatever follows as part of the same response,
     so a late or forged second response would replace the first one.
+
+    Parameters
+    ----------
+    method : str
+        Of the request.
+    is_extra : callable
+        ``is_extra(parser)`` returns whether a complete response is an extra one, which
+        is put aside.
     """
 
-    def __init__(self, method):
+    def __init__(self, method, is_extra):
         super().__init__(method)
         self.is_final = False
+        self.n_extra, self.n_extra_bytes = 0, 0
+        self._is_extra = is_extra
 
     def _on_message_begin(self):
         if self.is_final:
             raise HTTPProtocolViolationError("bytes after the end of the response")
         super()._on_message_begin()
 
-    def is_close_delimited(self):
-        """Return whether the response ends with the connection, having no length."""
+    def end_by_close(self):
+        """Return whether the close of the connection completes the response."""
         return (
             self.headers_complete
             and self.get("content-length") is None
             and "chunked" not in (self.get("transfer-encoding") or "").lower()
+            and not self._is_extra(self)
         )
 
     def _flush_header(self):
@@ -458,7 +494,21 @@
         super()._on_message_complete()
         if self.get_code() == SWITCHING_PROTOCOLS:
             raise HTTPProtocolViolationError("unexpected protocol switch (status 101)")
-        self.is_final = self.get_code() >= 200
+        if self.get_code() < 200:
+            return
+        if self._is_extra(self):
+            self._put_aside()
+        else:
+            self.is_final = True
+
+    def _put_aside(self):
+        """Forget a complete response, to parse the one that follows."""
+        self.n_extra += 1
+        if self.n_extra > MAX_EXTRA_RESPONSES:
+            raise HTTPProtocolViolationError("too many extra responses")
+        self.n_extra_bytes += len(self._body_buffer)
+        self._body_buffer.clear()
+        self.headers_complete = self._message_ended_in_skip_body = False
 
 
 def _receive(connection, deadline_s, is_wanted):
@@ -484,12 +534,8 @@
                 raise AbandonedError("caller disconnected") from None
 
 
-def _check_echo(parser, headers, echoed_headers):
-    """Raise HTTPParseError if an echoed header differs from the one sent."""
-    for name, sent in headers:
-        lower = name.lower()
-        if sent and lower in echoed_headers and parser.get(lower, sent) != sent:
-            raise HTTPParseError(f"response belongs to another request: {name} differs")
+def _joined_values(id_headers):
+    return ",".join(value for _, value in sorted(id_headers)) or "none"
 
 
 def _remaining_s(deadline_s):
--- a/src/tarragonramp/echoes.py
+++ b/src/tarragonramp/echoes.py
@@ -5,15 +5,29 @@
 """
 
 import collections
+import enum
 
 import attrs
 
-__all__ = ["EchoHistory"]
+__all__ = ["EchoHistory", "ResponseMatch"]
 
 N_REMEMBERED_RESPONSES = 8
 """Responses remembered by connection. A late copy follows within a few."""
 
 
+class ResponseMatch(enum.Enum):
+    """Whose response has arrived on a connection."""
+
+    OWN = "own"
+    """That of the request just sent."""
+
+    EXTRA = "extra"
+    """Sent in addition to the responses that were due; another one follows."""
+
+    FOREIGN = "foreign"
+    """That of a request which this connection is not known to have carried."""
+
+
 @attrs.define
 class EchoHistory:
     """The ids returned by the latest responses on one connection.
@@ -38,3 +52,18 @@
             Echoed headers of the request.
         """
         return any(echoed and echoed <= sent for echoed in self._past)
+
+    def match(self, echoed, sent):
+        """Return whose response has arrived.
+
+        Parameters
+        ----------
+        echoed, sent : frozenset of (str, str)
+            Echoed headers of the response, and of the request just sent.
+        """
+        sent_values = dict(sent)
+        if any(sent_values.get(name, value) != value for name, value in echoed):
+            return (
+                ResponseMatch.EXTRA if echoed in self._past else ResponseMatch.FOREIGN
+            )
+        return ResponseMatch.OWN
--- a/tests/wire.py
+++ b/tests/wire.py
@@ -1,5 +1,7 @@
 """Raw socket client and scripted HTTP server, for tests at the protocol level."""
 
+import re
+
 import attrs
 import gevent
 from gevent import socket
@@ -8,7 +10,13 @@
 
 from tarragonramp.adapters.http import split_address
 
-__all__ = ["LateCopyServer", "ScriptedServer", "send_raw"]
+__all__ = [
+    "EchoServer",
+    "LateCopyServer",
+    "ScriptedServer",
+    "response_bytes",
+    "send_raw",
+]
 
 
 def send_raw(address, data, idle_timeout_s=0.5):
@@ -97,3 +105,43 @@
 
     def _begin_response(self, connection, previous):
         connection.sendall(previous)
+
+
+class EchoServer(ScriptedServer):
+    """Returns the id of each request, and sends what a test adds.
+
+    Parameters
+    ----------
+    respond : callable
+        ``respond(request_id, earlier)`` returns the bytes to send for a request;
+        ``earlier`` are the ids of earlier requests on its connection.
+    """
+
+    def __init__(self, respond):
+        self.respond = respond
+        super().__init__([])
+
+    def _serve(self, connection, _):
+        self.n_connections += 1
+        earlier = []
+        while data := self._receive(connection):
+            self.requests.append(data.decode("latin-1"))
+            match = re.search(r"\r\nrequest-id: ([^\r]+)", self.requests[-1], re.I)
+            request_id = match[1] if match else ""
+            connection.sendall(self.respond(request_id, earlier))
+            earlier.append(request_id)
+        self.client_closed.set()
+
+    def _receive(self, connection):
+        try:
+            return connection.recv(65_536)
+        except OSError:
+            return b""
+
+
+def response_bytes(request_id="", status=200, body=None, headers=""):
+    """Return a response; its body names the request unless another one is given."""
+    data = request_id.encode() if body is None else body
+    id_line = f"Request-Id: {request_id}\r\n" if request_id else ""
+    head = f"HTTP/1.1 {status} S\r\n{id_line}{headers}Content-Length: {len(data)}\r\n"
+    return head.encode() + b"\r\n" + data
