A response without an id is no match on a connection that has been used

Cause: the check of echoed ids took an absent header for an equal one. The platform's servers return the id in each response, so a response without one belongs to no request.

Fix: the dialect says whether servers always return the id. If so, a response without one is put aside on a connection that has been used. On an unused connection there is nothing that it could be a copy of: it is believed, and the connection is closed after it. Requests without an id get a connection of their own. The own interface's servers may leave ids out, as before.

In test_extra_responses four tests fail with the rule off: copies and responses without an id, requests without one, and health responses that leave their connection in the pool.

The stand-in returns the id in refusals, too, answers health checks, and can send late copies of requests' and health responses, with an id and without.

--- a/src/tarragonramp/adapters/http.py
+++ b/src/tarragonramp/adapters/http.py
@@ -109,6 +109,10 @@
     echoed_headers : tuple of str
         Lower-case names of headers that, if present in a response, must have the value
         that was sent. They tell extra responses, which are put aside.
+    requires_echo : bool
+        Whether servers return these headers in each response to a request that has
+        them. A request without them gets a connection of its own, as nothing but its
+        place identifies the response.
     max_idle : int
         Maximum number of idle connections kept.
     max_idle_ms : float
@@ -129,6 +133,7 @@
     traffic: object = None
     user_timeout_ms: float = 0.0
     echoed_headers: tuple = ECHOED_HEADERS
+    requires_echo: bool = False
     max_idle: int = MAX_IDLE_CONNECTIONS
     max_idle_ms: float = 0.0
     takes_unframed: bool = False
@@ -200,7 +205,7 @@
             return Failure(NotSentError(str(error)))
         try:
             connection, sent = None, self._echoed_part(headers)
-            if not new_connection:
+            if not new_connection and (sent or not self.requires_echo):
                 connection = self._acquire_idle(tag if reuse_only else None, sent)
             if connection is None and reuse_only:
                 return Failure(NoConnectionError(f"{self.address}: no open connection"))
@@ -233,8 +238,11 @@
             raise
         if self.traffic is not None:
             self.traffic.received(kind_of(method, target), n_received)
-        history.record(self._echoed_part(parser.items()))
+        echoed = self._echoed_part(parser.items())
+        history.record(echoed)
         is_kept = kept_after is None or parser.status_code in kept_after
+        if self.requires_echo and sent and not echoed:
+            is_kept = False
         self._release(connection, parser, is_kept)
         response = Response(
             parser.status_code, tuple(parser.items()), bytes(parser._body_buffer)
@@ -282,7 +290,7 @@
 
         def is_extra(parser):
             echoed = self._echoed_part(parser.items())
-            match = history.match(echoed, sent)
+            match = history.match(echoed, sent, self.requires_echo)
             if match is ResponseMatch.FOREIGN:
                 raise HTTPParseError("response belongs to another request")
             if match is ResponseMatch.EXTRA:
--- a/src/tarragonramp/dialect.py
+++ b/src/tarragonramp/dialect.py
@@ -58,11 +58,13 @@
 
     ``request_id_header`` is the lower-case name of the header with a request's id.
     ``echoed_headers`` are the lower-case names of request headers that, if present in a
-    response, have the value that was sent.
+    response, have the value that was sent. ``requires_echo`` tells whether servers
+    return these headers in each response to a request that has them.
     """
 
     request_id_header: str
     echoed_headers: tuple
+    requires_echo: bool
 
     def read_request(self, headers):
         """Parse a caller's headers into RequestFacts; ValueError if malformed."""
--- a/src/tarragonramp/echoes.py
+++ b/src/tarragonramp/echoes.py
@@ -53,17 +53,22 @@
         """
         return any(echoed and echoed <= sent for echoed in self._past)
 
-    def match(self, echoed, sent):
+    def match(self, echoed, sent, is_required):
         """Return whose response has arrived.
 
         Parameters
         ----------
         echoed, sent : frozenset of (str, str)
             Echoed headers of the response, and of the request just sent.
+        is_required : bool
+            Whether each response to a request with an id returns it. On a connection
+            that has been used, one without an id is then an extra one.
         """
         sent_values = dict(sent)
         if any(sent_values.get(name, value) != value for name, value in echoed):
             return (
                 ResponseMatch.EXTRA if echoed in self._past else ResponseMatch.FOREIGN
             )
+        if is_required and sent and not echoed and self._past:
+            return ResponseMatch.EXTRA
         return ResponseMatch.OWN
--- a/src/tarragonramp/fleet.py
+++ b/src/tarragonramp/fleet.py
@@ -212,6 +212,7 @@
         requests = RequestMeter()
         options = {
             "echoed_headers": ports.dialect.echoed_headers,
+            "requires_echo": ports.dialect.requires_echo,
             "max_idle_ms": SERVER_MAX_IDLE_MS,
             "takes_unframed": True,
             "keepalive": True,
--- a/standins/fleet_server.py
+++ b/standins/fleet_server.py
@@ -7,6 +7,8 @@
 import argparse  # noqa: E402
 import errno  # noqa: E402
 import json  # noqa: E402
+import random  # noqa: E402
+import re  # noqa: E402
 import signal  # noqa: E402
 import time  # noqa: E402
 
@@ -19,7 +21,8 @@
 
 HEARTBEAT_INTERVAL_MS = 300.0
 LOG, FAULTS = "/stand-in/log", "/stand-in/faults"
-GRANT, RELEASE = "/-/grant", "/-/release"
+GRANT, RELEASE, HEALTH = "/-/grant", "/-/release", "/health"
+_ID_LINE = re.compile(rb"\r\nRequest-Id: [^\r]*")
 
 
 @attrs.define
@@ -43,6 +46,13 @@
     copy_answers : int
         Grants and releases whose answer is followed by a copy, sent late, where the
         next answer on the connection is expected.
+    copy_responses, copy_without_id, copy_health : int
+        Responses to requests, to requests but with a copy that lacks the id, and to
+        health checks that are followed by such a copy.
+    unstated : int
+        Executed; the response is 503 and does not say whether it was.
+    share : float
+        Probability of each of these faults while its counter is above 0.
     """
 
     shed: int = 0
@@ -52,10 +62,17 @@
     unmarked: int = 0
     silent_grants: int = 0
     copy_answers: int = 0
+    copy_responses: int = 0
+    copy_without_id: int = 0
+    copy_health: int = 0
+    unstated: int = 0
+    share: float = 1.0
 
     def consume(self, name):
         """Tell whether a fault occurs now, and decrement its counter."""
         left = getattr(self, name)
+        if left > 0 and random.random() >= self.share:
+            return False
         setattr(self, name, max(0, left - 1))
         return left > 0
 
@@ -103,8 +120,18 @@
     running_keys: list = attrs.Factory(list)
 
     def __call__(self, environ, start_response):
-        """Handle one request."""
+        """Handle one request; each response returns the id of its request."""
         headers = dict(environ[HEADERS_KEY])
+        request_id = headers.get("request-id")
+
+        def start(status, response_headers):
+            if request_id and "Request-Id" not in dict(response_headers):
+                response_headers = [*response_headers, ("Request-Id", request_id)]
+            return start_response(status, response_headers)
+
+        return self._handle(environ, headers, start)
+
+    def _handle(self, environ, headers, start_response):
         body = environ["wsgi.input"].read()
         path = environ["PATH_INFO"]
         if path == LOG:
@@ -113,6 +140,8 @@
             for name, value in json.loads(body).items():
                 setattr(self.faults, name, value)
             return _reply(start_response, 200, b"{}")
+        if path == HEALTH:
+            return self._report_health(start_response)
         expected = headers.get("expect-upstream")
         if expected and expected != self.name:
             return self._not_run(start_response, 421)
@@ -124,6 +153,14 @@
             return self._not_run(start_response, 400)
         return self._run(environ, headers, body, start_response)
 
+    def _report_health(self, start_response):
+        headers = [("Upstream-Id", self.name), self._load_header()]
+        status = 503 if self.draining else 200
+        return _reply(start_response, status, b"", headers)
+
+    def _load_header(self):
+        return "Upstream-Load", f"{self.running},{self.waiting},{self.slots},100"
+
     def _grant(self, message, start_response):
         keys = message["from"], message["to"]
         if any(
@@ -206,11 +243,13 @@
 
     def _respond(self, environ, request_id, body, start_response):
         text = f"{self.name} {environ['PATH_INFO']} {len(body)}".encode()
+        if self.faults.consume("unstated"):
+            return _reply(start_response, 503, b"")
         if self.faults.consume("lose"):
             raise ConnectionResetError(errno.ECONNRESET, "injected: response lost")
         headers = [
             ("Request-Id", "other" if self.faults.consume("foreign") else request_id),
-            ("Upstream-Load", f"{self.running},{self.waiting},{self.slots},100"),
+            self._load_header(),
         ]
         if not self.faults.consume("unmarked"):
             headers.append(("Upstream-Stamp", f"mark.{request_id}"))
@@ -262,14 +301,22 @@
         line = super().read_requestline()
         if line and self._copy:
             copy, self._copy = self._copy, b""
+            self.server.application._record("copy", copy[9:12].decode())
             self.socket.sendall(copy)
         return line
 
     def _sendall(self, data):
         super()._sendall(data)
-        is_answer = self.path in (GRANT, RELEASE) and data.startswith(b"HTTP/1.1 ")
-        if is_answer and self.server.application.faults.consume("copy_answers"):
+        if not data.startswith(b"HTTP/1.1 "):
+            return
+        faults = self.server.application.faults
+        if self.path in (GRANT, RELEASE, HEALTH):
+            fault = "copy_health" if self.path == HEALTH else "copy_answers"
+            self._copy = data if faults.consume(fault) else b""
+        elif _ID_LINE.search(data) and faults.consume("copy_responses"):
             self._copy = data
+        elif _ID_LINE.search(data) and faults.consume("copy_without_id"):
+            self._copy = _ID_LINE.sub(b"", data)
 
 
 class WebServer(web.WebServer):
--- a/tests/test_extra_responses.py
+++ b/tests/test_extra_responses.py
@@ -100,6 +100,53 @@
             self.assertIsInstance(self.send(pool, "b").failure(), UnansweredError)
             self.assertEqual(pool._idle, [])
 
+    def test_late_copy_without_id_is_put_aside(self):
+        """Guards against a copy that is believed as it names no request."""
+        self.check_all_answered(
+            lambda own, earlier: (
+                b"".join(response_bytes(status=503) for _ in earlier[-1:])
+                + response_bytes(own)
+            ),
+            requires_echo=True,
+        )
+
+    def test_response_without_id_is_believed_only_on_an_unused_connection(self):
+        """Guards against a copy, later on, from a server that returns no ids."""
+        server, pool = self.start(
+            lambda own, earlier: response_bytes(body=own.encode()), requires_echo=True
+        )
+        for request_id in ("a", "b", "c"):
+            self.assertEqual(
+                self.send(pool, request_id).unwrap().body, request_id.encode()
+            )
+        self.assertEqual(server.n_connections, 3)
+
+    def test_request_without_id_gets_a_connection_of_its_own(self):
+        """Guards against an earlier response's copy, where no id tells it."""
+        server, pool = self.start(
+            lambda own, earlier: (
+                response_bytes(status=503) * bool(earlier) + response_bytes(own)
+            ),
+            requires_echo=True,
+        )
+        for request_id in ("a", "", "b", ""):
+            self.assertEqual(self.send(pool, request_id).unwrap().status, 200)
+        self.assertEqual(server.n_connections, 3)
+
+    def test_late_copy_of_a_health_response_is_no_answer(self):
+        """Guards against an order refused for what a health check was told."""
+        _, pool = self.start(
+            lambda own, earlier: (
+                response_bytes(status=503) * bool(earlier)
+                + response_bytes(own, 200 if own else 503)
+            ),
+            requires_echo=True,
+        )
+        health = self.send(pool, method="GET", new_connection=True)
+        self.assertEqual(health.unwrap().status, 503)
+        for request_id in ("a", "b"):
+            self.assertEqual(self.send(pool, request_id).unwrap().status, 200)
+
 
 if __name__ == "__main__":
     unittest.main()
