A server's 503 alone no longer tells a caller that an order did not run

Cause: a response was passed on unchanged for its status, whatever it left unsaid. Only a response with Not-Executed, or 421, states that the request did not run.

Fix: the dialect says which statuses callers take for that statement. If an unsafe request gets one of these without it, the caller is told 502, outcome unknown. Weighed: to return each status unchanged, as the protocol also says. The status would then break the promise that the protocol gives for it, and the caller can't tell; with 502 it loses the server's text and a repeat that was not safe. Safe requests get the server's status, as before: repeating them costs nothing.

--- a/src/tarragonramp/dialect.py
+++ b/src/tarragonramp/dialect.py
@@ -38,6 +38,8 @@
     ----------
     not_run : bool
         Whether the server guarantees that it did not and will not run the request.
+    implies_not_run : bool
+        Whether callers take the response's status for such a guarantee.
     misdirected : bool
         Whether the request was meant for another server, or for a key that the server
         does not own.
@@ -48,6 +50,7 @@
     """
 
     not_run: bool = False
+    implies_not_run: bool = False
     misdirected: bool = False
     genuine: bool = True
     load: object = None
--- a/src/tarragonramp/roles/router.py
+++ b/src/tarragonramp/roles/router.py
@@ -434,6 +434,10 @@
         if facts.not_run:
             self._handle_server_refusal(request, facts, budget)
             return False
+        if facts.implies_not_run and not request.route.idempotent:
+            reason = f"server answered {response.status}, which may have run"
+            self._log_failed_attempt(request, reason)
+            raise RequestError(502, UNKNOWN, reason)
         if response.status in SUCCESS_STATUSES and not facts.genuine:
             self._log_failed_attempt(request, "answer without the server's mark")
             request.in_doubt = True
--- a/tests/test_fleet_late_copies.py
+++ b/tests/test_fleet_late_copies.py
@@ -95,6 +95,12 @@
         self.assertGreater(self.n_copies(), 20)
         self.assertEqual(self.statuses[502] + self.statuses[504], 0, self.statuses)
 
+    def test_status_without_statement_is_no_promise(self):
+        """Guards against an order that ran and is answered with a server's 503."""
+        self.play(unstated=UNLIMITED, share=0.2)
+        self.check_promises()
+        self.assertGreater(self.statuses[502], 20)
+
     def test_order_that_comes_back_under_its_id_runs_once(self):
         """Guards against the copy of an order's first refusal."""
         self.play(repeats=True, shed=UNLIMITED, copy_responses=UNLIMITED, share=0.5)
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -36,6 +36,7 @@
 SHED = Success(Response(503, (("Shed", "1"),), b""))
 MISDIRECTED = Success(Response(421, (("Shed", "1"),), b""))
 SERVER_ERROR = Success(Response(500, (("Mark", "1"),), b"oops"))
+UNSTATED = Success(Response(503, (("Mark", "1"),), b"busy"))
 UNMARKED = Success(Response(200, (), b"whose?"))
 UNANSWERED = Failure(UnansweredError("connection closed"))
 UNREACHABLE = Failure(NotSentError("timed out"))
@@ -70,6 +71,7 @@
         """Return the facts of a server's response."""
         return ResponseFacts(
             not_run=bool(answer.header("Shed")),
+            implies_not_run=answer.status == 503,
             misdirected=answer.status == 421,
             genuine=bool(answer.header("Mark")),
         )
@@ -359,6 +361,16 @@
         self.scripted["all"] = [SERVER_ERROR, OK]
         self.assertEqual(self.send_request("/once/")[0], 500)
 
+    def test_status_alone_is_no_statement_that_an_order_did_not_run(self):
+        """Guards against an order that has run and that its caller repeats."""
+        self.scripted["all"] = [UNSTATED]
+        status, headers = self.send_request("/once/")
+        self.assertEqual((status, len(self.sent)), (502, 1))
+        self.assertEqual(headers["Tarragon-Outcome"], UNKNOWN)
+        self.assertNotIn("Retry-After", headers)
+        self.assertNotIn("Mark", headers)
+        self.assertEqual(self.send_request("/safe/")[0], 503)
+
     def test_unreachable_server_is_avoided(self):
         self.scripted["s1"] = [UNREACHABLE]
         for _ in range(6):
