Bytes right behind an identified answer no longer make it unusable

What callers saw: where a server sends additional bytes after a complete answer, an order that ran ended with 502 if both came in one segment, and was answered if they came in two.

Cause: any byte behind a response was an error of the whole exchange. That is right where the end of a response is in doubt. A response that returns the request's id and is complete by its framing is not: what follows belongs to no request, as the protocol says.

Fix: such bytes are dropped, and the connection is closed. Without a returned id they stay an error (test_ambiguous_responses, unchanged).

Evidence: test_extra_response_right_behind_the_answer_costs_no_answer failed before and passes now.

Added besides: a test that mixes copies, with an id and without, before and behind responses of all framings; and one of servers that return the caller's id only. Both found nothing.

--- a/src/tarragonramp/adapters/http.py
+++ b/src/tarragonramp/adapters/http.py
@@ -290,6 +290,7 @@
 
         def is_extra(parser):
             echoed = self._echoed_part(parser.items())
+            parser.is_identified = bool(echoed & sent)
             match = history.match(echoed, sent, self.requires_echo)
             if match is ResponseMatch.FOREIGN:
                 raise HTTPParseError("response belongs to another request")
@@ -459,10 +460,12 @@
 
 
 class _StrictResponseParser(HTTPResponse):
-    """A response parser that treats bytes after the final response as an error.
+    """A response parser that reads one final response and nothing behind it.
 
     The library's parser continues with whatever follows as part of the same response,
-    so a late or forged second response would replace the first one.
+    so a late or forged second response would replace the first one. Bytes behind the
+    response are an error, unless an id tells that the response is complete: they are
+    dropped then, and the connection is not used again.
 
     Parameters
     ----------
@@ -475,10 +478,19 @@
 
     def __init__(self, method, is_extra):
         super().__init__(method)
-        self.is_final = False
+        self.is_final = self.is_identified = False
         self.n_extra, self.n_extra_bytes = 0, 0
         self._is_extra = is_extra
 
+    def feed(self, data):
+        """Parse received bytes."""
+        try:
+            super().feed(data)
+        except HTTPParseError:
+            if not (self.is_final and self.is_identified):
+                raise
+            self._trailing_data_dropped = True
+
     def _on_message_begin(self):
         if self.is_final:
             raise HTTPProtocolViolationError("bytes after the end of the response")
--- a/tests/test_extra_responses.py
+++ b/tests/test_extra_responses.py
@@ -1,5 +1,6 @@
 """Extra responses of a faulty server, on connections that carry many requests."""
 
+import random
 import unittest
 
 from returns.pipeline import is_successful
@@ -7,9 +8,10 @@
 from tarragonramp.adapters.http import MAX_EXTRA_RESPONSES, HttpPool
 from tarragonramp.errors import UnansweredError
 
-from .wire import EchoServer, response_bytes
+from .wire import EchoServer, LateCopyServer, response_bytes
 
 TIMEOUT_MS = 300
+N_MIXTURES = 150
 
 
 class ExtraResponsesTest(unittest.TestCase):
@@ -54,6 +56,28 @@
             )
         )
 
+    def test_extra_response_right_behind_the_answer_costs_no_answer(self):
+        """Guards against an order without an answer where the copy is not late."""
+        for extra in (lambda own: response_bytes(own, 503), lambda own: b"garbage"):
+            server, pool = self.start(
+                lambda own, earlier, extra=extra: response_bytes(own) + extra(own)
+            )
+            for request_id in ("a", "b"):
+                body = self.send(pool, request_id).unwrap().body
+                self.assertEqual(body, request_id.encode())
+            self.assertEqual(server.n_connections, 2)
+
+    def test_copy_with_the_callers_id_only_is_no_answer_to_a_repeat(self):
+        """Guards against servers that return no id of the exchange."""
+        refusal = b"HTTP/1.1 503 S\r\nX-Request-Id: a\r\nContent-Length: 0\r\n\r\n"
+        server = LateCopyServer([refusal, refusal.replace(b"503", b"200")])
+        self.addCleanup(server.stop)
+        pool = HttpPool(server.address)
+        for exchange, status in (("1", 503), ("2", 200)):
+            headers = [("X-Request-Id", "a"), ("Tarragon-Exchange", exchange)]
+            result = pool.exchange("POST", "/", headers, b"", TIMEOUT_MS)
+            self.assertEqual(result.unwrap().status, status)
+
     def test_response_of_a_request_sent_elsewhere_ends_the_connection(self):
         """Guards against the answer that belongs to another connection's request."""
         server, pool = self.start(lambda own, earlier: response_bytes("other"))
@@ -147,6 +171,71 @@
         for request_id in ("a", "b"):
             self.assertEqual(self.send(pool, request_id).unwrap().status, 200)
 
+    def test_any_mixture_of_extra_responses_gives_no_foreign_answer(self):
+        """Guards against an answer that is taken for its place, of whatever framing."""
+        n_answered = 0
+        for seed in range(N_MIXTURES):
+            mixture = Mixture(random.Random(seed))
+            server, pool = self.start(
+                mixture.respond, requires_echo=True, takes_unframed=True
+            )
+            for number in range(8):
+                method = mixture.methods[f"r{number}"] = mixture.choose_method()
+                result = self.send(pool, f"r{number}", method)
+                if not is_successful(result):
+                    continue
+                n_answered += 1
+                response = result.unwrap()
+                self.assertEqual(response.header("Marker"), f"r{number}", seed)
+                if response.status == 200 and method != "HEAD":
+                    self.assertEqual(response.body, f"body of r{number}".encode(), seed)
+            pool.close()
+            server.stop()
+        self.assertGreater(n_answered, N_MIXTURES * 4)
+
+
+class Mixture:
+    """Random responses, with copies of earlier ones before and behind them."""
+
+    def __init__(self, rng):
+        self.rng = rng
+        self.methods = {}
+        self._sent = {}
+
+    def choose_method(self):
+        """Return the method of the next request."""
+        return self.rng.choice(("GET", "POST", "POST", "HEAD"))
+
+    def respond(self, own, earlier):
+        """Return the bytes to send for a request."""
+        self._sent[own] = self._own_response(own)
+        before = [self._copy(i) for i in earlier[-3:] if self.rng.random() < 0.2]
+        behind = [self._copy(own)] if self.rng.random() < 0.1 else []
+        return b"".join([*before, self._sent[own], *behind])
+
+    def _copy(self, request_id):
+        copy = self._sent[request_id]
+        if self.rng.random() < 0.5:
+            return copy.replace(f"Request-Id: {request_id}\r\n".encode(), b"")
+        return copy
+
+    def _own_response(self, own):
+        headers, body = f"Marker: {own}\r\n", f"body of {own}".encode()
+        kind = self.rng.choice(("plain", "plain", "chunked", "interim", "204", "304"))
+        if kind in ("204", "304"):
+            id_line = f"Request-Id: {own}\r\n"
+            return f"HTTP/1.1 {kind} S\r\n{id_line}{headers}\r\n".encode()
+        whole = response_bytes(own, body=body, headers=headers)
+        if kind == "interim":
+            return b"HTTP/1.1 103 Early\r\nRequest-Id: other\r\n\r\n" + whole
+        head, _, _ = whole.partition(b"Content-Length")
+        if kind == "chunked":
+            chunk = f"{len(body):x}\r\n".encode() + body + b"\r\n0\r\n\r\n"
+            whole = head + b"Transfer-Encoding: chunked\r\n\r\n" + chunk
+        if self.methods[own] == "HEAD":
+            return whole[: whole.index(b"\r\n\r\n") + 4]
+        return whole
+
 
 if __name__ == "__main__":
     unittest.main()
