Soak: late copies of responses beside refusals, and orders to the divided service

From seed 6,000,000 on, servers refuse a share of the requests and send late copies of others' responses (requests, with an id and without, health checks, grants), or answer 503 after a run without a word on it; callers send orders to the divided service, too. The checks are those the soak had. The number of copies sent is printed with each seed.

--- a/soak/plan.py
+++ b/soak/plan.py
@@ -5,9 +5,11 @@
 import attrs
 
 __all__ = [
+    "COPY_FAULTS",
     "DAEMONS",
     "DOMAINS",
     "ENTRY_KINDS",
+    "FIRST_COPY_SEED",
     "FIRST_CUT_SEED",
     "FIRST_ENTRY_SEED",
     "FIRST_EXTENDED_SEED",
@@ -50,6 +52,19 @@
 FIRST_ENTRY_SEED = 5_000_000
 """First seed whose plans also have another program write and delete server entries."""
 
+FIRST_COPY_SEED = 6_000_000
+"""First seed whose plans also have servers refuse requests and send late copies of
+responses, and whose callers send orders to the divided service."""
+
+COPY_FAULTS = (
+    "copy_responses",
+    "copy_without_id",
+    "copy_health",
+    "copy_answers",
+    "unstated",
+)
+"""Responses that are believed for their place, or for what they do not say."""
+
 ENTRY_KINDS = ("unused service", "unreadable", "elsewhere", "beside", "deleted")
 """What another program does to a server's entry: it replaces it by one of a service
 that no manifest names, by an unreadable one or by one of a later process at another
@@ -140,9 +155,24 @@
         events = sorted([*events, *_stops(rng, run_ms)], key=lambda e: e.at_ms)
     if seed >= FIRST_ENTRY_SEED:
         events = sorted([*events, *_entries(rng, run_ms)], key=lambda e: e.at_ms)
+    if seed >= FIRST_COPY_SEED:
+        events = sorted([*events, *_copies(rng, run_ms)], key=lambda e: e.at_ms)
     return [event for event in events if event.at_ms < run_ms]
 
 
+def _copies(rng, run_ms):
+    """Return faults of servers that refuse requests and copy responses meanwhile."""
+    events, at_ms = [], rng.uniform(500.0, 2000.0)
+    while at_ms + MAX_DURATION_MS < run_ms:
+        for name in rng.sample(list(SERVERS), rng.randint(1, 3)):
+            lasts_ms = rng.uniform(1000.0, MAX_DURATION_MS)
+            kind = rng.choice(COPY_FAULTS)
+            events.append(FaultEvent(at_ms, "misbehave", name, lasts_ms, kind))
+            events.append(FaultEvent(at_ms, "misbehave", name, lasts_ms, "shed"))
+        at_ms += rng.uniform(500.0, 3000.0)
+    return events
+
+
 def _stops(rng, run_ms):
     """Return stops of one to all daemons, at once or shortly after each other."""
     events, at_ms = [], rng.uniform(1000.0, 3000.0)
--- a/soak/run.py
+++ b/soak/run.py
@@ -32,7 +32,7 @@
 from .checks import Outcome, Probe, RunRecord, find_violations  # noqa: E402
 from .plan import (  # noqa: E402
     DAEMONS,
-    FIRST_ENTRY_SEED,
+    FIRST_COPY_SEED,
     FIRST_OUTAGE_SEED,
     FIRST_STOP_SEED,
     REFUSALS,
@@ -50,6 +50,8 @@
 PAUSE_MS = 40.0
 PIPELINED_GAP_S = 0.15
 UNLIMITED = 10_000
+FAULTY_SHARE = 0.3
+"""Share of a server's responses with a fault, so that copies meet requests that run."""
 ROUTE_PROPAGATION_S = 2.0
 SEEDS_FILE = "soak/seeds.txt"
 LOG_FOLDER = "out/soak"
@@ -290,7 +292,10 @@
     def _set_server_fault(self, process, event, count):
         if process.poll() is not None:
             return
-        body = json.dumps({event.detail: count}).encode()
+        faults = {event.detail: count}
+        if self.seed >= FIRST_COPY_SEED:
+            faults["share"] = FAULTY_SHARE
+        body = json.dumps(faults).encode()
         pool = HttpPool(self.site.servers[event.name])
         pool.exchange("POST", "/stand-in/faults", (), body, 2000)
 
@@ -388,7 +393,8 @@
 
     def _write_manifest(self):
         self.version += 1
-        spec = manifest(self.version, **{f"v{self.version}": "desk"})
+        orders = "parts" if self.seed >= FIRST_COPY_SEED else ""
+        spec = manifest(self.version, orders, **{f"v{self.version}": "desk"})
         self.site.control_store(write=["config", "main", spec, None])
         return self.version
 
@@ -419,11 +425,12 @@
         self.n_calls += 1
         request_id = f"s{number}-{self.n_calls}"
         key = rng.randrange(N_KEYS)
-        method, path = rng.choice(
-            (("GET", "/view/"), ("POST", "/book/"), ("GET", "/parts/"))
-        )
+        kinds = [("GET", "/view/"), ("POST", "/book/"), ("GET", "/parts/")]
+        if self.seed >= FIRST_COPY_SEED:
+            kinds.append(("POST", "/order/"))
+        method, path = rng.choice(kinds)
         headers = [("Host", HOST), ("Request-Id", request_id), ("Deadline-Ms", "1500")]
-        if path == "/parts/":
+        if path in ("/parts/", "/order/"):
             headers.append(("Shard-Key", str(key)))
         body = b"claim" if method == "POST" else b""
         sent_ms = time.time() * 1000.0
@@ -502,9 +509,7 @@
     length_s : float
         Duration of the faults in each run, in seconds.
     """
-    fresh_seeds = (
-        FIRST_ENTRY_SEED + secrets.randbelow(1_000_000) for _ in range(fresh)
-    )
+    fresh_seeds = (FIRST_COPY_SEED + secrets.randbelow(1_000_000) for _ in range(fresh))
     chosen = [*seeds, *fresh_seeds]
     return sum(not run_seed(seed, length_s) for seed in chosen or regression_seeds())
 
@@ -523,7 +528,9 @@
         traceback.print_exc(file=sys.stdout)
         return False
     served = sum(o.status == 200 for o in soak.record.outcomes)
+    copies = sum(entry[2] == "copy" for entry in soak.record.entries)
     print(f"{len(soak.record.outcomes)} calls, {served} served", end="")
+    print(f", {copies} late copies" if copies else "", end="")
     print(f", violated: {sorted(violations)}" if violations else ", no violations")
     for name, found in violations.items():
         print(f"  {name}: {len(found)}", *found[:5], sep="\n    ", flush=True)
--- a/standins/fleet_site.py
+++ b/standins/fleet_site.py
@@ -42,12 +42,14 @@
 """
 
 
-def manifest(version, **routes):
+def manifest(version, orders="", **routes):
     """Return a manifest with a shared service ``desk`` and a divided one ``parts``.
 
     Parameters
     ----------
     version : int
+    orders : str, default=""
+        Service of a further route, for unsafe requests; none if empty.
     **routes : str
         Further path prefixes, each with the service that it is routed to.
     """
@@ -56,6 +58,8 @@
         _rule(f"/{prefix}/", service, "safe") for prefix, service in prefixes.items()
     ]
     rules.append(_rule("/book/", "desk", "unsafe"))
+    if orders:
+        rules.append(_rule("/order/", orders, "unsafe"))
     return {
         "version": f"r{version}",
         "limits": {
--- a/tests/test_fleet_late_copies.py
+++ b/tests/test_fleet_late_copies.py
@@ -28,7 +28,8 @@
         self.site = FleetSite()
         self.addCleanup(self.site.close)
         self.site.start_store()
-        self.site.control_store(write=["config", "main", orders_manifest(), None])
+        spec = manifest(1, orders="parts")
+        self.site.control_store(write=["config", "main", spec, None])
         self.site.start_server("desk0", "desk", "a")
         for name, domain in SERVERS.items():
             self.site.start_server(name, "parts", domain, "--work-ms", "20")
@@ -108,14 +109,5 @@
         self.assertGreater(self.n_copies(), 20)
 
 
-def orders_manifest():
-    """Return a manifest with a route for orders to the divided service."""
-    found = manifest(1, order="parts")
-    for rule in found["listeners"][0]["rules"]:
-        if rule["match"]["pathPrefix"] == "/order/":
-            rule["kind"] = "unsafe"
-    return found
-
-
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,5 +1,6 @@
 """Tests of the soak's parts, and one short run of it."""
 
+import collections
 import contextlib
 import hashlib
 import io
@@ -16,8 +17,10 @@
 from soak import run
 from soak.checks import Outcome, Probe, RunRecord, find_violations
 from soak.plan import (
+    COPY_FAULTS,
     DAEMONS,
     ENTRY_KINDS,
+    FIRST_COPY_SEED,
     FIRST_CUT_SEED,
     FIRST_ENTRY_SEED,
     FIRST_OUTAGE_SEED,
@@ -34,6 +37,7 @@
 SHORT_S = 12.0
 SEED = 5
 STOP_SEED, ENTRY_SEED = FIRST_STOP_SEED + 3, FIRST_ENTRY_SEED + 15
+COPY_SEED = FIRST_COPY_SEED + 149
 
 PLAN_DIGESTS = {17: "ea30f2133152", 510: "e93c7342d24b", 1_108_563: "aa3c6038f699"}
 """Start of the SHA-256 digest of the plan of 30 s, by seed."""
@@ -269,6 +273,19 @@
             kinds.update(event.detail for event in entries)
         self.assertEqual(kinds, set(ENTRY_KINDS))
 
+    def test_servers_copy_responses_while_they_refuse(self):
+        """Guards against a soak in which no late copy meets a repeated request."""
+        kinds = set()
+        for seed in range(FIRST_COPY_SEED, FIRST_COPY_SEED + 20):
+            found = collections.defaultdict(set)
+            for event in generate_plan(seed, 30_000.0):
+                if event.kind == "misbehave":
+                    found[event.name, event.at_ms].add(event.detail)
+            copies = [f for f in found.values() if f & set(COPY_FAULTS)]
+            self.assertTrue(any("shed" in details for details in copies), seed)
+            kinds.update(*copies)
+        self.assertEqual(kinds, {*COPY_FAULTS, "shed"})
+
     def test_daemons_stop_in_series(self):
         """Guards against a soak in which stops never overlap."""
         for seed in range(FIRST_STOP_SEED, FIRST_STOP_SEED + 20):
@@ -435,6 +452,17 @@
         self.assertEqual(found, {})
 
 
+class CopiesSoakTest(unittest.TestCase):
+    """Some seconds of late copies of responses from a fixed seed."""
+
+    def test_no_invariant_is_violated(self):
+        soak = Soak(COPY_SEED, SHORT_S)
+        found = {name: faults for name, faults in soak.execute().items() if faults}
+        self.assertEqual(found, {})
+        copies = [entry for entry in soak.record.entries if entry[2] == "copy"]
+        self.assertGreater(len(copies), 5)
+
+
 class ShortSoakTest(unittest.TestCase):
     """A few seconds of faults from a fixed seed."""
 
