--- a/src/tarragonramp/adapters/http.py
+++ b/src/tarragonramp/adapters/http.py
@@ -13,11 +13,7 @@
 
 import attrs
 from gevent import socket
-from geventhttpclient.response import (
-    HTTPParseError,
-    HTTPProtocolViolationError,
-    HTTPResponse,
-)
+from geventhttpclient.response import HTTPParseError
 from returns.result import Failure, Result, Success
 
 from ..echoes import EchoHistory, ResponseMatch
@@ -31,15 +27,13 @@
 from ..meters import kind_of
 from .logs import log_event
 from .optional import optional_step
+from .parser import ResponseParser
 
 __all__ = ["Response", "HttpPool", "HttpPools", "check_bounded_sends", "split_address"]
 
 RECEIVE_BYTES = 65_536
 MAX_IDLE_CONNECTIONS = 64
 MAX_RESPONSE_HEAD_BYTES = 65_536
-SWITCHING_PROTOCOLS = 101
-MAX_EXTRA_RESPONSES = 8
-"""Extra responses put aside in one exchange; more look like a server out of step."""
 
 # Interval at which a pending exchange checks whether its caller is still connected.
 # Responses that arrive sooner cost no check.
@@ -218,7 +212,7 @@
         if tag is not None:
             self._tags.setdefault(connection, set()).add(tag)
         history = self._histories.setdefault(connection, EchoHistory())
-        parser = _StrictResponseParser(method, self._matcher(history, sent))
+        parser = ResponseParser(method, self._matcher(history, sent))
         try:
             connection.settimeout(_remaining_s(deadline_s))
             connection.sendall(data)
@@ -238,10 +232,9 @@
             raise
         if self.traffic is not None:
             self.traffic.received(kind_of(method, target), n_received)
-        echoed = self._echoed_part(parser.items())
-        history.record(echoed)
+        history.record(parser.echoed)
         is_kept = kept_after is None or parser.status_code in kept_after
-        if self.requires_echo and sent and not echoed:
+        if self.requires_echo and sent and not parser.echoed:
             is_kept = False
         self._release(connection, parser, is_kept)
         response = Response(
@@ -289,8 +282,8 @@
         """
 
         def is_extra(parser):
-            echoed = self._echoed_part(parser.items())
-            parser.is_identified = bool(echoed & sent)
+            echoed = parser.echoed = self._echoed_part(parser.items())
+            parser.is_identified = not sent.isdisjoint(echoed)
             match = history.match(echoed, sent, self.requires_echo)
             if match is ResponseMatch.FOREIGN:
                 raise HTTPParseError("response belongs to another request")
@@ -459,78 +452,6 @@
         connection.setsockopt(plain_socket.IPPROTO_TCP, option, value)
 
 
-class _StrictResponseParser(HTTPResponse):
-    """A response parser that reads one final response and nothing behind it.
-
-    The library's parser continues with whatever follows as part of the same response,
-    so a late or forged second response would replace the first one. Bytes behind the
-    response are an error, unless an id tells that the response is complete: they are
-    dropped then, and the connection is not used again.
-
-    Parameters
-    ----------
-    method : str
-        Of the request.
-    is_extra : callable
-        ``is_extra(parser)`` returns whether a complete response is an extra one, which
-        is put aside.
-    """
-
-    def __init__(self, method, is_extra):
-        super().__init__(method)
-        self.is_final = self.is_identified = False
-        self.n_extra, self.n_extra_bytes = 0, 0
-        self._is_extra = is_extra
-
-    def feed(self, data):
-        """Parse received bytes."""
-        try:
-            super().feed(data)
-        except HTTPParseError:
-            if not (self.is_final and self.is_identified):
-                raise
-            self._trailing_data_dropped = True
-
-    def _on_message_begin(self):
-        if self.is_final:
-            raise HTTPProtocolViolationError("bytes after the end of the response")
-        super()._on_message_begin()
-
-    def end_by_close(self):
-        """Return whether the close of the connection completes the response."""
-        return (
-            self.headers_complete
-            and self.get("content-length") is None
-            and "chunked" not in (self.get("transfer-encoding") or "").lower()
-            and not self._is_extra(self)
-        )
-
-    def _flush_header(self):
-        if not self.headers_complete:
-            super()._flush_header()
-        # A field after the header section is a trailer, which must not alter headers.
-
-    def _on_message_complete(self):
-        super()._on_message_complete()
-        if self.get_code() == SWITCHING_PROTOCOLS:
-            raise HTTPProtocolViolationError("unexpected protocol switch (status 101)")
-        if self.get_code() < 200:
-            return
-        if self._is_extra(self):
-            self._put_aside()
-        else:
-            self.is_final = True
-
-    def _put_aside(self):
-        """Forget a complete response, to parse the one that follows."""
-        self.n_extra += 1
-        if self.n_extra > MAX_EXTRA_RESPONSES:
-            raise HTTPProtocolViolationError("too many extra responses")
-        self.n_extra_bytes += len(self._body_buffer)
-        self._body_buffer.clear()
-        self.headers_complete = self._message_ended_in_skip_body = False
-
-
 def _receive(connection, deadline_s, is_wanted):
     """Receive bytes, polling ``is_wanted`` until they arrive.
 
--- /dev/null
+++ b/src/tarragonramp/adapters/parser.py
@@ -0,0 +1,87 @@
+"""Strict parser of the responses on a connection that is used for many requests."""
+
+from geventhttpclient.response import (
+    HTTPParseError,
+    HTTPProtocolViolationError,
+    HTTPResponse,
+)
+
+__all__ = ["MAX_EXTRA_RESPONSES", "ResponseParser"]
+
+SWITCHING_PROTOCOLS = 101
+MIN_FINAL_STATUS = 200
+MAX_EXTRA_RESPONSES = 8
+"""Extra responses put aside in one exchange; more look like a server out of step."""
+
+
+class ResponseParser(HTTPResponse):
+    """A response parser that reads one final response and nothing behind it.
+
+    The library's parser continues with whatever follows as part of the same response,
+    so a late or forged second response would replace the first one. Bytes behind the
+    response are an error, unless an id tells that the response is complete: they are
+    dropped then, and the connection is not used again.
+
+    Parameters
+    ----------
+    method : str
+        Of the request.
+    is_extra : callable
+        ``is_extra(parser)`` returns whether a complete response is an extra one, which
+        is put aside.
+    """
+
+    def __init__(self, method, is_extra):
+        super().__init__(method)
+        self.is_final = self.is_identified = False
+        self.echoed = frozenset()
+        self.n_extra, self.n_extra_bytes = 0, 0
+        self._is_extra = is_extra
+
+    def feed(self, data):
+        """Parse received bytes."""
+        try:
+            super().feed(data)
+        except HTTPParseError:
+            if not (self.is_final and self.is_identified):
+                raise
+            self._trailing_data_dropped = True
+
+    def _on_message_begin(self):
+        if self.is_final:
+            raise HTTPProtocolViolationError("bytes after the end of the response")
+        super()._on_message_begin()
+
+    def end_by_close(self):
+        """Return whether the close of the connection completes the response."""
+        return (
+            self.headers_complete
+            and self.get("content-length") is None
+            and "chunked" not in (self.get("transfer-encoding") or "").lower()
+            and not self._is_extra(self)
+        )
+
+    def _flush_header(self):
+        if not self.headers_complete:
+            super()._flush_header()
+        # A field after the header section is a trailer, which must not alter headers.
+
+    def _on_message_complete(self):
+        super()._on_message_complete()
+        if self.get_code() == SWITCHING_PROTOCOLS:
+            raise HTTPProtocolViolationError("unexpected protocol switch (status 101)")
+        if self.get_code() < MIN_FINAL_STATUS:
+            return
+        if self._is_extra(self):
+            self._put_aside()
+        else:
+            self.is_final = True
+
+    def _put_aside(self):
+        """Forget a complete response, to parse the one that follows."""
+        self.n_extra += 1
+        if self.n_extra > MAX_EXTRA_RESPONSES:
+            raise HTTPProtocolViolationError("too many extra responses")
+        self.n_extra_bytes += len(self._body_buffer)
+        self._body_buffer.clear()
+        self.headers_complete = self._message_ended_in_skip_body = False
--- a/tests/test_extra_responses.py
+++ b/tests/test_extra_responses.py
@@ -5,7 +5,8 @@
 
 from returns.pipeline import is_successful
 
-from tarragonramp.adapters.http import MAX_EXTRA_RESPONSES, HttpPool
+from tarragonramp.adapters.http import HttpPool
+from tarragonramp.adapters.parser import MAX_EXTRA_RESPONSES
 from tarragonramp.errors import UnansweredError
 
 from .wire import EchoServer, LateCopyServer, response_bytes
