Own interface: a late copy of a refusal is not the answer to the next claim

What callers saw: a claim that ran was answered "not run", where a server copies a refusal late and returns no id in it. Found by the test; not seen in a fleet.

Cause: backend servers of the own interface may leave ids out, so a copy cannot be told from the next response, and the connection of a refusal was used again.

Fix: a connection is closed after an error response without an id, to a request that has one. Servers that return the exchange's id keep their connections. Successes without an id keep theirs: a copy of one can still pass for another answer there, as nothing tells them apart.

Evidence: test_a_late_copy_of_a_refusal_is_not_the_answer_to_the_next_claim failed before (503, and had run), and passes now.

--- a/src/tarragonramp/adapters/http.py
+++ b/src/tarragonramp/adapters/http.py
@@ -34,6 +34,7 @@
 RECEIVE_BYTES = 65_536
 MAX_IDLE_CONNECTIONS = 64
 MAX_RESPONSE_HEAD_BYTES = 65_536
+MIN_ERROR_STATUS = 400
 
 # Interval at which a pending exchange checks whether its caller is still connected.
 # Responses that arrive sooner cost no check.
@@ -234,8 +235,11 @@
             self.traffic.received(kind_of(method, target), n_received)
         history.record(parser.echoed)
         is_kept = kept_after is None or parser.status_code in kept_after
-        if self.requires_echo and sent and not parser.echoed:
-            is_kept = False
+        if sent and not parser.is_identified:
+            # A late copy could not be told from the next response. It is worst for one
+            # that says that a request did not run.
+            is_error = parser.status_code >= MIN_ERROR_STATUS
+            is_kept = is_kept and not (self.requires_echo or is_error)
         self._release(connection, parser, is_kept)
         response = Response(
             parser.status_code, tuple(parser.items()), bytes(parser._body_buffer)
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -24,7 +24,7 @@
 from tarragonramp.settings import Limits, Timing
 from tarragonramp.view import View
 
-from .wire import ScriptedServer, send_raw
+from .wire import LateCopyServer, ScriptedServer, send_raw
 
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi"
 SHED = b"HTTP/1.1 503 Busy\r\nTarragon-Outcome: not-run\r\nContent-Length: 0\r\n\r\n"
@@ -298,6 +298,15 @@
             self.assertEqual(self.call("POST", "/pages", (), b"claim").status, 200)
         self.assertEqual(len(taking.requests), 4)
 
+    def test_a_late_copy_of_a_refusal_is_not_the_answer_to_the_next_claim(self):
+        """Guards against a claim that has run and is reported as not run."""
+        server = LateCopyServer([SHED, OK])
+        self.start(server)
+        headers = [("X-Key", "k")]
+        for status in (503, 200, 200):
+            answer = self.call("POST", "/records", headers, b"claim")
+            self.assertEqual(answer.status, status)
+
     def test_a_term_handover_is_not_charged_to_the_retry_budget(self):
         """A daemon that stops hands over the term of a server while requests arrive.
 
