Tests: each guard against extra responses is missed by one; two idle lines go

A copy with a body before the response to a HEAD ends the connection at once, an unframed one ends with its connection, and the statuses that callers take for a promise are listed. Two assignments of the parser gained nothing and are gone. A stale copy of an answer proves nothing to the grant ledger.

--- a/src/tarragonramp/adapters/parser.py
+++ b/src/tarragonramp/adapters/parser.py
@@ -45,7 +45,6 @@
         except HTTPParseError:
             if not (self.is_final and self.is_identified):
                 raise
-            self._trailing_data_dropped = True
 
     def _on_message_begin(self):
         if self.is_final:
@@ -84,4 +83,4 @@
             raise HTTPProtocolViolationError("too many extra responses")
         self.n_extra_bytes += len(self._body_buffer)
         self._body_buffer.clear()
-        self.headers_complete = self._message_ended_in_skip_body = False
+        self._message_ended_in_skip_body = False
--- a/src/tarragonramp/echoes.py
+++ b/src/tarragonramp/echoes.py
@@ -66,9 +66,8 @@
         """
         sent_values = dict(sent)
         if any(sent_values.get(name, value) != value for name, value in echoed):
-            return (
-                ResponseMatch.EXTRA if echoed in self._past else ResponseMatch.FOREIGN
-            )
+            is_known = echoed in self._past
+            return ResponseMatch.EXTRA if is_known else ResponseMatch.FOREIGN
         if is_required and sent and not echoed and self._past:
             return ResponseMatch.EXTRA
         return ResponseMatch.OWN
--- a/tests/test_extra_responses.py
+++ b/tests/test_extra_responses.py
@@ -122,9 +122,22 @@
                 takes_unframed=True,
             )
             self.send(pool, "a").unwrap()
+            server.closes = True
             self.assertIsInstance(self.send(pool, "b").failure(), UnansweredError)
             self.assertEqual(pool._idle, [])
 
+    def test_copy_with_a_body_before_a_head_response_ends_the_connection(self):
+        """Guards against waiting in vain behind bytes that can't be parsed."""
+        _, pool = self.start(
+            lambda own, earlier: (
+                b"".join(response_bytes(i, body=b"not a head") for i in earlier)
+                + response_bytes(own, body=b"")
+            )
+        )
+        self.send(pool, "a").unwrap()
+        error = self.send(pool, "b", "HEAD").failure()
+        self.assertNotIn("timed out", str(error))
+
     def test_late_copy_without_id_is_put_aside(self):
         """Guards against a copy that is believed as it names no request."""
         self.check_all_answered(
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -85,6 +85,16 @@
         self.assertEqual(ledger.released(0, 20.0), "acknowledged")
         self.assertEqual(ledger.released(1, 20.0), "")
 
+    def test_late_copy_of_an_answer_proves_nothing(self):
+        """Guards against a copy that passes for the answer to a smaller grant."""
+        ledger = self.ledger_with_grant()
+        ledger.next_grant({1: 7}, 10.0)
+        answered(ledger, 100.0, 10.0, sequence=1)
+        self.assertEqual(ledger.released(0, 20.0), "")
+        ends_ms = GRANT_MS
+        self.assertEqual(ledger.released(0, ends_ms), "")
+        self.assertEqual(ledger.released(0, ends_ms + 30.0), "expired")
+
     def test_a_new_boot_id_is_proof(self):
         ledger = self.ledger_with_grant()
         self.assertTrue(answered(ledger, 3.0, 400.0, boot_id="b2"))
--- a/tests/test_platform_folder.py
+++ b/tests/test_platform_folder.py
@@ -398,6 +398,8 @@
 
         self.assertTrue(facts(503, ("Not-Executed", "1")).not_run)
         self.assertFalse(facts(503).not_run)
+        promises = [s for s in range(200, 600) if facts(s).implies_not_run]
+        self.assertEqual(promises, [408, 421, 429, 503])
         self.assertTrue(facts(421).misdirected)
         self.assertFalse(facts(200).genuine)
         load = facts(200, ("Upstream-Load", "2,1,3,150")).load
--- a/tests/wire.py
+++ b/tests/wire.py
@@ -130,6 +130,9 @@
             request_id = match[1] if match else ""
             connection.sendall(self.respond(request_id, earlier))
             earlier.append(request_id)
+            if self.closes:
+                connection.close()
+                break
         self.client_closed.set()
 
     def _receive(self, connection):
