An interim response before a close is no answer

A server that sends 100 or 103 and then closes its connection had its interim response passed on as the final answer of an order that may have run.

Cause: where responses may end with their connection, any response without a length was taken as completed by the close, an interim one included.

Fix: the close completes a response only while its body is being read. Bytes that can't be parsed behind an interim response to a HEAD end the exchange at once; the library takes them for the end of a bodiless response, and the exchange lasted until its time limit.

Evidence: test_interim_response_before_a_close_is_no_answer and the second part of the test of HEAD failed before.

--- a/src/tarragonramp/adapters/http.py
+++ b/src/tarragonramp/adapters/http.py
@@ -213,7 +213,7 @@
         if tag is not None:
             self._tags.setdefault(connection, set()).add(tag)
         history = self._histories.setdefault(connection, EchoHistory())
-        parser = ResponseParser(method, self._matcher(history, sent))
+        parser = ResponseParser(method, self._extra_check(history, sent))
         try:
             connection.settimeout(_remaining_s(deadline_s))
             connection.sendall(data)
@@ -279,7 +279,7 @@
                 found[lower] = f"{found[lower]}, {value}" if lower in found else value
         return frozenset(found.items())
 
-    def _matcher(self, history, sent):
+    def _extra_check(self, history, sent):
         """Return a function that tells whether a response is an extra one.
 
         It raises HTTPParseError if the response belongs to no known request.
--- a/src/tarragonramp/adapters/parser.py
+++ b/src/tarragonramp/adapters/parser.py
@@ -55,6 +55,7 @@
         """Return whether the close of the connection completes the response."""
         return (
             self.headers_complete
+            and not self.message_complete
             and self.get("content-length") is None
             and "chunked" not in (self.get("transfer-encoding") or "").lower()
             and not self._is_extra(self)
@@ -69,12 +70,12 @@
         super()._on_message_complete()
         if self.get_code() == SWITCHING_PROTOCOLS:
             raise HTTPProtocolViolationError("unexpected protocol switch (status 101)")
-        if self.get_code() < MIN_FINAL_STATUS:
-            return
-        if self._is_extra(self):
-            self._put_aside()
-        else:
-            self.is_final = True
+        if self.get_code() >= MIN_FINAL_STATUS:
+            self.is_final = not self._is_extra(self)
+            if not self.is_final:
+                self._put_aside()
+        # The library takes an error behind the head for the end of a bodiless response.
+        self._message_ended_in_skip_body &= self.is_final
 
     def _put_aside(self):
         """Forget a complete response, to parse the one that follows."""
@@ -83,4 +84,3 @@
             raise HTTPProtocolViolationError("too many extra responses")
         self.n_extra_bytes += len(self._body_buffer)
         self._body_buffer.clear()
-        self._message_ended_in_skip_body = False
--- a/tests/test_extra_responses.py
+++ b/tests/test_extra_responses.py
@@ -126,6 +126,15 @@
             self.assertIsInstance(self.send(pool, "b").failure(), UnansweredError)
             self.assertEqual(pool._idle, [])
 
+    def test_interim_response_before_a_close_is_no_answer(self):
+        """Guards against a 103 that a caller gets as the answer to an order."""
+        for interim in (b"HTTP/1.1 100 Continue\r\n\r\n", b"HTTP/1.1 103 E\r\n\r\n"):
+            server, pool = self.start(
+                lambda own, earlier, interim=interim: interim, takes_unframed=True
+            )
+            server.closes = True
+            self.assertIsInstance(self.send(pool, "a").failure(), UnansweredError)
+
     def test_copy_with_a_body_before_a_head_response_ends_the_connection(self):
         """Guards against waiting in vain behind bytes that can't be parsed."""
         _, pool = self.start(
@@ -137,6 +146,10 @@
         self.send(pool, "a").unwrap()
         error = self.send(pool, "b", "HEAD").failure()
         self.assertNotIn("timed out", str(error))
+        interim = b"HTTP/1.1 103 E\r\n\r\n"
+        _, pool = self.start(lambda own, earlier: interim + b"no response")
+        error = self.send(pool, "a", "HEAD").failure()
+        self.assertNotIn("timed out", str(error))
 
     def test_late_copy_without_id_is_put_aside(self):
         """Guards against a copy that is believed as it names no request."""
