A delegate's error without a report is no proof that nothing ran

What callers saw: nothing yet in a fleet. A daemon that reaches no server handed an order to a third daemon when the second one failed after it had sent the order to a server: it could run twice.

Cause: a response without a report was taken for that of an older build, whatever its status. A delegate that fails while it serves answers 500 without a report, too.

Fix: only a rejection (4xx) without a report shows that the request was not taken. Anything else without a valid report ends it with 502, unknown.

Evidence: test_response_without_a_report_is_no_proof_that_nothing_ran failed before (the request went on to another daemon). The test of older builds, which answer 404, is unchanged and passes.

--- a/src/tarragonramp/roles/peer_delegator.py
+++ b/src/tarragonramp/roles/peer_delegator.py
@@ -32,6 +32,7 @@
 UNREACHED_MS = 2000.0
 """How long a daemon that did not answer is not asked."""
 
+REJECTION_STATUSES = range(400, 500)
 NOT_UNDERSTOOD_MS = 10_000.0
 """How long a daemon of a build that takes no requests of others is not asked."""
 
@@ -137,8 +138,7 @@
         try:
             report = Report.from_header(response.header(DELEGATION_HEADER))
         except (TypeError, ValueError):
-            # Without a report it did not reach the daemon's router.
-            self._pass_over(peer, "not understood", NOT_UNDERSTOOD_MS)
+            self._handle_missing_report(peer, response)
             return None
         if report.result == DECLINED:
             self._avoid_domain_of(peer)
@@ -164,6 +164,17 @@
         )
         return attrs.evolve(response, headers=headers)
 
+    def _handle_missing_report(self, peer, response):
+        """Raise unless a response without a valid report shows that nothing ran.
+
+        A daemon of a build that takes no requests of others rejects them. An error
+        later on may have come after the request was sent to a server.
+        """
+        if response.status not in REJECTION_STATUSES:
+            inputs = {"delegate": peer}
+            raise RequestError(502, UNKNOWN, "no report from a daemon", None, inputs)
+        self._pass_over(peer, "not understood", NOT_UNDERSTOOD_MS)
+
     def _exchange(self, peer, request):
         now_ms = self.clock.now_ms()
         delegation = Delegation(
--- a/tests/test_peer_delegator.py
+++ b/tests/test_peer_delegator.py
@@ -163,6 +163,18 @@
         self.assertEqual(raised.exception.status, 502)
         self.assertEqual(len(self.asked), 1)
 
+    def test_response_without_a_report_is_no_proof_that_nothing_ran(self):
+        """Guards against a second run after a delegate's own error."""
+        for status, report in ((500, ()), (200, ((DELEGATION_HEADER, "{}"),))):
+            self.asked.clear()
+            for domain in ("a", "b"):
+                self.script(domain, Success(Response(status, report, b"")))
+            with self.assertRaises(RequestError) as raised:
+                self.delegator.serve(self.request())
+            error = raised.exception
+            self.assertEqual((error.status, error.outcome), (502, UNKNOWN))
+            self.assertEqual(len(self.asked), 1)
+
     def test_a_frozen_daemon_is_passed_over_after_two_deadlines(self):
         self.delegator._in_progress.update({"d3": 5})
         self.scripted["d2"] = Failure(UnansweredError("timed out"))
