Service beside late copies of grants' answers traced; not mended

Each copy ends the exchange of a grant and its connection, and each round of renewals begins anew with the same ranges: two of a server's 18 are renewed each second, the others' holds end.

--- a/soak/plan.py
+++ b/soak/plan.py
@@ -63,7 +63,7 @@
     "copy_answers",
     "unstated",
 )
-"""Responses that are believed for their place, or for what they do not say."""
+"""Late copies of responses, and responses that do not say whether the request ran."""
 
 ENTRY_KINDS = ("unused service", "unreadable", "elsewhere", "beside", "deleted")
 """What another program does to a server's entry: it replaces it by one of a service
