Copies of answers to grants no longer keep a server's ranges from being renewed

Cause: a copy and the answer behind it, in one segment, ended the exchange and its connection. A round of renewals gives up there, tokens are raised, and the next round begins with the same ranges. Two of a server's 18 ranges were renewed each second; the others' holds ended.

Fix: bytes behind a complete answer to a grant or a release are dropped, and the connection is closed, as for answers that are identified by an id. The answer counts for what it counted where the two came in two segments. A range without a connection gets a new token within the round.

--- a/src/tarragonramp/adapters/http.py
+++ b/src/tarragonramp/adapters/http.py
@@ -108,6 +108,9 @@
         Whether servers return these headers in each response to a request that has
         them. A request without them gets a connection of its own, as nothing but its
         place identifies the response.
+    drops_trailing : bool
+        Whether bytes behind a complete response are dropped, and its connection closed,
+        also if it has no id. Otherwise they make such a response unusable.
     max_idle : int
         Maximum number of idle connections kept.
     max_idle_ms : float
@@ -129,6 +132,7 @@
     user_timeout_ms: float = 0.0
     echoed_headers: tuple = ECHOED_HEADERS
     requires_echo: bool = False
+    drops_trailing: bool = False
     max_idle: int = MAX_IDLE_CONNECTIONS
     max_idle_ms: float = 0.0
     takes_unframed: bool = False
@@ -213,7 +217,9 @@
         if tag is not None:
             self._tags.setdefault(connection, set()).add(tag)
         history = self._histories.setdefault(connection, EchoHistory())
-        parser = ResponseParser(method, self._extra_check(history, sent))
+        parser = ResponseParser(
+            method, self._extra_check(history, sent), self.drops_trailing
+        )
         try:
             connection.settimeout(_remaining_s(deadline_s))
             connection.sendall(data)
--- a/src/tarragonramp/adapters/parser.py
+++ b/src/tarragonramp/adapters/parser.py
@@ -19,8 +19,9 @@
 
     The library's parser continues with whatever follows as part of the same response,
     so a late or forged second response would replace the first one. Bytes behind the
-    response are an error, unless an id tells that the response is complete: they are
-    dropped then, and the connection is not used again.
+    response are an error, unless an id tells that the response is complete, or
+    ``drops_trailing`` is set: they are dropped then, and the connection is not used
+    again.
 
     Parameters
     ----------
@@ -29,21 +30,23 @@
     is_extra : callable
         ``is_extra(parser)`` returns whether a complete response is an extra one, which
         is put aside.
+    drops_trailing : bool, default=False
     """
 
-    def __init__(self, method, is_extra):
+    def __init__(self, method, is_extra, drops_trailing=False):
         super().__init__(method)
         self.is_final = self.is_identified = False
         self.echoed = frozenset()
         self.n_extra, self.n_extra_bytes = 0, 0
-        self._is_extra = is_extra
+        self._is_extra, self._drops_trailing = is_extra, drops_trailing
 
     def feed(self, data):
         """Parse received bytes."""
         try:
             super().feed(data)
         except HTTPParseError:
-            if not (self.is_final and self.is_identified):
+            is_certain = self.is_identified or self._drops_trailing
+            if not (self.is_final and is_certain):
                 raise
 
     def _on_message_begin(self):
--- a/tests/test_extra_responses.py
+++ b/tests/test_extra_responses.py
@@ -68,6 +68,16 @@
                 self.assertEqual(body, request_id.encode())
             self.assertEqual(server.n_connections, 2)
 
+    def test_copy_behind_a_response_without_id_may_be_dropped(self):
+        """Guards against a grant that ends, with its connection, for each copy."""
+        server, pool = self.start(
+            lambda own, earlier: response_bytes(body=b"granted") * 2,
+            drops_trailing=True,
+        )
+        for _ in range(2):
+            self.assertEqual(self.send(pool).unwrap().body, b"granted")
+        self.assertEqual(server.n_connections, 2)
+
     def test_copy_with_the_callers_id_only_is_no_answer_to_a_repeat(self):
         """Guards against servers that return no id of the exchange."""
         refusal = b"HTTP/1.1 503 S\r\nX-Request-Id: a\r\nContent-Length: 0\r\n\r\n"
