Retries of all daemons stay within the common limit whatever they know of each other

Cause: a budget's reserve was the slack divided by the daemons known when the service was first used, at least 8, and was never looked at again. A daemon that started while it knew nobody kept an eighth of the whole fleet's slack for good, 16.65 of 222; 91 of them hold 1,515. Each start brought its reserve again, and credit had no age, so that what was saved in one window was spent beside that of the next.

Why this works: a daemon pays for a retry only with credit that its own requests have earned within a window. Repeats of a window are then paid for by requests of that window or of the one before it, and the one with more requests is what the limit is counted from. No daemon needs to know how many others there are, and a start brings nothing. At 0.12 for each request, instead of the 0.1 that this allows for any traffic, the excess is at most what is saved, four for each daemon, which is below the slack that nothing else uses.

The tests of the router give it credit first, as budgets no longer begin full.

--- a/src/tarragonramp/fleet.py
+++ b/src/tarragonramp/fleet.py
@@ -78,9 +78,9 @@
         Time between SIGTERM and SIGKILL.
     longest_hold_ms : float
         Longest duration of a grant that a server accepts.
-    retry_ratio, retry_slack : float
-        Retries that all daemons together may send in ten seconds: ``retry_ratio`` times
-        the number of requests, plus ``retry_slack``.
+    retry_ratio, retry_slack, retry_window_ms : float
+        Retries that all daemons together may send in ``retry_window_ms``:
+        ``retry_ratio`` times the number of requests, plus ``retry_slack``.
     cold_burst_factor, cold_slack : float
         Requests that a server in a cold start accepts in a second:
         ``cold_burst_factor`` times its rate, plus ``cold_slack``.
@@ -90,6 +90,7 @@
     longest_hold_ms: float = 10_000.0
     retry_ratio: float = 0.2
     retry_slack: float = 50.0
+    retry_window_ms: float = 10_000.0
     cold_burst_factor: float = 1.5
     cold_slack: float = 5.0
 
--- a/src/tarragonramp/retries.py
+++ b/src/tarragonramp/retries.py
@@ -1,8 +1,16 @@
 """Limits how many retries the routers may add to the callers' own requests."""
 
+import collections
+
 import attrs
 
-__all__ = ["RetryBudget"]
+__all__ = ["RetryBudget", "WindowedRetryBudget"]
+
+MAX_SAVED_RETRIES = 4.0
+"""Retries that one daemon may save for a service: what it can add at once in a sudden
+outage."""
+
+ROUNDING = 1e-9
 
 
 @attrs.define
@@ -42,3 +50,62 @@
             return False
         self._balance -= 1.0
         return True
+
+
+@attrs.define(eq=False, repr=False)
+class WindowedRetryBudget:
+    """One daemon's part of the retries that all daemons together may add to a service.
+
+    The servers' owners limit the retries in each window of time: a ratio of the
+    requests in that window or in the one before it, whichever has more, and some slack.
+    Daemons stay within this limit without knowing how many they are: a retry is only
+    paid for with credit that the daemon's own requests have earned within a window. The
+    retries of a window are then earned in it or in the one before, and one of these two
+    has at least half of the requests. A budget begins empty, as a daemon that is
+    started again would otherwise add its reserve once more.
+
+    Parameters
+    ----------
+    clock : Clock
+    share : callable
+        Returns the retries earned with each request: up to half of the ratio, or more
+        while what the daemons may save together stays below the slack.
+    window_ms : callable
+        Returns how long credit is valid.
+    """
+
+    clock: object
+    share: object
+    window_ms: object
+    _earned: collections.deque = attrs.Factory(collections.deque)
+    _balance: float = 0.0
+
+    def earn(self):
+        """Record the first attempt of a request."""
+        now_ms = self.clock.now_ms()
+        self._expire(now_ms)
+        credit = min(self.share(), MAX_SAVED_RETRIES - self._balance)
+        if credit > ROUNDING:
+            self._earned.append((now_ms, credit))
+            self._balance += credit
+
+    def spend(self):
+        """Pay for one retry with the oldest credit; False if there is too little."""
+        self._expire(self.clock.now_ms())
+        if self._balance < 1.0 - ROUNDING:
+            return False
+        due = 1.0
+        while due > ROUNDING and self._earned:
+            at_ms, credit = self._earned.popleft()
+            if credit > due:
+                self._earned.appendleft((at_ms, credit - due))
+            due -= credit
+        self._balance = max(0.0, self._balance - 1.0)
+        return True
+
+    def _expire(self, now_ms):
+        oldest_ms = now_ms - self.window_ms()
+        while self._earned and self._earned[0][0] <= oldest_ms:
+            self._balance -= self._earned.popleft()[1]
+        if not self._earned:
+            self._balance = 0.0
--- a/src/tarragonramp/roles/router.py
+++ b/src/tarragonramp/roles/router.py
@@ -22,7 +22,7 @@
 from ..meters import ANSWERED, NOT_RUN, UNKNOWN, RequestTimes
 from ..request import end_to_end_response_headers
 from ..results import is_successful
-from ..retries import RetryBudget
+from ..retries import WindowedRetryBudget
 from ..server_paths import PathMonitor
 from .owners import NO_OWNER_RETRY_S, OwnerResolver
 from .path_prober import PathProber
@@ -41,10 +41,15 @@
 No response could arrive in time, and the server would do useless work."""
 
 RETRY_BUDGET_SHARE = 0.6
-"""The daemons use only this fraction of the retries that they are allowed together.
+"""Fraction of the allowed retries for each request that the daemons use.
 
-The rest is a reserve: the number of daemons may change while a whole service fails, and
-the daemons together must not exceed what the servers' owners allow."""
+Half of them stays within the limit for any traffic. The tenth beyond it counts against
+the slack, which is not used otherwise."""
+
+CREDIT_VALIDITY = 0.95
+"""How long a request's credit for retries is valid, as a fraction of the window in
+which they are counted. A request is counted when its caller sends it, and credited
+later."""
 
 MIN_ASSUMED_DAEMONS = 8
 """Limits for all daemons together are divided among at least this many.
@@ -250,9 +255,11 @@
         """Return this daemon's retry budget for a service."""
         budget = self._budgets.get(service)
         if budget is None:
-            reserve = RETRY_BUDGET_SHARE * self.bounds.retry_slack / self._n_daemons()
-            share = RETRY_BUDGET_SHARE * self.bounds.retry_ratio
-            budget = self._budgets[service] = RetryBudget(share, max(1.0, reserve))
+            budget = self._budgets[service] = WindowedRetryBudget(
+                self.clock,
+                lambda: RETRY_BUDGET_SHARE * self.bounds.retry_ratio,
+                lambda: CREDIT_VALIDITY * self.bounds.retry_window_ms,
+            )
         return budget
 
     def _n_daemons(self):
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -44,6 +44,7 @@
 
 SHED_BYTES = b"HTTP/1.1 503 B\r\nId: a\r\nShed: 1\r\nContent-Length: 0\r\n\r\n"
 OK_BYTES = b"HTTP/1.1 200 OK\r\nId: a\r\nMark: 1\r\nContent-Length: 0\r\n\r\n"
+N_EARLIER_REQUESTS = 32
 
 
 def request_headers(key, request_id):
@@ -143,6 +144,10 @@
             clock,
             types.SimpleNamespace(seen_version=0, serve=self.delegate),
         )
+        for service in services:
+            # Retries are paid for by requests that were served before.
+            for _ in range(N_EARLIER_REQUESTS):
+                self.router._budget(service).earn()
         self.delegated, self.delegated_response = [], None
         self.router.prober = types.SimpleNamespace(
             confirm_cut_off=lambda: self.router.monitor.is_cut_off,
