An owner that refuses its keys is not sent every request for them two or three times

What callers saw: a request was sent to the same owner three times in 0.1 s, refused with 421 each time, and answered 503. So was every other request for the range, by every daemon, and the retries of the whole service went into sends that could not succeed.

Cause: after a 421 a request waits 30 and then 60 ms for a newer table or a late grant, and goes to the same owner again if neither comes. Nothing remembered that the owner has no grant for the range.

Why this works: an owner that refuses the same request a second time, under the same token, holds no grant for the range. Other requests for the range are then refused at once, as not run, and one in 100 ms is sent to find out whether the grant has arrived. A response other than 421, or another token, ends this.

--- a/src/tarragonramp/fleet.py
+++ b/src/tarragonramp/fleet.py
@@ -395,7 +395,7 @@
             gevent.sleep(10.0)
             self.router.selector.retain(self.view.directory.servers)
             self.router.monitor.retain(self.view.directory.servers)
-            self.router.owners.clear_slow_moves()
+            self.router.owners.forget_delays()
 
     def _serve_readiness(self, environ, start_response):
         if environ["PATH_INFO"] != self.ports.ready_path:
--- a/src/tarragonramp/roles/owners.py
+++ b/src/tarragonramp/roles/owners.py
@@ -11,12 +11,17 @@
 After this time the request is sent to the new owner, which may have its grant although
 the store has not recorded it yet."""
 
-RETRY_GRANT_WAIT_MS = 30.0
-"""How long a request waits after an owner's first refusal, and twice that after the
-next.
+GRANT_WAIT_MS = 30.0
+"""How long a request waits after an owner's first refusal.
 
 The grant of a new owner arrives some milliseconds after the owner is recorded."""
 
+GRANT_RECHECK_MS = 100.0
+"""Interval at which one request for a range is sent to an owner that has no grant.
+
+Until its grant arrives or the table changes the owner refuses all of them, and each
+would be sent twice, by every daemon."""
+
 NO_OWNER_RETRY_S = 0.6
 
 
@@ -33,6 +38,7 @@
     view: object
     clock: object
     _slow_moves: set = attrs.Factory(set)
+    _recheck_ms: dict = attrs.Factory(dict)
 
     def find(self, request):
         """Return the owner of a request's key, waiting briefly while the key moves.
@@ -54,6 +60,7 @@
             if server is None or not request.is_wanted():
                 raise self._refusal(request, "key has no owner")
             if not item.is_moving:
+                self._check_grant(request, item)
                 return server
             move_key = request.service, item.first, item.token
             left_ms = until_ms - self.clock.now_ms()
@@ -64,19 +71,51 @@
                 raise self._refusal(request, "key is on its way")
             self.view.wait(min(left_ms, 50.0))
 
-    def await_new_owner(self, request):
-        """Wait briefly for a newer owner, or for the grant of a new owner to arrive."""
+    def may_repeat(self, request):
+        """Return whether a request that its owner has refused may be sent once more.
+
+        After the first refusal, waits briefly for a newer owner, or for the grant of
+        the owner to arrive. An owner that then refuses again has no grant, and the
+        other requests for the range are refused without being sent.
+        """
         before = self._range_of(request)
-        pause_ms = RETRY_GRANT_WAIT_MS * len(request.tried)
-        until_ms = min(self.clock.now_ms() + pause_ms, request.until_ms)
+        key = _grant_key(request, before)
+        if key in self._recheck_ms or request.tried.count(request.tried[-1]) > 1:
+            self._recheck_ms[key] = self.clock.now_ms() + GRANT_RECHECK_MS
+            return False
+        until_ms = min(self.clock.now_ms() + GRANT_WAIT_MS, request.until_ms)
         while (left_ms := until_ms - self.clock.now_ms()) > 0 and request.is_wanted():
             self.view.wait(left_ms)
             if self._range_of(request) != before:
-                return
+                break
+        return True
+
+    def record_served(self, request):
+        """Record that the owner of a request's key has not refused it."""
+        if self._recheck_ms:
+            self._recheck_ms.pop(_grant_key(request, self._range_of(request)), None)
+
+    def forget_delays(self):
+        """Discard which moves were slow, and which owners had no grant.
 
-    def clear_slow_moves(self):
-        """Discard which moves were slow; slow moves in progress are recorded again."""
+        Those that still are will be recorded again.
+        """
         self._slow_moves.clear()
+        self._recheck_ms.clear()
+
+    def _check_grant(self, request, item):
+        """Raise if the owner of a range has just refused requests for it.
+
+        Once in a while a request may be sent, and shows whether the grant has arrived.
+        """
+        key = _grant_key(request, item)
+        recheck_ms = self._recheck_ms.get(key)
+        if recheck_ms is None:
+            return
+        now_ms = self.clock.now_ms()
+        if now_ms < recheck_ms:
+            raise self._refusal(request, "owner has no grant")
+        self._recheck_ms[key] = now_ms + GRANT_RECHECK_MS
 
     def _refusal(self, request, reason):
         inputs = {
@@ -105,3 +144,8 @@
         if server is None or server.life != item.life:
             return None
         return server if directory.may_serve(server) else None
+
+
+def _grant_key(request, item):
+    """Return what identifies the grant by which the owner of a request's key acts."""
+    return (request.service, item.first, item.token) if item is not None else None
--- a/src/tarragonramp/roles/router.py
+++ b/src/tarragonramp/roles/router.py
@@ -389,7 +389,8 @@
             self.monitor.record_end()
         now_ms = self.clock.now_ms()
         took_ms = now_ms - began_ms
-        if self.view.service(request.service).divided:
+        is_divided = self.view.service(request.service).divided
+        if is_divided:
             self.view.key_load_recorder.note(request.service, request.key, took_ms)
         if not is_successful(result):
             self._record_failure(request, chosen, result.failure(), now_ms)
@@ -399,6 +400,8 @@
             lambda response: (response, self.dialect.read_response(response))
         )
         _, facts = result.unwrap()
+        if is_divided and not facts.misdirected:
+            self.owners.record_served(request)
         if facts.not_run:
             self.selector.record_shed(chosen, facts.load, now_ms)
         else:
@@ -467,9 +470,10 @@
         )
         if not facts.misdirected:
             self._count_refused_work(request)
+        may_repeat = len(request.tried) <= request.route.attempts
         if facts.misdirected and self.view.service(request.service).divided:
-            self.owners.await_new_owner(request)
-        if len(request.tried) > request.route.attempts or not budget.spend():
+            may_repeat = self.owners.may_repeat(request) and may_repeat
+        if not may_repeat or not budget.spend():
             reason = "owner changes" if facts.misdirected else "server is busy"
             raise request.retryable_refusal(reason, REFUSED_RETRY_S)
 
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -7,7 +7,7 @@
 import attrs
 from returns.result import Failure, Success
 
-from tarragonramp import Clock
+from tarragonramp import Clock, ManualClock
 from tarragonramp.adapters.http import HttpPool, Response
 from tarragonramp.adapters.web import ARRIVED_KEY, HEADERS_KEY, TARGET_KEY
 from tarragonramp.balancing import ServerSelector
@@ -28,6 +28,7 @@
 )
 from tarragonramp.meters import NOT_RUN, UNKNOWN, RequestMeter
 from tarragonramp.ranges import KeyRange, RangeTable
+from tarragonramp.roles.owners import GRANT_RECHECK_MS
 from tarragonramp.roles.router import Router
 
 from .wire import LateCopyServer
@@ -411,6 +412,42 @@
         self.assertEqual(status, 503)
         self.assertGreater(float(headers["Retry-After"]), 0.0)
 
+    def use_manual_clock(self):
+        """Let time pass only while a request waits for a change of the view."""
+        self.clock = self.router.clock = self.router.owners.clock = ManualClock()
+        wait = lambda view, timeout_ms: self.clock.advance(timeout_ms)
+        patch = mock.patch.object(FleetView, "wait", wait)
+        patch.start()
+        self.addCleanup(patch.stop)
+
+    def test_an_owner_without_a_grant_is_not_asked_again_and_again(self):
+        """Guards against a retry budget that is used up by repeats without a chance."""
+        self.use_manual_clock()
+        self.scripted["p1"] = [MISDIRECTED]
+        for _ in range(20):
+            status, headers = self.send_request("/keyed/", 7)
+            self.assertEqual(status, 503)
+            self.assertGreater(float(headers["Retry-After"]), 0.0)
+        self.assertEqual(len(self.sent), 2)
+        self.clock.advance(GRANT_RECHECK_MS)
+        for _ in range(20):
+            self.send_request("/keyed/", 7)
+        self.assertEqual(len(self.sent), 3)
+
+    def test_an_owner_is_asked_again_once_its_grant_has_arrived(self):
+        self.use_manual_clock()
+        self.scripted["p1"] = [MISDIRECTED, MISDIRECTED, OK]
+        self.send_request("/keyed/", 7)
+        self.clock.advance(GRANT_RECHECK_MS)
+        for _ in range(5):
+            self.assertEqual(self.send_request("/keyed/", 7)[0], 200)
+
+    def test_a_new_table_ends_the_refusals_of_an_owner_without_a_grant(self):
+        self.scripted["p1"] = [MISDIRECTED]
+        self.send_request("/keyed/", 7)
+        self.assign_all("p2", token=3)
+        self.assertEqual(self.send_request("/keyed/", 7)[0], 200)
+
     def test_keys_without_owner_are_refused(self):
         self.view.directory.remove_server("p1")
         status, headers = self.send_request("/keyed/", 7)
