Tests: a route is refused too late when two ways to hear of it are lost in a row

In the first, the store leaves the leader and the second watcher without an answer and the leader freezes 1.2 s later; the daemons that have no trouble of their own answer 404 two seconds after a route was added. In the second, a follower is left without an answer by the store and by its leader, and learns nothing from daemons that know the route.

--- a/tests/test_faults_news.py
+++ b/tests/test_faults_news.py
@@ -1,6 +1,7 @@
 """Propagation of changes to all daemons while the leader gets none from the store."""
 
 import signal
+import threading
 import time
 import unittest
 
@@ -58,17 +59,38 @@
         self.isolate_leader(n_followers=1)
         self.assert_new_route_is_served()
 
-    def assert_new_route_is_served(self):
-        """Add a route and fail unless all daemons serve it two seconds later."""
+    def test_new_manifest_reaches_all_if_the_leader_then_freezes(self):
+        """Guards against two losses whose time limits add up.
+
+        The store leaves both watchers without an answer, and before that is noticed the
+        leader leaves everybody else without one.
+        """
+        self.isolate_leader(n_followers=1)
+        leader = self.leader_record()["spec"]["name"]
+        frozen = threading.Timer(1.2, self.site.signal, (leader, signal.SIGSTOP))
+        frozen.start()
+        self.addCleanup(frozen.cancel)
+        others = [name for name in DAEMONS if name != leader]
+        self.assert_new_route_is_served(others[1:])
+
+    def test_new_manifest_reaches_a_follower_without_leader_and_store(self):
+        """Guards against a daemon that learns nothing while its peers know it all."""
+        self.isolate_leader(n_followers=1)
+        leader = self.leader_record()["spec"]["name"]
+        self.site.signal(leader, signal.SIGSTOP)
+        self.assert_new_route_is_served([name for name in DAEMONS if name != leader])
+
+    def assert_new_route_is_served(self, daemons=DAEMONS):
+        """Add a route and fail unless daemons serve it two seconds later."""
         self.site.control_store(
             write=["config", "main", manifest(5, fresh="desk"), None]
         )
         time.sleep(PROPAGATION_LIMIT_S)
         statuses = {
             name: self.site.call(name, "/fresh/", f"m-{name}").status
-            for name in DAEMONS
+            for name in daemons
         }
-        self.assertEqual(statuses, dict.fromkeys(DAEMONS, 200))
+        self.assertEqual(statuses, dict.fromkeys(daemons, 200))
 
     def test_draining_server_gets_no_requests_if_the_leader_is_cut_off(self):
         self.isolate_leader()
