A daemon reads the manifest itself once nobody has confirmed it for 1.4 s

What callers saw: a route that had been added was refused with 404 for longer than the two seconds in which it has to be in force.

Cause: a daemon relies on its leader or on the store, each with a time limit of its own, and no daemon knew how old its knowledge was. Lost one after the other the limits add up (a leader that the store does not answer is noticed after 1.4 s, one that is frozen 0.95 s after that), and a daemon that neither answers has nobody left: its watch waits for 5 s, and it learns of no successor of the leader. The class: knowledge without an age.

Why this works: each daemon keeps the time up to which its manifest was known to be the newest. The leader tells it with its answers, as of the arrival of the question, so that a late answer does not look new. Once it is 1.4 s ago, whoever has failed, the daemon reads the one object itself, 0.25 s later at most, and asks three others beside a store that does not answer within 0.1 s. While a leader that hears the store answers, this costs no call; while the store is away readings become rarer with the size of the fleet. The age is in the log of each reading and in the metrics.

Guards taken out once each (peers beside the store, one reading for all, longer pauses, the time of the question, the version): a test fails for each.

--- a/src/tarragonramp/adapters/fleet_peers.py
+++ b/src/tarragonramp/adapters/fleet_peers.py
@@ -9,10 +9,11 @@
 from returns.result import Failure, Result, Success
 
 from ..errors import UnansweredError
+from ..fleet_view import MANIFEST
 from ..meters import NOT_RUN
 from ..results import is_successful
 from .http import HttpPools
-from .web import RequestError, caller_disconnected, error_reply
+from .web import ARRIVED_KEY, RequestError, caller_disconnected, error_reply
 
 __all__ = ["DELEGATED_PREFIX", "FleetPeers", "PeerApplication"]
 
@@ -113,8 +114,9 @@
         Returns
         -------
         updates : dict
-            As ``Follower.updates_since`` returns it; empty if there are no updates or
-            no peer answered.
+            As ``Follower.updates_since`` returns it, and as "freshness", if asked for
+            the manifest, what ``FleetView.describe_freshness`` returns; empty if there
+            are no updates or no peer answered.
         """
         address = address or self._pick_peer()
         if not address:
@@ -230,7 +232,11 @@
         query = urllib.parse.parse_qs(environ["QUERY_STRING"])
         kind, since = query["kind"][0], int(query["since"][0])
         updates = self.follower.updates_since({kind: since})
-        return {kind: updates[kind]} if kind in updates else {}
+        news = {kind: updates[kind]} if kind in updates else {}
+        if kind == MANIFEST:
+            arrived_ms = environ[ARRIVED_KEY]
+            news["freshness"] = self.follower.view.describe_freshness(arrived_ms)
+        return news
 
     def _metrics(self, start_response):
         page, content_type = self.metrics()
--- a/src/tarragonramp/fleet.py
+++ b/src/tarragonramp/fleet.py
@@ -32,6 +32,7 @@
 from .results import is_successful
 from .roles.delegate import DelegateApplication
 from .roles.follower import Follower
+from .roles.freshness import ManifestFreshness
 from .roles.granter import Granter
 from .roles.leadership import Leadership
 from .roles.peer_delegator import PeerDelegator
@@ -175,6 +176,7 @@
     router: Router
     requests: RequestMeter
     clock: object
+    freshness: ManifestFreshness
     delegate: DelegateApplication
     traffic: TrafficMeter = attrs.Factory(TrafficMeter)
     cpu: CpuMeter = attrs.Factory(CpuMeter)
@@ -231,6 +233,7 @@
             PeerDelegator(settings.name, settings.failure_domain, view, peers, clock),
         )
         leadership.monitor = router.monitor
+        freshness = ManifestFreshness(settings.name, view, follower, clock)
         granter = Granter(
             view,
             leadership,
@@ -250,6 +253,7 @@
             router=router,
             requests=requests,
             clock=clock,
+            freshness=freshness,
             delegate=DelegateApplication(router, view, clock, DELEGATED_PREFIX),
         )
         daemon._add_servers()
@@ -312,6 +316,7 @@
         for kind in FOLLOWED_KINDS:
             keep_running(lambda kind=kind: self.follower.run(kind))
         keep_running(self.follower.run_missing)
+        keep_running(self.freshness.run)
         keep_running(self.leadership.run)
         keep_running(self.granter.run)
         keep_running(self.router.prober.run)
@@ -486,6 +491,11 @@
             lambda: int(self.router.monitor.is_cut_off),
         )
         gauge("manifest.version", "Manifest in force.", self._manifest_version)
+        gauge(
+            "manifest.age_ms",
+            "How long ago the manifest in force was known to be the newest.",
+            self._manifest_age_ms,
+        )
         gauge(
             "store.failing",
             "Kinds of objects that can't be followed.",
@@ -534,6 +544,9 @@
     def _manifest_version(self):
         return self.view.manifest.version if self.view.manifest else 0
 
+    def _manifest_age_ms(self):
+        return 0 if self.view.manifest is None else self.freshness.age_ms()
+
     def _refusal_counts(self):
         counts = list(self.router.counts.items())
         return {f"{service}: {why}": n for (service, why), n in counts}
--- a/src/tarragonramp/fleet_view.py
+++ b/src/tarragonramp/fleet_view.py
@@ -44,6 +44,8 @@
     watchers : frozenset of str
         Names of the daemons that this daemon, as leader, has told to follow the store;
         empty if it does not lead.
+    manifest_known_ms : float
+        Latest time at which the manifest in force was known to be the newest.
     servers_loaded : bool
         Whether the list of servers has been read.
     work : KeyLoadRecorder
@@ -57,6 +59,7 @@
     daemons: dict = attrs.Factory(dict)
     daemon_domains: dict = attrs.Factory(dict)
     watchers: frozenset = frozenset()
+    manifest_known_ms: float = float("-inf")
     servers_loaded: bool = False
     key_load_recorder: KeyLoadRecorder = attrs.Factory(KeyLoadRecorder)
     _table_versions: dict = attrs.Factory(dict)
@@ -84,6 +87,44 @@
         self.notify_waiters()
         return True
 
+    def note_manifest_known(self, at_ms):
+        """Record that the manifest in force was the newest at a time."""
+        self.manifest_known_ms = max(self.manifest_known_ms, at_ms)
+
+    def describe_freshness(self, arrived_ms):
+        """Return how recent this daemon's manifest is, as plain data.
+
+        Parameters
+        ----------
+        arrived_ms : float
+            When the request for it arrived. The time up to which the manifest is known
+            is told relative to it, as clocks of daemons are not comparable.
+        """
+        if self.manifest is None or self.manifest_known_ms == float("-inf"):
+            return {}
+        known_ms = round(self.manifest_known_ms - arrived_ms)
+        return {"version": self.manifest.version, "known_ms": known_ms}
+
+    def adopt_freshness(self, described, sent_ms):
+        """Adopt what another daemon knows, if this one's manifest is not older.
+
+        Parameters
+        ----------
+        described : dict
+            As from :meth:`describe_freshness`.
+        sent_ms : float
+            When the request for it was sent, which is before it arrived.
+
+        Raises
+        ------
+        KeyError, TypeError
+            If it is malformed.
+        """
+        if not described or self.manifest is None:
+            return
+        if self.manifest.version >= described["version"]:
+            self.note_manifest_known(sent_ms + min(described["known_ms"], 0.0))
+
     def update_table(self, table, version):
         """Apply the owners of a service's keys; False if they are not newer."""
         if version <= self._table_versions.get(table.service, 0):
--- a/src/tarragonramp/roles/follower.py
+++ b/src/tarragonramp/roles/follower.py
@@ -134,7 +134,7 @@
             if self._read_next(kind):
                 pause_ms = MIN_RETRY_MS
                 continue
-            self._fetch_from_peer(kind)
+            self.fetch_from_peer(kind)
             gevent.sleep(pause_ms * (0.5 + self._rng.random()) / 1000.0)
             pause_ms = min(MAX_RETRY_MS, pause_ms * 2)
 
@@ -357,6 +357,7 @@
         version = self.versions.get(kind)
         if version is None or kind in self._to_reread:
             return self._read_snapshot(kind)
+        sent_ms = self.clock.now_ms()
         is_healthy = self._failure_age_ms() is None
         wait_ms = WATCH_MS if is_healthy else WATCH_MS_AFTER_FAILURE
         task = gevent.spawn(self.store.watch, kind, version, wait_ms)
@@ -371,6 +372,7 @@
         if is_successful(result):
             version, items = result.unwrap()
             self._apply_changes(kind, version, items)
+            self._note_read(kind, sent_ms)
             if items:
                 is_backup = self.leader_hears_store
                 pause_ms = BACKUP_WATCH_PAUSE_MS if is_backup else WATCH_PAUSE_MS
@@ -387,6 +389,7 @@
         return False
 
     def _read_snapshot(self, kind):
+        sent_ms = self.clock.now_ms()
         result = self.store.snapshot(kind)
         if not is_successful(result):
             self._to_reread.add(kind)
@@ -395,8 +398,28 @@
         self._to_reread.discard(kind)
         self._record_success(kind)
         self._replace(kind, *result.unwrap(), via="snapshot")
+        self._note_read(kind, sent_ms)
         return True
 
+    def read_manifest(self):
+        """Read the manifest from the store once, also while following the leader.
+
+        Returns
+        -------
+        is_read : bool
+        """
+        sent_ms = self.clock.now_ms()
+        result = self.store.snapshot(MANIFEST)
+        if not is_successful(result):
+            return False
+        self._replace(MANIFEST, *result.unwrap(), via="reading")
+        self._note_read(MANIFEST, sent_ms)
+        return True
+
+    def _note_read(self, kind, sent_ms):
+        if kind == MANIFEST and self.view.manifest is not None:
+            self.view.note_manifest_known(sent_ms)
+
     def catch_up(self, address, versions):
         """Start to fetch what a peer has read of the store beyond this daemon.
 
@@ -415,21 +438,24 @@
 
     def _catch_up_kind(self, kind, address):
         try:
-            self._fetch_from_peer(kind, address)
+            self.fetch_from_peer(kind, address)
         finally:
             self._kinds_catching_up.discard(kind)
 
-    def _fetch_from_peer(self, kind, address=""):
+    def fetch_from_peer(self, kind, address=""):
         """Fetch updates from the peer at an address, or from any peer if it is empty.
 
         The store may still respond to the peer.
         """
+        sent_ms = self.clock.now_ms()
         updates = self.peers.news(kind, self.changed.get(kind, 0), address)
         if not updates:
             return
         try:
-            log_event("news-from-peer", kind=kind, version=updates[kind]["version"])
+            if kind in updates:
+                log_event("news-from-peer", kind=kind, version=updates[kind]["version"])
             self.apply_updates(updates)
+            self.view.adopt_freshness(updates.get("freshness"), sent_ms)
         except (KeyError, TypeError, ValueError) as error:
             log_event("news-not-understood", peer=address, reason=repr(error))
 
--- a/src/tarragonramp/roles/leadership.py
+++ b/src/tarragonramp/roles/leadership.py
@@ -303,6 +303,7 @@
             Plain data: whether this daemon leads, and the updates for the sender.
         """
         name, address = message["name"], message["address"]
+        arrived_ms = self.clock.now_ms()
         if not self.leads or self.stopping:
             return {
                 "boot_id": self.boot_id,
@@ -333,6 +334,7 @@
             "hears_store": hears_store,
             "watch": name in self._choose_watchers(now_ms),
             "news": updates,
+            "freshness": self.view.describe_freshness(arrived_ms),
         }
         if message.get("n_daemons") != len(self.view.daemons):
             answer["daemons"] = self.view.daemons
@@ -517,6 +519,8 @@
         if is_successful(result):
             self.leadership_state.confirmed(record, result.unwrap().version, sent_ms)
             now_ms = self.clock.now_ms()
+            if self.follower.hears_store:
+                self.view.note_manifest_known(sent_ms)
             self._key_loads.add(
                 self.view.key_load_recorder.drain(self.view.tables), now_ms
             )
@@ -725,6 +729,7 @@
             message["cut_off"] = True
         if self.follower.follows_store:
             message["digest"] = self.view.digest()
+        sent_ms = self.clock.now_ms()
         result = self.peers.ping(address, message, MAX_UPDATE_WAIT_MS)
         if not is_successful(result):
             self._unanswered_pings = (
@@ -735,7 +740,7 @@
             self.follower.follow_store("leader does not answer", reread=False)
             return False
         if not self.leadership_state.is_named:
-            self._apply_ping_response(address, result.unwrap())
+            self._apply_ping_response(address, result.unwrap(), sent_ms)
         return True
 
     def _leader_address(self):
@@ -743,7 +748,7 @@
         record = self.leadership_state.record
         return self._successor or (record.address if record is not None else "")
 
-    def _apply_ping_response(self, address, response):
+    def _apply_ping_response(self, address, response, sent_ms):
         if not response.get("leads"):
             successor = str(response.get("leader", ""))
             if not self._successor and successor not in ("", address, self.address):
@@ -765,6 +770,7 @@
                 self.view.daemon_domains.update(domains)
         try:
             self.follower.apply_updates(response.get("news", {}))
+            self.view.adopt_freshness(response.get("freshness"), sent_ms)
             loads = self.follower.roster.unpack(response["loads"])
         except (KeyError, TypeError, ValueError) as error:
             log_event("news-not-understood", leader=address, reason=repr(error))
