404 is only answered by a daemon whose manifest is known to be recent

What callers saw: 404 for a route that exists, which they do not send again.

Cause: a daemon looked the route up in its own manifest and refused the request, before it asked whether that manifest was up to date, and also when a daemon that serves for it had already used a newer one. A delegate did the same.

Evidence: by reading.

--- a/src/tarragonramp/fleet.py
+++ b/src/tarragonramp/fleet.py
@@ -234,6 +234,7 @@
         )
         leadership.monitor = router.monitor
         freshness = ManifestFreshness(settings.name, view, follower, clock)
+        router.confirm_manifest = freshness.confirm
         granter = Granter(
             view,
             leadership,
--- a/src/tarragonramp/roles/router.py
+++ b/src/tarragonramp/roles/router.py
@@ -89,6 +89,9 @@
     monitor : PathMonitor
         Whether this daemon reaches servers.
     prober : PathProber
+    confirm_manifest : callable
+        Takes the latest version of the manifest that other daemons have used; returns
+        whether the manifest in force is recent enough to refuse what it lacks.
     """
 
     view: object
@@ -102,6 +105,7 @@
     delegator: object
     counts: collections.Counter = attrs.Factory(collections.Counter)
     monitor: PathMonitor = attrs.Factory(PathMonitor)
+    confirm_manifest: object = attrs.field(default=lambda min_version: True)
     prober: PathProber = attrs.field(init=False)
     _budgets: dict = attrs.Factory(dict)
     owners: OwnerResolver = attrs.field(init=False)
@@ -185,12 +189,7 @@
 
         ``chosen_service`` is taken if the route leads there.
         """
-        routes = self.view.routes
-        if routes is None:
-            raise RequestError(503, NOT_RUN, "no manifest yet", NO_ROUTES_RETRY_S)
-        route = routes.find(facts.host, environ["PATH_INFO"])
-        if route is None:
-            raise RequestError(404, NOT_RUN, "no route")
+        routes, route = self._find_route(facts.host, environ["PATH_INFO"])
         if any(part.service == chosen_service for part in route.parts):
             times.service = chosen_service
         else:
@@ -215,6 +214,28 @@
             clock=self.clock,
         )
 
+    def _find_route(self, host, path):
+        """Return the RouteTable in force and the Route of a request.
+
+        Raises
+        ------
+        RequestError
+            404 only if no newer manifest can have the route: callers do not repeat a
+            request after it.
+        """
+        if self.view.routes is None:
+            raise RequestError(503, NOT_RUN, "no manifest yet", NO_ROUTES_RETRY_S)
+        route = self.view.routes.find(host, path)
+        if route is None:
+            is_known = self.confirm_manifest(self.delegator.seen_version)
+            route = self.view.routes.find(host, path)
+            if route is None and is_known:
+                raise RequestError(404, NOT_RUN, "no route")
+            if route is None:
+                reason = "manifest may be outdated"
+                raise RequestError(503, NOT_RUN, reason, NO_ROUTES_RETRY_S)
+        return self.view.routes, route
+
     def _deliver(self, request, times):
         """Send a request until it has a final response or may not be sent again."""
         budget = self._budget(request.service)
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -254,6 +254,36 @@
         self.send_request("/safe/")
         self.assertEqual((len(self.delegated), len(self.sent)), (1, 1))
 
+    def test_missing_route_is_refused_for_good_only_if_the_manifest_is_recent(self):
+        """Guards against 404 for a route that a newer manifest has."""
+        self.assertEqual(self.send_request("/new/")[0], 404)
+        self.router.confirm_manifest = lambda min_version: False
+        status, headers = self.send_request("/new/")
+        self.assertEqual((status, "Retry-After" in headers), (503, True))
+
+    def test_missing_route_is_looked_up_again_once_the_manifest_is_confirmed(self):
+        manifest = self.view.manifest
+        newer = attrs.evolve(
+            manifest,
+            version=2,
+            routes=(
+                *manifest.routes,
+                attrs.evolve(manifest.routes[0], path_prefix="/new/"),
+            ),
+        )
+        self.router.confirm_manifest = lambda min_version: self.view.update_routes(
+            RouteTable(newer)
+        )
+        self.assertEqual(self.send_request("/new/")[0], 200)
+
+    def test_missing_route_is_confirmed_against_what_other_daemons_have_used(self):
+        """Guards against 404 for a route that a delegate has served."""
+        asked = []
+        self.router.confirm_manifest = asked.append
+        self.router.delegator.seen_version = 7
+        self.assertEqual(self.send_request("/new/")[0], 503)
+        self.assertEqual(asked, [7])
+
     def serve_delegated(self, path, key=None, request_id="", **delegation):
         """Serve a request of another daemon; return the response or the error."""
         environ = {
