--- a/standins/fleet_server.py
+++ b/standins/fleet_server.py
@@ -53,6 +53,8 @@
         Executed; the response is 503 and does not say whether it was.
     share : float
         Probability of each of these faults while its counter is above 0.
+    limit : str
+        Value of ``Server-Limit`` in the answers to requests; none if empty.
     """
 
     shed: int = 0
@@ -67,6 +69,7 @@
     copy_health: int = 0
     unstated: int = 0
     share: float = 1.0
+    limit: str = ""
 
     def consume(self, name):
         """Tell whether a fault occurs now, and decrement its counter."""
@@ -127,6 +130,9 @@
         def start(status, response_headers):
             if request_id and "Request-Id" not in dict(response_headers):
                 response_headers = [*response_headers, ("Request-Id", request_id)]
+            if request_id and self.faults.limit:
+                limit = ("Server-Limit", self.faults.limit)
+                response_headers = [*response_headers, limit]
             return start_response(status, response_headers)
 
         return self._handle(environ, headers, start)
@@ -213,6 +219,7 @@
 
     def _run(self, environ, headers, body, start_response):
         key = headers.get("shard-key")
+        self._record("arrival", headers["request-id"], self.faults.limit)
         if self.divided and not self._owns_key(int(key)):
             return self._not_run(start_response, 421)
         if self.faults.consume("shed") or self.waiting > 4 * self.slots:
