A daemon with little traffic may retry once in a window

What callers saw: a request to a service with few callers failed although another server could have taken it, since the change of budgets: a daemon needs nine requests in 9.5 s to earn a retry, and has none at its start.

--- a/src/tarragonramp/retries.py
+++ b/src/tarragonramp/retries.py
@@ -10,6 +10,9 @@
 """Retries that one daemon may save for a service: what it can add at once in a sudden
 outage."""
 
+FREE_RETRY_WINDOWS = 1.2
+"""After how many windows a daemon may again retry without credit: never twice in one."""
+
 ROUNDING = 1e-9
 
 
@@ -61,8 +64,9 @@
     Daemons stay within this limit without knowing how many they are: a retry is only
     paid for with credit that the daemon's own requests have earned within a window. The
     retries of a window are then earned in it or in the one before, and one of these two
-    has at least half of the requests. A budget begins empty, as a daemon that is
-    started again would otherwise add its reserve once more.
+    has at least half of the requests. A budget begins without credit, as a daemon that
+    is started again would otherwise add its reserve once more. A service with little
+    traffic earns too little, so one retry in each window needs no credit.
 
     Parameters
     ----------
@@ -79,6 +83,7 @@
     window_ms: object
     _earned: collections.deque = attrs.Factory(collections.deque)
     _balance: float = 0.0
+    _free_again_ms: float = float("-inf")
 
     def earn(self):
         """Record the first attempt of a request."""
@@ -91,9 +96,13 @@
 
     def spend(self):
         """Pay for one retry with the oldest credit; False if there is too little."""
-        self._expire(self.clock.now_ms())
+        now_ms = self.clock.now_ms()
+        self._expire(now_ms)
         if self._balance < 1.0 - ROUNDING:
-            return False
+            is_free = now_ms >= self._free_again_ms
+            if is_free:
+                self._free_again_ms = now_ms + FREE_RETRY_WINDOWS * self.window_ms()
+            return is_free
         due = 1.0
         while due > ROUNDING and self._earned:
             at_ms, credit = self._earned.popleft()
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -150,6 +150,12 @@
         allowed = BOUNDS.retry_slack + BOUNDS.retry_ratio * n_requests(begin_ms)
         self.assertGreaterEqual(n_retries(begin_ms), 0.45 * allowed)
 
+    def test_a_service_with_little_traffic_can_retry(self):
+        """Guards against a lost server that each of its few callers notices."""
+        rarely = lambda at_ms: 10.0 if at_ms % 5000 == 0 else 0.0
+        traffic = play(rarely, [N_DAEMONS], fails_at=lambda at_ms: at_ms >= 0)
+        self.assertGreaterEqual(sum(traffic.retries.values()), 9)
+
     def test_a_lost_server_is_bridged_by_saved_credit(self):
         """Guards against refusals by a daemon whose traffic was served before."""
         traffic = play(steady, [N_DAEMONS], fails_at=lambda at_ms: at_ms == 20_000)
