--- a/src/tarragonramp/retries.py
+++ b/src/tarragonramp/retries.py
@@ -11,7 +11,7 @@
 outage."""
 
 FREE_RETRY_WINDOWS = 1.2
-"""After how many windows a daemon may again retry without credit: never twice in one."""
+"""After how many windows a daemon may retry without credit again; never twice in one."""
 
 ROUNDING = 1e-9
 
