Servers that name a limit get no more than it from all daemons together

What callers saw: servers in need got 60 to 66 requests in four seconds where 22 were allowed, as many as servers without a limit.

Cause: nothing read `Server-Limit`. The class: a statement of a server that no component knows of is passed over in silence.

Why this works: a share for each daemon would be less than one request in many seconds, and unused at most of them. So the leader names one daemon as the sender to a limited server, or one for each eight requests in a window, and keeps to it while it hears of it. The sender counts each send, retries too. Others leave the server alone while another one can take a request; else they hand it to the sender, which refuses at once what it may not send, less urgent requests first. While no leader has chosen, a hash of the names does; a daemon that knows of no other sends nothing. Three quarters of the limit are used, so that the bound holds while two act as senders.

A limit is read from answers that are the server's own. An answer to an earlier request ends none, since answers overtake each other; a later life of a server has none; a value that is not a decimal number is logged once and ignored. Daemons tell the leader what they hear, and the leader tells all of them each change once. Keys leave a limited owner as if it had the slots that its limit lets it use, and after ten seconds without a word from it keys may come back, so that its recovery is noticed. Checks of paths leave limited servers out while there are six others.

--- a/src/tarragonramp/balancing.py
+++ b/src/tarragonramp/balancing.py
@@ -226,6 +226,11 @@
         excess = _queue_excess(stats, server.slots, work_ms, now_ms)
         return excess * work_ms / server.slots
 
+    def urgent_share(self, service):
+        """Return the fraction of a service's work that belongs to urgent requests."""
+        demand = self._demand.get(service)
+        return demand.urgent_share if demand is not None else 0.0
+
     def in_flight(self, name):
         """Return the number of this daemon's requests in flight at a server."""
         return self._stats_of(name).in_flight
--- a/src/tarragonramp/cold_start.py
+++ b/src/tarragonramp/cold_start.py
@@ -4,10 +4,9 @@
 and fails beyond that. Daemons have to stay within this limit without coordination.
 """
 
-import collections
-
 import attrs
-import xxhash
+
+from .shared_rate import SentRequests, divide, rank_by_hash
 
 __all__ = ["ColdStartLimiter"]
 
@@ -40,7 +39,7 @@
     """
 
     name: str
-    _sent_ms: dict = attrs.Factory(dict)
+    _sent: SentRequests = attrs.Factory(SentRequests)
 
     def try_acquire(self, server, bound_per_s, daemons, now_ms):
         """Reserve one request to a cold server if this daemon's share allows it.
@@ -61,26 +60,13 @@
             Whether the request may be sent.
         """
         quota = self._quota(server, int(bound_per_s * USED_RATE_SHARE), daemons)
-        sent = self._sent_ms.setdefault(server, collections.deque())
-        while sent and sent[0] <= now_ms - WINDOW_MS:
-            sent.popleft()
-        if len(sent) >= quota:
+        if self._sent.n_in_window(server, WINDOW_MS, now_ms) >= quota:
             return False
-        sent.append(now_ms)
+        self._sent.record(server, now_ms)
         return True
 
-    def _quota(self, server, budget, daemons):
+    def _quota(self, server, n_permits, daemons):
         """Return this daemon's share of the requests to a server in one window."""
         if not daemons:
-            return budget // ASSUMED_DAEMONS
-        quota, remainder = divmod(budget, len(daemons))
-        return quota + self._gets_remainder(server, daemons, remainder)
-
-    def _gets_remainder(self, server, daemons, n_chosen):
-        """Return whether this daemon is among those chosen for the remainder."""
-
-        def rank(daemon):
-            return xxhash.xxh64_intdigest(f"{server} {daemon}".encode())
-
-        own_rank = rank(self.name)
-        return sum(rank(daemon) < own_rank for daemon in daemons) < n_chosen
+            return n_permits // ASSUMED_DAEMONS
+        return divide(n_permits, rank_by_hash(server, daemons), self.name)
--- a/src/tarragonramp/dialect.py
+++ b/src/tarragonramp/dialect.py
@@ -47,6 +47,11 @@
         Whether the response carries the header that identifies the server's own
         responses.
     load : LoadReport or None
+    limit_per_s : float or None
+        Requests a second that the server takes from all daemons together; None if it
+        names no limit, or one that is malformed.
+    limit_text : str or None
+        The limit as the server wrote it; None if it names none.
     """
 
     not_run: bool = False
@@ -54,6 +59,8 @@
     misdirected: bool = False
     genuine: bool = True
     load: object = None
+    limit_per_s: float | None = None
+    limit_text: str | None = None
 
 
 class Dialect(Protocol):
--- a/src/tarragonramp/fleet.py
+++ b/src/tarragonramp/fleet.py
@@ -39,6 +39,7 @@
 from .roles.relay import Relay, RelayPool
 from .roles.router import Router
 from .roles.tasks import keep_running, run_until_drained, task_failures
+from .server_limits import ServerLimits
 
 __all__ = ["FleetBounds", "FleetDaemon", "FleetPorts", "FleetSettings", "run_daemon"]
 
@@ -231,8 +232,9 @@
             requests,
             clock,
             PeerDelegator(settings.name, settings.failure_domain, view, peers, clock),
+            limits=ServerLimits(settings.name),
         )
-        leadership.monitor = router.monitor
+        leadership.monitor, leadership.limits = router.monitor, router.limits
         freshness = ManifestFreshness(settings.name, view, follower, clock)
         router.confirm_manifest = freshness.confirm
         granter = Granter(
@@ -242,6 +244,7 @@
             ports.grants,
             clock,
             RelayPool(view, leadership, peers, clock),
+            router.limits,
         )
         leadership.in_doubt_grants = granter.tracker.in_doubt_grants
         daemon = cls(
@@ -401,6 +404,7 @@
             gevent.sleep(10.0)
             self.router.selector.retain(self.view.directory.servers)
             self.router.monitor.retain(self.view.directory.servers)
+            self.router.limits.retain(self.view.directory.servers)
             self.router.owners.forget_delays()
 
     def _serve_readiness(self, environ, start_response):
@@ -486,6 +490,11 @@
             "Backend servers that have answered a request in the last 2 s.",
             lambda: self.router.monitor.n_heard(self.clock.now_ms()),
         )
+        gauge(
+            "servers.limited",
+            "Backend servers that name a limit for their requests.",
+            lambda: len(self.router.limits.limited()),
+        )
         gauge(
             "cut_off",
             "1 if it reaches no backend server.",
--- a/src/tarragonramp/range_placement.py
+++ b/src/tarragonramp/range_placement.py
@@ -36,8 +36,8 @@
     life : int
         Start time of the server's process.
     address : str
-    slots : int
-        Requests that it processes at once.
+    slots : float
+        Requests that it processes at once; less than one if it takes few in a second.
     slowdown : float
         Recent processing time as a multiple of the usual one.
     """
@@ -45,7 +45,7 @@
     name: str
     life: int
     address: str = ""
-    slots: int = 1
+    slots: float = 1
     slowdown: float = 1.0
 
     @property
--- a/src/tarragonramp/roles/granter.py
+++ b/src/tarragonramp/roles/granter.py
@@ -24,6 +24,7 @@
 from ..hotspots import busy_servers, rebalance_hot_keys
 from ..range_placement import Candidate, initial_table, plan_moves
 from ..results import is_successful
+from ..server_limits import ServerLimits
 from .grants import GrantTracker
 from .mover import Mover
 from .relay import MIN_RELAYED_RANGES, has_no_connection
@@ -68,6 +69,8 @@
         See :class:`.FleetPorts`.
     clock : Clock
     relays : RelayPool
+    limits : ServerLimits
+        What servers in need take from all daemons together.
     n_moves : int
         Ranges that this daemon has begun to move.
     """
@@ -78,6 +81,7 @@
     grants: object
     clock: object
     relays: object
+    limits: ServerLimits = attrs.Factory(ServerLimits)
     tracker: GrantTracker = attrs.field(init=False)
     mover: Mover = attrs.field(init=False)
     n_moves: int = 0
@@ -288,12 +292,15 @@
         reached = [
             s for s in warm or usable if not self.tracker.is_unreachable(s.identity)
         ]
+        limits, request_ms = self.limits, 0.0
+        if limits.limited():
+            request_ms = self.leadership.recent_load(service).request_ms
         return [
             Candidate(
                 server.name,
                 server.life,
                 server.address,
-                server.slots,
+                limits.usable_slots(server, request_ms, now_ms),
                 self.leadership.selector.slowdown(server.name, now_ms),
             )
             for server in reached or warm or usable
--- a/src/tarragonramp/roles/leadership.py
+++ b/src/tarragonramp/roles/leadership.py
@@ -18,6 +18,7 @@
     LeaseTiming,
 )
 from ..results import is_successful
+from ..server_limits import ServerLimits
 from ..server_paths import PathMonitor
 
 __all__ = ["Leadership"]
@@ -150,6 +151,8 @@
         Returns the InheritedGrants for the next leader.
     monitor : PathMonitor
         Whether this daemon reaches servers.
+    limits : ServerLimits
+        What servers in need take from all daemons together.
     """
 
     name: str
@@ -168,6 +171,8 @@
     inherited: InheritedGrants = InheritedGrants()
     in_doubt_grants: object = InheritedGrants
     monitor: PathMonitor = attrs.Factory(PathMonitor)
+    limits: ServerLimits = attrs.Factory(ServerLimits)
+    _limit_change_seen: tuple = ("", 0)
     _key_loads: KeyLoadAggregate = attrs.Factory(KeyLoadAggregate)
     _reported_in_flight: InFlightReports = attrs.Factory(
         lambda: InFlightReports(IN_FLIGHT_VALID_MS)
@@ -314,6 +319,7 @@
         self._reported_in_flight.record(
             name, message.get("loads", {}), self.clock.now_ms()
         )
+        self.limits.add_report(message.get("limits", []), self.clock.now_ms())
         if name not in self.view.daemons:
             log_event("daemon-heard", peer=name, address=address)
         self._record_daemon(name, address)
@@ -339,6 +345,12 @@
         if message.get("n_daemons") != len(self.view.daemons):
             answer["daemons"] = self.view.daemons
             answer["domains"] = self.view.daemon_domains
+        self._assign_limit_senders(now_ms)
+        seen = message.get("limits_seen", ["", 0])
+        change = seen[1] if seen[0] == self.boot_id else 0
+        if self.limits.n_changes > change:
+            answer["limits"] = self.limits.changes_since(change, now_ms)
+            answer["limits_seen"] = [self.boot_id, self.limits.n_changes]
         answer["loads"] = self.follower.roster.pack(
             self._in_flight_except(name, now_ms)
         )
@@ -346,6 +358,25 @@
             answer["digest"] = self.view.digest()
         return answer
 
+    def _assign_limit_senders(self, now_ms):
+        """Choose which daemons send to servers that name a limit."""
+        if not self.limits.limited():
+            return
+        oldest_ms = now_ms - RECENTLY_HEARD_MS
+        heard = [name for name, ms in self._last_heard_ms.items() if ms >= oldest_ms]
+        able = {name for name in heard if name not in self._cut_off_daemons}
+        able.discard(self.name)
+        if not self.monitor.is_cut_off:
+            able.add(self.name)
+        for server in self.limits.assign_senders(able):
+            statement = self.limits.limited()[server]
+            log_event(
+                "limit-senders",
+                server=server,
+                per_s=statement.per_s,
+                senders=",".join(statement.senders),
+            )
+
     def _await_updates(self, name, versions):
         """Return what is newer than a daemon's versions, waiting for it for a time.
 
@@ -519,6 +550,7 @@
         if is_successful(result):
             self.leadership_state.confirmed(record, result.unwrap().version, sent_ms)
             now_ms = self.clock.now_ms()
+            self._assign_limit_senders(now_ms)
             if self.follower.hears_store:
                 self.view.note_manifest_known(sent_ms)
             self._key_loads.add(
@@ -724,7 +756,11 @@
             "versions": self.follower.changed,
             "n_daemons": len(self.view.daemons),
             "loads": self.selector.in_flight_by_server(),
+            "limits_seen": self._limit_change_seen,
         }
+        limits = self.limits.to_report(self.clock.now_ms())
+        if limits:
+            message["limits"] = limits
         if self.monitor.is_cut_off:
             message["cut_off"] = True
         if self.follower.follows_store:
@@ -743,6 +779,14 @@
             self._apply_ping_response(address, result.unwrap(), sent_ms)
         return True
 
+    def _apply_limits(self, response):
+        """Apply the limits of servers that the leader tells of."""
+        if "limits" not in response:
+            return
+        self.limits.apply_changes(response["limits"], self.clock.now_ms())
+        boot_id, change = response["limits_seen"]
+        self._limit_change_seen = str(boot_id), int(change)
+
     def _leader_address(self):
         """Return the leader's address: that of a known successor, or the record's."""
         record = self.leadership_state.record
@@ -772,6 +816,7 @@
             self.follower.apply_updates(response.get("news", {}))
             self.view.adopt_freshness(response.get("freshness"), sent_ms)
             loads = self.follower.roster.unpack(response["loads"])
+            self._apply_limits(response)
         except (KeyError, TypeError, ValueError) as error:
             log_event("news-not-understood", leader=address, reason=repr(error))
             self.follower.follow_store("news not understood")
--- a/src/tarragonramp/roles/path_prober.py
+++ b/src/tarragonramp/roles/path_prober.py
@@ -12,6 +12,7 @@
 from ..adapters.logs import log_event
 from ..errors import UnansweredError
 from ..results import is_successful
+from ..server_limits import ServerLimits
 from ..server_paths import pick_probe_targets, reaches_servers
 
 __all__ = ["PathProber"]
@@ -49,6 +50,8 @@
     clock : Clock
     selector : ServerSelector
         Knows this daemon's failure domain, and what other daemons have in flight.
+    limits : ServerLimits
+        Servers with limits are not checked while there are enough others.
     """
 
     monitor: object
@@ -56,6 +59,7 @@
     pools: object
     clock: object
     selector: object
+    limits: ServerLimits = attrs.Factory(ServerLimits)
     _check_ended: object = None
     _suspicion: Event = attrs.Factory(Event)
     _rng: random.Random = attrs.Factory(random.Random)
@@ -130,6 +134,9 @@
         directory = self.view.directory
         usable = [s for s in directory.servers.values() if directory.may_serve(s)]
         servers = directory.warm(usable) or usable
+        unlimited = [s for s in servers if self.limits.limit_of(s) is None]
+        if len(unlimited) >= N_TARGETS:
+            servers = unlimited
         return pick_probe_targets(
             servers, N_TARGETS, self.selector.failure_domain, self._rng
         )
--- a/src/tarragonramp/roles/peer_delegator.py
+++ b/src/tarragonramp/roles/peer_delegator.py
@@ -107,6 +107,23 @@
         self.is_stranded = True
         return None
 
+    def serve_by(self, peer, request):
+        """Have a certain daemon serve a request; returns and raises as :meth:`serve`.
+
+        Parameters
+        ----------
+        peer : str
+            Name of the daemon.
+        request : RoutedRequest
+        """
+        now_ms = self.clock.now_ms()
+        is_skipped = self._skipped_until_ms.get(peer, 0.0) > now_ms
+        if is_skipped or peer not in self.view.daemons or peer == self.name:
+            return None
+        if request.until_ms - now_ms < MIN_LEFT_MS:
+            return None
+        return self._hand_to(peer, request)
+
     def _choose_peer(self):
         """Return the name of the daemon with the least to do for this one, or None."""
         now_ms = self.clock.now_ms()
--- a/src/tarragonramp/roles/router.py
+++ b/src/tarragonramp/roles/router.py
@@ -18,11 +18,13 @@
 )
 from ..balancing import Rejection, Requirements
 from ..connections import connection_share, may_connect
+from ..directory import BackendServer
 from ..errors import AbandonedError, NotSentError, RequestError
 from ..meters import ANSWERED, NOT_RUN, UNKNOWN, RequestTimes
 from ..request import end_to_end_response_headers
 from ..results import is_successful
 from ..retries import WindowedRetryBudget
+from ..server_limits import ServerLimits
 from ..server_paths import PathMonitor
 from .owners import NO_OWNER_RETRY_S, OwnerResolver
 from .path_prober import PathProber
@@ -34,6 +36,7 @@
 NO_ROUTES_RETRY_S = 0.3
 COLD_SERVER_RETRY_S = 0.5
 NO_CONNECTION_RETRY_S = 0.3
+MIN_LIMIT_RETRY_S = 0.1
 REFUSED_RETRY_S = 0.2
 MIN_ATTEMPT_MS = 20.0
 """A request with less time left is not sent, or not sent again.
@@ -86,6 +89,8 @@
     delegator : PeerDelegator
         Has other daemons serve requests while this one reaches no server.
     owners : OwnerResolver
+    limits : ServerLimits
+        What servers in need take from all daemons together.
     monitor : PathMonitor
         Whether this daemon reaches servers.
     prober : PathProber
@@ -104,10 +109,12 @@
     clock: object
     delegator: object
     counts: collections.Counter = attrs.Factory(collections.Counter)
+    limits: ServerLimits = attrs.Factory(ServerLimits)
     monitor: PathMonitor = attrs.Factory(PathMonitor)
     confirm_manifest: object = attrs.field(default=lambda min_version: True)
     prober: PathProber = attrs.field(init=False)
     _budgets: dict = attrs.Factory(dict)
+    _unreadable_limits: dict = attrs.Factory(dict)
     owners: OwnerResolver = attrs.field(init=False)
     _rng: random.Random = attrs.Factory(random.Random)
 
@@ -115,7 +122,12 @@
         """Create the parts that share its view and connections."""
         self.owners = OwnerResolver(self.view, self.clock)
         self.prober = PathProber(
-            self.monitor, self.view, self.pools, self.clock, self.selector
+            self.monitor,
+            self.view,
+            self.pools,
+            self.clock,
+            self.selector,
+            self.limits,
         )
 
     def __call__(self, environ, start_response):
@@ -249,6 +261,8 @@
                 budget.earn()
                 request.is_credited = True
             chosen = self._choose_server(request)
+            if isinstance(chosen, BackendServer):
+                return self._serve_by_sender(request, chosen)
             request.tried.append(chosen.server.name)
             result, took_ms = self._exchange(request, chosen)
             times.service_ms += took_ms
@@ -283,10 +297,16 @@
             )
         return budget
 
+    @property
+    def name(self):
+        """Name of this daemon."""
+        return self.limits.name
+
     def _n_daemons(self):
         return max(MIN_ASSUMED_DAEMONS, len(self.view.daemons))
 
     def _choose_server(self, request):
+        """Return a Selection, or a limited server that another daemon sends to."""
         now_ms = self.clock.now_ms()
         left_ms = request.until_ms - now_ms
         if left_ms < MIN_ATTEMPT_MS:
@@ -296,6 +316,9 @@
             now_ms = self.clock.now_ms()
         else:
             servers = self._candidates(request)
+        servers, limited = self._within_limits(request, servers, now_ms)
+        if not servers:
+            return self._limited_server(request, limited, now_ms)
         requirements = Requirements(
             request.route.name,
             request.until_ms - now_ms,
@@ -309,8 +332,68 @@
                 choice.reason, choice.retry_after_s, **choice.inputs
             )
         self._acquire_cold_start_permit(request, choice.server, now_ms)
+        self.limits.record_sent(choice.server, now_ms)
         return choice
 
+    def _within_limits(self, request, servers, now_ms):
+        """Return the servers that this daemon may send to now, and the others."""
+        is_urgent = self.view.routes.is_urgent(request.route)
+        share = 0.0 if is_urgent else self.selector.urgent_share(request.service)
+        within, limited = [], []
+        for server in servers:
+            may_send = self.limits.may_send(server, self.view.daemons, share, now_ms)
+            (within if may_send else limited).append(server)
+        return within, limited
+
+    def _limited_server(self, request, limited, now_ms):
+        """Return a limited server that another daemon may send a request to.
+
+        Raises
+        ------
+        RequestError
+            If there is none, as all that this daemon sends to are at their limits.
+        """
+        daemons = self.view.daemons
+        others = [
+            server
+            for server in limited
+            if self.name not in self.limits.senders_of(server, daemons)
+        ]
+        if others and request.may_delegate:
+            return self._rng.choice(others)
+        raise self._limit_refusal(request, limited, now_ms)
+
+    def _serve_by_sender(self, request, server):
+        """Have a daemon that sends to a limited server serve a request.
+
+        Raises
+        ------
+        RequestError
+            Also if none of them can be reached.
+        """
+        for peer in self.limits.senders_of(server, self.view.daemons):
+            response = self.delegator.serve_by(peer, request)
+            if response is not None:
+                return response
+        raise self._limit_refusal(request, [server], self.clock.now_ms())
+
+    def _limit_refusal(self, request, limited, now_ms):
+        """Return the refusal of a request whose servers are all at their limits."""
+        self._count_refused_work(request)
+        daemons = self.view.daemons
+        next_ms, server = min(
+            (self.limits.ms_until_free(server, daemons, now_ms), server.name)
+            for server in limited
+        )
+        return request.retryable_refusal(
+            "servers are at their limits",
+            max(MIN_LIMIT_RETRY_S, next_ms / 1000.0),
+            rule="server limit",
+            server=server,
+            limit_per_s=self.limits.limited()[server].per_s,
+            limited_servers=len(limited),
+        )
+
     def _count_refused_work(self, request):
         """Count the work of a refused request as if its owner had done it.
 
@@ -423,12 +506,33 @@
         _, facts = result.unwrap()
         if is_divided and not facts.misdirected:
             self.owners.record_served(request)
+        self._record_limit(server, facts, began_ms, now_ms)
         if facts.not_run:
             self.selector.record_shed(chosen, facts.load, now_ms)
         else:
             self.selector.record_response(chosen, took_ms, facts.load, now_ms)
         return result, took_ms
 
+    def _record_limit(self, server, facts, sent_ms, now_ms):
+        """Record the limit that a server names in an answer, or that it names none."""
+        per_s, text = facts.limit_per_s, facts.limit_text
+        if per_s is None and text is not None:
+            if self._unreadable_limits.get(server.name) != text:
+                self._unreadable_limits[server.name] = text
+                log_event("limit-not-understood", server=server.name, value=text[:40])
+            return
+        # Another process at the address may have sent a misdirected answer.
+        is_from_server = facts.genuine or (facts.not_run and not facts.misdirected)
+        if per_s is None and not is_from_server:
+            return
+        if self.limits.record_answer(server, per_s, sent_ms, now_ms):
+            log_event(
+                "server-limit",
+                server=server.name,
+                service=server.service,
+                per_s="none" if per_s is None else per_s,
+            )
+
     def _waits_in_vain(self, request):
         """Return whether a request can be repeated and its server can't be heard."""
         return (
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -229,12 +229,50 @@
         self.appointed_watchers(["e1"])
         self.assertIn(("e1:1", {}), self.one.follower.catch_up_calls)
 
+    def test_limits_of_servers_reach_all_daemons(self):
+        """Guards against daemons that each find out by sending too much themselves."""
+        server = BackendServer("s1", 1, "desk", "s1:80", "a", 3)
+        third = self.daemon("d3")
+        for daemon in (self.one, self.other, third):
+            daemon.limits.name = daemon.name
+            daemon._discover_leader()
+            daemon.follower.updates_since = lambda versions: {"any": {}}
+        now_ms = self.clock.now_ms()
+        self.other.limits.record_answer(server, 2.8, now_ms, now_ms)
+        self.other._ping()
+        third._ping()
+        known = [d.limits.limit_of(server) for d in (self.one, third)]
+        self.assertEqual([item.per_s for item in known], [2.8] * 2)
+        self.assertEqual(known[0].senders, known[1].senders)
+        self.assertIn(known[0].senders, [("d1",), ("d2",), ("d3",)])
+        self.clock.advance(100.0)
+        self.other.limits.record_answer(server, None, now_ms + 50.0, now_ms + 100.0)
+        self.other._ping()
+        third._ping()
+        self.assertIsNone(third.limits.limit_of(server))
+
+    def test_limits_are_told_once_and_again_by_the_next_leader(self):
+        server = BackendServer("s1", 1, "desk", "s1:80", "a", 3)
+        for daemon in (self.one, self.other):
+            daemon._discover_leader()
+            daemon.follower.updates_since = lambda versions: {"any": {}}
+        self.one.limits.record_answer(server, 2.8, 0.0, self.clock.now_ms())
+        message = {"name": "d2", "address": "d2:1", "versions": {}}
+        answer = self.one.handle_ping(message)
+        self.assertEqual(len(answer["limits"]), 1)
+        told = {**message, "limits_seen": answer["limits_seen"]}
+        self.assertNotIn("limits", self.one.handle_ping(told))
+        by_another = {**message, "limits_seen": ["x", answer["limits_seen"][1]]}
+        self.assertEqual(len(self.one.handle_ping(by_another)["limits"]), 1)
+
     def test_malformed_ping_changes_nothing(self):
         """Guards against a daemon that counts although it is not understood."""
         self.one._discover_leader()
         message = {"name": "e1", "address": "e1:1", "versions": {}}
         with self.assertRaises(ValueError):
             self.one.handle_ping({**message, "loads": {"s1": "many"}})
+        with self.assertRaises(ValueError):
+            self.one.handle_ping({**message, "limits": [["s1", 1, -1.0, 0]]})
         self.assertNotIn("e1", self.one.view.daemons)
 
     def test_daemons_know_whether_the_leader_hears_the_store(self):
--- a/tests/test_platform_folder.py
+++ b/tests/test_platform_folder.py
@@ -407,3 +407,30 @@
         self.assertEqual(load.slowness, 1.5)
         for text in ("", "1", "a,b,c"):
             self.assertIsNone(facts(200, ("Upstream-Load", text)).load)
+
+    def test_limit_of_a_server_is_parsed(self):
+        """Guards against malformed limits that hold back all requests, or none."""
+
+        def limit(*texts):
+            headers = tuple(("Server-Limit", text) for text in texts)
+            facts = self.dialect.read_response(Response(200, headers, b""))
+            return facts.limit_per_s, facts.limit_text
+
+        self.assertEqual(limit(), (None, None))
+        self.assertEqual(limit("2.8"), (2.8, "2.8"))
+        self.assertEqual(limit(" 12 "), (12.0, " 12 "))
+        self.assertEqual(limit("0"), (0.0, "0"))
+        malformed = (
+            "-1",
+            "nan",
+            "inf",
+            "1e999",
+            "9" * 400,
+            "",
+            "2;x",
+            "0x2",
+            "1_0",
+            "2,8",
+        )
+        for text in malformed:
+            self.assertEqual(limit(text), (None, text))
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -30,6 +30,7 @@
 from tarragonramp.ranges import KeyRange, RangeTable
 from tarragonramp.roles.owners import GRANT_RECHECK_MS
 from tarragonramp.roles.router import Router
+from tarragonramp.server_limits import ServerLimits
 
 from .wire import LateCopyServer
 
@@ -39,6 +40,8 @@
 SERVER_ERROR = Success(Response(500, (("Mark", "1"),), b"oops"))
 UNSTATED = Success(Response(503, (("Mark", "1"),), b"busy"))
 UNMARKED = Success(Response(200, (), b"whose?"))
+LIMITED = Success(Response(200, (("Mark", "1"), ("Limit", "0.5")), b"whole"))
+LIMITED_SHED = Success(Response(503, (("Shed", "1"), ("Limit", "0.5")), b""))
 UNANSWERED = Failure(UnansweredError("connection closed"))
 UNREACHABLE = Failure(NotSentError("timed out"))
 
@@ -71,11 +74,14 @@
 
     def read_response(self, answer):
         """Return the facts of a server's response."""
+        limit = answer.header("Limit")
         return ResponseFacts(
             not_run=bool(answer.header("Shed")),
             implies_not_run=answer.status == 503,
             misdirected=answer.status == 421,
             genuine=bool(answer.header("Mark")),
+            limit_per_s=float(limit) if limit else None,
+            limit_text=answer.header("Limit", None),
         )
 
     def refusal_headers(self, request_id, retry_after_s):
@@ -83,7 +89,7 @@
         return [] if retry_after_s is None else [("Retry-After", str(retry_after_s))]
 
 
-class RouterTest(unittest.TestCase):
+class RouterTestCase(unittest.TestCase):
     """Three servers of a shared service, and two of a divided one."""
 
     def setUp(self):
@@ -143,7 +149,10 @@
             FleetBounds(),
             RequestMeter(),
             clock,
-            types.SimpleNamespace(seen_version=0, serve=self.delegate),
+            types.SimpleNamespace(
+                seen_version=0, serve=self.delegate, serve_by=self.delegate_to
+            ),
+            limits=ServerLimits("d1"),
         )
         for service in services:
             # Retries are paid for by requests that were served before.
@@ -161,6 +170,11 @@
         self.delegated.append((list(request.tried), request.in_doubt))
         return self.delegated_response
 
+    def delegate_to(self, peer, request):
+        """Record a request that is handed to a certain daemon."""
+        self.delegated.append((peer, request.in_doubt))
+        return self.delegated_response
+
     def assign_all(self, owner, token=1, old_owner=""):
         """Assign all keys to a server of the divided service."""
         item = KeyRange(0, N_KEYS - 1, owner, 1, token, old_owner, 1, token - 2)
@@ -193,6 +207,27 @@
         status, headers = responses[0]
         return int(status[:3]), dict(headers)
 
+    def serve_delegated(self, path, key=None, request_id="", **delegation):
+        """Serve a request of another daemon; return the response or the error."""
+        environ = {
+            "REQUEST_METHOD": "GET",
+            "PATH_INFO": path,
+            HEADERS_KEY: request_headers(key, request_id),
+            TARGET_KEY: path,
+            ARRIVED_KEY: self.clock.now_ms(),
+        }
+        fields = {"elapsed_ms": 0.0, "service": "desk", "manifest_version": 1}
+        try:
+            return self.router.serve_delegated(
+                environ, Delegation(**{**fields, **delegation})
+            )
+        except RequestError as error:
+            return error
+
+
+class RouterTest(RouterTestCase):
+    """Requests while servers and keys change."""
+
     def test_requests_are_handed_over_while_no_server_is_reached(self):
         self.router.monitor.record_check(False, 0.0)
         self.delegated_response = OK.unwrap()
@@ -284,23 +319,6 @@
         self.assertEqual(self.send_request("/new/")[0], 503)
         self.assertEqual(asked, [7])
 
-    def serve_delegated(self, path, key=None, request_id="", **delegation):
-        """Serve a request of another daemon; return the response or the error."""
-        environ = {
-            "REQUEST_METHOD": "GET",
-            "PATH_INFO": path,
-            HEADERS_KEY: request_headers(key, request_id),
-            TARGET_KEY: path,
-            ARRIVED_KEY: self.clock.now_ms(),
-        }
-        fields = {"elapsed_ms": 0.0, "service": "desk", "manifest_version": 1}
-        try:
-            return self.router.serve_delegated(
-                environ, Delegation(**{**fields, **delegation})
-            )
-        except RequestError as error:
-            return error
-
     def test_a_request_of_another_daemon_is_never_handed_over(self):
         """Guards against requests that go in circles among daemons."""
         self.router.monitor.record_check(False, 0.0)
