A response whose framing has no end is given up

What callers saw: a request to a server that sends a chunk size, a chunk extension or trailers without end lasts until its time limit, and the daemon reads all the while: 425 MB in two seconds, on a whole core, were seen for a chunk size. All other requests of the daemon wait for their turn meanwhile.

Cause: heads and bodies were bounded, but not what frames a body.

Evidence: the three tests of tests/test_endless_answers.py for these failed with 2.0 s, the whole timeout; those for heads and bodies without end passed before. All pass now.

Why this works: the bytes beside the body may be 256 KB and eight for each byte of the body, which is more than chunks of one byte take. Pools of requests, health checks, grants, peers and the store read through the same code.

--- a/src/tarragonramp/adapters/http.py
+++ b/src/tarragonramp/adapters/http.py
@@ -34,6 +34,9 @@
 RECEIVE_BYTES = 65_536
 MAX_IDLE_CONNECTIONS = 64
 MAX_RESPONSE_HEAD_BYTES = 65_536
+# Bytes beside the body that a response may have: its heads and trailers, and for each
+# byte of the body the frame of a chunk of one byte.
+MAX_FRAMING_BYTES, FRAMING_BYTES_PER_BODY_BYTE = 4 * MAX_RESPONSE_HEAD_BYTES, 8
 MIN_ERROR_STATUS = 400
 
 # Interval at which a pending exchange checks whether its caller is still connected.
@@ -363,8 +366,12 @@
             n_head = 0 if parser.headers_complete else n_head + len(data)
             if n_head > MAX_RESPONSE_HEAD_BYTES:
                 raise HTTPParseError("response headers longer than the limit")
-            if len(parser._body_buffer) + parser.n_extra_bytes > self.answer_bytes:
+            n_body = len(parser._body_buffer) + parser.n_extra_bytes
+            if n_body > self.answer_bytes:
                 raise HTTPParseError("response body longer than the limit")
+            max_framing = MAX_FRAMING_BYTES + FRAMING_BYTES_PER_BODY_BYTE * n_body
+            if n_received - n_body > max_framing:
+                raise HTTPParseError("framing of the response longer than the limit")
         return n_received
 
     def _release(self, connection, parser, is_kept):
--- /dev/null
+++ b/tests/test_endless_answers.py
@@ -0,0 +1,132 @@
+"""Servers that send bytes without end, in any part of an answer."""
+
+import resource
+import time
+import unittest
+
+import attrs
+import gevent
+from gevent.server import StreamServer
+
+from tarragonramp.adapters.http import HttpPool
+
+HEAD = b"HTTP/1.1 200 OK\r\n"
+CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+PIECE = 16_384
+TIMEOUT_MS, SOON_MS = 2000.0, 1000.0
+MAX_GROWTH_KB, MAX_BODY_BYTES = 32 << 10, 1 << 20
+
+
+@attrs.define(eq=False)
+class EndlessServer:
+    """Sends the start of an answer, and then a piece again and again.
+
+    Parameters
+    ----------
+    start, piece : bytes
+    n_sent : int
+        Bytes that were sent.
+    """
+
+    start: bytes
+    piece: bytes
+    n_sent: int = 0
+    is_closed: bool = False
+    _server: StreamServer = attrs.field(init=False)
+
+    def __attrs_post_init__(self):
+        """Listen on loopback."""
+        self._server = StreamServer(("127.0.0.1", 0), self._serve)
+        self._server.start()
+
+    @property
+    def address(self):
+        """Return ``ip:port``."""
+        return f"127.0.0.1:{self._server.server_port}"
+
+    def stop(self):
+        """Close the listener and every connection."""
+        self._server.stop(timeout=0)
+
+    def _serve(self, connection, _):
+        connection.recv(65_536)
+        try:
+            connection.sendall(self.start)
+            while True:
+                connection.sendall(self.piece)
+                self.n_sent += len(self.piece)
+                gevent.sleep(0)
+        except OSError:
+            self.is_closed = True
+
+
+class EndlessAnswerTest(unittest.TestCase):
+    """Guards against a server that takes a daemon's memory, or its time."""
+
+    def check(self, start, piece):
+        """Exchange one request; it has to fail soon, with the connection closed."""
+        server = EndlessServer(start, piece)
+        self.addCleanup(server.stop)
+        options = {"answer_bytes": MAX_BODY_BYTES, "takes_unframed": True}
+        pool = HttpPool(server.address, **options)
+        before_kb = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
+        waits_ms = []
+        ticker = gevent.spawn(self.measure_waits, waits_ms)
+        began_s = time.monotonic()
+        result = pool.exchange("GET", "/", [], b"", TIMEOUT_MS)
+        took_ms = (time.monotonic() - began_s) * 1000.0
+        gevent.sleep(0.05)
+        ticker.kill()
+        self.assertTrue(result.failure())
+        self.assertLess(took_ms, SOON_MS)
+        self.assertTrue(server.is_closed)
+        after_kb = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
+        self.assertLess(after_kb - before_kb, MAX_GROWTH_KB)
+        self.assertLess(max(waits_ms), 250.0)
+
+    def measure_waits(self, waits_ms):
+        """Record how long other work waits for its turn."""
+        while True:
+            began_s = time.monotonic()
+            gevent.sleep(0.001)
+            waits_ms.append((time.monotonic() - began_s) * 1000.0)
+
+    def test_heads_without_end(self):
+        for start, piece in (
+            (b"", b"x" * PIECE),
+            (b"HTTP/1.1 200 ", b"x" * PIECE),
+            (HEAD + b"A: ", b"x" * PIECE),
+            (HEAD, b"A: b\r\n" * 2000),
+            (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 500),
+        ):
+            with self.subTest(start=start, piece=piece[:12]):
+                self.check(start, piece)
+
+    def test_bodies_without_end(self):
+        for start, piece in (
+            (HEAD + b"\r\n", b"x" * PIECE),
+            (CHUNKED, b"4000\r\n" + b"x" * 0x4000 + b"\r\n"),
+            (HEAD + b"Content-Length: 2\r\n\r\nhi", b"x" * PIECE),
+        ):
+            with self.subTest(start=start, piece=piece[:12]):
+                self.check(start, piece)
+
+    def test_chunk_sizes_without_end(self):
+        self.check(CHUNKED, b"0" * PIECE)
+
+    def test_chunk_extensions_without_end(self):
+        self.check(CHUNKED + b"5;", b"a" * PIECE)
+
+    def test_trailers_without_end(self):
+        self.check(CHUNKED + b"0\r\n", b"A: b\r\n" * 2000)
+
+    def test_a_body_in_chunks_of_one_byte_is_no_endless_answer(self):
+        body = b"1\r\nx\r\n" * 200_000
+        server = EndlessServer(CHUNKED + body + b"0\r\n\r\n", b"")
+        self.addCleanup(server.stop)
+        result = HttpPool(server.address).exchange("GET", "/", [], b"", 5000.0)
+        self.assertEqual(len(result.unwrap().body), 200_000)
+
+
+if __name__ == "__main__":
+    unittest.main()
