A retry is paid for also if another daemon made the send before

What callers saw: nothing; retries were sent that no budget had counted.

Cause: a daemon that is cut off may have sent a request to a server, which refused it, before it declines it. The next daemon that takes the request sends it as if for the first time.

Why this works: a report says whether a server has got the request, and who hands it on says that the next send is a retry, which that daemon's budget has to pay for. Missing fields of other builds count as "not sent".

Also: a daemon that knows of no limit does not look at each server for one.

--- a/src/tarragonramp/delegation.py
+++ b/src/tarragonramp/delegation.py
@@ -27,6 +27,8 @@
         Servers that may have run it.
     is_credited : bool
         Whether the retry budget has been credited for it.
+    is_unpaid_retry : bool
+        Whether a server has got it and no retry budget has paid for the next send.
     """
 
     elapsed_ms: float
@@ -34,6 +36,7 @@
     manifest_version: int
     tried: list = attrs.Factory(list)
     is_credited: bool = False
+    is_unpaid_retry: bool = False
 
     def to_header(self):
         """Return the header as a (str, str) pair."""
@@ -49,6 +52,7 @@
             int(raw["manifest_version"]),
             [str(name) for name in raw["tried"]],
             bool(raw["is_credited"]),
+            bool(raw.get("is_unpaid_retry", False)),
         )
 
 
@@ -65,6 +69,8 @@
     outcome, reason : str
         Of a refusal, as for RequestError.
     retry_after_s : float or None
+    was_sent : bool
+        Whether a server has got the request.
     """
 
     result: str
@@ -72,6 +78,7 @@
     outcome: str = ""
     reason: str = ""
     retry_after_s: float | None = None
+    was_sent: bool = False
 
     def to_header(self):
         """Return the header as a (str, str) pair."""
@@ -88,6 +95,7 @@
             str(raw["outcome"]),
             str(raw["reason"]),
             None if retry_after_s is None else float(retry_after_s),
+            bool(raw.get("was_sent", False)),
         )
 
 
--- a/src/tarragonramp/roles/delegate.py
+++ b/src/tarragonramp/roles/delegate.py
@@ -135,7 +135,12 @@
         if error is None:
             return Report(result, self._version)
         return Report(
-            result, self._version, error.outcome, error.reason, error.retry_after_s
+            result,
+            self._version,
+            error.outcome,
+            error.reason,
+            error.retry_after_s,
+            bool(error.inputs.get("was_sent")),
         )
 
 
--- a/src/tarragonramp/roles/peer_delegator.py
+++ b/src/tarragonramp/roles/peer_delegator.py
@@ -158,6 +158,7 @@
             self._handle_missing_report(peer, response)
             return None
         if report.result == DECLINED:
+            request.is_unpaid_retry |= report.was_sent
             self._avoid_domain_of(peer)
             self._pass_over(peer, "declined", DECLINED_MS, report.reason)
             return None
@@ -200,6 +201,7 @@
             max(self.view.manifest.version, self.seen_version),
             request.tried if request.in_doubt else [],
             request.is_credited,
+            request.is_unpaid_retry,
         )
         headers = end_to_end_headers(request.headers, frozenset((DELEGATION_HEADER,)))
         self._in_progress[peer] += 1
--- a/src/tarragonramp/roles/routed_request.py
+++ b/src/tarragonramp/roles/routed_request.py
@@ -41,6 +41,10 @@
         took it.
     is_credited : bool
         Whether the retry budget has been credited for it.
+    was_sent : bool
+        Whether a server has got it.
+    is_unpaid_retry : bool
+        Whether another daemon has sent it, and no retry budget has paid for a retry.
     """
 
     request_id: str
@@ -59,6 +63,8 @@
     in_doubt: bool = False
     may_delegate: bool = True
     is_credited: bool = False
+    was_sent: bool = False
+    is_unpaid_retry: bool = False
 
     @property
     def may_repeat(self):
@@ -71,6 +77,8 @@
         The outcome is "not run" only if no earlier attempt may have run. The inputs are
         the values that led to the refusal.
         """
+        if self.was_sent:
+            inputs = {**inputs, "was_sent": True}
         if self.in_doubt:
             return RequestError(502, UNKNOWN, reason, None, inputs)
         return RequestError(status, NOT_RUN, reason, retry_after_s, inputs)
--- a/src/tarragonramp/roles/router.py
+++ b/src/tarragonramp/roles/router.py
@@ -176,6 +176,7 @@
         request.tried += delegation.tried
         request.in_doubt = bool(delegation.tried)
         request.is_credited = delegation.is_credited
+        request.is_unpaid_retry = delegation.is_unpaid_retry
         request.may_delegate = False
         return self._deliver(request, times)
 
@@ -263,6 +264,9 @@
             chosen = self._choose_server(request)
             if isinstance(chosen, BackendServer):
                 return self._serve_by_sender(request, chosen)
+            if request.is_unpaid_retry and not budget.spend():
+                raise request.retryable_refusal("no retry left", REFUSED_RETRY_S)
+            request.is_unpaid_retry = False
             request.tried.append(chosen.server.name)
             result, took_ms = self._exchange(request, chosen)
             times.service_ms += took_ms
@@ -337,6 +341,8 @@
 
     def _within_limits(self, request, servers, now_ms):
         """Return the servers that this daemon may send to now, and the others."""
+        if not self.limits.are_known:
+            return servers, []
         is_urgent = self.view.routes.is_urgent(request.route)
         share = 0.0 if is_urgent else self.selector.urgent_share(request.service)
         within, limited = [], []
@@ -500,6 +506,7 @@
             self._record_failure(request, chosen, result.failure(), now_ms)
             return result, took_ms
         self.monitor.record_answer(server.name, now_ms)
+        request.was_sent = True
         result = result.map(
             lambda response: (response, self.dialect.read_response(response))
         )
--- a/src/tarragonramp/server_limits.py
+++ b/src/tarragonramp/server_limits.py
@@ -132,6 +132,11 @@
             return None
         return found
 
+    @property
+    def are_known(self):
+        """Whether any server has named a limit; without one, all may be sent to."""
+        return bool(self._statements)
+
     def senders_of(self, server, daemons):
         """Return the names of the daemons that send to a limited server.
 
--- a/tests/test_peer_delegator.py
+++ b/tests/test_peer_delegator.py
@@ -150,6 +150,16 @@
         self.assertIsNotNone(self.delegator.serve(self.request()))
         self.assertFalse(self.delegator.is_stranded)
 
+    def test_a_send_by_a_daemon_that_then_declined_has_to_be_paid_for(self):
+        """Guards against retries that no budget counts."""
+        report = Report(DECLINED, 3, NOT_RUN, "server not reached", was_sent=True)
+        self.scripted = dict.fromkeys(DAEMONS, response_of(report, 503))
+        request = self.request()
+        self.assertIsNone(self.delegator.serve(request))
+        paid = [delegation.is_unpaid_retry for delegation in self.delegations]
+        self.assertEqual(paid, [False] + [True] * (MAX_PEERS - 1))
+        self.assertTrue(request.is_unpaid_retry)
+
     def test_a_daemon_that_can_not_be_reached_is_replaced(self):
         self.script("a", Failure(NotSentError("refused")))
         self.assertIsNotNone(self.delegator.serve(self.request()))
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -341,6 +341,27 @@
         error = self.serve_delegated("/safe/", tried=["s9"])
         self.assertEqual((error.status, error.outcome), (502, UNKNOWN))
 
+    def test_a_retry_by_another_daemon_is_paid_for_once(self):
+        """Guards against retries that no budget counts."""
+        spent = []
+        self.router._budgets["desk"] = types.SimpleNamespace(
+            earn=lambda: None, spend=lambda: spent.append(1) or len(spent) < 2
+        )
+        self.serve_delegated("/safe/", is_unpaid_retry=True)
+        self.assertEqual((len(spent), len(self.sent)), (1, 1))
+        error = self.serve_delegated("/safe/", is_unpaid_retry=True)
+        self.assertEqual((error.status, error.outcome), (503, NOT_RUN))
+        self.assertEqual((len(spent), len(self.sent)), (2, 1))
+
+    def test_a_refusal_tells_whether_a_server_got_the_request(self):
+        self.scripted["all"] = [SHED]
+        self.router._budgets["desk"] = types.SimpleNamespace(
+            earn=lambda: None, spend=lambda: False
+        )
+        self.assertTrue(self.serve_delegated("/safe/").inputs["was_sent"])
+        self.scripted["all"] = [UNREACHABLE]
+        self.assertNotIn("was_sent", self.serve_delegated("/safe/").inputs)
+
     def test_the_retry_budget_is_credited_by_one_daemon(self):
         """Guards against twice the retries for requests that two daemons handle."""
         earned = []
