A limit that ends while no sender is reached holds no request back

What callers saw: nothing yet; a request would have ended with 500 if the limit of its server ended while the daemons that send to it did not take the request.

Cause: the refusal looked up a limit that was known when the server was chosen.

Evidence: test_limit_that_ends_while_no_sender_is_reached_holds_nothing_back, an AttributeError before.

Why this works: the server is chosen anew, which either sends the request or finds the limit still there and refuses. State of servers that are gone is discarded in one place.

--- a/src/tarragonramp/fleet.py
+++ b/src/tarragonramp/fleet.py
@@ -402,9 +402,7 @@
         """Periodically drop the state of removed servers and finished moves."""
         while True:
             gevent.sleep(10.0)
-            self.router.selector.retain(self.view.directory.servers)
-            self.router.monitor.retain(self.view.directory.servers)
-            self.router.limits.retain(self.view.directory.servers)
+            self.router.forget_servers()
             self.router.owners.forget_delays()
 
     def _serve_readiness(self, environ, start_response):
--- a/src/tarragonramp/roles/router.py
+++ b/src/tarragonramp/roles/router.py
@@ -263,7 +263,11 @@
                 request.is_credited = True
             chosen = self._choose_server(request)
             if isinstance(chosen, BackendServer):
-                return self._serve_by_sender(request, chosen)
+                response = self._serve_by_sender(request, chosen)
+                if response is not None:
+                    return response
+                request.may_delegate = False
+                continue
             if request.is_unpaid_retry and not budget.spend():
                 raise request.retryable_refusal("no retry left", REFUSED_RETRY_S)
             request.is_unpaid_retry = False
@@ -301,11 +305,6 @@
             )
         return budget
 
-    @property
-    def name(self):
-        """Name of this daemon."""
-        return self.limits.name
-
     def _n_daemons(self):
         return max(MIN_ASSUMED_DAEMONS, len(self.view.daemons))
 
@@ -361,9 +360,7 @@
         """
         daemons = self.view.daemons
         others = [
-            server
-            for server in limited
-            if self.name not in self.limits.senders_of(server, daemons)
+            server for server in limited if not self.limits.sends_to(server, daemons)
         ]
         if others and request.may_delegate:
             return self._rng.choice(others)
@@ -372,16 +369,16 @@
     def _serve_by_sender(self, request, server):
         """Have a daemon that sends to a limited server serve a request.
 
-        Raises
-        ------
-        RequestError
-            Also if none of them can be reached.
+        Returns
+        -------
+        response : Response or None
+            None if no such daemon took the request.
         """
         for peer in self.limits.senders_of(server, self.view.daemons):
             response = self.delegator.serve_by(peer, request)
             if response is not None:
                 return response
-        raise self._limit_refusal(request, [server], self.clock.now_ms())
+        return None
 
     def _limit_refusal(self, request, limited, now_ms):
         """Return the refusal of a request whose servers are all at their limits."""
@@ -520,6 +517,15 @@
             self.selector.record_response(chosen, took_ms, facts.load, now_ms)
         return result, took_ms
 
+    def forget_servers(self):
+        """Discard what is kept of servers that are not listed any more."""
+        listed = self.view.directory.servers
+        self.selector.retain(listed)
+        self.monitor.retain(listed)
+        self.limits.retain(listed)
+        for name in set(self._unreadable_limits) - set(listed):
+            del self._unreadable_limits[name]
+
     def _record_limit(self, server, facts, sent_ms, now_ms):
         """Record the limit that a server names in an answer, or that it names none."""
         per_s, text = facts.limit_per_s, facts.limit_text
--- a/src/tarragonramp/server_limits.py
+++ b/src/tarragonramp/server_limits.py
@@ -152,6 +152,10 @@
             return statement.senders
         return self._choose_senders(server.name, daemons)
 
+    def sends_to(self, server, daemons):
+        """Tell whether this daemon is one of those that send to a limited server."""
+        return self.name in self.senders_of(server, daemons)
+
     def n_free(self, server, daemons, now_ms):
         """Return how many requests this daemon may send to a limited server now."""
         statement, quota = self.limit_of(server), self._quota(server, daemons)
--- a/tests/test_router_limits.py
+++ b/tests/test_router_limits.py
@@ -59,6 +59,18 @@
         self.assertGreater(float(headers["Retry-After"]), 0.0)
         self.assertEqual(log.call_args.kwargs["rule"], "server limit")
 
+    def test_limit_that_ends_while_no_sender_is_reached_holds_nothing_back(self):
+        """Guards against an error for a limit that is no longer known."""
+        self.limit("p1", sender="d2")
+        server = self.view.directory.servers["p1"]
+
+        def end_limit(peer, request):
+            sent_ms = self.clock.now_ms() + 1.0
+            self.limits.record_answer(server, None, sent_ms, sent_ms)
+
+        self.router.delegator.serve_by = end_limit
+        self.assertEqual(self.send_request("/keyed/", 7)[0], 200)
+
     def test_requests_beyond_the_limit_are_refused_at_once(self):
         self.limit("p1")
         statuses = [self.send_request("/keyed/", 7)[0] for _ in range(20)]
