Soak: servers name limits, change and end them

Seeds from 7,000,000 on have some or all servers of a service name limits, two in a row, or malformed ones. The check counts in each window of four seconds what a server's log shows of callers whose daemon had been told and was not disturbed, by the stated bound. A run of the checks with 100 requests in ten seconds to a server with a limit of 2.8 is a violation.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -21,6 +21,13 @@
 """From this time after it was cut off from all servers a daemon's callers have to be
 served."""
 
+LIMIT_WINDOW_MS, LIMIT_BURST_FACTOR, LIMIT_SLACK = 4000.0, 1.5, 5
+"""A server that names a limit gets in any such window this factor of what the limit
+allows, and the slack, from daemons that were not disturbed."""
+
+TOLD_MS = 500.0
+"""How long after a daemon first passed on an answer with a limit its requests count."""
+
 STORE_RECOVERY_MS = 6000.0
 """How long after a fault of the store has ended daemons may still lack a change: the
 response to a watch may have been lost, which shows only when the watch times out."""
@@ -145,9 +152,84 @@
         "new routes are in force": _missing_routes(run),
         "callers of daemons without servers are served": _unserved_cuts(run),
         "stops cut no request": _cut_by_stops(run, executions),
+        "limits of servers": _beyond_limits(run),
     }
 
 
+def _beyond_limits(run):
+    """Return the windows in which a server got more requests than its limit allows.
+
+    Counted are requests of callers whose daemon has been told of the limit and was not
+    disturbed. Another daemon may have sent them.
+    """
+    arrivals = collections.defaultdict(list)
+    for server, life, event, at_ms, *details in run.entries:
+        if event == "arrival":
+            arrivals[server, life].append((at_ms, *details))
+    return [
+        violation
+        for (server, _), found in arrivals.items()
+        for period in _limited_periods(sorted(found))
+        for violation in _crowded_windows(run, server, period)
+    ]
+
+
+def _limited_periods(arrivals):
+    """Return lists of consecutive arrivals (time, id, limit) that were told a limit."""
+    periods, period = [], []
+    for at_ms, request_id, text in arrivals:
+        if text.replace(".", "", 1).isdecimal():
+            period.append((at_ms, request_id, float(text)))
+        elif period:
+            periods.append(period)
+            period = []
+    return [*periods, period] if period else periods
+
+
+def _crowded_windows(run, server, period):
+    """Return the first window of a period in which a server got too many requests."""
+    daemons = {outcome.request_id: outcome.daemon for outcome in run.outcomes}
+    named_ms, told_ms, counted = period[0][0], {}, []
+    for at_ms, request_id, limit in period:
+        daemon = daemons.get(request_id, "")
+        told_ms.setdefault(daemon, at_ms)
+        disturbed = _overlaps(_disturbances(run, daemon), named_ms, at_ms)
+        if not disturbed and at_ms >= told_ms[daemon] + TOLD_MS:
+            counted.append((at_ms, limit))
+    for begin_ms, _ in counted:
+        if begin_ms < named_ms + CONTACT_MS:
+            continue
+        end_ms = begin_ms + LIMIT_WINDOW_MS
+        n_arrivals = sum(begin_ms <= at_ms < end_ms for at_ms, _ in counted)
+        limit = max(
+            limit for at_ms, _, limit in period if begin_ms - TOLD_MS <= at_ms < end_ms
+        )
+        allowed = LIMIT_BURST_FACTOR * limit * LIMIT_WINDOW_MS / 1000.0 + LIMIT_SLACK
+        if n_arrivals > allowed:
+            return [
+                f"{server}: {n_arrivals} in 4 s, limit {limit}, from {begin_ms:.0f}"
+            ]
+    return []
+
+
+def _disturbances(run, daemon):
+    """Return the spans in which a daemon was not running, cut off or paused."""
+    if not daemon:
+        return [(0.0, float("inf"))]
+    return [
+        (from_ms - CONTACT_MS, to_ms + CONTACT_MS)
+        for spans in (
+            run.outages,
+            run.unplanned,
+            run.stops,
+            run.daemon_faults,
+            run.server_cuts,
+        )
+        for name, from_ms, to_ms in spans
+        if name == daemon
+    ]
+
+
 def _at_most_once(executions):
     return [
         f"{request_id}: {tries}"
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -13,8 +13,10 @@
     "FIRST_CUT_SEED",
     "FIRST_ENTRY_SEED",
     "FIRST_EXTENDED_SEED",
+    "FIRST_LIMIT_SEED",
     "FIRST_OUTAGE_SEED",
     "FIRST_STOP_SEED",
+    "LIMITS",
     "REFUSALS",
     "SERVERS",
     "FaultEvent",
@@ -56,6 +58,15 @@
 """First seed whose plans also have servers refuse requests and send late copies of
 responses, and whose callers send orders to the divided service."""
 
+FIRST_LIMIT_SEED = 7_000_000
+"""First seed whose plans also have servers name limits, change and end them."""
+
+LIMITS = ("0.5", "2.8", "4", "20", "none", "-1")
+"""What servers name as their limits; the last two are malformed."""
+
+MAX_LIMIT_MS = 12_000.0
+"""Maximum duration of a limit: it binds three seconds after it was first named."""
+
 COPY_FAULTS = (
     "copy_responses",
     "copy_without_id",
@@ -157,9 +168,31 @@
         events = sorted([*events, *_entries(rng, run_ms)], key=lambda e: e.at_ms)
     if seed >= FIRST_COPY_SEED:
         events = sorted([*events, *_copies(rng, run_ms)], key=lambda e: e.at_ms)
+    if seed >= FIRST_LIMIT_SEED:
+        events = sorted([*events, *_limits(rng, run_ms)], key=lambda e: e.at_ms)
     return [event for event in events if event.at_ms < run_ms]
 
 
+def _limits(rng, run_ms):
+    """Return limits that some or all servers of a service name, one or two in a row."""
+    events, at_ms = [], rng.uniform(500.0, 3000.0)
+    while at_ms + MAX_DURATION_MS < run_ms:
+        service = rng.choice(("desk", "parts"))
+        servers = [name for name, (own, _) in SERVERS.items() if own == service]
+        names = rng.sample(servers, rng.choice((1, 1, len(servers))))
+        lasts_ms = min(rng.uniform(4000.0, MAX_LIMIT_MS), run_ms - at_ms)
+        limits = rng.sample(LIMITS, rng.randint(1, 2))
+        for index, limit in enumerate(limits):
+            part_ms = lasts_ms / len(limits)
+            begin_ms = at_ms + index * part_ms
+            events += [
+                FaultEvent(begin_ms, "misbehave", name, part_ms, "limit", limit)
+                for name in names
+            ]
+        at_ms += lasts_ms + rng.uniform(500.0, 4000.0)
+    return events
+
+
 def _copies(rng, run_ms):
     """Return faults of servers that refuse requests and copy responses meanwhile."""
     events, at_ms = [], rng.uniform(500.0, 2000.0)
--- a/soak/run.py
+++ b/soak/run.py
@@ -33,6 +33,7 @@
 from .plan import (  # noqa: E402
     DAEMONS,
     FIRST_COPY_SEED,
+    FIRST_LIMIT_SEED,
     FIRST_OUTAGE_SEED,
     FIRST_STOP_SEED,
     REFUSALS,
@@ -293,7 +294,9 @@
         if process.poll() is not None:
             return
         faults = {event.detail: count}
-        if self.seed >= FIRST_COPY_SEED:
+        if event.detail == "limit":
+            faults = {"limit": event.target if count else ""}
+        elif self.seed >= FIRST_COPY_SEED:
             faults["share"] = FAULTY_SHARE
         body = json.dumps(faults).encode()
         pool = HttpPool(self.site.servers[event.name])
@@ -509,7 +512,9 @@
     length_s : float
         Duration of the faults in each run, in seconds.
     """
-    fresh_seeds = (FIRST_COPY_SEED + secrets.randbelow(1_000_000) for _ in range(fresh))
+    fresh_seeds = (
+        FIRST_LIMIT_SEED + secrets.randbelow(1_000_000) for _ in range(fresh)
+    )
     chosen = [*seeds, *fresh_seeds]
     return sum(not run_seed(seed, length_s) for seed in chosen or regression_seeds())
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -23,8 +23,10 @@
     FIRST_COPY_SEED,
     FIRST_CUT_SEED,
     FIRST_ENTRY_SEED,
+    FIRST_LIMIT_SEED,
     FIRST_OUTAGE_SEED,
     FIRST_STOP_SEED,
+    LIMITS,
     REFUSALS,
     SERVERS,
     FaultEvent,
@@ -59,6 +61,31 @@
 
     EXECUTION = ("desk0", 1, "run", 10.0, "r1", "POST", None, "900")
 
+    def limited_run(self, limits, gap_ms=100.0, **changes):
+        """Return a run in which a server names limits to a request each ``gap_ms``."""
+        entries, outcomes = [], []
+        for number, limit in enumerate(limits):
+            request_id, at_ms = f"r{number}", number * gap_ms
+            entries.append(("desk0", 1, "arrival", at_ms, request_id, limit))
+            found = outcome(request_id, "GET", status=503)
+            outcomes.append(attrs.evolve(found, daemon="d1"))
+        return RunRecord(outcomes, entries, **changes)
+
+    def test_more_requests_than_a_server_takes(self):
+        crowded = self.limited_run(["2.8"] * 100)
+        self.assertEqual(violated_checks(crowded), ["limits of servers"])
+        self.assertEqual(violated_checks(self.limited_run(["20"] * 100)), [])
+        rare = self.limited_run(["2.8"] * 30, gap_ms=400.0)
+        self.assertEqual(violated_checks(rare), [])
+        for limits in (["-1"] * 100, ["2.8"] * 30 + [""] * 100):
+            self.assertEqual(violated_checks(self.limited_run(limits)), [])
+        killed = self.limited_run(["2.8"] * 100, unplanned=[("d1", 100.0, 200.0)])
+        other = self.limited_run(["2.8"] * 100, unplanned=[("d2", 100.0, 200.0)])
+        late = self.limited_run(["2.8"] * 100, unplanned=[("d1", 9700.0, 9900.0)])
+        self.assertEqual(violated_checks(killed), [])
+        self.assertEqual(violated_checks(other), ["limits of servers"])
+        self.assertEqual(violated_checks(late), ["limits of servers"])
+
     def test_a_valid_run(self):
         entries = [
             self.EXECUTION,
@@ -286,6 +313,19 @@
             kinds.update(*copies)
         self.assertEqual(kinds, {*COPY_FAULTS, "shed"})
 
+    def test_servers_name_limits_alone_and_together(self):
+        """Guards against a soak in which no limit lasts until it binds."""
+        found = collections.Counter()
+        for seed in range(FIRST_LIMIT_SEED, FIRST_LIMIT_SEED + 20):
+            limits = [e for e in generate_plan(seed, 30_000.0) if e.detail == "limit"]
+            self.assertTrue(limits, seed)
+            found.update(event.target for event in limits)
+            starts = collections.Counter(event.at_ms for event in limits)
+            found.update(starts.values())
+            found["lasting"] += any(event.duration_ms > 8000.0 for event in limits)
+        self.assertLessEqual({*LIMITS, 1, 4}, set(found))
+        self.assertGreater(found["lasting"], 5)
+
     def test_daemons_stop_in_series(self):
         """Guards against a soak in which stops never overlap."""
         for seed in range(FIRST_STOP_SEED, FIRST_STOP_SEED + 20):
