Tests: seven guards that could be taken out unnoticed

Each has a test now that fails without it, and passes on the sources as they are; the sources are unchanged.

--- a/tests/test_freshness.py
+++ b/tests/test_freshness.py
@@ -8,7 +8,7 @@
 
 from tarragonramp.clock import Clock, ManualClock
 from tarragonramp.errors import PlatformUnreachableError
-from tarragonramp.fleet_view import FleetView
+from tarragonramp.fleet_view import FOLLOWED_KINDS, FleetView
 from tarragonramp.manifest import Manifest, Route, RouteTable, WeightedService
 from tarragonramp.model import Stored
 from tarragonramp.roles.follower import Follower
@@ -117,6 +117,21 @@
         gevent.sleep(LIMIT_MS / 1000.0)
         self.assertEqual([d.view.manifest.version for d in daemons], [2] * 4)
 
+    def test_daemon_without_an_answer_asks_others_for_everything_else_too(self):
+        """Guards against servers that have left and are known to all others."""
+        daemons = self.start(2)
+        self.stores[0].is_silent = True
+        asked, ask = set(), daemons[0].follower.peers.news
+
+        def record(kind, since_version, address):
+            asked.add(kind)
+            return ask(kind, since_version, address)
+
+        daemons[0].follower.peers.news = record
+        self.run_all()
+        gevent.sleep(LIMIT_MS / 1000.0)
+        self.assertEqual(asked, set(FOLLOWED_KINDS))
+
     def test_no_calls_while_the_leader_tells_how_recent_it_is(self):
         daemons = self.start(4)
         self.run_all()
--- a/tests/test_granter.py
+++ b/tests/test_granter.py
@@ -116,6 +116,16 @@
         self.tasks = []
         self.addCleanup(lambda: gevent.killall(self.tasks))
 
+    def test_limited_server_counts_with_the_slots_that_it_can_use(self):
+        """Guards against keys that stay with an owner in need."""
+        self.register(server("s1"), server("s2"))
+        self.leader.recent_load = lambda service: KeyLoad({}, 440.0, 1.0)
+        now_ms = self.clock.now_ms()
+        self.granter.limits.record_answer(server("s1"), 2.8, now_ms, now_ms)
+        slots = {c.name: c.slots for c in self.granter._candidates("parts", None)}
+        self.assertLess(slots["s1"], 1.0)
+        self.assertEqual(slots["s2"], 3)
+
     def assign_all(self, owner="old", token=1, life=1):
         """Assign all keys to a server, in the store and in the leader's view."""
         item = KeyRange(0, N_KEYS - 1, owner, life, token)
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -14,6 +14,7 @@
 from tarragonramp.errors import ConflictError, NotFoundError, PlatformBusyError
 from tarragonramp.fleet_view import FleetView
 from tarragonramp.leadership import LATE_GRANT_MS, InheritedGrants
+from tarragonramp.manifest import Manifest, RouteTable
 from tarragonramp.model import Stored
 from tarragonramp.roles.leadership import (
     MIN_PING_INTERVAL_MS,
@@ -229,6 +230,24 @@
         self.appointed_watchers(["e1"])
         self.assertIn(("e1:1", {}), self.one.follower.catch_up_calls)
 
+    def test_leader_that_hears_the_store_tells_how_recent_its_manifest_is(self):
+        """Guards against daemons that all read the manifest beside a sound leader."""
+        for daemon in (self.one, self.other):
+            daemon._discover_leader()
+            daemon.view.update_routes(RouteTable(Manifest(1, (), {})))
+            daemon.follower.updates_since = lambda versions: {"any": {}}
+        self.clock.advance(500.0)
+        self.one._renew_record()
+        renewed_ms = self.clock.now_ms()
+        self.clock.advance(300.0)
+        self.other._ping()
+        self.assertEqual(self.other.view.manifest_known_ms, renewed_ms)
+        self.one.follower.hears_store = False
+        self.clock.advance(500.0)
+        self.one._renew_record()
+        self.other._ping()
+        self.assertEqual(self.other.view.manifest_known_ms, renewed_ms)
+
     def test_limits_of_servers_reach_all_daemons(self):
         """Guards against daemons that each find out by sending too much themselves."""
         server = BackendServer("s1", 1, "desk", "s1:80", "a", 3)
--- a/tests/test_path_prober.py
+++ b/tests/test_path_prober.py
@@ -150,6 +150,17 @@
             self.prober._check()
         self.assertEqual({name for name, *_ in self.checked}, set(SERVERS[1::2]))
 
+    def test_servers_with_limits_are_not_checked_while_there_are_others(self):
+        """Guards against health checks that use up what a server in need takes."""
+        now_ms = self.clock.now_ms()
+        for name in SERVERS[:2]:
+            server = self.view.directory.servers[name]
+            self.prober.limits.record_answer(server, 2.8, now_ms, now_ms)
+        self.lost = set(SERVERS)
+        for _ in range(10):
+            self.prober._check()
+        self.assertEqual({name for name, *_ in self.checked}, set(SERVERS[2:]))
+
     def test_cut_is_found_by_silence_and_ends_by_a_check(self):
         task = gevent.spawn(self.prober.run)
         self.addCleanup(task.kill)
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -42,6 +42,7 @@
 UNMARKED = Success(Response(200, (), b"whose?"))
 LIMITED = Success(Response(200, (("Mark", "1"), ("Limit", "0.5")), b"whole"))
 LIMITED_SHED = Success(Response(503, (("Shed", "1"), ("Limit", "0.5")), b""))
+MALFORMED_LIMIT = Success(Response(200, (("Mark", "1"), ("Limit", "x")), b"whole"))
 UNANSWERED = Failure(UnansweredError("connection closed"))
 UNREACHABLE = Failure(NotSentError("timed out"))
 
@@ -80,7 +81,7 @@
             implies_not_run=answer.status == 503,
             misdirected=answer.status == 421,
             genuine=bool(answer.header("Mark")),
-            limit_per_s=float(limit) if limit else None,
+            limit_per_s=float(limit) if limit not in ("", "x") else None,
             limit_text=answer.header("Limit", None),
         )
 
@@ -511,6 +512,15 @@
         for _ in range(5):
             self.assertEqual(self.send_request("/keyed/", 7)[0], 200)
 
+    def test_owners_without_a_grant_are_forgotten_now_and_then(self):
+        """Guards against entries for each token that was ever refused."""
+        self.scripted["p1"] = [MISDIRECTED]
+        self.send_request("/keyed/", 7)
+        self.router.owners.forget_delays()
+        n_sent = len(self.sent)
+        self.send_request("/keyed/", 7)
+        self.assertEqual(len(self.sent), n_sent + 2)
+
     def test_a_new_table_ends_the_refusals_of_an_owner_without_a_grant(self):
         self.scripted["p1"] = [MISDIRECTED]
         self.send_request("/keyed/", 7)
--- a/tests/test_router_limits.py
+++ b/tests/test_router_limits.py
@@ -7,6 +7,7 @@
 from .test_router import (
     LIMITED,
     LIMITED_SHED,
+    MALFORMED_LIMIT,
     MISDIRECTED,
     OK,
     UNMARKED,
@@ -102,6 +103,17 @@
         self.send_request("/keyed/", 7)
         self.assertIsNone(self.limits.limit_of(server))
 
+    def test_malformed_limit_is_logged_once_and_changes_nothing(self):
+        """Guards against a limit that a value without a meaning ends."""
+        self.limit("p1")
+        self.scripted["p1"] = [MALFORMED_LIMIT]
+        with mock.patch("tarragonramp.roles.router.log_event") as log:
+            for _ in range(2):
+                self.send_request("/keyed/", 7)
+        self.assertIsNotNone(self.limits.limit_of(self.view.directory.servers["p1"]))
+        events = [call.args[0] for call in log.call_args_list]
+        self.assertEqual(events.count("limit-not-understood"), 1)
+
     def test_misdirected_answer_of_unknown_origin_ends_no_limit(self):
         self.limit("p1")
         self.scripted["p1"] = [MISDIRECTED]
--- a/tests/test_server_limits.py
+++ b/tests/test_server_limits.py
@@ -313,6 +313,20 @@
         unheard_ms = 2.0 + PLACEMENT_MS
         self.assertEqual(self.limits.usable_slots(SERVER, 440.0, unheard_ms), 4)
 
+    def test_large_limit_is_divided_among_several_senders(self):
+        """Guards against one daemon through which all requests of a service go."""
+        self.answer(20.0, 0.0, 1.0)
+        names = [f"d{i}" for i in range(20)]
+        self.limits.assign_senders(names)
+        statement = self.limits.limit_of(SERVER)
+        self.assertEqual(len(statement.senders), statement.n_permits // 8)
+        quotas = []
+        for name in names:
+            self.limits.name = name
+            quotas.append(self.limits.n_free(SERVER, names, 2.0))
+        self.assertEqual(sum(quotas), statement.n_permits)
+        self.assertLessEqual(max(quotas), 9)
+
     def test_senders_change_only_when_one_is_lost(self):
         """Guards against two senders at each change of the fleet."""
         self.answer(2.8, 0.0, 1.0)
