A limited shared server is asked each second whether its limit has ended

Callers saw no failure, but a server that had stopped naming a limit, or had named another one, went on being spared: for eight seconds in a listed test, and for as long as other servers were preferred.

Cause: only the daemon that was chosen as sender hears the server, and its selector compares expected response times only. With two other servers idle it may send nothing at all, so nobody learns of a change. The class: a state that ends by an answer, kept by somebody who need not ask.

Now the sender prefers a limited server that it has neither heard nor asked for a second, for one first attempt, within its permits and only if the server has no queue and can answer in time.

--- a/src/tarragonramp/balancing.py
+++ b/src/tarragonramp/balancing.py
@@ -157,7 +157,7 @@
     _work_ms: dict = attrs.Factory(dict)
     _demand: dict = attrs.Factory(dict)
 
-    def select(self, servers, requirements, now_ms):
+    def select(self, servers, requirements, now_ms, due=()):
         """Select the server with the lowest expected response time, or none.
 
         Servers differ in speed by a factor of two or three and slow down temporarily.
@@ -170,6 +170,8 @@
         servers : sequence of BackendServer
         requirements : Requirements
         now_ms : float
+        due : collection of BackendServer
+            Those that are preferred to faster ones if they can answer in time.
 
         Returns
         -------
@@ -183,6 +185,7 @@
         work_ms = self.work_ms(requirements.route)
         best, lowest_cost, best_expected_ms = None, math.inf, math.inf
         draw = self.rng.random
+        on_time_ms = DEADLINE_SHARE * requirements.target_left_ms
         for server, stats in usable:
             expected_ms = _expected_ms(stats, server.slots, work_ms, now_ms)
             cost = expected_ms * (1.0 + 0.1 * draw())
@@ -190,6 +193,10 @@
                 cost += CROSS_DOMAIN_COST * work_ms
             elif not stats.was_selected and expected_ms <= work_ms:
                 cost *= UNTRIED_COST_FACTOR
+            if server in due and expected_ms < on_time_ms:
+                # A queue could lead to a rejection that other servers would avoid.
+                is_queued = self.wait_ms(server, requirements.route, now_ms) > 0
+                cost = cost if is_queued else 0.0
             if cost < lowest_cost:
                 best, lowest_cost, best_expected_ms = server, cost, expected_ms
         wait_ms = self.wait_ms(best, requirements.route, now_ms)
--- a/src/tarragonramp/roles/router.py
+++ b/src/tarragonramp/roles/router.py
@@ -328,7 +328,8 @@
             request.arrived_ms + request.route.target_ms - now_ms,
             self.view.routes.is_urgent(request.route),
         )
-        choice = self.selector.select(servers, requirements, now_ms)
+        due = self._due_for_check(request, servers, now_ms)
+        choice = self.selector.select(servers, requirements, now_ms, due)
         if isinstance(choice, Rejection):
             self._count_refused_work(request)
             raise request.retryable_refusal(
@@ -338,6 +339,12 @@
         self.limits.record_sent(choice.server, now_ms)
         return choice
 
+    def _due_for_check(self, request, servers, now_ms):
+        """Return the limited servers to ask for their limit; by first attempts only."""
+        if request.tried or not self.limits.are_known:
+            return []
+        return [s for s in servers if self.limits.is_check_due(s, now_ms)]
+
     def _within_limits(self, request, servers, now_ms):
         """Return the servers that this daemon may send to now, and the others."""
         if not self.limits.are_known:
--- a/src/tarragonramp/server_limits.py
+++ b/src/tarragonramp/server_limits.py
@@ -31,6 +31,10 @@
 MAX_RESERVED_SHARE = 0.4
 """Largest part of the permits that less urgent requests leave to urgent ones."""
 
+CHECK_INTERVAL_MS = 1000.0
+"""Interval at which a limited server is sent a request although others are preferred.
+Its answer tells whether the limit has changed or ended."""
+
 STATEMENT_REPORT_MS = 3000.0
 """How long a daemon reports a statement to the leader after it was heard."""
 
@@ -179,6 +183,13 @@
         reserved = min(MAX_RESERVED_SHARE, reserved_share)
         return n_free >= 1 and n_free > reserved * self._quota(server, daemons)
 
+    def is_check_due(self, server, now_ms):
+        """Tell whether a limited server has lately been neither heard nor asked."""
+        statement = self.limit_of(server)
+        if statement is None or now_ms - statement.at_ms < CHECK_INTERVAL_MS:
+            return False
+        return self._sent.ms_since_last(server.name, now_ms) >= CHECK_INTERVAL_MS
+
     def record_sent(self, server, now_ms):
         """Record a request to a server, if it is limited."""
         if self.limit_of(server) is not None:
--- a/src/tarragonramp/shared_rate.py
+++ b/src/tarragonramp/shared_rate.py
@@ -1,6 +1,7 @@
 """Divides a rate of requests among daemons that do not coordinate, without I/O."""
 
 import collections
+import math
 
 import attrs
 import xxhash
@@ -55,6 +56,11 @@
             sent.popleft()
         return len(sent) if sent else 0
 
+    def ms_since_last(self, server, now_ms):
+        """Return how long ago a request was sent to a server; infinite if unknown."""
+        sent = self._sent_ms.get(server)
+        return now_ms - sent[-1] if sent else math.inf
+
     def record(self, server, now_ms):
         """Record that a request is sent."""
         self._sent_ms.setdefault(server, collections.deque()).append(now_ms)
--- a/tests/test_router_limits.py
+++ b/tests/test_router_limits.py
@@ -2,6 +2,9 @@
 
 from unittest import mock
 
+import attrs
+
+from tarragonramp.balancing import Selection
 from tarragonramp.meters import NOT_RUN
 
 from .test_router import (
@@ -23,9 +26,9 @@
         self.limits = self.router.limits
         self.view.daemons = {"d1": "d1:1", "d2": "d2:1"}
 
-    def limit(self, *servers, sender="d1"):
+    def limit(self, *servers, sender="d1", heard_ms_ago=0.0):
         """Have servers name a limit of one request in two seconds."""
-        now_ms = self.clock.now_ms()
+        now_ms = self.clock.now_ms() - heard_ms_ago
         for name in servers:
             server = self.view.directory.servers[name]
             self.limits.record_answer(server, 0.5, now_ms, now_ms)
@@ -39,6 +42,30 @@
             self.assertEqual(self.send_request("/safe/")[0], 200)
         self.assertLessEqual(self.sent.count("s1"), 2)
 
+    def test_limit_ends_although_other_servers_are_preferred(self):
+        """Guards against a limit that outlasts its server's need for it."""
+        self.router.selector.failure_domain = "b"
+        for name in ("s2", "s3"):
+            server = self.view.directory.servers[name]
+            self.view.directory.upsert(attrs.evolve(server, failure_domain="b"))
+        self.limit("s1")
+        for _ in range(30):
+            self.assertEqual(self.send_request("/safe/")[0], 200)
+        self.assertNotIn("s1", self.sent)
+        self.limit("s1", heard_ms_ago=2000.0)
+        self.scripted["s1"] = [OK]
+        self.assertEqual(self.send_request("/safe/")[0], 200)
+        self.assertIsNone(self.limits.limit_of(self.view.directory.servers["s1"]))
+
+    def test_limited_server_with_a_queue_is_not_preferred(self):
+        """Guards against callers who wait for a server that others would spare them."""
+        self.limit("s1", heard_ms_ago=2000.0)
+        choice = Selection(self.view.directory.servers["s1"], "r", 100.0, 0.0)
+        for _ in range(4):
+            self.router.selector.record_sent(choice)
+        self.assertEqual(self.send_request("/safe/")[0], 200)
+        self.assertNotIn("s1", self.sent)
+
     def test_server_that_another_daemon_sends_to_is_left_to_it(self):
         self.limit("s1", sender="d2")
         for _ in range(30):
--- a/tests/test_server_limits.py
+++ b/tests/test_server_limits.py
@@ -306,6 +306,17 @@
         self.assertFalse(self.limits.may_send(SERVER, (), 0.0, free_ms - 1.0))
         self.assertTrue(self.limits.may_send(SERVER, (), 0.0, free_ms + 1.0))
 
+    def test_server_that_was_not_heard_is_asked_once_a_second(self):
+        """Guards against a server in need to which all requests are sent."""
+        self.assertFalse(self.limits.is_check_due(SERVER, 5000.0))
+        self.answer(2.8, 0.0, 1.0)
+        self.assertFalse(self.limits.is_check_due(SERVER, 900.0))
+        self.assertTrue(self.limits.is_check_due(SERVER, 1500.0))
+        self.limits.record_sent(SERVER, 1500.0)
+        self.assertFalse(self.limits.is_check_due(SERVER, 2400.0))
+        self.assertTrue(self.limits.is_check_due(SERVER, 2600.0))
+        self.assertEqual(self.limits.n_free(SERVER, (), 2600.0), -1)
+
     def test_limited_server_counts_with_the_slots_that_it_can_use(self):
         self.answer(2.8, 0.0, 1.0)
         self.assertLess(self.limits.usable_slots(SERVER, 440.0, 2.0), 1.0)
