Tests: the end of a limit is read from the daemons, not from one server's load

test_a_limit_that_is_no_longer_named_ends asked for more than 5.6 requests a second at a shared server once its limit had ended. That is no sign of the limit.

In its place each daemon's metric has to count the limited server while the limit is named and must not count it 5 s after, and the old rate is asked for once the other two servers are killed, so that the load has nowhere else to go. The owner of divided keys is checked for the old rate as before, as its keys leave no choice, and by the metric besides.

--- a/tests/test_fleet_limits.py
+++ b/tests/test_fleet_limits.py
@@ -11,6 +11,9 @@
 import gevent
 
 from standins.fleet_site import FleetSite, manifest
+from tarragonramp.adapters.http import HttpPool
+
+from .test_metrics import total
 
 DAEMONS = dict(zip(("d1", "d2", "d3", "d4", "d5", "d6"), "ababab", strict=True))
 DESKS, OWNERS = ("desk0", "desk1", "desk2"), ("parts0", "parts1", "parts2")
@@ -140,12 +143,30 @@
         worst = max(sum(b <= at < b + WINDOW_MS for at in late) for b in late)
         self.assertLessEqual(worst, allowed)
 
+    def n_limited(self):
+        """Return how many limited servers each daemon knows, by its metrics."""
+        counts = {}
+        for name in DAEMONS:
+            pool = HttpPool(self.site.daemons[name]["control"])
+            page = pool.exchange("GET", "/metrics", (), b"", 2000).unwrap().body
+            counts[name] = total(page.decode(), "tarragonramp_servers_limited")
+        return counts
+
     def test_a_limit_that_is_no_longer_named_ends(self):
-        for path, server in (("/view/", DESKS[0]), ("/parts/", OWNERS[0])):
+        """Guards against a limit whose end nobody hears, as others are preferred."""
+        for path, server, others in (
+            ("/view/", DESKS[0], DESKS[1:]),
+            ("/parts/", OWNERS[0], ()),
+        ):
             with self.subTest(server=server):
                 self.play(path, "2.8", [server], for_s=7.0)
+                self.assertEqual(self.n_limited(), dict.fromkeys(DAEMONS, 1.0))
                 self.name_limit("", server)
                 gevent.sleep(5.0)
+                self.assertEqual(self.n_limited(), dict.fromkeys(DAEMONS, 0.0))
+                # A shared server need not be chosen while others have room.
+                for other in others:
+                    self.site.kill(other)
                 n_before = len(self.arrivals_ms(server)[""])
                 gevent.sleep(4.0)
                 rate = (len(self.arrivals_ms(server)[""]) - n_before) / 4.0
