A daemon with little traffic may retry twice in a window without credit

Callers saw 502 for a safe request that another server would have answered: a daemon whose few requests earn next to nothing had one retry in 11.4 s, where it had 3.75 at its start before budgets were earned.

Cause: the daemons' credit took 0.6 of the allowed ratio, so that the tenth above a half used up the slack, and left one retry for each daemon of a large fleet. With half of the ratio the credit of a window and of the one before it stays within the ratio by itself, for any traffic, and the slack has room for two. A daemon that has just started uses up both with the first, as the starts of many daemons would otherwise add up.

Evidence: test_a_daemon_with_little_traffic_can_retry_more_than_once fails without the change.

--- a/src/tarragonramp/retries.py
+++ b/src/tarragonramp/retries.py
@@ -10,9 +10,15 @@
 """Retries that one daemon may save for a service: what it can add at once in a sudden
 outage."""
 
+N_FREE_RETRIES = 2
+"""Retries without credit that a daemon may send to a service in one window."""
+
 FREE_RETRY_WINDOWS = 1.2
-"""After how many windows a daemon may retry without credit again; never twice
-in one."""
+"""After how many windows each of these may be sent again."""
+
+NEW_DAEMON_WINDOWS = 0.5
+"""For how many windows after its start a daemon's first such retry counts as all of
+them. Daemons that are started again together would otherwise exceed the slack."""
 
 ROUNDING = 1e-9
 
@@ -67,24 +73,27 @@
     retries of a window are then earned in it or in the one before, and one of these two
     has at least half of the requests. A budget begins without credit, as a daemon that
     is started again would otherwise add its reserve once more. A service with little
-    traffic earns too little, so one retry in each window needs no credit.
+    traffic earns too little, so a few retries in each window need no credit; they count
+    against the slack.
 
     Parameters
     ----------
     clock : Clock
     share : callable
-        Returns the retries earned with each request: up to half of the ratio, or more
-        while what the daemons may save together stays below the slack.
+        Returns the retries earned with each request, up to half of the ratio.
     window_ms : callable
         Returns how long credit is valid.
+    started_ms : float
+        When the daemon was started.
     """
 
     clock: object
     share: object
     window_ms: object
+    started_ms: float
     _earned: collections.deque = attrs.Factory(collections.deque)
     _balance: float = 0.0
-    _free_again_ms: float = float("-inf")
+    _free_ms: collections.deque = attrs.Factory(collections.deque)
 
     def earn(self):
         """Record the first attempt of a request."""
@@ -100,10 +109,7 @@
         now_ms = self.clock.now_ms()
         self._expire(now_ms)
         if self._balance < 1.0 - ROUNDING:
-            is_free = now_ms >= self._free_again_ms
-            if is_free:
-                self._free_again_ms = now_ms + FREE_RETRY_WINDOWS * self.window_ms()
-            return is_free
+            return self._spend_free(now_ms)
         due = 1.0
         while due > ROUNDING and self._earned:
             at_ms, credit = self._earned.popleft()
@@ -113,6 +119,17 @@
         self._balance = max(0.0, self._balance - 1.0)
         return True
 
+    def _spend_free(self, now_ms):
+        """Take a retry that needs no credit; False if there is none left."""
+        oldest_ms = now_ms - FREE_RETRY_WINDOWS * self.window_ms()
+        while self._free_ms and self._free_ms[0] <= oldest_ms:
+            self._free_ms.popleft()
+        if len(self._free_ms) >= N_FREE_RETRIES:
+            return False
+        is_new = now_ms - self.started_ms < NEW_DAEMON_WINDOWS * self.window_ms()
+        self._free_ms.extend([now_ms] * (N_FREE_RETRIES if is_new else 1))
+        return True
+
     def _expire(self, now_ms):
         oldest_ms = now_ms - self.window_ms()
         while self._earned and self._earned[0][0] <= oldest_ms:
--- a/src/tarragonramp/roles/router.py
+++ b/src/tarragonramp/roles/router.py
@@ -43,11 +43,11 @@
 
 No response could arrive in time, and the server would do useless work."""
 
-RETRY_BUDGET_SHARE = 0.6
+RETRY_BUDGET_SHARE = 0.5
 """Fraction of the allowed retries for each request that the daemons use.
 
-Half of them stays within the limit for any traffic. The tenth beyond it counts against
-the slack, which is not used otherwise."""
+Half of them stays within the limit for any traffic: credit may be spent in the window
+after the one in which it was earned."""
 
 CREDIT_VALIDITY = 0.95
 """How long a request's credit for retries is valid, as a fraction of the window in
@@ -113,6 +113,7 @@
     monitor: PathMonitor = attrs.Factory(PathMonitor)
     confirm_manifest: object = attrs.field(default=lambda min_version: True)
     prober: PathProber = attrs.field(init=False)
+    _started_ms: float = attrs.field(init=False)
     _budgets: dict = attrs.Factory(dict)
     _unreadable_limits: dict = attrs.Factory(dict)
     owners: OwnerResolver = attrs.field(init=False)
@@ -120,6 +121,7 @@
 
     def __attrs_post_init__(self):
         """Create the parts that share its view and connections."""
+        self._started_ms = self.clock.now_ms()
         self.owners = OwnerResolver(self.view, self.clock)
         self.prober = PathProber(
             self.monitor,
@@ -302,6 +304,7 @@
                 self.clock,
                 lambda: RETRY_BUDGET_SHARE * self.bounds.retry_ratio,
                 lambda: CREDIT_VALIDITY * self.bounds.retry_window_ms,
+                self._started_ms,
             )
         return budget
 
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -68,7 +68,9 @@
     return total
 
 
-def play(rate_at, views, restart_share=0.0, fails_at=lambda at_ms: True):
+def play(
+    rate_at, views, restart_share=0.0, fails_at=lambda at_ms: True, restart_ms=1000
+):
     """Send requests through a fleet whose servers refuse everything at some times.
 
     Parameters
@@ -78,7 +80,7 @@
     views : sequence of int
         How many daemons a daemon knows; one is chosen for each start of a daemon.
     restart_share : float
-        Share of the daemons that are started again each second.
+        Share of the daemons that are started again, each ``restart_ms``.
     fails_at : callable
         Whether requests are refused at a time, and sent again if the budget allows it.
 
@@ -97,7 +99,7 @@
             traffic.requests[at_ms] += 1
             tries = range(MAX_RETRIES_OF_REQUEST if fails_at(at_ms) else 0)
             traffic.retries[at_ms] += sum(budget.spend() for _ in tries)
-        if at_ms % 1000 == 0:
+        if at_ms % restart_ms == 0:
             for index in rng.sample(range(N_DAEMONS), int(restart_share * N_DAEMONS)):
                 routers[index] = start()
     return traffic
@@ -123,6 +125,15 @@
                     traffic = play(steady, [n_known], share)
                     self.assertLessEqual(traffic.worst_excess(), 0)
 
+    def test_many_daemons_restart_under_any_load(self):
+        """Guards against retries without credit that each start brings again."""
+        for rate_per_s in (50, 100, 200, 364, 1500):
+            for share in (0.0, 0.6):
+                with self.subTest(rate_per_s=rate_per_s, share=share):
+                    rate_at = lambda at_ms, rate_per_s=rate_per_s: float(rate_per_s)
+                    traffic = play(rate_at, [N_DAEMONS], share, restart_ms=5000)
+                    self.assertLessEqual(traffic.worst_excess(), 0)
+
     def test_daemons_with_different_views_restart(self):
         self.assertLessEqual(play(steady, (1, 8, 30, 91), 0.3).worst_excess(), 0)
 
@@ -156,6 +167,19 @@
         traffic = play(rarely, [N_DAEMONS], fails_at=lambda at_ms: at_ms >= 0)
         self.assertGreaterEqual(sum(traffic.retries.values()), 9)
 
+    def test_a_daemon_with_little_traffic_can_retry_more_than_once(self):
+        """Guards against a second failure in ten seconds that a caller notices."""
+        clock = ManualClock()
+        router = make_router(clock, N_DAEMONS)
+        clock.reading_ms = WINDOW_MS / 2
+        budget = router._budget("parts")
+        budget.earn()
+        self.assertEqual([budget.spend() for _ in range(3)], [True, True, False])
+        clock.reading_ms += WINDOW_MS
+        self.assertFalse(budget.spend())
+        clock.reading_ms += 0.3 * WINDOW_MS
+        self.assertTrue(budget.spend())
+
     def test_a_lost_server_is_bridged_by_saved_credit(self):
         """Guards against refusals by a daemon whose traffic was served before."""
         traffic = play(steady, [N_DAEMONS], fails_at=lambda at_ms: at_ms == 20_000)
