Tests: a limited server is not asked by retries, nor while it hardly answers

Three conditions of the last change of limits could be taken out; one had a test already (a queue). Without the condition on the expected response time test_limited_server_that_hardly_answers_is_not_preferred fails, without the one on earlier attempts test_retry_goes_to_the_best_server.

--- a/tests/test_router_limits.py
+++ b/tests/test_router_limits.py
@@ -66,6 +66,26 @@
         self.assertEqual(self.send_request("/safe/")[0], 200)
         self.assertNotIn("s1", self.sent)
 
+    def test_limited_server_that_hardly_answers_is_not_preferred(self):
+        """Guards against requests lost to a server only to ask for its limit."""
+        self.limit("s1", heard_ms_ago=2000.0)
+        choice = Selection(self.view.directory.servers["s1"], "r", 100.0, 0.0)
+        for _ in range(20):
+            self.router.selector.record_sent(choice)
+            self.router.selector.record_failure(choice, self.clock.now_ms())
+        self.assertEqual(self.send_request("/safe/")[0], 200)
+        self.assertNotIn("s1", self.sent)
+
+    def test_retry_goes_to_the_best_server(self):
+        """Guards against a request that is lost to one limited server after another."""
+        self.router.selector.failure_domain = "b"
+        server = self.view.directory.servers["s3"]
+        self.view.directory.upsert(attrs.evolve(server, failure_domain="b"))
+        self.limit("s1", "s2", heard_ms_ago=2000.0)
+        self.scripted["s1"] = self.scripted["s2"] = [LIMITED_SHED]
+        self.assertEqual(self.send_request("/safe/")[0], 200)
+        self.assertEqual((len(self.sent), self.sent[-1]), (2, "s3"))
+
     def test_server_that_another_daemon_sends_to_is_left_to_it(self):
         self.limit("s1", sender="d2")
         for _ in range(30):
