An answer whose bytes are all there leaves time to other work

What callers saw: while a server's answer without end was read, other requests of the same daemon waited, 255 and 294 ms in two test runs on a busy machine.

Cause: a receive does not switch greenlets while bytes are there, and up to 256 kB of trailers were parsed in one go. gevent.sleep(0) would not do: gevent runs up to 50 such callbacks before it looks at its timers.

Evidence: a new test with 131,072 bytes in the socket buffer counts the turns of another greenlet while they are read: 0 before, at least 1 now. Feeding 16 kB of trailers takes 6 ms on an idle machine.

Why it works: after 64 kB the reader pauses for a timer, which lets other greenlets run; shorter answers are read as before.

--- a/src/tarragonramp/adapters/http.py
+++ b/src/tarragonramp/adapters/http.py
@@ -12,6 +12,7 @@
 import weakref
 
 import attrs
+import gevent
 from gevent import socket
 from geventhttpclient.response import HTTPParseError
 from returns.result import Failure, Result, Success
@@ -31,7 +32,11 @@
 
 __all__ = ["Response", "HttpPool", "HttpPools", "check_bounded_sends", "split_address"]
 
-RECEIVE_BYTES = 65_536
+RECEIVE_BYTES = 16_384
+MAX_TURN_BYTES, PAUSE_MS = 65_536, 1.0
+"""Bytes of a response that are parsed before other greenlets get their turn, and the
+pause for them. Without a timer, gevent would not let those run that wait for one."""
+
 MAX_IDLE_CONNECTIONS = 64
 MAX_RESPONSE_HEAD_BYTES = 65_536
 # Bytes beside the body that a response may have: its heads and trailers, and for each
@@ -350,8 +355,12 @@
 
     def _read(self, connection, parser, deadline_s, is_wanted):
         """Feed a parser until the response is complete; return the bytes received."""
-        n_received = n_head = 0
+        n_received = n_head = n_turn = 0
         while not parser.is_final:
+            if n_turn >= MAX_TURN_BYTES:
+                # A receive does not switch greenlets while bytes are there.
+                gevent.sleep(PAUSE_MS / 1000.0)
+                n_turn = 0
             data = _receive(connection, deadline_s, is_wanted)
             if not data:
                 if self.takes_unframed and parser.end_by_close():
@@ -363,6 +372,7 @@
                 )
             parser.feed(data)
             n_received += len(data)
+            n_turn += len(data)
             n_head = 0 if parser.headers_complete else n_head + len(data)
             if n_head > MAX_RESPONSE_HEAD_BYTES:
                 raise HTTPParseError("response headers longer than the limit")
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -1,11 +1,14 @@
 """Servers that send bytes without end, in any part of an answer."""
 
 import resource
+import socket as plain_socket
 import time
 import unittest
+from unittest import mock
 
 import attrs
 import gevent
+from gevent import socket
 from gevent.server import StreamServer
 
 from tarragonramp.adapters.http import HttpPool
@@ -120,6 +123,30 @@
     def test_trailers_without_end(self):
         self.check(CHUNKED + b"0\r\n", b"A: b\r\n" * 2000)
 
+    def test_other_work_runs_while_bytes_are_there(self):
+        """Guards against an answer that holds the process while its bytes come in."""
+        left, right = socket.socketpair()
+        for end in (left, right):
+            end.setsockopt(plain_socket.SOL_SOCKET, plain_socket.SO_SNDBUF, 1 << 20)
+            end.setsockopt(plain_socket.SOL_SOCKET, plain_socket.SO_RCVBUF, 1 << 20)
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: 131072\r\n\r\n"
+        right.sendall(head + b"x" * 131_072)
+        self.addCleanup(right.close)
+        turns = []
+
+        def take_turns():
+            while True:
+                gevent.sleep(0.0001)
+                turns.append(time.monotonic())
+
+        pool = HttpPool("127.0.0.1:1")
+        other = gevent.spawn(take_turns)
+        with mock.patch.object(HttpPool, "_open", lambda pool, deadline_s: left):
+            result = pool.exchange("GET", "/", [], b"", TIMEOUT_MS)
+        other.kill()
+        self.assertEqual(len(result.unwrap().body), 131_072)
+        self.assertGreaterEqual(len(turns), 1)
+
     def test_a_body_in_chunks_of_one_byte_is_no_endless_answer(self):
         body = b"1\r\nx\r\n" * 200_000
         server = EndlessServer(CHUNKED + body + b"0\r\n\r\n", b"")
