API keys and usage caps of teams

A manifest with teams has callers present a key. Unknown keys are answered 401 by a daemon that is sure of its manifest; servers get the name of the team, never the key, also by way of another daemon. A team's priority goes before that of the route. Requests beyond a team's cap are answered 429. Without teams in the manifest nothing changes.

--- a/src/tarragonramp/adapters/fleet_peers.py
+++ b/src/tarragonramp/adapters/fleet_peers.py
@@ -17,11 +17,12 @@
 
 __all__ = ["DELEGATED_PREFIX", "FleetPeers", "PeerApplication"]
 
-PING_PATH, STEP_DOWN_PATH, NEWS_PATH, RELAY_PATH, METRICS_PATH = (
+PING_PATH, STEP_DOWN_PATH, NEWS_PATH, RELAY_PATH, SHARES_PATH, METRICS_PATH = (
     "/peer/ping",
     "/peer/step-down",
     "/peer/news",
     "/peer/relay",
+    "/peer/shares",
     "/metrics",
 )
 DELEGATED_PREFIX = "/peer/request"
@@ -92,6 +93,10 @@
         """Have a daemon renew grants; returns as :meth:`ping` does."""
         return self._exchange("POST", address, RELAY_PATH, message, timeout_ms)
 
+    def ask_shares(self, address, message, timeout_ms) -> Result:
+        """Ask the leader for shares of usage caps; returns as :meth:`ping` does."""
+        return self._exchange("POST", address, SHARES_PATH, message, timeout_ms)
+
     def delegate(
         self, address, method, target, headers, body, timeout_ms, is_wanted
     ) -> Result:
@@ -179,6 +184,7 @@
         Returns the metrics page as bytes, and its content type.
     delegate : callable
         WSGI application for requests that other daemons hand to this one.
+    caps : CapKeeper, optional
     """
 
     leadership: object
@@ -186,6 +192,7 @@
     relay: object
     metrics: object
     delegate: object
+    caps: object = None
 
     def __call__(self, environ, start_response):
         """Serve one request."""
@@ -203,6 +210,8 @@
             elif path == RELAY_PATH:
                 is_wanted = lambda: not caller_disconnected(environ)
                 response = self.relay.send(_read_message(environ), is_wanted)
+            elif path == SHARES_PATH and self.caps is not None:
+                response = self.caps.handle_question(_read_message(environ))
             elif path == NEWS_PATH:
                 response = self._news(environ)
             elif path == METRICS_PATH:
--- a/src/tarragonramp/adapters/web.py
+++ b/src/tarragonramp/adapters/web.py
@@ -45,6 +45,7 @@
     409: "409 Conflict",
     413: "413 Content Too Large",
     414: "414 URI Too Long",
+    429: "429 Too Many Requests",
     431: "431 Request Header Fields Too Large",
     499: "499 Client Closed Request",
     500: "500 Internal Server Error",
--- a/src/tarragonramp/delegation.py
+++ b/src/tarragonramp/delegation.py
@@ -29,6 +29,8 @@
         Whether the retry budget has been credited for it.
     is_unpaid_retry : bool
         Whether a server has got it and no retry budget has paid for the next send.
+    team : str or None
+        Name of the caller's team, empty if it has none; None if callers need no key.
     """
 
     elapsed_ms: float
@@ -37,10 +39,14 @@
     tried: list = attrs.Factory(list)
     is_credited: bool = False
     is_unpaid_retry: bool = False
+    team: str | None = None
 
     def to_header(self):
         """Return the header as a (str, str) pair."""
-        return DELEGATION_HEADER, json.dumps(attrs.asdict(self))
+        fields = attrs.asdict(self)
+        if self.team is None:
+            del fields["team"]
+        return DELEGATION_HEADER, json.dumps(fields)
 
     @classmethod
     def from_header(cls, text):
@@ -53,6 +59,7 @@
             [str(name) for name in raw["tried"]],
             bool(raw["is_credited"]),
             bool(raw.get("is_unpaid_retry", False)),
+            None if raw.get("team") is None else str(raw["team"]),
         )
 
 
--- a/src/tarragonramp/dialect.py
+++ b/src/tarragonramp/dialect.py
@@ -22,12 +22,15 @@
         How long the caller waits for a response; None if it does not say.
     key : int or None
         Key of the request in a divided service; None if it has none.
+    api_key : str or None
+        Secret that the caller presents; None if there is none, or a malformed one.
     """
 
     request_id: str
     host: str
     caller_timeout_ms: float | None = None
     key: int | None = None
+    api_key: str | None = attrs.field(default=None, repr=False)
 
 
 @attrs.frozen
@@ -70,17 +73,23 @@
     ``echoed_headers`` are the lower-case names of request headers that, if present in a
     response, have the value that was sent. ``requires_echo`` tells whether servers
     return these headers in each response to a request that has them.
+    ``secret_headers`` are the lower-case names of headers that stay with the daemon
+    that a caller is connected to.
     """
 
     request_id_header: str
     echoed_headers: tuple
     requires_echo: bool
+    secret_headers: frozenset
 
     def read_request(self, headers):
         """Parse a caller's headers into RequestFacts; ValueError if malformed."""
 
-    def server_headers(self, headers, server, left_ms):
-        """Return the headers to send to a server with a timeout of ``left_ms``."""
+    def server_headers(self, headers, server, left_ms, team=None):
+        """Return the headers to send to a server with a timeout of ``left_ms``.
+
+        If callers need API keys, ``team`` is the CallerTeam to name to the server.
+        """
 
     def read_response(self, response):
         """Parse the headers of a server's response into ResponseFacts."""
--- a/src/tarragonramp/fleet.py
+++ b/src/tarragonramp/fleet.py
@@ -30,6 +30,7 @@
 from .limits import Limits
 from .meters import RequestMeter, TrafficMeter
 from .results import is_successful
+from .roles.caps import CapKeeper
 from .roles.delegate import DelegateApplication
 from .roles.follower import Follower
 from .roles.freshness import ManifestFreshness
@@ -40,6 +41,7 @@
 from .roles.router import Router
 from .roles.tasks import keep_running, run_until_drained, task_failures
 from .server_limits import ServerLimits
+from .usage_caps import CapBounds
 
 __all__ = ["FleetBounds", "FleetDaemon", "FleetPorts", "FleetSettings", "run_daemon"]
 
@@ -86,6 +88,12 @@
     cold_burst_factor, cold_slack : float
         Requests that a server in a cold start accepts in a second:
         ``cold_burst_factor`` times its rate, plus ``cold_slack``.
+    cap_window_ms, cap_over, cap_slack : float
+        How far all daemons together may exceed a usage cap, see :class:`.CapBounds`.
+    strict_revocation : bool
+        Whether requests that need an API key are refused while this daemon does not
+        know of the keys taken away since ``revocation_ms``.
+    revocation_ms : float
     """
 
     grace_ms: float = 6000.0
@@ -95,6 +103,16 @@
     retry_window_ms: float = 10_000.0
     cold_burst_factor: float = 1.5
     cold_slack: float = 5.0
+    cap_window_ms: float = 5000.0
+    cap_over: float = 0.1
+    cap_slack: float = 20.0
+    strict_revocation: bool = False
+    revocation_ms: float = 5000.0
+
+    @property
+    def caps(self):
+        """How far the sum over all daemons may exceed a usage cap."""
+        return CapBounds(self.cap_window_ms, self.cap_over, self.cap_slack)
 
 
 @attrs.frozen
@@ -235,8 +253,15 @@
             limits=ServerLimits(settings.name),
         )
         leadership.monitor, leadership.limits = router.monitor, router.limits
+        started_ms = time.time_ns() // 1_000_000
+        caps = CapKeeper(
+            settings.name, started_ms, view, peers, clock, settings.bounds.caps
+        )
+        caps.leadership, leadership.caps, router.caps = leadership, caps, caps
+        router.delegator.secret_headers = ports.dialect.secret_headers
         freshness = ManifestFreshness(settings.name, view, follower, clock)
         router.confirm_manifest = freshness.confirm
+        router.manifest_age_ms = freshness.age_ms
         granter = Granter(
             view,
             leadership,
@@ -278,6 +303,7 @@
             Relay(self.ports.grants, clock, self.router.monitor),
             self._metrics_page,
             self.delegate,
+            self.router.caps,
         )
         self.peer_server = DaemonServer(
             settings.peer_address, application, clock, self.traffic, id_header
@@ -346,7 +372,7 @@
             log_event("settings-refused", level=logbook.WARNING, reason=reason)
             return
         bounds = loaded.unwrap().bounds
-        self.router.bounds = bounds
+        self.router.bounds, self.router.caps.bounds = bounds, bounds.caps
         self.settings = attrs.evolve(self.settings, bounds=bounds)
         log_event("settings-reloaded")
 
@@ -539,6 +565,12 @@
             lambda: dict(self.delegate.counts),
             "result",
         )
+        count(
+            "teams.requests",
+            "Requests of teams with usage caps; the largest teams, and the others.",
+            self.router.caps.request_counts,
+            "team",
+        )
         count("tasks.failures", "Failed rounds of a task.", task_failures, "task")
         count(
             "optional_steps.failures",
--- a/src/tarragonramp/leadership.py
+++ b/src/tarragonramp/leadership.py
@@ -88,16 +88,21 @@
         The leader's peer address, ``ip:port``.
     term : int
         Increases with each change of leader.
+    holders : str
+        Which daemons may hold shares of usage caps; empty if none does.
     """
 
     name: str
     boot_id: str
     address: str
     term: int
+    holders: str = ""
 
     def to_spec(self):
         """Return the record as JSON-compatible data."""
-        return attrs.asdict(self)
+        spec = attrs.asdict(self)
+        del spec["holders"]
+        return {**spec, "holders": self.holders} if self.holders else spec
 
     @classmethod
     def from_spec(cls, spec):
@@ -108,6 +113,7 @@
                 str(spec["boot_id"]),
                 str(spec["address"]),
                 int(spec["term"]),
+                str(spec.get("holders", "")),
             )
         except (KeyError, TypeError) as error:
             raise ValueError(f"invalid leader record: {error!r}") from error
--- a/src/tarragonramp/manifest.py
+++ b/src/tarragonramp/manifest.py
@@ -47,6 +47,8 @@
         Maximum number of servers that one request may be sent to.
     priority : int
         0 is the most urgent.
+    public : bool
+        Whether it takes requests without an API key, if others need one.
     """
 
     host: str
@@ -57,6 +59,7 @@
     target_ms: float
     attempts: int = 1
     priority: int = 0
+    public: bool = False
 
     @property
     def name(self):
@@ -111,12 +114,15 @@
     routes : tuple of Route
     services : dict of str to FleetService
     limits : CallerLimits
+    teams : ApiKeyIndex or None
+        None if callers need no API key.
     """
 
     version: int
     routes: tuple[Route, ...] = ()
     services: dict = attrs.Factory(dict)
     limits: CallerLimits = CallerLimits()
+    teams: object = None
 
 
 @attrs.define(eq=False, repr=False)
@@ -143,11 +149,21 @@
         """Tell whether the manifest declares a service or routes requests to it."""
         return name in self.manifest.services or name in self._top_priority
 
-    def is_urgent(self, route):
+    def is_urgent(self, route, team=None):
         """Tell whether no other route to one of its services is more urgent.
 
-        The route may come from an earlier manifest.
+        The route may come from an earlier manifest. The priority of a team takes
+        precedence over that of the route.
+
+        Parameters
+        ----------
+        route : Route
+        team : CallerTeam, optional
         """
+        if team is not None and team.priority is not None:
+            teams = self.manifest.teams
+            top = teams.top_priority if teams is not None else None
+            return top is None or team.priority <= top
         return any(
             self._top_priority.get(part.service, route.priority) == route.priority
             for part in route.parts
--- a/src/tarragonramp/roles/leadership.py
+++ b/src/tarragonramp/roles/leadership.py
@@ -153,6 +153,10 @@
         Whether this daemon reaches servers.
     limits : ServerLimits
         What servers in need take from all daemons together.
+    caps : CapKeeper or None
+        Shares of usage caps.
+    inherited_holders : str
+        Which daemons may hold shares of the leaders before this one.
     """
 
     name: str
@@ -172,6 +176,8 @@
     in_doubt_grants: object = InheritedGrants
     monitor: PathMonitor = attrs.Factory(PathMonitor)
     limits: ServerLimits = attrs.Factory(ServerLimits)
+    caps: object = None
+    inherited_holders: str = ""
     _limit_change_seen: tuple = ("", 0)
     _key_loads: KeyLoadAggregate = attrs.Factory(KeyLoadAggregate)
     _reported_in_flight: InFlightReports = attrs.Factory(
@@ -203,6 +209,11 @@
         """The term of the record that this daemon knows; 0 if there is none."""
         return self.leadership_state.record.term if self.leadership_state.record else 0
 
+    @property
+    def leader_address(self):
+        """Address of the leader; empty if none is known."""
+        return self._leader_address()
+
     @property
     def may_move(self):
         """Whether this daemon may move keys now."""
@@ -289,7 +300,8 @@
         # Renewals stop before the write, as the successor relies on the record to mean
         # that nothing more is sent.
         self.leadership_state.give_up()
-        record = attrs.evolve(NO_LEADER, term=term)
+        holders = self.leadership_state.record.holders
+        record = attrs.evolve(NO_LEADER, term=term, holders=holders)
         result = self.store.put(LEADER_KIND, LEADER_NAME, record.to_spec(), version)
         if is_successful(result):
             self._observe_record(record, result.unwrap().version)
@@ -320,6 +332,8 @@
             name, message.get("loads", {}), self.clock.now_ms()
         )
         self.limits.add_report(message.get("limits", []), self.clock.now_ms())
+        if self.caps is not None:
+            self.caps.hear(name, message.get("shares"))
         if name not in self.view.daemons:
             log_event("daemon-heard", peer=name, address=address)
         self._record_daemon(name, address)
@@ -356,6 +370,8 @@
         )
         if "digest" in message:
             answer["digest"] = self.view.digest()
+        if "shares" in message and self.caps is not None:
+            answer["shares"] = self.caps.answer(name, message["shares"])
         return answer
 
     def _assign_limit_senders(self, now_ms):
@@ -545,10 +561,14 @@
         sent_ms = self.clock.now_ms()
         version = self.leadership_state.version
         record = self.leadership_state.record
+        if self.caps is not None:
+            record = attrs.evolve(record, holders=self.caps.record_to_write())
         spec = {**record.to_spec(), "beat": round(sent_ms)}
         result = self.store.put(LEADER_KIND, LEADER_NAME, spec, version)
         if is_successful(result):
             self.leadership_state.confirmed(record, result.unwrap().version, sent_ms)
+            if self.caps is not None:
+                self.caps.confirm_record(record.holders)
             now_ms = self.clock.now_ms()
             self._assign_limit_senders(now_ms)
             if self.follower.hears_store:
@@ -648,7 +668,8 @@
         before = self.leadership_state.record
         sent_ms = self.clock.now_ms()
         term = before.term + 1 if before else 1
-        record = LeaderRecord(self.name, self.boot_id, self.address, term)
+        holders = before.holders if before else ""
+        record = LeaderRecord(self.name, self.boot_id, self.address, term, holders)
         spec = record.to_spec()
         # Set before the write, which may take effect although its response is lost.
         self.inherited = self._inherited_after(
@@ -665,6 +686,7 @@
                 )
             return
         self._unanswered_pings = 0
+        self.inherited_holders = holders
         for name in self.view.daemons:
             self._last_heard_ms.setdefault(name, sent_ms)
         self.inherited = self._inherit(before, term)
@@ -763,6 +785,9 @@
             message["limits"] = limits
         if self.monitor.is_cut_off:
             message["cut_off"] = True
+        shares = self.caps.to_report() if self.caps is not None else None
+        if shares is not None:
+            message["shares"] = shares
         if self.follower.follows_store:
             message["digest"] = self.view.digest()
         sent_ms = self.clock.now_ms()
@@ -823,6 +848,8 @@
             return
         if loads is not None:
             self.selector.update_peer_in_flight(loads, self.clock.now_ms())
+        if self.caps is not None:
+            self.caps.apply(response.get("shares"), sent_ms)
         self.follower.compare_digests(address, response.get("digest", {}))
         if response.get("watch"):
             self.follower.follow_store("told by the leader")
--- a/src/tarragonramp/roles/peer_delegator.py
+++ b/src/tarragonramp/roles/peer_delegator.py
@@ -58,6 +58,8 @@
         Whether no daemon took the latest request.
     seen_version : int
         Latest version of the manifest that a delegate has used.
+    secret_headers : frozenset of str
+        Headers that are not handed on if callers need API keys.
     """
 
     name: str
@@ -68,6 +70,7 @@
     counts: collections.Counter = attrs.Factory(collections.Counter)
     is_stranded: bool = False
     seen_version: int = 0
+    secret_headers: frozenset = frozenset()
     _in_progress: collections.Counter = attrs.Factory(collections.Counter)
     _unanswered: collections.Counter = attrs.Factory(collections.Counter)
     _skipped_until_ms: dict = attrs.Factory(dict)
@@ -202,8 +205,12 @@
             request.tried if request.in_doubt else [],
             request.is_credited,
             request.is_unpaid_retry,
+            None if request.team is None else request.team.name,
         )
-        headers = end_to_end_headers(request.headers, frozenset((DELEGATION_HEADER,)))
+        dropped = frozenset((DELEGATION_HEADER,))
+        if request.team is not None:
+            dropped |= self.secret_headers
+        headers = end_to_end_headers(request.headers, dropped)
         self._in_progress[peer] += 1
         try:
             return self.peers.delegate(
--- a/src/tarragonramp/roles/routed_request.py
+++ b/src/tarragonramp/roles/routed_request.py
@@ -45,6 +45,10 @@
         Whether a server has got it.
     is_unpaid_retry : bool
         Whether another daemon has sent it, and no retry budget has paid for a retry.
+    team : CallerTeam or None
+        Whose caller it is from; None if callers need no API key.
+    has_token : bool
+        Whether a token of the team's usage cap has been taken for the next send.
     """
 
     request_id: str
@@ -65,6 +69,8 @@
     is_credited: bool = False
     was_sent: bool = False
     is_unpaid_retry: bool = False
+    team: object = None
+    has_token: bool = False
 
     @property
     def may_repeat(self):
--- a/src/tarragonramp/roles/router.py
+++ b/src/tarragonramp/roles/router.py
@@ -16,6 +16,7 @@
     error_reply,
     read_body,
 )
+from ..api_keys import ANONYMOUS, key_mark
 from ..balancing import Rejection, Requirements
 from ..connections import connection_share, may_connect
 from ..directory import BackendServer
@@ -38,6 +39,7 @@
 NO_CONNECTION_RETRY_S = 0.3
 MIN_LIMIT_RETRY_S = 0.1
 REFUSED_RETRY_S = 0.2
+MIN_CAP_RETRY_S = 0.05
 MIN_ATTEMPT_MS = 20.0
 """A request with less time left is not sent, or not sent again.
 
@@ -97,6 +99,10 @@
     confirm_manifest : callable
         Takes the latest version of the manifest that other daemons have used; returns
         whether the manifest in force is recent enough to refuse what it lacks.
+    manifest_age_ms : callable
+        Returns how long ago the manifest in force was known to be the newest.
+    caps : CapKeeper
+        Usage caps of teams.
     """
 
     view: object
@@ -112,6 +118,8 @@
     limits: ServerLimits = attrs.Factory(ServerLimits)
     monitor: PathMonitor = attrs.Factory(PathMonitor)
     confirm_manifest: object = attrs.field(default=lambda min_version: True)
+    manifest_age_ms: object = attrs.field(default=lambda: 0.0)
+    caps: object = None
     prober: PathProber = attrs.field(init=False)
     _started_ms: float = attrs.field(init=False)
     _budgets: dict = attrs.Factory(dict)
@@ -174,7 +182,9 @@
         """
         times = RequestTimes(environ[ARRIVED_KEY] - delegation.elapsed_ms)
         facts = self._read_facts(environ)
-        request = self._read_request(environ, facts, times, delegation.service)
+        request = self._read_request(
+            environ, facts, times, delegation.service, delegation.team
+        )
         request.tried += delegation.tried
         request.in_doubt = bool(delegation.tried)
         request.is_credited = delegation.is_credited
@@ -199,12 +209,18 @@
         except ValueError as error:
             raise RequestError(400, NOT_RUN, "malformed header") from error
 
-    def _read_request(self, environ, facts, times, chosen_service=""):
+    def _read_request(
+        self, environ, facts, times, chosen_service="", delegated_team=None
+    ):
         """Return the RoutedRequest of an environment, with its body.
 
-        ``chosen_service`` is taken if the route leads there.
+        ``chosen_service`` is taken if the route leads there. ``delegated_team`` names
+        the team that another daemon has found.
         """
         routes, route = self._find_route(facts.host, environ["PATH_INFO"])
+        team = None
+        if routes.manifest.teams is not None:
+            team = self._find_team(facts, route, delegated_team)
         if any(part.service == chosen_service for part in route.parts):
             times.service = chosen_service
         else:
@@ -227,8 +243,53 @@
             until_ms=times.began_ms + caller_timeout_ms,
             is_wanted=lambda: not caller_disconnected(environ),
             clock=self.clock,
+            team=team,
         )
 
+    def _find_team(self, facts, route, delegated_team):
+        """Return the CallerTeam of a request.
+
+        Raises
+        ------
+        RequestError
+            401 only if no newer manifest can have the key: callers do not repeat a
+            request after it.
+        """
+        if delegated_team is not None:
+            return self._delegated_team(delegated_team)
+        team = self.view.manifest.teams.find(facts.api_key)
+        if team is None and route.public:
+            return ANONYMOUS
+        if team is None:
+            is_known = self.confirm_manifest(self.delegator.seen_version)
+            teams = self.view.manifest.teams
+            team = teams.find(facts.api_key) if teams is not None else ANONYMOUS
+            if team is None:
+                self._refuse_key(facts.api_key, is_known)
+        if self.bounds.strict_revocation and not route.public:
+            age_ms = self.manifest_age_ms()
+            if age_ms > self.bounds.revocation_ms:
+                reason = "keys may have been taken away"
+                raise RequestError(503, NOT_RUN, reason, NO_ROUTES_RETRY_S)
+        return team
+
+    def _delegated_team(self, name):
+        """Return the CallerTeam that another daemon has found by its key."""
+        if not name:
+            return ANONYMOUS
+        team = self.view.manifest.teams.teams.get(name)
+        if team is None:
+            reason = "team is not in the manifest"
+            raise RequestError(503, NOT_RUN, reason, NO_ROUTES_RETRY_S)
+        return team
+
+    def _refuse_key(self, key, is_known):
+        inputs = {"key": key_mark(key) if key else "none"}
+        if is_known:
+            raise RequestError(401, NOT_RUN, "unknown API key", None, inputs)
+        reason = "manifest may be outdated"
+        raise RequestError(503, NOT_RUN, reason, NO_ROUTES_RETRY_S, inputs)
+
     def _find_route(self, host, path):
         """Return the RouteTable in force and the Route of a request.
 
@@ -253,6 +314,41 @@
 
     def _deliver(self, request, times):
         """Send a request until it has a final response or may not be sent again."""
+        try:
+            return self._deliver_within_cap(request, times)
+        finally:
+            self._give_token_back(request)
+
+    def _give_token_back(self, request):
+        """Return a token of the team's usage cap that was not used."""
+        if request.has_token:
+            request.has_token = False
+            self.caps.give_back(request.team)
+
+    def _take_token(self, request):
+        """Take a token of the team's usage cap, unless the request has one.
+
+        Raises
+        ------
+        RequestError
+            429 if the cap is reached.
+        """
+        team = request.team
+        if team is None or team.cap is None or request.has_token:
+            return
+        denial = self.caps.take(team, not request.tried, request.until_ms)
+        if denial is None:
+            request.has_token = True
+            return
+        inputs = {"team": team.name, "cap_per_s": team.cap.rate_per_s}
+        retry_s = denial.retry_ms / 1000.0
+        if not denial.is_cap_reached:
+            raise request.retryable_refusal("usage cap not known", retry_s, **inputs)
+        raise request.refusal(
+            429, "usage cap reached", max(MIN_CAP_RETRY_S, retry_s), **inputs
+        )
+
+    def _deliver_within_cap(self, request, times):
         budget = self._budget(request.service)
         while True:
             if self._should_delegate(request):
@@ -263,8 +359,10 @@
             if not request.is_credited:
                 budget.earn()
                 request.is_credited = True
+            self._take_token(request)
             chosen = self._choose_server(request)
             if isinstance(chosen, BackendServer):
+                self._give_token_back(request)
                 response = self._serve_by_sender(request, chosen)
                 if response is not None:
                     return response
@@ -275,6 +373,8 @@
             request.is_unpaid_retry = False
             request.tried.append(chosen.server.name)
             result, took_ms = self._exchange(request, chosen)
+            if request.has_token and _may_have_run(result):
+                request.has_token = False
             times.service_ms += took_ms
             if is_successful(result):
                 response, facts = result.unwrap()
@@ -329,7 +429,7 @@
             request.route.name,
             request.until_ms - now_ms,
             request.arrived_ms + request.route.target_ms - now_ms,
-            self.view.routes.is_urgent(request.route),
+            self.view.routes.is_urgent(request.route, request.team),
         )
         due = self._due_for_check(request, servers, now_ms)
         choice = self.selector.select(servers, requirements, now_ms, due)
@@ -352,7 +452,7 @@
         """Return the servers that this daemon may send to now, and the others."""
         if not self.limits.are_known:
             return servers, []
-        is_urgent = self.view.routes.is_urgent(request.route)
+        is_urgent = self.view.routes.is_urgent(request.route, request.team)
         share = 0.0 if is_urgent else self.selector.urgent_share(request.service)
         within, limited = [], []
         for server in servers:
@@ -483,7 +583,9 @@
         missing_ms = self.view.directory.missing_ms(server.name)
         if missing_ms is not None:
             self._log_missing(request, server, missing_ms)
-        headers = self.dialect.server_headers(request.headers, server.name, left_ms)
+        headers = self.dialect.server_headers(
+            request.headers, server.name, left_ms, request.team
+        )
         pool = self.pools.at(server.address)
         limit = self.view.service(server.service).connections
         share = connection_share(limit, self._n_daemons())
@@ -701,3 +803,10 @@
         if error.status in CLOSING_STATUSES:
             headers.append(("Connection", "close"))
         return error_reply(start_response, error, headers)
+
+
+def _may_have_run(result):
+    """Return whether an exchange may have had a server run the request."""
+    if is_successful(result):
+        return not result.unwrap()[1].not_run
+    return not isinstance(result.failure(), NotSentError)
--- a/standins/fleet_server.py
+++ b/standins/fleet_server.py
@@ -220,6 +220,9 @@
     def _run(self, environ, headers, body, start_response):
         key = headers.get("shard-key")
         self._record("arrival", headers["request-id"], self.faults.limit)
+        team, secret = headers.get("tenant"), headers.get("authorization")
+        if team is not None or secret is not None:
+            self._record("caller", headers["request-id"], team, secret)
         if self.divided and not self._owns_key(int(key)):
             return self._not_run(start_response, 421)
         if self.faults.consume("shed") or self.waiting > 4 * self.slots:
--- a/standins/fleet_site.py
+++ b/standins/fleet_site.py
@@ -206,7 +206,14 @@
         return counts
 
     def call(
-        self, daemon, path, request_id, key=None, method="GET", caller_timeout_ms=1500
+        self,
+        daemon,
+        path,
+        request_id,
+        key=None,
+        method="GET",
+        caller_timeout_ms=1500,
+        extra_headers=(),
     ):
         """Send one request to a daemon; return its Response, or None without one."""
         headers = [
@@ -216,6 +223,7 @@
         ]
         if key is not None:
             headers.append(("Shard-Key", str(key)))
+        headers.extend(extra_headers)
         body = b"claim" if method == "POST" else b""
         pool = HttpPool(self.daemons[daemon]["front"])
         result = pool.exchange(method, path, headers, body, caller_timeout_ms + 1000)
--- a/tests/test_platform_folder.py
+++ b/tests/test_platform_folder.py
@@ -36,7 +36,8 @@
 WIRE_NAMES = re.compile(
     r"upstream-|shard-key|deadline-ms|not-executed|warmup|hold_time|/-/|pathprefix"
     r"|storerevision|createrevision|finalizers|sharded|maxconns|healthpath"
-    r"|evacuations\b|hasmore|staleok|waitms|configapply|holdmax|retryslack",
+    r"|evacuations\b|hasmore|staleok|waitms|configapply|holdmax|retryslack"
+    r"|tenant|apikeys|ratepers|quotawindow|quotaover|quotaslack|strictrevoke",
     re.IGNORECASE,
 )
 # The product's own names that the pattern would match: the duration of a cold start and
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -69,7 +69,7 @@
         key = found.get("key")
         return RequestFacts("r1", "h", 1000.0, int(key) if key else None)
 
-    def server_headers(self, headers, server, left_ms):
+    def server_headers(self, headers, server, left_ms, team=None):
         """Return the request's id, if any, and a header that names the server."""
         return [*(item for item in headers if item[0] == "id"), ("server", server)]
 
