Soak: teams whose keys and caps change

From seed 8,000,000 on callers belong to teams: one without a cap, one with 20 or 5 requests a second, one whose key comes and goes, and one that no manifest has. Checked are what servers get (the team, never the key) and the sum over all daemons.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from tarragonramp.usage_caps import CapBounds
+
 from .plan import DAEMONS
 
 __all__ = ["Outcome", "Probe", "RunRecord", "find_violations"]
@@ -28,6 +30,9 @@
 TOLD_MS = 500.0
 """How long after a daemon first passed on an answer with a limit its requests count."""
 
+CAP_PROPAGATION_MS = 2500.0
+"""How long after it was stored a lower cap may be unknown to daemons."""
+
 STORE_RECOVERY_MS = 6000.0
 """How long after a fault of the store has ended daemons may still lack a change: the
 response to a watch may have been lost, which shows only when the watch times out."""
@@ -111,6 +116,10 @@
         Name of a daemon that was told to stop; when, and when its process ended.
     unplanned : list of (str, float, float)
         Name of a process that was killed or frozen; start and end.
+    teams : dict of str to str
+        Team of each caller's request, by its id; empty in runs without teams.
+    caps : list of (float, UsageCap)
+        Cap of the team that has one, and since when, as stored.
     """
 
     outcomes: list = attrs.Factory(list)
@@ -124,6 +133,8 @@
     outages: list = attrs.Factory(list)
     stops: list = attrs.Factory(list)
     unplanned: list = attrs.Factory(list)
+    teams: dict = attrs.Factory(dict)
+    caps: list = attrs.Factory(list)
 
 
 def find_violations(run):
@@ -153,9 +164,55 @@
         "callers of daemons without servers are served": _unserved_cuts(run),
         "stops cut no request": _cut_by_stops(run, executions),
         "limits of servers": _beyond_limits(run),
+        "teams and keys at servers": _wrong_callers(run),
+        "usage cap": _beyond_cap(run),
     }
 
 
+def _wrong_callers(run):
+    """Return requests that reached a server with a key, or for another team."""
+    found = []
+    for name, _, event, _, *details in run.entries:
+        if event != "caller":
+            continue
+        request_id, team, secret = details
+        if secret is not None:
+            found.append(f"{name}: {request_id} with its key")
+        if team != run.teams.get(request_id, team) or team == "unknown":
+            found.append(f"{name}: {request_id} for {team}")
+    reached = {entry[4] for entry in run.entries if entry[2] == "run"}
+    named = {entry[4] for entry in run.entries if entry[2] == "caller"}
+    if run.teams:
+        found += [f"{request_id} without a team" for request_id in reached - named]
+    return found
+
+
+def _beyond_cap(run):
+    """Return the windows in which more of the capped team ran than is tolerated.
+
+    The largest cap in force in a window binds, or before it until all daemons know the
+    next one.
+    """
+    bounds, found = CapBounds(), []
+    capped = {r for r, team in run.teams.items() if team == "capped"}
+    times = sorted(
+        at_ms
+        for _, _, event, at_ms, *details in run.entries
+        if event == "run" and details[0] in capped
+    )
+    first = 0
+    for last, at_ms in enumerate(times):
+        while times[first] <= at_ms - bounds.window_ms:
+            first += 1
+        known_ms = at_ms - 2.0 * bounds.window_ms - CAP_PROPAGATION_MS
+        earlier = [cap for since_ms, cap in run.caps if since_ms <= known_ms]
+        recent = [cap for since_ms, cap in run.caps if known_ms < since_ms <= at_ms]
+        allowed = max(bounds.max_in_window(cap) for cap in earlier[-1:] + recent)
+        if last - first + 1 > allowed:
+            found.append(f"{last - first + 1} of {allowed:.0f} until {at_ms:.0f}")
+    return found
+
+
 def _beyond_limits(run):
     """Return the windows in which a server got more requests than its limit allows.
 
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -16,6 +16,7 @@
     "FIRST_LIMIT_SEED",
     "FIRST_OUTAGE_SEED",
     "FIRST_STOP_SEED",
+    "FIRST_TEAM_SEED",
     "LIMITS",
     "REFUSALS",
     "SERVERS",
@@ -61,6 +62,12 @@
 FIRST_LIMIT_SEED = 7_000_000
 """First seed whose plans also have servers name limits, change and end them."""
 
+FIRST_TEAM_SEED = 8_000_000
+"""First seed whose runs have teams with API keys, and whose plans also add and take
+away keys, and lower and raise a usage cap."""
+
+TEAM_CHANGES = ("low cap", "high cap", "key taken away", "key added")
+
 LIMITS = ("0.5", "2.8", "4", "20", "none", "-1")
 """What servers name as their limits; the last two are malformed."""
 
@@ -170,9 +177,23 @@
         events = sorted([*events, *_copies(rng, run_ms)], key=lambda e: e.at_ms)
     if seed >= FIRST_LIMIT_SEED:
         events = sorted([*events, *_limits(rng, run_ms)], key=lambda e: e.at_ms)
+    if seed >= FIRST_TEAM_SEED:
+        events = sorted([*events, *_team_changes(rng, run_ms)], key=lambda e: e.at_ms)
     return [event for event in events if event.at_ms < run_ms]
 
 
+def _team_changes(rng, run_ms):
+    """Return changes of teams, at times several in quick succession."""
+    events, at_ms = [], rng.uniform(1000.0, 3000.0)
+    while at_ms < run_ms:
+        for _ in range(rng.choice((1, 1, 2, 3))):
+            detail = rng.choice(TEAM_CHANGES)
+            events.append(FaultEvent(at_ms, "change-teams", detail=detail))
+            at_ms += rng.uniform(50.0, 500.0)
+        at_ms += rng.uniform(1000.0, 5000.0)
+    return events
+
+
 def _limits(rng, run_ms):
     """Return limits that some or all servers of a service name, one or two in a row."""
     events, at_ms = [], rng.uniform(500.0, 3000.0)
--- a/soak/run.py
+++ b/soak/run.py
@@ -28,14 +28,15 @@
 from standins.stop_load import StopLoad  # noqa: E402
 from tarragonramp.adapters.http import HttpPool  # noqa: E402
 from tarragonramp.manifest import N_KEYS  # noqa: E402
+from tarragonramp.usage_caps import UsageCap  # noqa: E402
 
 from .checks import Outcome, Probe, RunRecord, find_violations  # noqa: E402
 from .plan import (  # noqa: E402
     DAEMONS,
     FIRST_COPY_SEED,
-    FIRST_LIMIT_SEED,
     FIRST_OUTAGE_SEED,
     FIRST_STOP_SEED,
+    FIRST_TEAM_SEED,
     REFUSALS,
     SERVERS,
     generate_plan,
@@ -57,6 +58,13 @@
 SEEDS_FILE = "soak/seeds.txt"
 LOG_FOLDER = "out/soak"
 
+TEAM_SHARES = {"common": 0.55, "capped": 0.3, "rotating": 0.1, "unknown": 0.05}
+"""Teams of the callers. One has a usage cap, one a key that comes and goes, and one is
+in no manifest."""
+
+HIGH_CAP, LOW_CAP = UsageCap(20.0, 10.0), UsageCap(5.0, 5.0)
+API_KEY = "key-of-{}"
+
 ENTRY_INTERVAL_S = 0.1
 """Interval at which another program writes an entry: shorter than that of servers."""
 
@@ -94,6 +102,10 @@
         Held while a process is checked and started, by name.
     n_starts : Counter
         How often each daemon was started.
+    cap : UsageCap
+        Of the team that has one.
+    has_rotating_key : bool
+        Whether the manifest has the key that comes and goes.
     """
 
     seed: int
@@ -110,6 +122,8 @@
     starting: set = attrs.Factory(set)
     n_starts: collections.Counter = attrs.Factory(collections.Counter)
     start_locks: dict = attrs.Factory(lambda: collections.defaultdict(BoundedSemaphore))
+    cap: UsageCap = HIGH_CAP
+    has_rotating_key: bool = True
 
     def execute(self):
         """Execute the plan; return violations by name of the check.
@@ -390,7 +404,9 @@
 
     def _probe(self, daemon, route, added_ms):
         sent_ms = time.time() * 1000.0
-        response = self.site.call(daemon, route, f"probe-{daemon}-{route.strip('/')}")
+        request_id = f"probe-{daemon}-{route.strip('/')}"
+        secret = self._secret("common")
+        response = self.site.call(daemon, route, request_id, extra_headers=secret)
         status = response.status if response else 0
         self.record.probes.append(Probe(daemon, route, added_ms, sent_ms, status))
 
@@ -398,9 +414,32 @@
         self.version += 1
         orders = "parts" if self.seed >= FIRST_COPY_SEED else ""
         spec = manifest(self.version, orders, **{f"v{self.version}": "desk"})
+        if self.seed >= FIRST_TEAM_SEED:
+            spec["tenants"] = self._teams()
+            self.record.caps.append((time.time() * 1000.0, self.cap))
         self.site.control_store(write=["config", "main", spec, None])
         return self.version
 
+    def _teams(self):
+        """Return the teams of the manifest."""
+        names = ("common", "capped", *(("rotating",) if self.has_rotating_key else ()))
+        teams = [{"name": n, "apiKeys": [API_KEY.format(n)]} for n in names]
+        teams[1] |= {"ratePerS": self.cap.rate_per_s, "burst": self.cap.burst}
+        return teams
+
+    def _secret(self, team):
+        """Return the header that presents a team's key; none in runs without teams."""
+        if self.seed < FIRST_TEAM_SEED:
+            return []
+        return [("Authorization", f"Token {API_KEY.format(team)}")]
+
+    def _change_teams(self, event, duration_s):
+        if event.detail.endswith("cap"):
+            self.cap = LOW_CAP if event.detail == "low cap" else HIGH_CAP
+        else:
+            self.has_rotating_key = event.detail == "key added"
+        self._write_manifest()
+
     def _save_logs(self):
         """Save the logs of all processes, as a failure may not recur with the seed."""
         folder = os.path.join(LOG_FOLDER, f"seed-{self.seed}")
@@ -427,12 +466,18 @@
     def _call_once(self, rng, daemon, pool, number):
         self.n_calls += 1
         request_id = f"s{number}-{self.n_calls}"
+        team = ""
+        if self.seed >= FIRST_TEAM_SEED:
+            names, shares = zip(*TEAM_SHARES.items(), strict=True)
+            team = rng.choices(names, shares)[0]
+            self.record.teams[request_id] = team
         key = rng.randrange(N_KEYS)
         kinds = [("GET", "/view/"), ("POST", "/book/"), ("GET", "/parts/")]
         if self.seed >= FIRST_COPY_SEED:
             kinds.append(("POST", "/order/"))
         method, path = rng.choice(kinds)
         headers = [("Host", HOST), ("Request-Id", request_id), ("Deadline-Ms", "1500")]
+        headers += self._secret(team)
         if path in ("/parts/", "/order/"):
             headers.append(("Shard-Key", str(key)))
         body = b"claim" if method == "POST" else b""
@@ -452,7 +497,7 @@
         """Send a look-up and a request with a body behind it to random daemons."""
         rng = random.Random(self.seed)
         loads = {
-            name: StopLoad(addresses["front"])
+            name: StopLoad(addresses["front"], headers=self._secret("common"))
             for name, addresses in self.site.daemons.items()
         }
         while not self.stopping:
@@ -484,7 +529,10 @@
 
     def _serves_all_ranges(self, daemon):
         for key in range(0, N_KEYS, N_KEYS // 16):
-            response = self.site.call(daemon, "/parts/", f"end-{daemon}-{key}", key)
+            request_id, secret = f"end-{daemon}-{key}", self._secret("common")
+            response = self.site.call(
+                daemon, "/parts/", request_id, key, extra_headers=secret
+            )
             if response is None or response.status != 200:
                 return False
         return True
@@ -512,9 +560,7 @@
     length_s : float
         Duration of the faults in each run, in seconds.
     """
-    fresh_seeds = (
-        FIRST_LIMIT_SEED + secrets.randbelow(1_000_000) for _ in range(fresh)
-    )
+    fresh_seeds = (FIRST_TEAM_SEED + secrets.randbelow(1_000_000) for _ in range(fresh))
     chosen = [*seeds, *fresh_seeds]
     return sum(not run_seed(seed, length_s) for seed in chosen or regression_seeds())
 
--- a/standins/stop_load.py
+++ b/standins/stop_load.py
@@ -58,10 +58,13 @@
     address : str
         Where the daemon takes callers.
     attempts : list of Attempt
+    headers : list of (str, str)
+        Further headers of each request.
     """
 
     address: str
     attempts: list = attrs.Factory(list)
+    headers: list = attrs.Factory(list)
     _callers: list = attrs.Factory(list)
     _n_attempts: int = 0
 
@@ -149,9 +152,9 @@
             second.fail(first.failure)
             return
         with connection:
-            post = _request("POST", second.request_id, b"lookup", path)
+            post = self._request("POST", second.request_id, b"lookup", path)
             try:
-                connection.sendall(_request("GET", first.request_id) + post)
+                connection.sendall(self._request("GET", first.request_id) + post)
                 data = self._receive(connection, first, b"")
                 if data is not None:
                     self._receive(connection, second, data)
@@ -168,7 +171,7 @@
         response, also if the daemon had closed it before the request was sent.
         """
         try:
-            connection.sendall(_request("GET", attempt.request_id))
+            connection.sendall(self._request("GET", attempt.request_id))
             data = self._receive(connection, attempt, b"")
         except OSError as error:
             attempt.fail(_describe(error))
@@ -197,17 +200,17 @@
         attempt.answered_ms, attempt.body = time.time() * 1000.0, body[:length]
         return None if headers.get("connection") == "close" else body[length:]
 
-
-def _request(method, request_id, body=b"", path=PATH):
-    head = [
-        f"{method} {path} HTTP/1.1",
-        f"Host: {HOST}",
-        f"Request-Id: {request_id}",
-        "Deadline-Ms: 1500",
-    ]
-    if body:
-        head.append(f"Content-Length: {len(body)}")
-    return ("\r\n".join(head) + "\r\n\r\n").encode() + body
+    def _request(self, method, request_id, body=b"", path=PATH):
+        head = [
+            f"{method} {path} HTTP/1.1",
+            f"Host: {HOST}",
+            f"Request-Id: {request_id}",
+            "Deadline-Ms: 1500",
+            *(f"{name}: {value}" for name, value in self.headers),
+        ]
+        if body:
+            head.append(f"Content-Length: {len(body)}")
+        return ("\r\n".join(head) + "\r\n\r\n").encode() + body
 
 
 def _describe(error):
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -26,15 +26,18 @@
     FIRST_LIMIT_SEED,
     FIRST_OUTAGE_SEED,
     FIRST_STOP_SEED,
+    FIRST_TEAM_SEED,
     LIMITS,
     REFUSALS,
     SERVERS,
+    TEAM_CHANGES,
     FaultEvent,
     generate_plan,
 )
 from soak.run import LOG_FOLDER, Soak, regression_seeds, run_seed
 from standins.fleet_site import FleetSite
 from tarragonramp.adapters.http import HttpPool
+from tarragonramp.usage_caps import UsageCap
 
 SHORT_S = 12.0
 SEED = 5
@@ -86,6 +89,37 @@
         self.assertEqual(violated_checks(other), ["limits of servers"])
         self.assertEqual(violated_checks(late), ["limits of servers"])
 
+    def team_run(self, n_requests, gap_ms, team="capped", secret=None):
+        """Return a run in which requests of the capped team reach a server."""
+        teams, entries = {}, []
+        for number in range(n_requests):
+            request_id, at_ms = f"r{number}", 20_000.0 + number * gap_ms
+            teams[request_id] = "capped"
+            entries.append(("desk0", 1, "caller", at_ms, request_id, team, secret))
+            run = ("desk0", 1, "run", at_ms, request_id, "GET", None, "900")
+            entries.append(run)
+        caps = [(0.0, UsageCap(20.0, 10.0)), (1000.0, UsageCap(5.0, 5.0))]
+        return RunRecord([], entries, teams=teams, caps=caps)
+
+    def test_more_requests_than_a_cap_allows(self):
+        # 5 a second for 5 s and a burst of 5, a tenth more, and 20.
+        self.assertEqual(violated_checks(self.team_run(53, 50.0)), [])
+        self.assertEqual(violated_checks(self.team_run(54, 50.0)), ["usage cap"])
+        self.assertEqual(violated_checks(self.team_run(200, 120.0)), [])
+        lowered = self.team_run(100, 50.0)
+        lowered.caps[1] = (15_000.0, UsageCap(5.0, 5.0))
+        self.assertEqual(violated_checks(lowered), [])
+
+    def test_a_key_or_another_team_at_a_server(self):
+        found = ["teams and keys at servers"]
+        self.assertEqual(
+            violated_checks(self.team_run(1, 1.0, secret="Token k")), found
+        )
+        self.assertEqual(violated_checks(self.team_run(1, 1.0, team="common")), found)
+        unnamed = self.team_run(1, 1.0)
+        del unnamed.entries[0]
+        self.assertEqual(violated_checks(unnamed), found)
+
     def test_a_valid_run(self):
         entries = [
             self.EXECUTION,
@@ -326,6 +360,13 @@
         self.assertLessEqual({*LIMITS, 1, 4}, set(found))
         self.assertGreater(found["lasting"], 5)
 
+    def test_teams_change(self):
+        for seed in range(FIRST_TEAM_SEED, FIRST_TEAM_SEED + 5):
+            plan = generate_plan(seed, 30_000.0)
+            found = {e.detail for e in plan if e.kind == "change-teams"}
+            self.assertLessEqual(found, set(TEAM_CHANGES))
+            self.assertGreaterEqual(len(found), 2)
+
     def test_daemons_stop_in_series(self):
         """Guards against a soak in which stops never overlap."""
         for seed in range(FIRST_STOP_SEED, FIRST_STOP_SEED + 20):
@@ -503,6 +544,17 @@
         self.assertGreater(len(copies), 5)
 
 
+class TeamSoakTest(unittest.TestCase):
+    """A few seconds with teams whose keys and caps change."""
+
+    def test_no_invariant_is_violated(self):
+        soak = Soak(FIRST_TEAM_SEED + 1, SHORT_S)
+        found = {name: faults for name, faults in soak.execute().items() if faults}
+        self.assertEqual(found, {})
+        reached = {entry[5] for entry in soak.record.entries if entry[2] == "caller"}
+        self.assertLessEqual({"common", "capped"}, reached)
+
+
 class ShortSoakTest(unittest.TestCase):
     """A few seconds of faults from a fixed seed."""
 
