A daemon that has just started sends nothing to cold servers for a window

Cause: a new process of a daemon used its part of what a cold server bears once more, within the second in which its predecessor had used it. Why it works: the new process waits until the window of the one before has passed.

--- a/src/tarragonramp/cold_start.py
+++ b/src/tarragonramp/cold_start.py
@@ -4,6 +4,8 @@
 and fails beyond that. Daemons have to stay within this limit without coordination.
 """
 
+import math
+
 import attrs
 
 from .shared_rate import SentRequests, divide, rank_by_hash
@@ -36,9 +38,13 @@
     ----------
     name : str
         Name of this daemon.
+    started_ms : float
+        When it was started. It sends nothing in its first window, as the process before
+        it may have used its share.
     """
 
     name: str
+    started_ms: float = -math.inf
     _sent: SentRequests = attrs.Factory(SentRequests)
 
     def try_acquire(self, server, bound_per_s, daemons, now_ms):
@@ -59,6 +65,8 @@
         taken : bool
             Whether the request may be sent.
         """
+        if now_ms < self.started_ms + WINDOW_MS:
+            return False
         quota = self._quota(server, int(bound_per_s * USED_RATE_SHARE), daemons)
         if self._sent.n_in_window(server, WINDOW_MS, now_ms) >= quota:
             return False
--- a/src/tarragonramp/fleet.py
+++ b/src/tarragonramp/fleet.py
@@ -243,7 +243,7 @@
         router = Router(
             view,
             selector,
-            ColdStartLimiter(settings.name),
+            ColdStartLimiter(settings.name, clock.now_ms()),
             HttpPools(32 << 20, user_timeout_ms=USER_TIMEOUT_MS, options=options),
             ports.dialect,
             settings.bounds,
