Usage caps: tokens left to a successor, and lent within a failure domain

Cause: a new leader begins with an empty balance, since its predecessor may have spent it; and daemons without a token had nobody to ask.

Why it works: the leader's record says how many tokens are left to a successor, and the leader spends none of them; a daemon that the leader does not answer borrows tokens, which leaves the sum as it is.

--- a/src/tarragonramp/roles/caps.py
+++ b/src/tarragonramp/roles/caps.py
@@ -14,7 +14,7 @@
 from ..results import is_successful
 from ..usage_caps import CLOCK_DRIFT, MARGIN_MS, SHARE_MS, ShareDealer, ShareHolder
 
-__all__ = ["CapKeeper", "Denial"]
+__all__ = ["CapKeeper", "Denial", "without_promises"]
 
 LEADER_WAIT_MS, ANSWER_WAIT_MS = 120.0, 250.0
 """How long the leader may take to answer a question, and how long a request waits for
@@ -27,10 +27,14 @@
 NOT_KNOWN_RETRY_MS = 300.0
 """When a caller may try again if nobody has a token for its request."""
 
-MAX_LENDERS, LENDER_WAIT_MS = 2, 40.0
+MAX_LENDERS, LENDER_WAIT_MS = 3, 40.0
 """Daemons of the own failure domain that are asked for a token in place of the leader,
 and how long each may take."""
 
+PROMISES = ""
+"""Stands in a record for the tokens that are left to a successor, beside the names of
+daemons."""
+
 UNREPORTED_RETRY_MS = 700.0
 """When a caller may try again while a new leader waits for the daemons' reports."""
 
@@ -217,13 +221,24 @@
         self._prepare_dealer(self.clock.now_ms())
         self.renew_own()
         record = self._dealer.record()
+        promised = self._dealer.tokens_to_promise(self.clock.now_ms())
+        record[PROMISES] = {team: n for team, n in promised.items() if n}
         self._records.append(record)
+        self._keep_promises()
         return _encode_record(record)
 
     def confirm_record(self, text):
         """As leader, note that the store holds a text of :meth:`record_to_write`."""
         if self._records and _encode_record(self._records[-1]) == text:
             del self._records[:-1]
+            self._keep_promises()
+
+    def _keep_promises(self):
+        """Have the dealer leave what any record that may be stored promises."""
+        promised = collections.Counter()
+        for record in self._records:
+            promised |= collections.Counter(record.get(PROMISES, {}))
+        self._dealer.promised = promised
 
     def _recorded_steps(self, daemon):
         """Return the steps by team that the store has for a daemon in any case."""
@@ -243,12 +258,14 @@
         manifest, dealer_id = self.view.manifest, self._dealer_id()
         if self._dealer is None or self._dealer.dealer != dealer_id:
             holders = _decode_record(self.leadership.inherited_holders)
+            # What was promised is given out by this dealer, and not promised again.
+            inherited = holders.pop(PROMISES, {})
             self._records = [holders]
             stopped_ms = max(now_ms, self.leadership.inherited.stopped_ms)
             ended_ms = stopped_ms + CLOCK_DRIFT * SHARE_MS + MARGIN_MS
             is_first = not holders
             self._dealer = ShareDealer(
-                dealer_id, dict(holders), ended_ms, is_first, self.bounds
+                dealer_id, dict(holders), ended_ms, is_first, self.bounds, inherited
             )
             self._dealt_version = 0
             log_event("caps-dealt", term=dealer_id[0], daemons_listed=len(holders))
@@ -340,6 +357,15 @@
         return {} if answer is None else {"shares": answer}
 
 
+def without_promises(text):
+    """Return a record's text without the tokens that are left to one successor."""
+    if not text:
+        return ""
+    record = _decode_record(text)
+    record.pop(PROMISES, None)
+    return _encode_record(record)
+
+
 def _encode_record(record):
     """Return the steps by daemon and team as a short text; empty if there are none."""
     if not record:
--- a/src/tarragonramp/roles/leadership.py
+++ b/src/tarragonramp/roles/leadership.py
@@ -20,6 +20,7 @@
 from ..results import is_successful
 from ..server_limits import ServerLimits
 from ..server_paths import PathMonitor
+from .caps import without_promises
 
 __all__ = ["Leadership"]
 
@@ -669,7 +670,8 @@
         sent_ms = self.clock.now_ms()
         term = before.term + 1 if before else 1
         holders = before.holders if before else ""
-        record = LeaderRecord(self.name, self.boot_id, self.address, term, holders)
+        written = without_promises(holders)
+        record = LeaderRecord(self.name, self.boot_id, self.address, term, written)
         spec = record.to_spec()
         # Set before the write, which may take effect although its response is lost.
         self.inherited = self._inherited_after(
--- a/src/tarragonramp/usage_caps.py
+++ b/src/tarragonramp/usage_caps.py
@@ -22,6 +22,9 @@
 """Parts of the tolerance that are dealt as depth, by a dealer that may have a
 successor, and by a new one at once. The rest covers tokens on their way."""
 
+PROMISED_SHARE = 0.5
+"""Part of its balance that a dealer leaves to a successor, until the next record."""
+
 DEALT_DEPTH = 0.7
 """Part of the depth that shares may have. The rest is left for questions."""
 
@@ -57,9 +60,6 @@
 LUMP_VALID_MS = 300.0
 """How long a token that was asked for is valid, beyond the depth of the share."""
 
-KEPT_TOKENS = 1.0
-"""Tokens of a share that are not lent."""
-
 USE_WINDOW_MS = 10_000.0
 """Time constant of the use that a daemon reports."""
 
@@ -240,9 +240,8 @@
             bucket = self._buckets.get(team)
             while bucket is not None and lent.get(team, 0) < n_tokens:
                 bucket.refill(now_ms, self._silent_from_ms)
-                if bucket.tokens < KEPT_TOKENS + 1.0:
+                if not bucket.take():
                     break
-                bucket.tokens -= 1.0
                 lent[team] = lent.get(team, 0) + 1
         return lent
 
@@ -434,6 +433,7 @@
     cap: UsageCap
     at_ms: float
     balance: float = 0.0
+    start: float = 0.0
     spare: float = 0.0
     returned: float = 0.0
     rate: float = 0.0
@@ -460,6 +460,10 @@
     is_first : bool
         Whether no dealer came before it.
     bounds : CapBounds
+    inherited : dict of str to int
+        Tokens that the dealer before it has left, by team.
+    promised : dict of str to int
+        Tokens that it has to leave to a successor, by team.
     """
 
     dealer: tuple
@@ -467,6 +471,8 @@
     inherited_until_ms: float = -math.inf
     is_first: bool = False
     bounds: CapBounds = CapBounds()
+    inherited: dict = attrs.Factory(dict)
+    promised: dict = attrs.Factory(dict)
     _accounts: dict = attrs.Factory(dict)
     _recipients: dict = attrs.Factory(dict)
     _next_sweep_ms: float = -math.inf
@@ -486,7 +492,8 @@
                 account = self._accounts[team] = _Account(cap, now_ms)
                 steps = sum(held.get(team, 0) for held in self.unreported.values())
                 account.set_aside = steps / PART_STEPS
-                account.balance = START_TOLERANCE * self.bounds.tolerance(cap)
+                account.start = START_TOLERANCE * self.bounds.tolerance(cap)
+                account.start += self.inherited.get(team, 0)
                 if self.is_first or now_ms >= self.inherited_until_ms:
                     account.balance = cap.burst
             else:
@@ -670,6 +677,14 @@
             account.use += per_s
             account.n_users += 1
 
+    def tokens_to_promise(self, now_ms):
+        """Return the tokens to leave to a successor, by team."""
+        found = {}
+        for team, account in self._accounts.items():
+            self._refill(account, now_ms)
+            found[team] = max(0, math.floor(PROMISED_SHARE * account.balance))
+        return found
+
     def record(self):
         """Return what a successor has to know: steps by daemon and team."""
         found = {name: dict(held) for name, held in self.unreported.items()}
@@ -752,15 +767,18 @@
             if account is None:
                 continue
             self._refill(account, now_ms)
-            available = account.balance
-            if not may_grow:
+            if may_grow:
+                available = account.start
+                available += max(0.0, account.balance - self.promised.get(team, 0))
+            else:
                 available = max(0.0, account.returned) + account.spare
-            available = max(0.0, available)
             given = max(0, min(wanted, math.floor(available)))
             if given:
                 lumps[team] = given
                 if may_grow:
-                    account.balance -= given
+                    from_start = min(given, account.start)
+                    account.start -= from_start
+                    account.balance -= given - from_start
                 else:
                     from_returned = min(given, max(0.0, account.returned))
                     account.returned -= from_returned
@@ -784,6 +802,9 @@
         filling = self._filling_per_s(account)
         depth = self.bounds.depth(account.cap)
         room = max(0.0, (1.0 - min(1.0, account.set_aside)) * depth - account.depth)
+        if account.start and not self.unreported:
+            account.balance += account.start
+            account.start = 0.0
         account.balance = min(room, account.balance + filling * passed_s)
         spare = SPARE_TOLERANCE * self.bounds.tolerance(account.cap)
         spare_per_s = 1000.0 * spare / self.bounds.window_ms
--- a/tests/test_usage_caps.py
+++ b/tests/test_usage_caps.py
@@ -40,6 +40,7 @@
     down: set = attrs.Factory(set)
     dealer: object = None
     recorded: dict = attrs.Factory(dict)
+    promised: dict = attrs.Factory(dict)
     n_questions: int = 0
     _asking: set = attrs.Factory(set)
     _known: dict = attrs.Factory(dict)
@@ -89,7 +90,10 @@
         self.recorded = {} if is_first else self.recorded
         dealer = (term, f"boot-{term}")
         self.at(self.now_ms + RECORD_MS, self.write_record, self.dealer)
-        self.dealer = ShareDealer(dealer, unreported, ended_ms, is_first, BOUNDS)
+        inherited, self.promised = self.promised, {}
+        self.dealer = ShareDealer(
+            dealer, unreported, ended_ms, is_first, BOUNDS, inherited
+        )
         self.dealer.update_caps(self.caps, self.now_ms)
 
     def write_record(self, former):
@@ -99,6 +103,8 @@
         self.at(self.now_ms + RECORD_MS, self.write_record, former)
         if self.may_grow:
             self.recorded = self.dealer.record()
+            self.promised = self.dealer.tokens_to_promise(self.now_ms)
+            self.dealer.promised = self.promised
 
     def lose_store(self, for_ms):
         """Have the dealer lose the store for a time."""
