A leader without teams in its manifest renews its record again

Cause: since tokens are left to a successor, each confirmed write of the leader's record ended in an AttributeError where no manifest had teams (event=task-failed of Leadership.run). Two more faults showed in the new tests: a leader after one without any shares began with the whole burst, which the one before may have spent; and a silent leader was asked for a loan.

Evidence: tests.test_caps, three of its nine tests failed before. Why it works: nothing is promised where nothing is dealt; only the first term begins with the burst.

--- a/src/tarragonramp/roles/caps.py
+++ b/src/tarragonramp/roles/caps.py
@@ -229,7 +229,9 @@
 
     def confirm_record(self, text):
         """As leader, note that the store holds a text of :meth:`record_to_write`."""
-        if self._records and _encode_record(self._records[-1]) == text:
+        if self._dealer is None or not self._records:
+            return
+        if _encode_record(self._records[-1]) == text:
             del self._records[:-1]
             self._keep_promises()
 
@@ -263,7 +265,7 @@
             self._records = [holders]
             stopped_ms = max(now_ms, self.leadership.inherited.stopped_ms)
             ended_ms = stopped_ms + CLOCK_DRIFT * SHARE_MS + MARGIN_MS
-            is_first = not holders
+            is_first = self.leadership.term == 1
             self._dealer = ShareDealer(
                 dealer_id, dict(holders), ended_ms, is_first, self.bounds, inherited
             )
@@ -330,10 +332,11 @@
         """
         domains = self.view.daemon_domains
         own = domains.get(self.name)
+        leader = self.leadership.leader_address
         lenders = [
             address
             for name, address in self.view.daemons.items()
-            if name != self.name and domains.get(name) == own
+            if name != self.name and domains.get(name) == own and address != leader
         ]
         n_lenders = min(MAX_LENDERS, len(lenders))
         for address in self._rng.sample(lenders, n_lenders):
