Downloads may run again, uploads may not; unknown kinds refuse a manifest

What callers saw: a download whose server broke off ended with 502, although it may be sent to a second server; a manifest with a misspelt kind was taken.

Cause: all kinds but one counted as unsafe. Why it works: the platform's adapter knows the four kinds, and refuses a manifest with another one.

--- a/tests/test_platform_folder.py
+++ b/tests/test_platform_folder.py
@@ -348,6 +348,27 @@
         for malformed in (None, {}, {"version": "12"}, {**manifest(3), "clusters": 7}):
             self.assertFalse(is_successful(read_manifest(malformed)), malformed)
 
+    def test_kinds_say_what_may_run_again(self):
+        """Guards against downloads that are not retried, and uploads that are."""
+        for kind, idempotent in (
+            ("safe", True),
+            ("download", True),
+            ("unsafe", False),
+            ("upload", False),
+        ):
+            spec = manifest(3)
+            spec["listeners"][0]["rules"][0]["kind"] = kind
+            with self.subTest(kind=kind):
+                route = read_manifest(spec).unwrap().routes[0]
+                self.assertEqual(route.idempotent, idempotent)
+
+    def test_an_unknown_kind_refuses_the_manifest(self):
+        for kind in ("stream", "", None, ["safe"], 7):
+            spec = manifest(3)
+            spec["listeners"][0]["rules"][0]["kind"] = kind
+            with self.subTest(kind=kind):
+                self.assertFalse(is_successful(read_manifest(spec)))
+
     def test_durations(self):
         self.assertEqual(duration_ms("2.5s"), 2500.0)
         self.assertEqual(duration_ms("870ms"), 870.0)
