Usage caps: short questions, and only changed shares are told

Cause, as far as it is known: each question carried the use of all 87 teams, and each answer all shares; the leader is on a link of 10 Mbit/s and answered late. A daemon recorded its use twice a second.

What changed: a question names only the teams that need a token, and gets nothing but tokens; use is told each 1.4 s; an answer holds the shares that changed. A leader may take 200 ms to answer.

--- a/src/tarragonramp/roles/caps.py
+++ b/src/tarragonramp/roles/caps.py
@@ -16,7 +16,7 @@
 
 __all__ = ["CapKeeper", "Denial", "without_promises"]
 
-LEADER_WAIT_MS, ANSWER_WAIT_MS = 120.0, 250.0
+LEADER_WAIT_MS, ANSWER_WAIT_MS = 200.0, 300.0
 """How long the leader may take to answer a question, and how long a request waits for
 a token, from whomever."""
 
@@ -305,7 +305,10 @@
         """Ask the leader for tokens; return whether it has answered."""
         for _ in range(2):
             sent_ms = self.clock.now_ms()
-            report = self._holder.to_report(sent_ms, needs, self._tells_all)
+            if self._tells_all:
+                report = self._holder.to_report(sent_ms, needs, True)
+            else:
+                report = self._holder.to_question(sent_ms, needs)
             answer = self._exchange(report)
             if answer is None:
                 self._silent_until_ms = self.clock.now_ms() + NO_LEADER_RETRY_MS
--- a/src/tarragonramp/usage_caps.py
+++ b/src/tarragonramp/usage_caps.py
@@ -60,6 +60,9 @@
 LUMP_VALID_MS = 300.0
 """How long a token that was asked for is valid, beyond the depth of the share."""
 
+USE_INTERVAL_MS = 1400.0
+"""How often a daemon tells its use; other reports leave it out."""
+
 USE_WINDOW_MS = 10_000.0
 """Time constant of the use that a daemon reports."""
 
@@ -192,6 +195,7 @@
     _told_all_ms: float = -math.inf
     _silent_from_ms: float = -math.inf
     _silent_ms: float = 0.0
+    _use_told_ms: float = -math.inf
     _buckets: dict = attrs.Factory(dict)
     _use: dict = attrs.Factory(dict)
 
@@ -276,13 +280,7 @@
             JSON-compatible.
         """
         self._drop_ended(now_ms)
-        use = {}
-        for team, item in list(self._use.items()):
-            per_s = round(item.per_s(now_ms), 2)
-            if per_s >= MIN_USE_PER_S:
-                use[team] = per_s
-            else:
-                del self._use[team]
+        use = self._recent_use(now_ms)
         needs = dict(needs or {})
         for team, bucket in self._buckets.items():
             if not bucket.rate_per_s and team in use:
@@ -290,21 +288,45 @@
                 if missing > 0:
                     needs[team] = needs.get(team, 0) + missing
         silent_ms = self._silent_ms + max(0.0, now_ms - self._silent_from_ms)
-        report = {"boot": self.boot, "number": self._number, "use": use}
+        report = {"boot": self.boot, "number": self._number}
+        if tells_all or now_ms >= self._use_told_ms + USE_INTERVAL_MS:
+            self._use_told_ms = now_ms
+            report["use"] = use
         if self._number:
             report["silent_ms"] = round(silent_ms)
         if self._number:
             report["dealer"] = list(self._dealer)
             if tells_all:
                 self._told_all_ms = now_ms
-                report["held"] = {
-                    team: [bucket.rate_per_s, bucket.depth, bucket.reserve_per_s]
-                    for team, bucket in self._buckets.items()
-                }
+                held = self._shares().items()
+                report["held"] = {team: list(share) for team, share in held}
         if needs:
             report["needs"] = needs
         return report
 
+    def _recent_use(self, now_ms):
+        """Return the use of each team with callers here; forget the others."""
+        use = {}
+        for team, item in list(self._use.items()):
+            per_s = round(item.per_s(now_ms), 2)
+            if per_s >= MIN_USE_PER_S:
+                use[team] = per_s
+            else:
+                del self._use[team]
+        return use
+
+    def to_question(self, now_ms, needs):
+        """Return a short report that only asks for tokens; as :meth:`to_report`."""
+        use = {t: round(self._use[t].per_s(now_ms), 2) for t in needs if t in self._use}
+        return {
+            "boot": self.boot,
+            "number": self._number,
+            "dealer": list(self._dealer),
+            "use": use,
+            "needs": needs,
+            "short": True,
+        }
+
     def apply(self, answer, sent_ms, now_ms):
         """Apply a dealer's answer, unless a later one is known.
 
@@ -325,13 +347,18 @@
         term, boot_id = answer["dealer"]
         dealer, number = (int(term), str(boot_id)), int(answer["number"])
         self._drop_ended(now_ms)
+        lumps = {str(team): int(n) for team, n in answer.get("lumps", {}).items()}
+        if answer.get("short"):
+            # Tokens of a question do not depend on the shares, and arrive once.
+            if dealer[0] >= self._dealer[0]:
+                self.borrow(lumps, now_ms)
+            return
         is_same = dealer == self._dealer
         if dealer[0] < self._dealer[0] or (is_same and number < self._number):
             return
         if is_same and self._number and sent_ms < self._told_all_ms:
             # Another dealer counts on what was told to it since.
             return
-        lumps = {str(team): int(n) for team, n in answer.get("lumps", {}).items()}
         if "shares" not in answer:
             if not is_same or number > self._number + bool(lumps):
                 return
@@ -347,6 +374,11 @@
             str(team): (float(rate), float(depth), float(reserve))
             for team, (rate, depth, reserve) in answer["shares"].items()
         }
+        if "base" in answer:
+            if not is_same or int(answer["base"]) != self._number:
+                return
+            shares = {**self._shares(), **shares}
+            shares = {team: share for team, share in shares.items() if any(share)}
         self._end_silence(sent_ms, now_ms)
         before, self._buckets = self._buckets, {}
         for team, (rate, depth, reserve) in shares.items():
@@ -359,6 +391,12 @@
         self._until_ms = sent_ms + SHARE_MS
         self._add_lumps(lumps, now_ms)
 
+    def _shares(self):
+        return {
+            team: (bucket.rate_per_s, bucket.depth, bucket.reserve_per_s)
+            for team, bucket in self._buckets.items()
+        }
+
     def _add_lumps(self, lumps, now_ms):
         """Add tokens; those beyond the depth of a share are valid for a short time."""
         for team, n_tokens in lumps.items():
@@ -526,7 +564,8 @@
             If the report is malformed; nothing is changed then.
         """
         boot, number = int(report["boot"]), int(report["number"])
-        use = {str(team): float(per_s) for team, per_s in report["use"].items()}
+        told = report.get("use")
+        use = {str(team): float(per_s) for team, per_s in (told or {}).items()}
         needs = {str(team): int(n) for team, n in report.get("needs", {}).items()}
         held = {
             str(team): (float(rate), float(depth), float(reserve))
@@ -546,11 +585,13 @@
         elif boot < recipient.boot:
             # From a process that has ended.
             return {}
+        if report.get("short"):
+            return self._answer_question(recipient, use, needs, may_grow, now_ms)
         self._credit_reserves(recipient, silent_ms, may_grow, now_ms)
-        self._record_use(recipient, use, now_ms)
+        self._record_use(recipient, recipient.use if told is None else use, now_ms)
         if dealer == self.dealer and number > recipient.grants[0].number:
             self._confirm(recipient, number, now_ms)
-        shares = recipient.shares
+        shares = before = recipient.shares
         if needs or now_ms >= recipient.dealt_ms + RECOMPUTE_MS:
             recipient.dealt_ms = now_ms
             shares = self._shares_for(recipient, may_grow, recorded, now_ms)
@@ -563,6 +604,9 @@
             recipient.grants.append(grant)
             self._recount(recipient, shares, now_ms)
             answer["shares"] = {team: list(share) for team, share in shares.items()}
+            if is_current:
+                answer["base"] = number
+                answer["shares"] = _changes(before, shares)
         elif lumps:
             recipient.number += 1
             recipient.grants[-1].number = recipient.number
@@ -571,11 +615,24 @@
         for grant in recipient.grants:
             grant.until_ms = self._end_ms(now_ms)
         answer["number"] = recipient.number
+        self._add_retry(answer, retry_ms)
+        return answer
+
+    def _answer_question(self, recipient, use, needs, may_grow, now_ms):
+        """Return tokens, without a look at the daemon's shares."""
+        self._record_use(recipient, {**recipient.use, **use}, now_ms)
+        lumps, retry_ms = self._lumps_for(needs, may_grow, now_ms)
+        answer = {"dealer": list(self.dealer), "number": 0, "short": True}
+        if lumps:
+            answer["lumps"] = lumps
+        self._add_retry(answer, retry_ms)
+        return answer
+
+    def _add_retry(self, answer, retry_ms):
         if retry_ms:
             answer["retry_ms"] = retry_ms
             if self.unreported:
                 answer["waits"] = True
-        return answer
 
     def hear(self, daemon, report, now_ms):
         """Note what a report proves, before its answer is due.
@@ -828,3 +885,12 @@
                 self._counted_sums(recipient, teams, now_ms, 1.0)
             if recipient.heard_ms < now_ms - RECIPIENT_EXPIRY_MS:
                 self._forget(daemon, recipient, now_ms)
+
+
+def _changes(before, shares):
+    """Return the shares that differ, with a share of nothing for those that ended."""
+    ended = {team: list(NO_SHARE) for team in before if team not in shares}
+    changed = {
+        team: list(share) for team, share in shares.items() if before.get(team) != share
+    }
+    return {**ended, **changed}
--- a/tests/test_usage_caps.py
+++ b/tests/test_usage_caps.py
@@ -135,7 +135,10 @@
         """Send a report, and apply the answer if both arrive."""
         holder, dealer, sent_ms = self.holders[name], self.dealer, self.now_ms
         tells_all = self._known.get(name) != dealer.dealer
-        report = holder.to_report(sent_ms, needs, tells_all)
+        if needs and not tells_all:
+            report = holder.to_question(sent_ms, needs)
+        else:
+            report = holder.to_report(sent_ms, needs, tells_all)
         is_lost = name in self.cut_off or self.rng.random() < self.lost_share
         if is_lost:
             self.at(sent_ms + 250.0, done)
