Tests: the listed check of cold servers fails as a whole

The list of known failures names whole tests; its four cases failed one by one, which the runner does not match. The check is the same, over all four.

--- a/tests/test_shared_sums.py
+++ b/tests/test_shared_sums.py
@@ -140,11 +140,11 @@
 
     def test_daemons_that_know_a_part_of_the_others(self):
         """Guards against shares of a fleet that is larger than a daemon knows."""
+        ratios = {}
         for n_daemons, n_seen in ((30, 8), (90, 8), (90, 30), (180, 90)):
-            with self.subTest(n_daemons=n_daemons, n_seen=n_seen):
-                ratio = self.play(n_daemons, n_seen)
-                print(f"cold server, {n_daemons} that know {n_seen}: {ratio:.3f}")
-                self.assertLessEqual(ratio, 1.0)
+            ratios[n_daemons, n_seen] = ratio = self.play(n_daemons, n_seen)
+            print(f"cold server, {n_daemons} that know {n_seen}: {ratio:.3f}")
+        self.assertLessEqual(max(ratios.values()), 1.0, ratios)
 
 
 class ServerLimitTest(unittest.TestCase):
