Package for the limits that all daemons keep together

No change of behaviour; tests of caps, retries, cold starts, servers' limits, keys and the router: 130 passed.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from tarragonramp.usage_caps import CapBounds
+from tarragonramp.limits import CapBounds
 
 from .plan import DAEMONS
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -27,8 +27,8 @@
 from standins.site import free_address  # noqa: E402
 from standins.stop_load import StopLoad  # noqa: E402
 from tarragonramp.adapters.http import HttpPool  # noqa: E402
+from tarragonramp.limits import UsageCap  # noqa: E402
 from tarragonramp.manifest import N_KEYS  # noqa: E402
-from tarragonramp.usage_caps import UsageCap  # noqa: E402
 
 from .checks import Outcome, Probe, RunRecord, find_violations  # noqa: E402
 from .plan import (  # noqa: E402
--- a/src/tarragonramp/adapters/web.py
+++ b/src/tarragonramp/adapters/web.py
@@ -10,8 +10,8 @@
 from gevent.pywsgi import Input, WSGIHandler, WSGIServer, unquote_latin1
 
 from ..errors import AddressError, RequestError
-from ..limits import Limits
 from ..meters import NOT_RUN
+from ..sizes import Limits
 from .http import split_address
 from .optional import optional_step
 
--- a/src/tarragonramp/api_keys.py
+++ b/src/tarragonramp/api_keys.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from .usage_caps import UsageCap
+from .limits import UsageCap
 
 __all__ = ["ANONYMOUS", "ApiKeyIndex", "CallerTeam", "key_mark"]
 
--- a/src/tarragonramp/fleet.py
+++ b/src/tarragonramp/fleet.py
@@ -23,11 +23,10 @@
 from .adapters.web import json_reply
 from .balancing import ServerSelector
 from .clock import SuspendAwareClock
-from .cold_start import ColdStartLimiter
 from .errors import AddressError, KernelError
 from .fleet_view import FOLLOWED_KINDS, FleetView
 from .leadership import LeaseTiming
-from .limits import Limits
+from .limits import CapBounds, ColdStartLimiter, ServerLimits
 from .meters import RequestMeter, TrafficMeter
 from .results import is_successful
 from .roles.caps import CapKeeper
@@ -40,8 +39,7 @@
 from .roles.relay import Relay, RelayPool
 from .roles.router import Router
 from .roles.tasks import keep_running, run_until_drained, task_failures
-from .server_limits import ServerLimits
-from .usage_caps import CapBounds
+from .sizes import Limits
 
 __all__ = ["FleetBounds", "FleetDaemon", "FleetPorts", "FleetSettings", "run_daemon"]
 
--- a/src/tarragonramp/server_limits.py
+++ b/src/tarragonramp/limits/servers.py
@@ -10,7 +10,7 @@
 
 import attrs
 
-from .shared_rate import SentRequests, divide, rank_by_hash
+from .rates import SentRequests, divide, rank_by_hash
 
 __all__ = ["LimitStatement", "ServerLimits"]
 
--- a/src/tarragonramp/roles/caps.py
+++ b/src/tarragonramp/roles/caps.py
@@ -11,8 +11,8 @@
 from gevent.event import Event
 
 from ..adapters.logs import log_event
+from ..limits import CLOCK_DRIFT, MARGIN_MS, SHARE_MS, ShareDealer, ShareHolder
 from ..results import is_successful
-from ..usage_caps import CLOCK_DRIFT, MARGIN_MS, SHARE_MS, ShareDealer, ShareHolder
 
 __all__ = ["CapKeeper", "Denial", "without_promises"]
 
--- a/src/tarragonramp/roles/entry.py
+++ b/src/tarragonramp/roles/entry.py
@@ -22,6 +22,7 @@
 from ..admission import ADMITTED, WAITING, ConcurrencyLimiter, Outcome, Ticket
 from ..errors import AbandonedError, NotSentError, RequestError
 from ..gates import ForwardedRequest
+from ..limits import RetryBudget
 from ..meters import ANSWERED, NOT_RUN, UNKNOWN
 from ..outliers import OutlierDetector
 from ..permits import DirectSendPermits
@@ -41,7 +42,6 @@
     request_id,
 )
 from ..results import is_successful
-from ..retries import RetryBudget
 from ..routing import RouteCache, less_loaded
 from ..slices import slice_of
 from .refusals import ABANDONED_STATUS, log_refusal
--- a/src/tarragonramp/roles/granter.py
+++ b/src/tarragonramp/roles/granter.py
@@ -22,9 +22,9 @@
 )
 from ..fleet_view import RANGES
 from ..hotspots import busy_servers, rebalance_hot_keys
+from ..limits import ServerLimits
 from ..range_placement import Candidate, initial_table, plan_moves
 from ..results import is_successful
-from ..server_limits import ServerLimits
 from .grants import GrantTracker
 from .mover import Mover
 from .relay import MIN_RELAYED_RANGES, has_no_connection
--- a/src/tarragonramp/roles/leadership.py
+++ b/src/tarragonramp/roles/leadership.py
@@ -17,8 +17,8 @@
     LeadershipState,
     LeaseTiming,
 )
+from ..limits import ServerLimits
 from ..results import is_successful
-from ..server_limits import ServerLimits
 from ..server_paths import PathMonitor
 from .caps import without_promises
 
--- a/src/tarragonramp/roles/path_prober.py
+++ b/src/tarragonramp/roles/path_prober.py
@@ -11,8 +11,8 @@
 
 from ..adapters.logs import log_event
 from ..errors import UnansweredError
+from ..limits import ServerLimits
 from ..results import is_successful
-from ..server_limits import ServerLimits
 from ..server_paths import pick_probe_targets, reaches_servers
 
 __all__ = ["PathProber"]
--- a/src/tarragonramp/roles/router.py
+++ b/src/tarragonramp/roles/router.py
@@ -21,11 +21,10 @@
 from ..connections import connection_share, may_connect
 from ..directory import BackendServer
 from ..errors import AbandonedError, NotSentError, RequestError
+from ..limits import ServerLimits, WindowedRetryBudget
 from ..meters import ANSWERED, NOT_RUN, UNKNOWN, RequestTimes
 from ..request import end_to_end_response_headers
 from ..results import is_successful
-from ..retries import WindowedRetryBudget
-from ..server_limits import ServerLimits
 from ..server_paths import PathMonitor
 from .owners import NO_OWNER_RETRY_S, OwnerResolver
 from .path_prober import PathProber
--- a/src/tarragonramp/settings.py
+++ b/src/tarragonramp/settings.py
@@ -9,8 +9,8 @@
 from . import checks
 from .documents import Document, Fault, read_file
 from .errors import SettingsError
-from .limits import Limits
 from .results import is_successful
+from .sizes import Limits
 from .structuring import structure
 
 __all__ = [
--- a/tests/test_api_keys.py
+++ b/tests/test_api_keys.py
@@ -10,10 +10,10 @@
 from tarragonramp.delegation import Delegation
 from tarragonramp.dialect import RequestFacts
 from tarragonramp.errors import RequestError
+from tarragonramp.limits import UsageCap
 from tarragonramp.manifest import Manifest, Route, RouteTable, WeightedService
 from tarragonramp.meters import NOT_RUN
 from tarragonramp.roles.caps import Denial
-from tarragonramp.usage_caps import UsageCap
 
 from .test_platform_folder import HttpDialect, read_manifest
 from .test_router import OK, SHED, UNANSWERED, Dialect, RouterTestCase
--- a/tests/test_caps.py
+++ b/tests/test_caps.py
@@ -11,9 +11,9 @@
 from tarragonramp.errors import UnansweredError
 from tarragonramp.fleet_view import FleetView
 from tarragonramp.leadership import InheritedGrants, LeaderRecord
+from tarragonramp.limits import CapBounds, UsageCap
 from tarragonramp.manifest import Manifest, RouteTable
 from tarragonramp.roles.caps import CapKeeper, without_promises
-from tarragonramp.usage_caps import CapBounds, UsageCap
 
 CAP = UsageCap(100.0, 100.0)
 TEAM = CallerTeam("a", 0, CAP)
--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -3,7 +3,7 @@
 import random
 import unittest
 
-from tarragonramp.cold_start import ASSUMED_DAEMONS, ColdStartLimiter
+from tarragonramp.limits.cold_start import ASSUMED_DAEMONS, ColdStartLimiter
 
 
 def max_per_second(times_ms):
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -17,9 +17,9 @@
 from tarragonramp.adapters.web import WebServer
 from tarragonramp.admission import ConcurrencyLimiter
 from tarragonramp.clock import Clock
+from tarragonramp.limits import RetryBudget
 from tarragonramp.meters import RequestMeter
 from tarragonramp.model import OWNED, Assignment, SliceState, Stored, Vm
-from tarragonramp.retries import RetryBudget
 from tarragonramp.roles.entry import Entry
 from tarragonramp.settings import Limits, Timing
 from tarragonramp.view import View
--- a/tests/test_fleet_teams.py
+++ b/tests/test_fleet_teams.py
@@ -13,7 +13,7 @@
 
 from standins.fleet_site import HOST, FleetSite, manifest
 from tarragonramp.adapters.http import HttpPool
-from tarragonramp.usage_caps import CapBounds, UsageCap
+from tarragonramp.limits import CapBounds, UsageCap
 
 DAEMONS = dict(zip(("d1", "d2", "d3", "d4", "d5", "d6"), "ababab", strict=True))
 KEYS = {"capped": "key-of-capped", "open": "key-of-open", "late": "key-of-late"}
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -11,13 +11,13 @@
 from tarragonramp.adapters.http import HttpPool, Response
 from tarragonramp.adapters.web import ARRIVED_KEY, HEADERS_KEY, TARGET_KEY
 from tarragonramp.balancing import ServerSelector
-from tarragonramp.cold_start import ColdStartLimiter
 from tarragonramp.delegation import Delegation
 from tarragonramp.dialect import RequestFacts, ResponseFacts
 from tarragonramp.directory import BackendServer
 from tarragonramp.errors import NotSentError, RequestError, UnansweredError
 from tarragonramp.fleet import FleetBounds
 from tarragonramp.fleet_view import FleetView
+from tarragonramp.limits import ColdStartLimiter, ServerLimits
 from tarragonramp.manifest import (
     N_KEYS,
     FleetService,
@@ -30,7 +30,6 @@
 from tarragonramp.ranges import KeyRange, RangeTable
 from tarragonramp.roles.owners import GRANT_RECHECK_MS
 from tarragonramp.roles.router import Router
-from tarragonramp.server_limits import ServerLimits
 
 from .wire import LateCopyServer
 
--- a/tests/test_server_limits.py
+++ b/tests/test_server_limits.py
@@ -8,7 +8,7 @@
 import attrs
 
 from tarragonramp.directory import BackendServer
-from tarragonramp.server_limits import PLACEMENT_MS, ServerLimits
+from tarragonramp.limits.servers import PLACEMENT_MS, ServerLimits
 
 WINDOW_MS, BURST_FACTOR, SLACK = 4000.0, 1.5, 5
 CONTACT_MS, TOLD_DELAY_MS = 3000.0, 500.0
--- a/tests/test_shared_sums.py
+++ b/tests/test_shared_sums.py
@@ -7,10 +7,8 @@
 import unittest
 
 from tarragonramp import ManualClock
-from tarragonramp.cold_start import ColdStartLimiter
 from tarragonramp.directory import BackendServer
-from tarragonramp.retries import WindowedRetryBudget
-from tarragonramp.server_limits import ServerLimits
+from tarragonramp.limits import ColdStartLimiter, ServerLimits, WindowedRetryBudget
 
 N_DAEMONS = (1, 8, 30, 90, 180)
 RATIO, WINDOW_MS = 0.2, 10_000.0
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -37,7 +37,7 @@
 from soak.run import LOG_FOLDER, Soak, regression_seeds, run_seed
 from standins.fleet_site import FleetSite
 from tarragonramp.adapters.http import HttpPool
-from tarragonramp.usage_caps import UsageCap
+from tarragonramp.limits import UsageCap
 
 SHORT_S = 12.0
 SEED = 5
--- a/tests/test_usage_caps.py
+++ b/tests/test_usage_caps.py
@@ -8,7 +8,7 @@
 
 import attrs
 
-from tarragonramp.usage_caps import CapBounds, ShareDealer, ShareHolder, UsageCap
+from tarragonramp.limits import CapBounds, ShareDealer, ShareHolder, UsageCap
 
 BOUNDS = CapBounds()
 PING_MS, RECORD_MS = 500.0, 800.0
