Use of a team is told rightly from its first seconds on

Callers saw: 503 "usage cap not known" for seconds after a daemon's callers had come, once the leader was lost. Cause: the use that a daemon reports is a moving average over 10 s that began at nothing, so after 3 s it told a quarter, and shares followed it. The average is divided by the part of its time that has passed, 2 s at least. The new test failed before (1.3 a second told for 5).

--- a/src/tarragonramp/limits/holder.py
+++ b/src/tarragonramp/limits/holder.py
@@ -17,8 +17,9 @@
 USE_INTERVAL_MS = 1400.0
 """How often a daemon tells its use; other reports leave it out."""
 
-USE_WINDOW_MS = 10_000.0
-"""Time constant of the use that a daemon reports."""
+USE_WINDOW_MS, MIN_USE_AGE_MS = 10_000.0, 2000.0
+"""Time constant of the use that a daemon reports, and the shortest time over which it
+is taken: one request just after a start is no rate yet."""
 
 
 @attrs.define(eq=False)
@@ -60,6 +61,7 @@
 class _Use:
     """Moving average of the requests of a team at one daemon."""
 
+    began_ms: float
     count: float = 0.0
     at_ms: float = 0.0
 
@@ -67,7 +69,9 @@
         self.count, self.at_ms = self._count_at(now_ms) + 1.0, now_ms
 
     def per_s(self, now_ms):
-        return self._count_at(now_ms) * 1000.0 / USE_WINDOW_MS
+        age_ms = max(MIN_USE_AGE_MS, now_ms - self.began_ms)
+        seen_share = 1.0 - math.exp(-age_ms / USE_WINDOW_MS)
+        return self._count_at(now_ms) * 1000.0 / (USE_WINDOW_MS * seen_share)
 
     def _count_at(self, now_ms):
         return self.count * math.exp(-max(0.0, now_ms - self.at_ms) / USE_WINDOW_MS)
@@ -98,7 +102,7 @@
         """Record that a caller of a team has sent a request."""
         use = self._use.get(team)
         if use is None:
-            use = self._use[team] = _Use()
+            use = self._use[team] = _Use(now_ms)
         use.note(now_ms)
 
     def try_take(self, team, cap, now_ms):
--- a/tests/test_usage_caps.py
+++ b/tests/test_usage_caps.py
@@ -412,6 +412,13 @@
         self.assertTrue(self.holder.try_take("t", self.cap, 12_900.0))
         self.assertFalse(self.holder.try_take("t", self.cap, 13_000.0))
 
+    def test_use_is_told_rightly_soon_after_the_first_request(self):
+        """Guards against small shares for callers that have just come."""
+        for i in range(15):
+            self.holder.note_request("t", i * 200.0)
+        use = self.holder.to_report(3000.0)["use"]["t"]
+        self.assertAlmostEqual(use, 5.0, delta=1.0)
+
     def test_an_earlier_dealer_is_not_heard(self):
         self.holder.note_request("t", 0.0)
         old = self.dealer.deal("d1", self.holder.to_report(0.0), 0.0, True)
