One task checks whether the callers of all pending exchanges still wait

Each exchange woke up every 50 ms with a timer, an exception and a receive of its own to look whether its caller was gone. With servers that take 600 ms that was more than half of a request's processor time. Now one task of the process looks for all of them at the same interval, and ends the wait of those whose caller has gone.

Ways: a timer for each exchange (before); one task (kept). A longer interval was not built: it would let servers work on for longer.

--- a/src/tarragonramp/adapters/http.py
+++ b/src/tarragonramp/adapters/http.py
@@ -26,6 +26,7 @@
     UnansweredError,
 )
 from ..meters import kind_of
+from .abandonment import AbandonmentWatch
 from .logs import log_event
 from .optional import optional_step
 from .parser import ResponseParser
@@ -44,14 +45,12 @@
 MAX_FRAMING_BYTES, FRAMING_BYTES_PER_BODY_BYTE = 4 * MAX_RESPONSE_HEAD_BYTES, 8
 MIN_ERROR_STATUS = 400
 
-# Interval at which a pending exchange checks whether its caller is still connected.
-# Responses that arrive sooner cost no check.
-CANCELLATION_CHECK_MS = 50.0
-
 # Servers that know these headers echo them. A value other than the one sent means that
 # the response belongs to another request.
 ECHOED_HEADERS = ("x-request-id", "tarragon-exchange")
 
+_watch = AbandonmentWatch()
+
 _TOKEN = re.compile(r"[!#$%&'*+\-.^_`|~0-9A-Za-z]+\Z")
 _VALUE = re.compile(r"[\t\x20-\x7e\x80-\xff]*\Z")
 _TARGET = re.compile(r"/[^\x00-\x20\x7f]*\Z")
@@ -480,26 +479,19 @@
 
 
 def _receive(connection, deadline_s, is_wanted):
-    """Receive bytes, polling ``is_wanted`` until they arrive.
+    """Receive bytes while the response is wanted.
 
     Raises
     ------
     AbandonedError
-        If ``is_wanted`` returns False.
+        Once ``is_wanted`` returns False.
     TimeoutError
         At the deadline.
     """
-    while True:
-        remaining_s = _remaining_s(deadline_s)
-        if is_wanted is None:
-            connection.settimeout(remaining_s)
-            return connection.recv(RECEIVE_BYTES)
-        connection.settimeout(min(remaining_s, CANCELLATION_CHECK_MS / 1000.0))
-        try:
-            return connection.recv(RECEIVE_BYTES)
-        except TimeoutError:
-            if not is_wanted():
-                raise AbandonedError("caller disconnected") from None
+    connection.settimeout(_remaining_s(deadline_s))
+    if is_wanted is None:
+        return connection.recv(RECEIVE_BYTES)
+    return _watch.receive(connection, RECEIVE_BYTES, is_wanted)
 
 
 def _joined_values(id_headers):
--- a/src/tarragonramp/roles/entry.py
+++ b/src/tarragonramp/roles/entry.py
@@ -10,7 +10,7 @@
 import gevent
 from gevent.event import Event
 
-from ..adapters.http import CANCELLATION_CHECK_MS
+from ..adapters.abandonment import CHECK_MS
 from ..adapters.web import (
     HEADERS_KEY,
     TARGET_KEY,
@@ -362,7 +362,7 @@
                     break
                 if is_current is not None and not is_current():
                     break
-                ticket_changed.wait(min(left_ms, CANCELLATION_CHECK_MS) / 1000.0)
+                ticket_changed.wait(min(left_ms, CHECK_MS) / 1000.0)
         except BaseException:
             # The greenlet is being killed; release its slot here, as nothing else does.
             if ticket.state == ADMITTED:
