Daemons on much larger VMs take over leadership first

Callers saw: requests to servers that had left, refusals after a change of leader, late answers of the leader for seconds, on the fleet of 90 daemons whose VMs differ twentyfold in link and fivefold in processor. Cause: any daemon may lead, and ten of eleven VMs have a link of 10 Mbit/s and 0.43 of a core, which the reports of 90 daemons fill; such a leader passed on a removal after 0.95 s.

A VM's capacity follows from its settings (the lesser of cores and link), and daemons tell it with their pings. A daemon beside VMs of twice its capacity waits 0.6 s longer before it takes over; while no other one is known, one with less than half of the usual capacity. Nothing changes where VMs are alike.

--- a/src/tarragonramp/fleet.py
+++ b/src/tarragonramp/fleet.py
@@ -130,8 +130,13 @@
     metrics_address : str
         Separate listen address for metrics, which are always served at the peer address
         too; empty for none.
+    capacity : float
+        How much control work this VM can take: processor cores, or the part of a link
+        that never limits it, whichever is less.
     """
 
+    USUAL_CAPACITY = 1.0
+
     name: str
     failure_domain: str
     caller_address: str
@@ -141,6 +146,7 @@
     seeds: tuple[str, ...] = ()
     bounds: FleetBounds = FleetBounds()
     metrics_address: str = ""
+    capacity: float = USUAL_CAPACITY
 
 
 @attrs.frozen
@@ -228,6 +234,7 @@
             clock,
             settings.seeds,
             LeaseTiming.from_bounds(settings.bounds),
+            settings.capacity,
         )
         requests = RequestMeter()
         options = {
--- a/src/tarragonramp/fleet_view.py
+++ b/src/tarragonramp/fleet_view.py
@@ -41,6 +41,8 @@
         Addresses of all daemons that the leader has recently heard from, by name.
     daemon_domains : dict of str to str
         Failure domains of daemons, by name, as far as known.
+    capacities : dict of str to float
+        How much control work the VMs of daemons can take, by name, as far as known.
     watchers : frozenset of str
         Names of the daemons that this daemon, as leader, has told to follow the store;
         empty if it does not lead.
@@ -58,6 +60,7 @@
     tables: dict = attrs.Factory(dict)
     daemons: dict = attrs.Factory(dict)
     daemon_domains: dict = attrs.Factory(dict)
+    capacities: dict = attrs.Factory(dict)
     watchers: frozenset = frozenset()
     manifest_known_ms: float = float("-inf")
     servers_loaded: bool = False
--- a/src/tarragonramp/leadership.py
+++ b/src/tarragonramp/leadership.py
@@ -11,10 +11,12 @@
 __all__ = [
     "CUT_OFF_DELAY_MS",
     "LATE_GRANT_MS",
+    "SMALL_DELAY_MS",
     "InheritedGrants",
     "LeaderRecord",
     "LeaseTiming",
     "LeadershipState",
+    "is_small",
 ]
 
 LATE_GRANT_MS = 15_000.0
@@ -26,6 +28,32 @@
 Another daemon may reach servers and lead at once. If none does, one still has to lead
 when the paths are back."""
 
+SMALL_DELAY_MS = 600.0
+"""How long a daemon on a small VM lets the others take over first. Longer than the
+interval at which they look whether they may.
+
+All daemons report to the leader. On a slow link or a fraction of a core its answers are
+late in a large fleet, and with them all that daemons have to know in time."""
+
+SMALL_CAPACITY, MUCH_LARGER = 0.5, 2.0
+"""Capacity below which a VM counts as small while no other one is known, and ratio from
+which another VM counts as much larger."""
+
+
+def is_small(capacity, others):
+    """Tell whether other VMs of the fleet are much fitter to lead.
+
+    Parameters
+    ----------
+    capacity : float
+        Of this VM.
+    others : collection of float
+        Of the other VMs, as far as known.
+    """
+    if not others:
+        return capacity < SMALL_CAPACITY
+    return max(others) >= MUCH_LARGER * capacity
+
 
 @attrs.frozen
 class LeaseTiming:
@@ -184,6 +212,8 @@
     record : LeaderRecord or None
     version : int
         Version of the record; 0 if there is none.
+    started_ms : float
+        When this process was started.
     """
 
     address: str
@@ -191,6 +221,7 @@
     timing: LeaseTiming
     record: object = None
     version: int = 0
+    started_ms: float = 0.0
     _changed_ms: float = 0.0
     _confirmed_ms: float = float("-inf")
     _has_given_up: bool = False
@@ -247,21 +278,23 @@
         lease_ms = self.timing.lease_ms / self.timing.drift
         return self._confirmed_ms + lease_ms - self.timing.margin_ms
 
-    def may_take_over(self, now_ms, is_cut_off=False):
+    def may_take_over(self, now_ms, is_cut_off=False, is_small=False):
         """Tell whether this daemon may replace the record by its own.
 
         If it reaches no server, only after a lease and ``CUT_OFF_DELAY_MS``. Else at
         once if there is no record, if it names no daemon, or if it names an earlier
-        process at this address, which has ended because its port is bound here.
+        process at this address, which has ended because its port is bound here. A
+        daemon on a small VM leaves the others ``SMALL_DELAY_MS`` to do so before it.
         """
         if is_cut_off:
             delay_ms = self.timing.lease_ms + CUT_OFF_DELAY_MS
             return now_ms >= self._changed_ms + delay_ms
+        delay_ms = SMALL_DELAY_MS if is_small else 0.0
         if self.record is None or not self.record.name:
-            return True
+            return now_ms >= max(self.started_ms, self._changed_ms) + delay_ms
         if self.record.address == self.address:
             return True
-        return now_ms >= self._changed_ms + self.timing.lease_ms
+        return now_ms >= self._changed_ms + self.timing.lease_ms + delay_ms
 
     def confirmed_age_ms(self, now_ms):
         """Return how long ago the store last confirmed this daemon's record."""
--- a/src/tarragonramp/roles/leadership.py
+++ b/src/tarragonramp/roles/leadership.py
@@ -16,6 +16,7 @@
     LeaderRecord,
     LeadershipState,
     LeaseTiming,
+    is_small,
 )
 from ..limits import ServerLimits
 from ..results import is_successful
@@ -146,6 +147,8 @@
         Addresses of some daemons, which may be gone; asked for the leader while the
         store does not respond.
     timing : LeaseTiming
+    capacity : float
+        How much control work this VM can take.
     inherited : InheritedGrants
         Of the leaders before this one.
     in_doubt_grants : callable
@@ -171,6 +174,7 @@
     clock: object
     seeds: tuple = ()
     timing: LeaseTiming = LeaseTiming()
+    capacity: float = 1.0
     leadership_state: LeadershipState = attrs.field(init=False)
     stopping: bool = False
     inherited: InheritedGrants = InheritedGrants()
@@ -196,9 +200,12 @@
 
     def __attrs_post_init__(self):
         """Start without a known leader."""
-        self.leadership_state = LeadershipState(self.address, self.boot_id, self.timing)
+        self.leadership_state = LeadershipState(
+            self.address, self.boot_id, self.timing, started_ms=self.clock.now_ms()
+        )
         self.view.daemons[self.name] = self.address
         self.view.daemon_domains[self.name] = self.selector.failure_domain
+        self.view.capacities[self.name] = self.capacity
 
     @property
     def leads(self):
@@ -339,6 +346,7 @@
             log_event("daemon-heard", peer=name, address=address)
         self._record_daemon(name, address)
         self.view.daemon_domains[name] = str(message.get("domain", ""))
+        self.view.capacities[name] = float(message.get("capacity", 1.0))
         self.record_reach(name, bool(message.get("cut_off")))
         self.record_clock_reading(address, message.get("clock_ms"))
         self._key_loads.add(message.get("heat", {}), self.clock.now_ms())
@@ -360,6 +368,7 @@
         if message.get("n_daemons") != len(self.view.daemons):
             answer["daemons"] = self.view.daemons
             answer["domains"] = self.view.daemon_domains
+            answer["capacities"] = self.view.capacities
         self._assign_limit_senders(now_ms)
         seen = message.get("limits_seen", ["", 0])
         change = seen[1] if seen[0] == self.boot_id else 0
@@ -554,6 +563,7 @@
                 del self._last_heard_ms[other]
                 self._clock_readings.pop(self.view.daemons.pop(other, None), None)
                 self.view.daemon_domains.pop(other, None)
+                self.view.capacities.pop(other, None)
                 self._cut_off_daemons.discard(other)
                 log_event("daemon-lost", peer=other)
 
@@ -632,11 +642,17 @@
             return False
         is_cut_off = self.monitor.is_cut_off
         if not self.stopping and self.leadership_state.may_take_over(
-            now_ms, is_cut_off
+            now_ms, is_cut_off, self._is_small()
         ):
             self._take_over()
         return True
 
+    def _is_small(self):
+        """Return whether other daemons that may be alive are much fitter to lead."""
+        daemons, capacities = self.view.daemons, self.view.capacities
+        others = [capacities.get(n, 1.0) for n in daemons if n != self.name]
+        return is_small(self.capacity, others)
+
     def _ask_seeds(self):
         """Ask for the leader while the store does not respond.
 
@@ -699,6 +715,7 @@
             "leader-taken-over",
             level=logbook.NOTICE,
             term=term,
+            capacity=self.capacity,
             before=before.name if before else "nobody",
             stopped_in_ms=round(self.inherited.stopped_ms - self.clock.now_ms()),
             in_doubt_ms=round(self.inherited.in_doubt_until_ms - self.clock.now_ms()),
@@ -775,6 +792,7 @@
             "name": self.name,
             "address": self.address,
             "domain": self.selector.failure_domain,
+            "capacity": self.capacity,
             "clock_ms": int(self.clock.now_ms()),
             "heat": self.view.key_load_recorder.drain(self.view.tables),
             "versions": self.follower.changed,
@@ -839,6 +857,9 @@
             domains = response.get("domains")
             if isinstance(domains, dict):
                 self.view.daemon_domains.update(domains)
+            capacities = response.get("capacities")
+            if isinstance(capacities, dict):
+                self.view.capacities.update(capacities)
         try:
             self.follower.apply_updates(response.get("news", {}))
             self.view.adopt_freshness(response.get("freshness"), sent_ms)
--- a/tests/test_leading.py
+++ b/tests/test_leading.py
@@ -6,9 +6,11 @@
 
 from tarragonramp.leadership import (
     CUT_OFF_DELAY_MS,
+    SMALL_DELAY_MS,
     LeaderRecord,
     LeadershipState,
     LeaseTiming,
+    is_small,
 )
 
 TIMING = LeaseTiming()
@@ -54,6 +56,24 @@
             self.assertFalse(self.leadership_state.may_take_over(end_ms - 1.0, True))
             self.assertTrue(self.leadership_state.may_take_over(end_ms, True))
 
+    def test_daemon_on_a_small_vm_takes_over_after_the_others(self):
+        """Guards against a leader whose answers are late in a large fleet."""
+        may_take_over = self.leadership_state.may_take_over
+        self.assertFalse(may_take_over(SMALL_DELAY_MS - 1.0, is_small=True))
+        self.assertTrue(may_take_over(SMALL_DELAY_MS, is_small=True))
+        self.leadership_state.observe(OTHER, 5, 1000.0)
+        end_ms = 1000.0 + TIMING.lease_ms
+        self.assertTrue(may_take_over(end_ms))
+        self.assertFalse(may_take_over(end_ms + SMALL_DELAY_MS - 1.0, is_small=True))
+        self.assertTrue(may_take_over(end_ms + SMALL_DELAY_MS, is_small=True))
+
+    def test_a_vm_is_small_beside_much_larger_ones(self):
+        self.assertTrue(is_small(0.1, []))
+        self.assertFalse(is_small(0.86, []))
+        self.assertTrue(is_small(0.1, [0.1, 2.0]))
+        self.assertFalse(is_small(0.1, [0.1, 0.1]))
+        self.assertFalse(is_small(2.0, [0.1, 2.15]))
+
     def test_moves_stop_before_another_daemon_can_take_over(self):
         """An unconfirmed leader renews grants but moves no keys."""
         self.leadership_state.confirmed(OWN, 7, 1000.0)
--- a/tests/test_platform_folder.py
+++ b/tests/test_platform_folder.py
@@ -5,6 +5,7 @@
 import os
 import re
 import sys
+import tempfile
 import unittest
 
 import gevent
@@ -26,7 +27,7 @@
 from bridge.headers import HttpDialect  # noqa: E402
 from bridge.manifest import read_manifest  # noqa: E402
 from bridge.servers import read_server  # noqa: E402
-from bridge.settings import duration_ms  # noqa: E402
+from bridge.settings import duration_ms, read_settings  # noqa: E402
 from bridge.store import MetadataStore  # noqa: E402
 
 MAX_LINES = 1000
@@ -333,6 +334,33 @@
             self.assertFalse(is_successful(result), entry)
 
 
+class CapacityTest(unittest.TestCase):
+    """How much control work a VM can take, by what its settings tell."""
+
+    def capacity(self, limits):
+        """Return the capacity read from settings with a table of limits."""
+        names = {key: "127.0.0.1:1" for key in ("front", "ready", "control")}
+        listen = "\n".join(f'{key} = "{value}"' for key, value in names.items())
+        text = (
+            f'[self]\nnode = "d1"\nzone = "x"\n{limits}\n[network.listen]\n{listen}\n'
+            '[platform.platform]\naddr = "127.0.0.1:2"\n'
+        )
+        with tempfile.NamedTemporaryFile("w", suffix=".toml") as stream:
+            stream.write(text)
+            stream.flush()
+            return read_settings(stream.name).unwrap().capacity
+
+    def test_the_scarcer_of_processor_and_link_counts(self):
+        limits = "limits = { cpuShare = 0.5, cores = 3, linkMbps = 10.0 }"
+        self.assertAlmostEqual(self.capacity(limits), 0.1)
+        limits = "limits = { cpuShare = 0.5, cores = 3, linkMbps = 1000.0 }"
+        self.assertAlmostEqual(self.capacity(limits), 1.5)
+
+    def test_settings_that_tell_nothing(self):
+        for limits in ("", "limits = 3", 'limits = { cpuShare = "x", linkMbps = -1 }'):
+            self.assertEqual(self.capacity(limits), 1.0)
+
+
 class ManifestTest(unittest.TestCase):
     """Parsing of the operators' manifest."""
 
