--- a/src/tarragonramp/roles/caps.py
+++ b/src/tarragonramp/roles/caps.py
@@ -37,7 +37,7 @@
 """How long a lender may take to answer, and for how long it is not asked again if it
 has not."""
 
-EXTRA_TOKENS = 1
+EXTRA_TOKENS = 3
 """Tokens that are borrowed beyond those needed at once, if there is room for them."""
 
 NEAR_RETRY_MS = 100.0
--- a/tests/test_usage_caps.py
+++ b/tests/test_usage_caps.py
@@ -22,6 +22,7 @@
 """How long a dealer without the store still knows that it is the only one."""
 
 LEADER_WAIT_MS, NO_LEADER_RETRY_MS, NEAR_RETRY_MS = 200.0, 1000.0, 100.0
+EXTRA_TOKENS = 3
 N_DOMAINS = 4
 
 
@@ -225,7 +226,7 @@
             if lender == name or lender in self.down or not is_reached:
                 continue
             self.n_loans += 1
-            needs = {team: 1 + min(1, holder.room(team, self.now_ms))}
+            needs = {team: 1 + min(EXTRA_TOKENS, holder.room(team, self.now_ms))}
             holder.borrow(self.holders[lender].lend(needs, self.now_ms), self.now_ms)
             if self._take(holder, team):
                 return True
