A server whose entry is missing gets requests for 1 s, not 1.4 s

The test had bounded the 1.4 s alone; it now adds the longest notice (the 0.95 s of docs/PLATFORM.md) and failed before.

--- a/src/tarragonramp/directory.py
+++ b/src/tarragonramp/directory.py
@@ -14,11 +14,12 @@
 that expired during the outage return within two seconds; the half second allows for the
 time until this daemon reads them. A server that is missing for longer has left."""
 
-MISSING_ROUTABLE_MS = 1400.0
+MISSING_ROUTABLE_MS = 1000.0
 """How long a server whose entry is missing is still sent requests. When the store
 returns and reports expired entries, a service would otherwise have no servers until
-they have registered again. Less than the two seconds after which a server that has left
-must not be sent requests."""
+they have registered again. With the time until the first daemon notices that an entry
+is gone, less than the two seconds after which a server that has left must not be sent
+requests."""
 
 
 @attrs.frozen
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -13,6 +13,9 @@
     Directory,
 )
 
+MAX_NOTICE_MS = 950.0
+"""Longest time until a daemon learns that an entry is gone, if the leader missed it."""
+
 SERVER = BackendServer("s1", 1000, "desk", "10.0.0.1:80", "a", 4)
 
 
@@ -65,7 +68,7 @@
         """
         self.directory.remove_server("s1", may_return=True)
         self.clock.advance(MISSING_ROUTABLE_MS)
-        self.assertLess(MISSING_ROUTABLE_MS, 2000.0)
+        self.assertLess(MISSING_ROUTABLE_MS + MAX_NOTICE_MS, 2000.0)
         self.assertEqual(self.usable(), set())
         self.clock.advance(RETURN_GRACE_MS)
         self.assertEqual(self.directory.drop_missing(), ["s1"])
