A record of dealt shares names its steps

A leader of this build would have read the record of an earlier one in its own, seven times finer steps, and set aside too little of each cap for twelve seconds while a fleet is being replaced. The text names the steps; one without counts in 35ths.

--- a/src/tarragonramp/limits/__init__.py
+++ b/src/tarragonramp/limits/__init__.py
@@ -6,7 +6,7 @@
 
 from .caps import CLOCK_DRIFT, MARGIN_MS, SHARE_MS, CapBounds, UsageCap
 from .cold_start import ColdStartLimiter
-from .dealer import ShareDealer
+from .dealer import PART_STEPS, ShareDealer
 from .holder import ShareHolder
 from .lenders import Lenders
 from .rates import SentRequests, divide, rank_by_hash
@@ -16,6 +16,7 @@
 __all__ = [
     "CLOCK_DRIFT",
     "MARGIN_MS",
+    "PART_STEPS",
     "SHARE_MS",
     "CapBounds",
     "ColdStartLimiter",
--- a/src/tarragonramp/limits/dealer.py
+++ b/src/tarragonramp/limits/dealer.py
@@ -18,7 +18,7 @@
     UsageCap,
 )
 
-__all__ = ["ShareDealer"]
+__all__ = ["PART_STEPS", "ShareDealer"]
 
 PROMISED_SHARE = 0.5
 """Part of its balance that a dealer leaves to a successor, until the next record."""
--- a/src/tarragonramp/roles/caps.py
+++ b/src/tarragonramp/roles/caps.py
@@ -3,6 +3,7 @@
 import base64
 import collections
 import json
+import math
 import zlib
 
 import attrs
@@ -13,6 +14,7 @@
 from ..limits import (
     CLOCK_DRIFT,
     MARGIN_MS,
+    PART_STEPS,
     SHARE_MS,
     Lenders,
     ShareDealer,
@@ -56,6 +58,9 @@
 
 OTHER_TEAMS = "(others)"
 
+UNNAMED_STEPS = 35
+"""Steps of a whole cap in a record that does not name them."""
+
 
 @attrs.frozen
 class Denial:
@@ -431,17 +436,27 @@
     if not record:
         return ""
     text = json.dumps(record, separators=(",", ":"), sort_keys=True)
-    return base64.b64encode(zlib.compress(text.encode())).decode()
+    return f"{PART_STEPS}:" + base64.b64encode(zlib.compress(text.encode())).decode()
 
 
 def _decode_record(text):
-    """Return the steps by daemon and team; none if the text is not a record."""
+    """Return the steps by daemon and team; none if the text is not a record.
+
+    Records of earlier builds do not name how many steps a whole cap has.
+    """
+    n_steps, _, body = text.rpartition(":")
     try:
-        raw = json.loads(zlib.decompress(base64.b64decode(text))) if text else {}
+        factor = PART_STEPS / int(n_steps or UNNAMED_STEPS)
+        raw = json.loads(zlib.decompress(base64.b64decode(body))) if body else {}
         return {
-            str(name): {str(team): int(steps) for team, steps in held.items()}
+            str(name): {str(team): _scaled(name, n, factor) for team, n in held.items()}
             for name, held in raw.items()
         }
     except (AttributeError, TypeError, ValueError, zlib.error) as error:
         log_event("holders-not-understood", reason=repr(error))
         return {}
+
+
+def _scaled(name, count, factor):
+    """Return a count of a record in steps of this build; promises are whole tokens."""
+    return int(count) if name == PROMISES else math.ceil(int(count) * factor)
--- a/tests/test_caps.py
+++ b/tests/test_caps.py
@@ -1,7 +1,10 @@
 """The keeper of usage caps, with other daemons and the store as small fakes."""
 
+import base64
+import json
 import types
 import unittest
+import zlib
 
 import attrs
 from returns.result import Failure, Success
@@ -11,7 +14,7 @@
 from tarragonramp.errors import UnansweredError
 from tarragonramp.fleet_view import FleetView
 from tarragonramp.leadership import InheritedGrants, LeaderRecord
-from tarragonramp.limits import CapBounds, UsageCap
+from tarragonramp.limits import PART_STEPS, CapBounds, UsageCap
 from tarragonramp.manifest import Manifest, RouteTable
 from tarragonramp.roles.caps import CapKeeper, without_promises
 
@@ -214,6 +217,16 @@
             keeper = self.keeper("d1", leader)
             self.assertIsInstance(keeper.record_to_write(), str)
 
+    def test_a_record_of_an_earlier_build_counts_at_least_as_much(self):
+        """Guards against a sum that is exceeded while a fleet is being replaced."""
+        held = {"d2": {"a": 7}, "": {"a": 40}}
+        text = base64.b64encode(zlib.compress(json.dumps(held).encode())).decode()
+        keeper = self.keeper("d3", Leader(term=2, boot_id="b2", inherited_holders=text))
+        keeper.record_to_write()
+        steps = keeper._dealer.unreported["d2"]["a"]
+        self.assertGreaterEqual(steps / PART_STEPS, 7 / 35)
+        self.assertEqual(keeper._dealer.inherited, {"a": 40})
+
     def test_counts_are_kept_for_the_largest_teams_only(self):
         for i in range(50):
             self.first.counts[f"t{i}", "sent"] = i
