Daemons on large VMs watch the store, and small ones wait longer for them

Traced: while the leader lacked the store, the eight daemons told to watch it were all on small VMs, so that only these saw that its record stood still. Three small VMs led in turn, found after 4 s that they reached no server, and resigned.

A leader now has the fittest daemon of each group watch the store, and a small VM waits 1.5 s (0.6 s) for larger ones: these may first have to wait for a ping that is not answered. The new test of the watchers failed before.

--- a/src/tarragonramp/leadership.py
+++ b/src/tarragonramp/leadership.py
@@ -28,9 +28,9 @@
 Another daemon may reach servers and lead at once. If none does, one still has to lead
 when the paths are back."""
 
-SMALL_DELAY_MS = 600.0
-"""How long a daemon on a small VM lets the others take over first. Longer than the
-interval at which they look whether they may.
+SMALL_DELAY_MS = 1500.0
+"""How long a daemon on a small VM lets the others take over first. They may have to
+wait for a ping that is not answered before they look whether they may.
 
 All daemons report to the leader. On a slow link or a fraction of a core its answers are
 late in a large fleet, and with them all that daemons have to know in time."""
--- a/src/tarragonramp/roles/leadership.py
+++ b/src/tarragonramp/roles/leadership.py
@@ -520,9 +520,15 @@
             is_starting or self.follower.hears_store
         )
         n_watchers = WATCHERS_WHEN_CUT_OFF if is_cut_off else 1
-        # Names of one failure domain are adjacent, so a step selects from each of them.
+        # Names of one failure domain are adjacent, so each group lies in one of them.
+        # Of each, the daemon fittest to lead, as a watcher may have to take over.
         step = max(1, len(others) // n_watchers)
-        self.view.watchers = frozenset(others[::step][:n_watchers])
+        groups = [others[i : i + step] for i in range(0, len(others), step)]
+        capacities = self.view.capacities
+        self.view.watchers = frozenset(
+            max(group, key=lambda name: capacities.get(name, 1.0))
+            for group in groups[:n_watchers]
+        )
         return self.view.watchers
 
     def handle_step_down(self, term, successor=""):
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -188,12 +188,25 @@
         self.appointed_watchers(names)
         self.assertEqual(len(self.appointed_watchers(names)), WATCHERS_WHEN_CUT_OFF)
 
-    def appointed_watchers(self, names):
+    def test_daemons_on_large_vms_watch_the_store(self):
+        """Guards against small VMs that are the only ones to notice a lost leader."""
+        self.one._discover_leader()
+        names = [f"e{i:02}" for i in range(80)]
+        sizes = {f"e{i:02}": 2.0 for i in range(3, 80, 10)}
+        self.appointed_watchers(names, sizes)
+        self.assertEqual(len(self.appointed_watchers(names, sizes)), 1)
+        self.one.follower.ms_until_cut_off = -1.0
+        self.appointed_watchers(names, sizes)
+        self.assertLessEqual(set(self.appointed_watchers(names, sizes)), set(sizes))
+
+    def appointed_watchers(self, names, sizes=None):
         """Return the names of daemons that the leader tells to follow the store."""
         self.one.follower.updates_since = lambda versions: {"any": {}}
         watches_by_name = {}
         for name in names * 2:
             message = {"name": name, "address": f"{name}:1", "versions": {}}
+            if sizes is not None:
+                message["capacity"] = sizes.get(name, 0.1)
             watches_by_name[name] = self.one.handle_ping(message)["watch"]
         return [name for name, watches in watches_by_name.items() if watches]
 
