What servers announce in answers is read, logged and counted

Logs could not tell whether a server that turned a request away had asked for a pause, nor whether requests reached it in that pause, nor that it had said that it leaves.

Retry-After of a server's 503 and Server-Leaving are parsed at the boundary. roles/announcements.py takes what the router had for limits, and records pauses: a line at the begin of each and one at its end, with the request that brought it; a line when a server says that it leaves; one for each malformed value. Counters: pauses, servers in one, and requests sent to a server in its pause. A header that the platform's adapter does not know is logged once, as a new announcement would otherwise go unheard again.

No decision uses any of this yet. The test of malformed limits watches the log of the module that the code moved to.

--- /dev/null
+++ b/src/tarragonramp/backoffs.py
@@ -0,0 +1,110 @@
+"""Pauses that servers ask this daemon for, without I/O.
+
+A server that turns a request away may say for how long it wants no further ones from
+the daemon that sent it. What it says binds that daemon only.
+"""
+
+import attrs
+
+__all__ = ["Backoff", "ServerBackoffs"]
+
+MAX_BACKOFF_MS = 3_600_000.0
+"""A server that asks for a longer pause by mistake would not be used again until it is
+restarted."""
+
+
+@attrs.frozen
+class Backoff:
+    """A pause that a server has asked for.
+
+    Parameters
+    ----------
+    life : int
+        Of the server; a later life has not asked for anything.
+    began_ms, until_ms : float
+    request_id : str
+        Id of the request that the server turned away first.
+    """
+
+    life: int
+    began_ms: float
+    until_ms: float
+    request_id: str
+
+
+@attrs.define(eq=False, repr=False)
+class ServerBackoffs:
+    """The pauses that this daemon has been asked for.
+
+    Parameters
+    ----------
+    n_begun : int
+        Pauses so far.
+    """
+
+    n_begun: int = 0
+    _backoffs: dict = attrs.Factory(dict)
+
+    @property
+    def are_known(self):
+        """Whether there may be any pause; without one, all servers may be sent to."""
+        return bool(self._backoffs)
+
+    def record(self, server, for_ms, request_id, now_ms):
+        """Record that a server asks for a pause from now on.
+
+        Each answer holds for itself: a shorter pause does not end one that was asked
+        for before, whichever answer arrives first.
+
+        Parameters
+        ----------
+        server : BackendServer
+        for_ms : float
+        request_id : str
+        now_ms : float
+
+        Returns
+        -------
+        has_begun : bool
+            False if the pause continues one, or if a later life of the server is known.
+        """
+        until_ms = now_ms + min(for_ms, MAX_BACKOFF_MS)
+        known = self._backoffs.get(server.name)
+        if known is not None and known.life > server.life:
+            return False
+        before = self.find(server, now_ms)
+        if before is not None:
+            until_ms = max(until_ms, before.until_ms)
+            self._backoffs[server.name] = attrs.evolve(before, until_ms=until_ms)
+            return False
+        if until_ms <= now_ms:
+            return False
+        self._backoffs[server.name] = Backoff(server.life, now_ms, until_ms, request_id)
+        self.n_begun += 1
+        return True
+
+    def find(self, server, now_ms):
+        """Return the Backoff that a server is in; None if it may be sent requests."""
+        found = self._backoffs.get(server.name)
+        if found is None or found.life != server.life or now_ms >= found.until_ms:
+            return None
+        return found
+
+    def n_active(self, now_ms):
+        """Return the number of servers that are in a pause."""
+        return sum(found.until_ms > now_ms for found in self._backoffs.values())
+
+    def take_ended(self, now_ms):
+        """Remove the pauses that have ended; return a list of names and Backoffs.
+
+        A pause is kept until its end although the server is not listed: its entry may
+        have expired during an outage of the store, and return.
+        """
+        ended = [
+            (name, found)
+            for name, found in self._backoffs.items()
+            if found.until_ms <= now_ms
+        ]
+        for name, _ in ended:
+            del self._backoffs[name]
+        return ended
--- a/src/tarragonramp/dialect.py
+++ b/src/tarragonramp/dialect.py
@@ -55,6 +55,17 @@
         names no limit, or one that is malformed.
     limit_text : str or None
         The limit as the server wrote it; None if it names none.
+    backoff_ms : float or None
+        How long the server wants no further requests from this daemon; None if it does
+        not say, or in a malformed way.
+    backoff_text : str or None
+        The pause as the server wrote it; None if it asks for none.
+    leaving : bool or None
+        Whether the server announces that it is about to stop; None if malformed.
+    leaving_text : str or None
+        The announcement as the server wrote it; None if there is none.
+    unknown_headers : tuple of str
+        Lower-case names of headers that the dialect does not know.
     """
 
     not_run: bool = False
@@ -64,6 +75,11 @@
     load: object = None
     limit_per_s: float | None = None
     limit_text: str | None = None
+    backoff_ms: float | None = None
+    backoff_text: str | None = None
+    leaving: bool | None = False
+    leaving_text: str | None = None
+    unknown_headers: tuple = ()
 
 
 class Dialect(Protocol):
--- a/src/tarragonramp/fleet.py
+++ b/src/tarragonramp/fleet.py
@@ -524,6 +524,11 @@
             "Backend servers that name a limit for their requests.",
             lambda: len(self.router.limits.limited()),
         )
+        gauge(
+            "servers.in_backoff",
+            "Backend servers that have asked this daemon to send nothing for a time.",
+            lambda: self.router.announcements.backoffs.n_active(self.clock.now_ms()),
+        )
         gauge(
             "cut_off",
             "1 if it reaches no backend server.",
@@ -558,6 +563,16 @@
             lambda: dict(self.router.monitor.failures),
             "cause",
         )
+        count(
+            "backoffs",
+            "Pauses that backend servers have asked for.",
+            lambda: self.router.announcements.backoffs.n_begun,
+        )
+        count(
+            "backoffs.requests_sent",
+            "Requests sent to backend servers in their pauses.",
+            lambda: self.router.announcements.n_sent_in_backoff,
+        )
         count(
             "delegations",
             "Requests handed to other daemons.",
--- a/src/tarragonramp/roles/router.py
+++ b/src/tarragonramp/roles/router.py
@@ -26,6 +26,7 @@
 from ..request import end_to_end_response_headers
 from ..results import is_successful
 from ..server_paths import PathMonitor
+from .announcements import Announcements
 from .owners import NO_OWNER_RETRY_S, OwnerResolver
 from .path_prober import PathProber
 from .refusals import ABANDONED_STATUS, log_refusal
@@ -122,7 +123,7 @@
     prober: PathProber = attrs.field(init=False)
     _started_ms: float = attrs.field(init=False)
     _budgets: dict = attrs.Factory(dict)
-    _unreadable_limits: dict = attrs.Factory(dict)
+    announcements: Announcements = attrs.field(init=False)
     owners: OwnerResolver = attrs.field(init=False)
     _rng: random.Random = attrs.Factory(random.Random)
 
@@ -130,6 +131,7 @@
         """Create the parts that share its view and connections."""
         self._started_ms = self.clock.now_ms()
         self.owners = OwnerResolver(self.view, self.clock)
+        self.announcements = Announcements(self.limits)
         self.prober = PathProber(
             self.monitor,
             self.view,
@@ -591,6 +593,7 @@
         pool.max_idle = min(MAX_IDLE_CONNECTIONS, share)
         self.selector.record_sent(chosen)
         self.monitor.record_sent(began_ms)
+        self.announcements.record_sent(server, began_ms)
         try:
             result = pool.exchange(
                 request.method,
@@ -621,7 +624,9 @@
         _, facts = result.unwrap()
         if is_divided and not facts.misdirected:
             self.owners.record_served(request)
-        self._record_limit(server, facts, began_ms, now_ms)
+        self.announcements.record_answer(
+            server, facts, request.request_id, began_ms, now_ms
+        )
         if facts.not_run:
             self.selector.record_shed(chosen, facts.load, now_ms)
         else:
@@ -634,28 +639,8 @@
         self.selector.retain(listed)
         self.monitor.retain(listed)
         self.limits.retain(listed)
-        for name in set(self._unreadable_limits) - set(listed):
-            del self._unreadable_limits[name]
-
-    def _record_limit(self, server, facts, sent_ms, now_ms):
-        """Record the limit that a server names in an answer, or that it names none."""
-        per_s, text = facts.limit_per_s, facts.limit_text
-        if per_s is None and text is not None:
-            if self._unreadable_limits.get(server.name) != text:
-                self._unreadable_limits[server.name] = text
-                log_event("limit-not-understood", server=server.name, value=text[:40])
-            return
-        # Another process at the address may have sent a misdirected answer.
-        is_from_server = facts.genuine or (facts.not_run and not facts.misdirected)
-        if per_s is None and not is_from_server:
-            return
-        if self.limits.record_answer(server, per_s, sent_ms, now_ms):
-            log_event(
-                "server-limit",
-                server=server.name,
-                service=server.service,
-                per_s="none" if per_s is None else per_s,
-            )
+        self.announcements.retain(listed)
+        self.announcements.tidy(self.clock.now_ms())
 
     def _waits_in_vain(self, request):
         """Return whether a request can be repeated and its server can't be heard."""
@@ -714,8 +699,9 @@
 
     def _handle_server_refusal(self, request, facts, budget):
         """Raise unless a request that a server did not run may be sent again."""
+        asked = {} if facts.backoff_ms is None else {"backoff_ms": facts.backoff_ms}
         self._log_failed_attempt(
-            request, "misdirected" if facts.misdirected else "shed"
+            request, "misdirected" if facts.misdirected else "shed", **asked
         )
         if not facts.misdirected:
             self._count_refused_work(request)
@@ -762,7 +748,7 @@
         left_ms = request.until_ms - self.clock.now_ms()
         return left_ms > self.selector.work_ms(request.route.name) / 2
 
-    def _log_failed_attempt(self, request, reason):
+    def _log_failed_attempt(self, request, reason, **inputs):
         self.counts[request.service, "try failed"] += 1
         log_event(
             "try-failed",
@@ -773,6 +759,7 @@
             tries=len(request.tried),
             left_ms=round(request.until_ms - self.clock.now_ms()),
             reason=reason,
+            **inputs,
         )
 
     def _log_missing(self, request, server, missing_ms):
--- a/tests/test_platform_folder.py
+++ b/tests/test_platform_folder.py
@@ -458,6 +458,39 @@
         for text in ("", "1", "a,b,c"):
             self.assertIsNone(facts(200, ("Upstream-Load", text)).load)
 
+    def test_pause_that_a_server_asks_for_is_parsed(self):
+        """Guards against a malformed pause that keeps a server from all requests."""
+
+        def pause(text, status=503):
+            answer = Response(status, (("Retry-After", text),), b"")
+            facts = self.dialect.read_response(answer)
+            return facts.backoff_ms, facts.backoff_text
+
+        self.assertEqual(pause("3"), (3000.0, "3"))
+        self.assertEqual(pause(" 0.25 "), (250.0, " 0.25 "))
+        self.assertEqual(pause("3", status=200), (None, None))
+        self.assertEqual(pause("3", status=429), (None, None))
+        date = "Wed, 21 Oct 2026 07:28:00 GMT"
+        for text in ("-1", "nan", "inf", "1e9", "9" * 400, "", "2;x", "3 s", date):
+            self.assertEqual(pause(text), (None, text))
+
+    def test_leaving_of_a_server_is_parsed(self):
+        def leaving(*texts):
+            headers = tuple(("Server-Leaving", text) for text in texts)
+            return self.dialect.read_response(Response(200, headers, b"")).leaving
+
+        self.assertIs(leaving(), False)
+        self.assertIs(leaving("1"), True)
+        self.assertIs(leaving(" 1 "), True)
+        for text in ("", "0", "true", "2"):
+            self.assertIsNone(leaving(text))
+
+    def test_headers_that_are_not_known_are_told(self):
+        """Guards against a new announcement of servers that nobody hears."""
+        headers = (("Upstream-Stamp", "x"), ("Server-Limit", "2"), ("Server-New", "1"))
+        facts = self.dialect.read_response(Response(200, headers, b""))
+        self.assertEqual(facts.unknown_headers, ("server-new",))
+
     def test_limit_of_a_server_is_parsed(self):
         """Guards against malformed limits that hold back all requests, or none."""
 
--- a/tests/test_router_limits.py
+++ b/tests/test_router_limits.py
@@ -154,7 +154,7 @@
         """Guards against a limit that a value without a meaning ends."""
         self.limit("p1")
         self.scripted["p1"] = [MALFORMED_LIMIT]
-        with mock.patch("tarragonramp.roles.router.log_event") as log:
+        with mock.patch("tarragonramp.roles.announcements.log_event") as log:
             for _ in range(2):
                 self.send_request("/keyed/", 7)
         self.assertIsNotNone(self.limits.limit_of(self.view.directory.servers["p1"]))
