--- a/standins/fleet_server.py
+++ b/standins/fleet_server.py
@@ -55,6 +55,10 @@
         Probability of each of these faults while its counter is above 0.
     limit : str
         Value of ``Server-Limit`` in the answers to requests; none if empty.
+    retry_after : str
+        If not empty, all requests are refused with this value of ``Retry-After``.
+    leaving : str
+        Value of ``Server-Leaving`` in all answers; none if empty.
     """
 
     shed: int = 0
@@ -70,6 +74,8 @@
     unstated: int = 0
     share: float = 1.0
     limit: str = ""
+    retry_after: str = ""
+    leaving: str = ""
 
     def consume(self, name):
         """Tell whether a fault occurs now, and decrement its counter."""
@@ -133,6 +139,11 @@
             if request_id and self.faults.limit:
                 limit = ("Server-Limit", self.faults.limit)
                 response_headers = [*response_headers, limit]
+            if self.faults.leaving:
+                leaving = ("Server-Leaving", self.faults.leaving)
+                response_headers = [*response_headers, leaving]
+                if request_id:
+                    self._record("leaving-said", request_id)
             return start_response(status, response_headers)
 
         return self._handle(environ, headers, start)
@@ -225,6 +236,10 @@
             self._record("caller", headers["request-id"], team, secret)
         if self.divided and not self._owns_key(int(key)):
             return self._not_run(start_response, 421)
+        if self.faults.retry_after:
+            pause = self.faults.retry_after
+            self._record("asked-to-wait", headers["request-id"], pause)
+            return self._not_run(start_response, 503, ("Retry-After", pause))
         if self.faults.consume("shed") or self.waiting > 4 * self.slots:
             return self._not_run(start_response, 503)
         self.waiting += 1
@@ -268,8 +283,8 @@
             return [text]
         return _reply(start_response, 200, text, headers)
 
-    def _not_run(self, start_response, status):
-        return _reply(start_response, status, b"", [("Not-Executed", "1")])
+    def _not_run(self, start_response, status, *headers):
+        return _reply(start_response, status, b"", [("Not-Executed", "1"), *headers])
 
     def entry(self, sequence):
         """Return the server's entry in the store."""
