A server that asks for a pause gets no request in it

Cause: nobody read Retry-After of a server's 503. What held requests back was the failure rate alone, which raises a server's cost by a part, decays with a half-life of 2.5 s, and holds for no owner of keys and for no fallback.

A pause belongs to one life of a server and lasts from the arrival of the answer; several count until the last end. It is a filter before all other rules of the choice, so that no fallback (all servers failing, only cold ones left, checks of limits, health checks) sees such a server. It is looked at again once a connection is open: a connection may take longer to open than the answer of another request takes to arrive. If all servers that a request may go to are in pauses, it is refused at once, without paying for a retry, with a Retry-After by the first end, spread over half of what is left. Grants are sent as before, so a pause costs no owner its keys.

--- a/src/tarragonramp/adapters/http.py
+++ b/src/tarragonramp/adapters/http.py
@@ -23,6 +23,7 @@
     KernelError,
     NoConnectionError,
     NotSentError,
+    SendRevokedError,
     UnansweredError,
 )
 from ..meters import kind_of
@@ -198,8 +199,9 @@
         Returns
         -------
         response : Success of Response, or Failure of ExchangeError
-            NotSentError if no byte was sent, and its subclass NoConnectionError if
-            ``reuse_only`` found no open connection; AbandonedError if ``is_wanted``
+            NotSentError if no byte was sent, and its subclasses NoConnectionError if
+            ``reuse_only`` found no open connection and SendRevokedError if ``may_send``
+            returned False; AbandonedError if ``is_wanted``
             returned False; otherwise UnansweredError.
         """
         # Computed first, so that a pause of this process at any later point counts
@@ -220,7 +222,8 @@
             return Failure(NotSentError(f"{self.address}: {error}"))
         if may_send is not None and not may_send():
             connection.close()
-            return Failure(NotSentError(f"{self.address}: right to send has expired"))
+            reason = f"{self.address}: right to send has expired"
+            return Failure(SendRevokedError(reason))
         if tag is not None:
             self._tags.setdefault(connection, set()).add(tag)
         history = self._histories.setdefault(connection, EchoHistory())
--- a/src/tarragonramp/backoffs.py
+++ b/src/tarragonramp/backoffs.py
@@ -4,6 +4,8 @@
 the daemon that sent it. What it says binds that daemon only.
 """
 
+import random
+
 import attrs
 
 __all__ = ["Backoff", "ServerBackoffs"]
@@ -12,6 +14,11 @@
 """A server that asks for a longer pause by mistake would not be used again until it is
 restarted."""
 
+RETURN_SPREAD = 0.5
+"""Callers that are refused during a pause come back over this fraction of what is left
+of it, after its end. If all of them came back at once, the server would ask for the
+next pause."""
+
 
 @attrs.frozen
 class Backoff:
@@ -40,9 +47,11 @@
     ----------
     n_begun : int
         Pauses so far.
+    rng : random.Random
     """
 
     n_begun: int = 0
+    rng: random.Random = attrs.Factory(random.Random)
     _backoffs: dict = attrs.Factory(dict)
 
     @property
@@ -90,6 +99,27 @@
             return None
         return found
 
+    def without_paused(self, servers, now_ms):
+        """Return a list of those servers that may be sent requests."""
+        return [server for server in servers if self.find(server, now_ms) is None]
+
+    def first_to_end(self, servers, now_ms):
+        """Return the server whose pause ends first, and its Backoff.
+
+        Parameters
+        ----------
+        servers : sequence of BackendServer
+            At least one, all of them in a pause.
+        now_ms : float
+        """
+        pauses = [(server, self.find(server, now_ms)) for server in servers]
+        return min(pauses, key=lambda pair: pair[1].until_ms)
+
+    def retry_after_ms(self, backoff, now_ms):
+        """Return when a caller should retry that was refused because of a pause."""
+        left_ms = backoff.until_ms - now_ms
+        return left_ms * (1.0 + RETURN_SPREAD * self.rng.random())
+
     def n_active(self, now_ms):
         """Return the number of servers that are in a pause."""
         return sum(found.until_ms > now_ms for found in self._backoffs.values())
--- a/src/tarragonramp/errors.py
+++ b/src/tarragonramp/errors.py
@@ -26,6 +26,7 @@
     "PlatformNotSentError",
     "PlatformUnreachableError",
     "RequestError",
+    "SendRevokedError",
     "SettingsError",
     "TarragonError",
     "TeamError",
@@ -84,6 +85,10 @@
     """No connection was open, and opening one was not allowed."""
 
 
+class SendRevokedError(NotSentError):
+    """The request was no longer to be sent once a connection was open."""
+
+
 class UnansweredError(ExchangeError):
     """The request may have been sent, but no complete response was received.
 
--- a/src/tarragonramp/roles/owners.py
+++ b/src/tarragonramp/roles/owners.py
@@ -71,6 +71,10 @@
                 raise self._refusal(request, "key is on its way")
             self.view.wait(min(left_ms, 50.0))
 
+    def current(self, request):
+        """Return the server that the keys of a request are assigned to, or None."""
+        return self._server_of(self._range_of(request))
+
     def may_repeat(self, request):
         """Return whether a request that its owner has refused may be sent once more.
 
--- a/src/tarragonramp/roles/path_prober.py
+++ b/src/tarragonramp/roles/path_prober.py
@@ -10,6 +10,7 @@
 from gevent.event import Event
 
 from ..adapters.logs import log_event
+from ..backoffs import ServerBackoffs
 from ..errors import UnansweredError
 from ..limits import ServerLimits
 from ..results import is_successful
@@ -52,6 +53,8 @@
         Knows this daemon's failure domain, and what other daemons have in flight.
     limits : ServerLimits
         Servers with limits are not checked while there are enough others.
+    backoffs : ServerBackoffs
+        Servers that have asked this daemon to wait are not checked.
     """
 
     monitor: object
@@ -60,6 +63,7 @@
     clock: object
     selector: object
     limits: ServerLimits = attrs.Factory(ServerLimits)
+    backoffs: ServerBackoffs = attrs.Factory(ServerBackoffs)
     _check_ended: object = None
     _suspicion: Event = attrs.Factory(Event)
     _rng: random.Random = attrs.Factory(random.Random)
@@ -133,6 +137,7 @@
     def _pick_targets(self):
         directory = self.view.directory
         usable = [s for s in directory.servers.values() if directory.may_serve(s)]
+        usable = self.backoffs.without_paused(usable, self.clock.now_ms())
         servers = directory.warm(usable) or usable
         unlimited = [s for s in servers if self.limits.limit_of(s) is None]
         if len(unlimited) >= N_TARGETS:
--- a/src/tarragonramp/roles/router.py
+++ b/src/tarragonramp/roles/router.py
@@ -20,7 +20,7 @@
 from ..balancing import Rejection, Requirements
 from ..connections import connection_share, may_connect
 from ..directory import BackendServer
-from ..errors import AbandonedError, NotSentError, RequestError
+from ..errors import AbandonedError, NotSentError, RequestError, SendRevokedError
 from ..limits import ServerLimits, WindowedRetryBudget
 from ..meters import ANSWERED, NOT_RUN, UNKNOWN, RequestTimes
 from ..request import end_to_end_response_headers
@@ -139,6 +139,7 @@
             self.clock,
             self.selector,
             self.limits,
+            self.announcements.backoffs,
         )
 
     def __call__(self, environ, start_response):
@@ -527,8 +528,9 @@
         """
         directory = self.view.directory
         servers = directory.usable(request.service)
-        untried_servers = [s for s in servers if s.name not in request.tried]
-        connectable = self._with_free_connection(request.service, untried_servers)
+        untried_servers = self._other_servers(request)
+        open_servers = self._without_paused(request, untried_servers)
+        connectable = self._with_free_connection(request.service, open_servers)
         warm = directory.warm(connectable)
         if not servers:
             reason = "service has no servers"
@@ -544,10 +546,37 @@
         if request.key is None:
             raise RequestError(400, NOT_RUN, "the request carries no key")
         server = self.owners.find(request)
+        self._without_paused(request, [server])
         if not self._with_free_connection(server.service, [server]):
             raise request.retryable_refusal("no connection left", NO_CONNECTION_RETRY_S)
         return server
 
+    def _without_paused(self, request, servers):
+        """Return those servers that have not asked this daemon to wait.
+
+        Raises
+        ------
+        RequestError
+            If all of them have. No other rule may fall back to one of them.
+        """
+        backoffs, now_ms = self.announcements.backoffs, self.clock.now_ms()
+        if not backoffs.are_known:
+            return servers
+        found = backoffs.without_paused(servers, now_ms)
+        if found or not servers:
+            return found
+        self._count_refused_work(request)
+        server, backoff = backoffs.first_to_end(servers, now_ms)
+        raise request.retryable_refusal(
+            "servers have asked to wait",
+            backoffs.retry_after_ms(backoff, now_ms) / 1000.0,
+            rule="backoff",
+            server=server.name,
+            backoff_left_ms=round(backoff.until_ms - now_ms),
+            asked_by=backoff.request_id,
+            paused_servers=len(servers),
+        )
+
     def _with_free_connection(self, service, servers):
         """Return those of a service's servers that may get one more request."""
         limit, n_daemons = self.view.service(service).connections, self._n_daemons()
@@ -602,6 +631,7 @@
                 request.body,
                 left_ms,
                 lambda: request.is_wanted() and not self._waits_in_vain(request),
+                may_send=lambda: self._may_still_send(server),
             )
         except BaseException:
             self.selector.record_cancellation(chosen)
@@ -633,6 +663,14 @@
             self.selector.record_response(chosen, took_ms, facts.load, now_ms)
         return result, took_ms
 
+    def _may_still_send(self, server):
+        """Return whether a server may be sent a request once its connection is open.
+
+        Opening one may take longer than the answer that asks this daemon to wait.
+        """
+        now_ms = self.clock.now_ms()
+        return self.announcements.backoffs.find(server, now_ms) is None
+
     def forget_servers(self):
         """Discard what is kept of servers that are not listed any more."""
         listed = self.view.directory.servers
@@ -652,6 +690,9 @@
         )
 
     def _record_failure(self, request, chosen, error, now_ms):
+        if isinstance(error, SendRevokedError):
+            self.selector.record_cancellation(chosen)
+            return
         if not isinstance(error, AbandonedError):
             self.monitor.record_failure(error)
             self.prober.suspect()
@@ -705,6 +746,9 @@
         )
         if not facts.misdirected:
             self._count_refused_work(request)
+        if facts.backoff_ms is not None:
+            # Raised before a retry is paid for that no server would take.
+            self._without_paused(request, self._other_servers(request))
         may_repeat = len(request.tried) <= request.route.attempts
         if facts.misdirected and self.view.service(request.service).divided:
             may_repeat = self.owners.may_repeat(request) and may_repeat
@@ -712,6 +756,14 @@
             reason = "owner changes" if facts.misdirected else "server is busy"
             raise request.retryable_refusal(reason, REFUSED_RETRY_S)
 
+    def _other_servers(self, request):
+        """Return the servers that a retry may go to, whatever their load."""
+        if self.view.service(request.service).divided:
+            owner = self.owners.current(request)
+            return [] if owner is None else [owner]
+        servers = self.view.directory.usable(request.service)
+        return [server for server in servers if server.name not in request.tried]
+
     def _handle_failure(self, request, chosen, error, budget):
         """Raise unless a request may be sent again after a failed exchange.
 
@@ -721,6 +773,10 @@
         """
         if isinstance(error, AbandonedError) and not request.is_wanted():
             raise RequestError(ABANDONED_STATUS, UNKNOWN, "caller has gone")
+        if isinstance(error, SendRevokedError):
+            self._log_failed_attempt(request, "server asked to wait")
+            request.tried.pop()
+            return
         gave_up = isinstance(error, AbandonedError)
         self._log_failed_attempt(
             request, "no server answers" if gave_up else str(error)
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -14,7 +14,12 @@
 from tarragonramp.delegation import Delegation
 from tarragonramp.dialect import RequestFacts, ResponseFacts
 from tarragonramp.directory import BackendServer
-from tarragonramp.errors import NotSentError, RequestError, UnansweredError
+from tarragonramp.errors import (
+    NotSentError,
+    RequestError,
+    SendRevokedError,
+    UnansweredError,
+)
 from tarragonramp.fleet import FleetBounds
 from tarragonramp.fleet_view import FleetView
 from tarragonramp.limits import ColdStartLimiter, ServerLimits
@@ -42,6 +47,8 @@
 LIMITED = Success(Response(200, (("Mark", "1"), ("Limit", "0.5")), b"whole"))
 LIMITED_SHED = Success(Response(503, (("Shed", "1"), ("Limit", "0.5")), b""))
 MALFORMED_LIMIT = Success(Response(200, (("Mark", "1"), ("Limit", "x")), b"whole"))
+PAUSED = Success(Response(503, (("Shed", "1"), ("Pause-Ms", "60000")), b""))
+LEAVING = Success(Response(200, (("Mark", "1"), ("Leaving", "1")), b"whole"))
 UNANSWERED = Failure(UnansweredError("connection closed"))
 UNREACHABLE = Failure(NotSentError("timed out"))
 
@@ -74,7 +81,7 @@
 
     def read_response(self, answer):
         """Return the facts of a server's response."""
-        limit = answer.header("Limit")
+        limit, pause = answer.header("Limit"), answer.header("Pause-Ms")
         return ResponseFacts(
             not_run=bool(answer.header("Shed")),
             implies_not_run=answer.status == 503,
@@ -82,6 +89,8 @@
             genuine=bool(answer.header("Mark")),
             limit_per_s=float(limit) if limit not in ("", "x") else None,
             limit_text=answer.header("Limit", None),
+            backoff_ms=float(pause) if pause else None,
+            leaving=bool(answer.header("Leaving")),
         )
 
     def refusal_headers(self, request_id, retry_after_s):
@@ -138,7 +147,7 @@
         ):
             server = BackendServer(name, 1, service, f"{name}:80", "a", 3)
             self.view.directory.upsert(server)
-        self.scripted, self.sent = {}, []
+        self.scripted, self.sent, self.while_connecting = {}, [], {}
         pools = types.SimpleNamespace(at=self.pool_at)
         self.router = Router(
             self.view,
@@ -159,6 +168,7 @@
             for _ in range(N_EARLIER_REQUESTS):
                 self.router._budget(service).earn()
         self.delegated, self.delegated_response = [], None
+        self.path_prober = self.router.prober
         self.router.prober = types.SimpleNamespace(
             confirm_cut_off=lambda: self.router.monitor.is_cut_off,
             suspect=lambda: None,
@@ -184,7 +194,11 @@
         """Return a stand-in for the connections to a server."""
         name = address.partition(":")[0]
 
-        def exchange(method, target, headers, body, timeout_ms, is_wanted):
+        def exchange(method, target, headers, body, timeout_ms, is_wanted, may_send):
+            if name in self.while_connecting:
+                self.while_connecting.pop(name)()
+            if not may_send():
+                return Failure(SendRevokedError("server asked to wait"))
             self.sent.append(name)
             answers = self.scripted.get(name) or self.scripted.get("all") or [OK]
             return answers.pop(0) if len(answers) > 1 else answers[0]
