Soak: servers ask for pauses and say that they leave

Seeds from 9,000,000 on: servers turn all requests away and ask for pauses of 0.3 to 10 s, in series and at several of them, with the leader killed, frozen or stopped meanwhile; servers say that they leave while their entries stay ready, at times with the store away, and are restarted. Two checks, from what servers have seen: no more than two requests of a daemon in a pause, none later than the drain time after an answer that announced leaving. Plans of earlier seeds are unchanged.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -6,6 +6,7 @@
 
 from tarragonramp.limits import CapBounds
 
+from .announcements import late_after_leaving, sent_in_pauses
 from .plan import DAEMONS
 
 __all__ = ["Outcome", "Probe", "RunRecord", "find_violations"]
@@ -166,6 +167,10 @@
         "limits of servers": _beyond_limits(run),
         "teams and keys at servers": _wrong_callers(run),
         "usage cap": _beyond_cap(run),
+        "pauses of servers": sent_in_pauses(run, _disturbances, _overlaps),
+        "servers that say they leave": late_after_leaving(
+            run, _disturbances, _overlaps
+        ),
     }
 
 
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -9,6 +9,7 @@
     "DAEMONS",
     "DOMAINS",
     "ENTRY_KINDS",
+    "FIRST_ANNOUNCEMENT_SEED",
     "FIRST_COPY_SEED",
     "FIRST_CUT_SEED",
     "FIRST_ENTRY_SEED",
@@ -18,6 +19,7 @@
     "FIRST_STOP_SEED",
     "FIRST_TEAM_SEED",
     "LIMITS",
+    "PAUSES",
     "REFUSALS",
     "SERVERS",
     "FaultEvent",
@@ -66,6 +68,15 @@
 """First seed whose runs have teams with API keys, and whose plans also add and take
 away keys, and lower and raise a usage cap."""
 
+FIRST_ANNOUNCEMENT_SEED = 9_000_000
+"""First seed whose plans also have servers ask for pauses, and say that they leave."""
+
+PAUSES = ("0.3", "1", "2.5", "5", "10", "soon", "-1")
+"""Pauses in seconds that servers ask for; the last two are malformed."""
+
+PAUSE_WEIGHTS = (4, 4, 4, 1, 1, 1, 1)
+"""With many long pauses hardly any request would reach a server."""
+
 TEAM_CHANGES = ("low cap", "high cap", "key taken away", "key added")
 
 LIMITS = ("0.5", "2.8", "4", "20", "none", "-1")
@@ -179,9 +190,48 @@
         events = sorted([*events, *_limits(rng, run_ms)], key=lambda e: e.at_ms)
     if seed >= FIRST_TEAM_SEED:
         events = sorted([*events, *_team_changes(rng, run_ms)], key=lambda e: e.at_ms)
+    if seed >= FIRST_ANNOUNCEMENT_SEED:
+        added = [*_pauses(rng, run_ms), *_announced_leaves(rng, run_ms)]
+        events = sorted([*events, *added], key=lambda e: e.at_ms)
     return [event for event in events if event.at_ms < run_ms]
 
 
+def _pauses(rng, run_ms):
+    """Return pauses that servers ask for, in series, at one server or several."""
+    events, at_ms = [], rng.uniform(500.0, 2000.0)
+    while at_ms + MAX_DURATION_MS < run_ms:
+        service = rng.choice(("desk", "parts"))
+        servers = [name for name, (own, _) in SERVERS.items() if own == service]
+        for name in rng.sample(servers, rng.choice((1, 1, 1, 2, len(servers)))):
+            lasts_ms = rng.uniform(200.0, MAX_DURATION_MS)
+            [pause] = rng.choices(PAUSES, PAUSE_WEIGHTS)
+            events.append(
+                FaultEvent(at_ms, "misbehave", name, lasts_ms, "retry_after", pause)
+            )
+        if rng.random() < 0.3:
+            kind = rng.choice(("kill", "freeze", "stop"))
+            begin_ms = at_ms + rng.uniform(0.0, 1500.0)
+            events.append(
+                FaultEvent(begin_ms, kind, "leader", rng.uniform(300.0, 2000))
+            )
+        at_ms += rng.uniform(1000.0, 6000.0)
+    return events
+
+
+def _announced_leaves(rng, run_ms):
+    """Return servers that say that they leave, with the store away at times."""
+    events, at_ms = [], rng.uniform(500.0, 4000.0)
+    while at_ms + MAX_DURATION_MS < run_ms:
+        name = rng.choice(list(SERVERS))
+        lasts_ms = rng.uniform(2500.0, MAX_DURATION_MS)
+        events.append(FaultEvent(at_ms, "announce-leaving", name, lasts_ms))
+        if rng.random() < 0.4:
+            begin_ms = at_ms + rng.uniform(-1000.0, 1000.0)
+            events.append(FaultEvent(begin_ms, "store", "store", lasts_ms, "down"))
+        at_ms += rng.uniform(2000.0, 7000.0)
+    return events
+
+
 def _team_changes(rng, run_ms):
     """Return changes of teams, at times several in quick succession."""
     events, at_ms = [], rng.uniform(1000.0, 3000.0)
--- a/soak/run.py
+++ b/soak/run.py
@@ -33,6 +33,7 @@
 from .checks import Outcome, Probe, RunRecord, find_violations  # noqa: E402
 from .plan import (  # noqa: E402
     DAEMONS,
+    FIRST_ANNOUNCEMENT_SEED,
     FIRST_COPY_SEED,
     FIRST_OUTAGE_SEED,
     FIRST_STOP_SEED,
@@ -263,6 +264,18 @@
             self._kill(event, 0.5)
             self._restart(event.name)
 
+    def _announce_leaving(self, event, duration_s):
+        """Have a server say in all answers that it leaves, then restart it."""
+        if not self._is_up(event.name):
+            return
+        process = self.site.processes[event.name]
+        said = attrs.evolve(event, detail="leaving")
+        self._set_server_fault(process, said, "1")
+        gevent.sleep(duration_s)
+        if self.site.processes[event.name] is process:
+            self._kill(event, 0.5)
+            self._restart(event.name)
+
     def _restart(self, name):
         # Starting a process lets other greenlets run before it is registered.
         with self.start_locks[name]:
@@ -308,8 +321,8 @@
         if process.poll() is not None:
             return
         faults = {event.detail: count}
-        if event.detail == "limit":
-            faults = {"limit": event.target if count else ""}
+        if event.detail in ("limit", "retry_after"):
+            faults = {event.detail: event.target if count else ""}
         elif self.seed >= FIRST_COPY_SEED:
             faults["share"] = FAULTY_SHARE
         body = json.dumps(faults).encode()
@@ -560,7 +573,9 @@
     length_s : float
         Duration of the faults in each run, in seconds.
     """
-    fresh_seeds = (FIRST_TEAM_SEED + secrets.randbelow(1_000_000) for _ in range(fresh))
+    fresh_seeds = (
+        FIRST_ANNOUNCEMENT_SEED + secrets.randbelow(1_000_000) for _ in range(fresh)
+    )
     chosen = [*seeds, *fresh_seeds]
     return sum(not run_seed(seed, length_s) for seed in chosen or regression_seeds())
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -20,6 +20,7 @@
     COPY_FAULTS,
     DAEMONS,
     ENTRY_KINDS,
+    FIRST_ANNOUNCEMENT_SEED,
     FIRST_COPY_SEED,
     FIRST_CUT_SEED,
     FIRST_ENTRY_SEED,
@@ -28,6 +29,7 @@
     FIRST_STOP_SEED,
     FIRST_TEAM_SEED,
     LIMITS,
+    PAUSES,
     REFUSALS,
     SERVERS,
     TEAM_CHANGES,
@@ -89,6 +91,54 @@
         self.assertEqual(violated_checks(other), ["limits of servers"])
         self.assertEqual(violated_checks(late), ["limits of servers"])
 
+    def announcement_run(self, arrivals_ms, *entries, **changes):
+        """Return a run with arrivals at one server, and what that has announced."""
+        outcomes, all_entries = [], list(entries)
+        for number, at_ms in enumerate(arrivals_ms):
+            request_id = f"r{number}"
+            all_entries.append(("desk0", 1, "arrival", at_ms, request_id, ""))
+            found = outcome(request_id, "PUT", status=503)
+            times = {"sent_ms": at_ms - 1.0, "answered_ms": at_ms + 5.0}
+            outcomes.append(attrs.evolve(found, daemon="d1", **times))
+        return RunRecord(
+            [*outcomes, *changes.pop("outcomes", ())], all_entries, **changes
+        )
+
+    def test_requests_in_a_pause(self):
+        def violated(arrivals_ms, text="3", **changes):
+            asked = ("desk0", 1, "asked-to-wait", 5000.0, "r0", text)
+            return violated_checks(
+                self.announcement_run([5000.0, *arrivals_ms], asked, **changes)
+            )
+
+        in_pause = [6000.0, 7000.0, 7990.0]
+        self.assertEqual(violated(in_pause), ["pauses of servers"])
+        self.assertEqual(violated(in_pause[:2]), [])
+        self.assertEqual(violated([5100.0, 5400.0, 8010.0, 8020.0]), [])
+        self.assertEqual(violated(in_pause, text="soon"), [])
+        self.assertEqual(violated(in_pause, unplanned=[("d1", 6000.0, 6100.0)]), [])
+        for changes in (
+            {"unplanned": [("d2", 6000.0, 6100.0)]},
+            {"store_faults": [(0.0, 9000.0)]},
+            {"link_faults": [("desk1", 0.0, 9000.0)]},
+        ):
+            self.assertEqual(violated(in_pause, **changes), ["pauses of servers"])
+
+    def test_requests_to_a_server_that_said_that_it_leaves(self):
+        told = attrs.evolve(outcome("told", "GET", status=200, body=b""), daemon="d1")
+        told = attrs.evolve(told, sent_ms=900.0, answered_ms=1000.0)
+
+        def violated(at_ms, outcomes=(told,), **changes):
+            said = ("desk0", 1, "leaving-said", 990.0, "told")
+            run = self.announcement_run([at_ms], said, outcomes=outcomes, **changes)
+            return "servers that say they leave" in violated_checks(run)
+
+        self.assertTrue(violated(3002.0))
+        self.assertFalse(violated(2990.0))
+        self.assertFalse(violated(3002.0, outcomes=[attrs.evolve(told, daemon="d2")]))
+        self.assertFalse(violated(3002.0, outages=[("d1", 2000.0, 2100.0)]))
+        self.assertTrue(violated(3002.0, store_faults=[(0.0, 9000.0)]))
+
     def team_run(self, n_requests, gap_ms, team="capped", secret=None):
         """Return a run in which requests of the capped team reach a server."""
         teams, entries = {}, []
@@ -360,6 +410,18 @@
         self.assertLessEqual({*LIMITS, 1, 4}, set(found))
         self.assertGreater(found["lasting"], 5)
 
+    def test_servers_ask_for_pauses_and_say_that_they_leave(self):
+        """Guards against a soak that speaks none of what servers may announce."""
+        found = collections.Counter()
+        for seed in range(FIRST_ANNOUNCEMENT_SEED, FIRST_ANNOUNCEMENT_SEED + 20):
+            plan = generate_plan(seed, 30_000.0)
+            pauses = [e for e in plan if e.detail == "retry_after"]
+            found.update(event.target for event in pauses)
+            found.update(collections.Counter(e.at_ms for e in pauses).values())
+            self.assertTrue(pauses, seed)
+            self.assertIn("announce-leaving", {event.kind for event in plan})
+        self.assertLessEqual({*PAUSES, 1, 4}, set(found))
+
     def test_teams_change(self):
         for seed in range(FIRST_TEAM_SEED, FIRST_TEAM_SEED + 5):
             plan = generate_plan(seed, 30_000.0)
