A server's error counts as a failure, not as a fast answer

What callers saw: errors of a server that fails part of its requests early, far more of them than its share.

Cause: only answers that said "not run" counted as failures; one with status 500 was taken for an answer, and as it came early its server looked like the fastest one, and got more requests.

An error counts as a failure, and its time only if it is longer than usual, as at the time limit, so that keys still leave owners that are too slow. It no longer changes what is known of the usual time of its route.

Evidence: in tests.test_balancing two of twelve servers fail half of their requests in a third of the usual time.

--- a/src/tarragonramp/balancing.py
+++ b/src/tarragonramp/balancing.py
@@ -277,10 +277,7 @@
         route = selection.route
         stats = self._record_end(selection, report, now_ms)
         slowdown = stats.typical_slowdown(now_ms)
-        # Queueing and processing time can't be measured separately, so both are
-        # assumed to have been misestimated by the same factor.
-        expected_ms = max(1.0, selection.wait_ms + self.work_ms(route) * slowdown)
-        stats.note_answer(took_ms / expected_ms, now_ms)
+        stats.note_answer(took_ms / self._usual_ms(selection, slowdown), now_ms)
         if not selection.wait_ms:
             usual_ms = self._work_ms.get(route, took_ms)
             normalized_ms = took_ms / slowdown
@@ -288,6 +285,16 @@
                 normalized_ms - usual_ms
             )
 
+    def record_error(self, selection, took_ms, report, now_ms):
+        """Record a response with which the server reports an error of its own.
+
+        A server that fails some requests early would otherwise look like the fastest
+        one, and get more of them. The parameters are those of :meth:`record_response`.
+        """
+        stats = self._record_end(selection, report, now_ms)
+        usual_ms = self._usual_ms(selection, stats.typical_slowdown(now_ms))
+        stats.note_error(took_ms / usual_ms, now_ms)
+
     def record_shed(self, selection, report, now_ms):
         """Record that a server rejected a request without executing it."""
         stats = self._record_end(selection, report, now_ms)
@@ -385,6 +392,15 @@
         retry_s = max(wait_ms, work_ms / 2) * (0.5 + self.rng.random()) / 1000.0
         return min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, retry_s))
 
+    def _usual_ms(self, selection, slowdown):
+        """Return the time that the response of a selected server usually takes.
+
+        Queueing and processing time can't be measured separately, so both are assumed
+        to have been misestimated by the same factor.
+        """
+        work_ms = self.work_ms(selection.route) * slowdown
+        return max(1.0, selection.wait_ms + work_ms)
+
     def _stats_of(self, name):
         stats = self._stats.get(name)
         if stats is None:
--- a/src/tarragonramp/roles/router.py
+++ b/src/tarragonramp/roles/router.py
@@ -651,7 +651,7 @@
         result = result.map(
             lambda response: (response, self.dialect.read_response(response))
         )
-        _, facts = result.unwrap()
+        response, facts = result.unwrap()
         if is_divided and not facts.misdirected:
             self.owners.record_served(request)
         self.announcements.record_answer(
@@ -659,6 +659,8 @@
         )
         if facts.not_run:
             self.selector.record_shed(chosen, facts.load, now_ms)
+        elif response.status >= MIN_SERVER_ERROR_STATUS:
+            self.selector.record_error(chosen, took_ms, facts.load, now_ms)
         else:
             self.selector.record_response(chosen, took_ms, facts.load, now_ms)
         return result, took_ms
--- a/src/tarragonramp/server_stats.py
+++ b/src/tarragonramp/server_stats.py
@@ -137,6 +137,14 @@
         self.slowdown = min(20.0, max(0.1, slowdown))
         self.updated_ms = now_ms
 
+    def note_error(self, ratio, now_ms):
+        """Record a response that reports an error, given the ratio as for an answer.
+
+        An error that comes early does not show that the server is fast.
+        """
+        self.note_answer(max(1.0, ratio), now_ms)
+        self.note_failure(now_ms)
+
     def note_failure(self, now_ms):
         """Record that a request failed or was not executed."""
         failures = self.failure_rate(now_ms)
--- a/tests/test_balancing.py
+++ b/tests/test_balancing.py
@@ -15,6 +15,8 @@
 from tarragonramp.server_stats import LoadReport
 
 TARGET_MS, LIMIT_MS = 600.0, 1500.0
+ERROR_WORK = 0.3
+"""Time until an error, as a fraction of the time until a result."""
 
 
 def server(i, domain="a", slots=3):
@@ -35,6 +37,7 @@
         ]
         self.free_at = {s.name: [0.0] * s.slots for s in servers}
         self.events, self.latencies_ms, self.refused = [], [], []
+        self.error_shares, self.n_errors = {}, 0
 
     def run(self, per_s, for_s, requirements=None):
         """Let callers arrive at random; return the share answered within the target."""
@@ -56,20 +59,30 @@
             return
         name = choice.server.name
         work_ms = self.work_ms * self.slowdowns[name] * self.rng.uniform(0.5, 1.5)
+        fails = (
+            name in self.error_shares and self.rng.random() < self.error_shares[name]
+        )
+        if fails:
+            work_ms *= ERROR_WORK
         slots = self.free_at[name]
         start_ms = max(now_ms, heapq.heappop(slots))
         heapq.heappush(slots, start_ms + work_ms)
         daemon.record_sent(choice)
         heapq.heappush(
-            self.events, (start_ms + work_ms, self.rng.random(), daemon, choice, now_ms)
+            self.events,
+            (start_ms + work_ms, self.rng.random(), daemon, choice, now_ms, fails),
         )
 
     def _finish(self, until_ms):
         while self.events and self.events[0][0] <= until_ms:
-            at_ms, _, daemon, choice, sent_ms = heapq.heappop(self.events)
+            at_ms, _, daemon, choice, sent_ms, fails = heapq.heappop(self.events)
             busy = [end for end in self.free_at[choice.server.name] if end > at_ms]
             here = sum(e[3].server is choice.server for e in self.events)
             report = LoadReport(len(busy), max(0, here - len(busy)), 3)
+            if fails:
+                self.n_errors += 1
+                daemon.record_error(choice, at_ms - sent_ms, report, at_ms)
+                continue
             daemon.record_response(choice, at_ms - sent_ms, report, at_ms)
             self.latencies_ms.append(at_ms - sent_ms)
 
@@ -205,6 +218,25 @@
         }
         self.assertEqual(chosen, {"s1"})
 
+    def test_fast_errors_do_not_make_a_server_look_fast(self):
+        """Guards against a failing server that gets more requests than any other."""
+        play = self.simulation()
+        play.error_shares = {"s0": 0.5, "s1": 0.5}
+        play.run(60.0, 60)
+        n_calls = len(play.latencies_ms) + play.n_errors
+        # The two servers fail half of what they get; with an equal share 0.083.
+        self.assertLess(play.n_errors / n_calls, 0.5 * 0.083)
+
+    def test_long_errors_make_a_server_look_slow(self):
+        """Guards against keys that move to an owner whose requests time out."""
+        play = self.simulation()
+        choice = play.daemons[0].select(play.servers, Requirements("r", 1e3, 1e3), 0.0)
+        name = choice.server.name
+        for at_ms in range(0, 1000, 100):
+            play.daemons[0].record_sent(choice)
+            play.daemons[0].record_error(choice, 1200.0, None, float(at_ms))
+        self.assertGreater(play.daemons[0].slowdown(name, 1000.0), 2.0)
+
     def test_short_slowdown_rejects_no_request(self):
         """An owner is three times slower for some tenths of a second.
 
--- a/tests/test_router_backoffs.py
+++ b/tests/test_router_backoffs.py
@@ -12,6 +12,7 @@
     LIMITED,
     OK,
     PAUSED,
+    SERVER_ERROR,
     SHED,
     UNANSWERED,
     RouterTestCase,
@@ -171,6 +172,13 @@
             self.assertEqual(self.send_request("/safe/")[0], 200)
         self.assertNotIn("s1", self.sent)
 
+    def test_answer_with_an_error_counts_as_a_failure_of_its_server(self):
+        """Guards against a server that fails early and looks like the fastest one."""
+        self.scripted["p1"] = [SERVER_ERROR]
+        self.send_request("/keyed/", 7)
+        now_ms = self.clock.now_ms()
+        self.assertGreater(self.router.selector._stats_of("p1").failure_rate(now_ms), 0)
+
     def test_rejection_without_a_pause_is_retried_as_before(self):
         self.scripted["all"] = [SHED, OK]
         self.assertEqual(self.send_request("/safe/")[0], 200)
