Soak: half of the seeds with pauses have no limits

Requests for a limited server may be sent by another daemon than the caller's, so the check of pauses leaves such servers out, and with limits in most plans it checked hardly any pause. It now leaves a server out only for 10 s after it has named a limit.

--- a/soak/announcements.py
+++ b/soak/announcements.py
@@ -15,12 +15,15 @@
 CONTACT_MS = 3000.0
 """Links to a server that were faulty up to this long before may delay its answers."""
 
+LIMIT_KNOWN_MS = 10_000.0
+"""How long after a server has named a limit daemons may still hand requests over."""
+
 
 def sent_in_pauses(run, disturbances, overlaps):
     """Return the pauses in which a daemon sent a server too many requests.
 
-    Servers that name limits are left out: requests for them may be sent by another
-    daemon than the one that the caller is connected to.
+    Servers that have lately named limits are left out: requests for them may be sent by
+    another daemon than the one that the caller is connected to.
 
     Parameters
     ----------
@@ -31,19 +34,22 @@
         Tells whether any of some spans overlaps a time.
     """
     daemons = {outcome.request_id: outcome.daemon for outcome in run.outcomes}
-    arrivals, pauses, limited = collections.defaultdict(list), [], set()
+    arrivals, pauses, limited = collections.defaultdict(list), [], []
     for server, life, event, at_ms, *details in run.entries:
         if event == "arrival":
             arrivals[server, life, daemons.get(details[0], "")].append(at_ms)
             if len(details) > 1 and details[1]:
-                limited.add(server)
+                limited.append((server, at_ms, at_ms + LIMIT_KNOWN_MS))
         if event == "asked-to-wait" and (for_ms := _parse_ms(details[1])) is not None:
             pauses.append((server, life, daemons.get(details[0], ""), at_ms, for_ms))
     found = []
     for server, life, daemon, at_ms, for_ms in pauses:
         until_ms = at_ms + for_ms
         links = [span[1:] for span in run.link_faults if span[0] == server]
-        if server in limited or overlaps(links, at_ms - CONTACT_MS, until_ms):
+        limits = [span[1:] for span in limited if span[0] == server]
+        if overlaps(links, at_ms - CONTACT_MS, until_ms):
+            continue
+        if overlaps(limits, at_ms, until_ms):
             continue
         if overlaps(disturbances(run, daemon), at_ms, until_ms):
             continue
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -186,7 +186,7 @@
         events = sorted([*events, *_entries(rng, run_ms)], key=lambda e: e.at_ms)
     if seed >= FIRST_COPY_SEED:
         events = sorted([*events, *_copies(rng, run_ms)], key=lambda e: e.at_ms)
-    if seed >= FIRST_LIMIT_SEED:
+    if seed >= FIRST_LIMIT_SEED and not _is_without_limits(seed):
         events = sorted([*events, *_limits(rng, run_ms)], key=lambda e: e.at_ms)
     if seed >= FIRST_TEAM_SEED:
         events = sorted([*events, *_team_changes(rng, run_ms)], key=lambda e: e.at_ms)
@@ -196,6 +196,15 @@
     return [event for event in events if event.at_ms < run_ms]
 
 
+def _is_without_limits(seed):
+    """Tell whether a later seed's servers name no limits.
+
+    Requests for a limited server may be sent by another daemon than the caller's, so
+    they say nothing of what the caller's daemon was asked for.
+    """
+    return seed >= FIRST_ANNOUNCEMENT_SEED and seed % 2 == 1
+
+
 def _pauses(rng, run_ms):
     """Return pauses that servers ask for, in series, at one server or several."""
     events, at_ms = [], rng.uniform(500.0, 2000.0)
