A server whose entry says again that it is cold counts as cold

What callers saw: a server that falls back into a cold start while it runs got its full share, and could be overloaded.

Cause: a cold start was recorded once for each life of a server, so that an old entry that is read late does not mark a warm server as cold again; a second cold start in one life was passed over.

An entry with more of a cold start left than the one before, of the same life, tells of another one. Entries are applied in the order of the store's versions, and what is left of one cold start only falls.

Evidence: the new test in tests.test_directory failed before.

--- a/src/tarragonramp/directory.py
+++ b/src/tarragonramp/directory.py
@@ -91,9 +91,12 @@
         before = self.servers.get(server.name)
         self.servers[server.name] = server
         self._missing_since_ms.pop(server.name, None)
-        if server.cold_ms > 0 and server.identity not in self._cold_start_recorded:
-            # Once per process: entries are written seconds apart, and an old one that
-            # is read late would mark a warm server as cold again.
+        is_recorded = server.identity in self._cold_start_recorded
+        is_same_life = before is not None and before.life == server.life
+        is_colder = is_same_life and server.cold_ms > before.cold_ms
+        if server.cold_ms > 0 and (is_colder or not is_recorded):
+            # Once per cold start: entries are written seconds apart, and an old one
+            # that is read late would mark a warm server as cold again.
             self._cold_start_recorded.add(server.identity)
             self.mark_cold(server.name, server.cold_ms)
         elif before is not None and before.life != server.life:
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -131,6 +131,14 @@
         self.assertTrue(self.directory.is_cold("s49"))
         self.assertFalse(self.directory.is_cold("s0"))
 
+    def test_server_that_becomes_cold_again_is_cold(self):
+        """Guards against full load on a server whose entry says so a second time."""
+        for cold_ms, is_cold in ((3000.0, True), (0.0, False), (2000.0, True)):
+            self.directory.upsert(attrs.evolve(SERVER, cold_ms=cold_ms))
+            self.assertEqual(self.directory.is_cold("s1"), is_cold)
+            self.clock.advance(3500.0)
+            self.assertFalse(self.directory.is_cold("s1"))
+
     def test_server_is_cold_once_per_process(self):
         """Entries are written seconds apart; one that is read late changes nothing."""
         cold = attrs.evolve(SERVER, name="s2", cold_ms=3000.0)
