Connections are not reused up to the idle timeout that a server states

What callers saw: a request that is sent as its server closes an idle connection ends unknown, an order with 502.

A connection is reused for three quarters of the stated time, and never for longer than before.

Evidence: the new test in tests.test_extra_responses failed before.

--- a/src/tarragonramp/adapters/http.py
+++ b/src/tarragonramp/adapters/http.py
@@ -5,6 +5,7 @@
 parser is used.
 """
 
+import math
 import re
 import socket as plain_socket
 import struct
@@ -46,6 +47,14 @@
 MAX_FRAMING_BYTES, FRAMING_BYTES_PER_BODY_BYTE = 4 * MAX_RESPONSE_HEAD_BYTES, 8
 MIN_ERROR_STATUS = 400
 
+STATED_TIMEOUT_SHARE = 0.75
+"""Fraction of the idle timeout that a server states for which a connection is reused. A
+request that is sent as the server closes it is lost."""
+
+_STATED_TIMEOUT = re.compile(
+    r"(?:^|[\s,;])timeout=([0-9]{1,6})(?![0-9])", re.IGNORECASE
+)
+
 # Servers that know these headers echo them. A value other than the one sent means that
 # the response belongs to another request.
 ECHOED_HEADERS = ("x-request-id", "tarragon-exchange")
@@ -123,7 +132,8 @@
         Maximum number of idle connections kept.
     max_idle_ms : float
         A connection that was idle for longer is closed instead of reused, because the
-        server may be about to close it. 0 for no limit.
+        server may be about to close it. 0 for no limit. A shorter time that the server
+        states with ``Keep-Alive`` goes first.
     takes_unframed : bool
         Whether to accept close-delimited responses (no length, ended by the close of
         the connection). One that ends with a reset is never accepted.
@@ -148,6 +158,7 @@
     connect_ms: float = 0.0
     _idle: list = attrs.Factory(list)
     _idle_since_s: dict = attrs.Factory(dict)
+    _idle_until_s: dict = attrs.Factory(dict)
     _tags: object = attrs.Factory(weakref.WeakKeyDictionary)
     _histories: object = attrs.Factory(weakref.WeakKeyDictionary)
 
@@ -282,6 +293,7 @@
         while self._idle:
             self._idle.pop().close()
         self._idle_since_s.clear()
+        self._idle_until_s.clear()
 
     def _echoed_part(self, headers):
         """Return the echoed headers as a frozenset of lower-case names and values.
@@ -333,7 +345,9 @@
                 continue
             self._idle.remove(connection)
             since_s = self._idle_since_s.pop(connection, 0.0)
+            until_s = self._idle_until_s.pop(connection, math.inf)
             is_stale = self.max_idle_ms and since_s < oldest_s
+            is_stale = is_stale or time.monotonic() > until_s
             if not is_stale and _is_open_and_empty(connection):
                 return connection
             connection.close()
@@ -391,8 +405,20 @@
         if closes or len(self._idle) >= self.max_idle:
             connection.close()
             return
+        now_s = time.monotonic()
         self._idle.append(connection)
-        self._idle_since_s[connection] = time.monotonic()
+        self._idle_since_s[connection] = now_s
+        stated_s = _stated_timeout_s(parser)
+        if stated_s is not None:
+            self._idle_until_s[connection] = now_s + STATED_TIMEOUT_SHARE * stated_s
+
+
+def _stated_timeout_s(parser):
+    """Return the idle timeout that a response states; None if it states none."""
+    for name, value in parser.items():
+        if name.lower() == "keep-alive" and (found := _STATED_TIMEOUT.search(value)):
+            return float(found[1])
+    return None
 
 
 @attrs.define(eq=False, repr=False)
--- a/tests/test_extra_responses.py
+++ b/tests/test_extra_responses.py
@@ -3,6 +3,7 @@
 import random
 import unittest
 
+import gevent
 from returns.pipeline import is_successful
 
 from tarragonramp.adapters.http import HttpPool
@@ -39,6 +40,15 @@
             self.assertEqual(response.body, f"r{number}".encode())
         self.assertEqual(server.n_connections, 1)
 
+    def test_connection_is_not_used_up_to_the_idle_timeout_that_a_server_states(self):
+        """Guards against requests that are lost as the server closes the connection."""
+        headers = "Keep-Alive: max=100, timeout=1\r\n"
+        server, pool = self.start(lambda own, _: response_bytes(own, headers=headers))
+        for pause_s, n_connections in ((0.0, 1), (0.1, 1), (0.8, 2)):
+            gevent.sleep(pause_s)
+            self.send(pool, f"r{pause_s}").unwrap()
+            self.assertEqual(server.n_connections, n_connections)
+
     def test_late_copy_is_put_aside(self):
         """Guards against an order without an answer for each copy that is noticed."""
         self.check_all_answered(
