Answers to health checks are heard

Cause: an answer to a health check only counted as reached. A pause that it asks for, that its server leaves, or how long it stays cold went unheard, and what another server said that has the address by now was not told apart.

Announcements are taken from the answers of health checks whose server names itself. Evidence: new tests in tests.test_backoffs and tests.test_path_prober.

--- a/src/tarragonramp/dialect.py
+++ b/src/tarragonramp/dialect.py
@@ -64,6 +64,10 @@
         Whether the server announces that it is about to stop; None if malformed.
     leaving_text : str or None
         The announcement as the server wrote it; None if there is none.
+    server_name : str
+        In answers to health checks, the server that answers; empty if not given.
+    cold_ms : float or None
+        In answers to health checks, what is left of a cold start.
     unknown_headers : tuple of str
         Lower-case names of headers that the dialect does not know.
     """
@@ -79,6 +83,8 @@
     backoff_text: str | None = None
     leaving: bool | None = False
     leaving_text: str | None = None
+    server_name: str = ""
+    cold_ms: float | None = None
     unknown_headers: tuple = ()
 
 
--- a/src/tarragonramp/roles/announcements.py
+++ b/src/tarragonramp/roles/announcements.py
@@ -65,6 +65,19 @@
         self._record_backoff(server, facts, request_id, now_ms)
         self._record_leaving(server, facts, request_id)
 
+    def record_health(self, server, facts, now_ms):
+        """Record what the answer to a health check announces.
+
+        Health checks name no server, so another one that has the address may answer.
+        """
+        if facts.server_name != server.name:
+            return
+        self._log_unknown(server, facts)
+        self._record_backoff(server, facts, "", now_ms)
+        self._record_leaving(server, facts, "")
+        if facts.cold_ms:
+            self.directory.mark_cold(server.name, facts.cold_ms)
+
     def tidy(self, now_ms):
         """Log the pauses that have ended, and forget servers that have left."""
         self.directory.forget_left()
--- a/src/tarragonramp/roles/path_prober.py
+++ b/src/tarragonramp/roles/path_prober.py
@@ -55,6 +55,8 @@
         Servers with limits are not checked while there are enough others.
     backoffs : ServerBackoffs
         Servers that have asked this daemon to wait are not checked.
+    on_answer : callable
+        Called with a server and the Response to its health check.
     """
 
     monitor: object
@@ -64,6 +66,7 @@
     selector: object
     limits: ServerLimits = attrs.Factory(ServerLimits)
     backoffs: ServerBackoffs = attrs.Factory(ServerBackoffs)
+    on_answer: object = attrs.field(default=lambda server, response: None)
     _check_ended: object = None
     _suspicion: Event = attrs.Factory(Event)
     _rng: random.Random = attrs.Factory(random.Random)
@@ -160,6 +163,8 @@
             isinstance(result.failure(), UnansweredError)
             and (self._is_full(server) or self._is_slow(began_ms))
         )
+        if is_successful(result):
+            self.on_answer(server, result.unwrap())
         if is_reached:
             answered.add(server.name)
 
--- a/src/tarragonramp/roles/router.py
+++ b/src/tarragonramp/roles/router.py
@@ -140,6 +140,7 @@
             self.selector,
             self.limits,
             self.announcements.backoffs,
+            self._record_health,
         )
 
     def __call__(self, environ, start_response):
@@ -677,6 +678,10 @@
         is_paused = self.announcements.backoffs.find(server, now_ms) is not None
         return not is_paused and may_serve(server)
 
+    def _record_health(self, server, response):
+        facts = self.dialect.read_response(response)
+        self.announcements.record_health(server, facts, self.clock.now_ms())
+
     def forget_servers(self):
         """Discard what is kept of servers that are not listed any more."""
         listed = self.view.directory.servers
--- a/tests/test_backoffs.py
+++ b/tests/test_backoffs.py
@@ -113,6 +113,18 @@
         self.assertFalse(self.is_paused())
         self.assertEqual(self.lines("server-leaving"), [])
 
+    def test_health_check_tells_of_leaving_pauses_and_cold_starts(self):
+        """Guards against announcements that only callers' requests would bring."""
+        directory = self.announcements.directory
+        directory.upsert(SERVER)
+        facts = ResponseFacts(backoff_ms=1e3, leaving=True, cold_ms=1e3)
+        for name, is_heard in (("s2", False), ("", False), ("s1", True)):
+            answer = attrs.evolve(facts, server_name=name)
+            self.announcements.record_health(SERVER, answer, 0.0)
+            self.assertEqual(self.is_paused(), is_heard)
+            self.assertEqual(directory.is_leaving(SERVER), is_heard)
+            self.assertEqual(directory.is_cold("s1"), is_heard)
+
     def test_malformed_announcements_are_logged_once_and_ignored(self):
         for _ in range(3):
             self.answer(backoff_text="soon", leaving=None, leaving_text="maybe")
--- a/tests/test_path_prober.py
+++ b/tests/test_path_prober.py
@@ -57,6 +57,13 @@
         self.lost = set(SERVERS)
         self.assertTrue(self.prober.confirm_cut_off())
 
+    def test_answers_to_health_checks_are_heard(self):
+        """Guards against announcements in answers that only count as reached."""
+        heard = []
+        self.prober.on_answer = lambda server, response: heard.append(server.name)
+        self.prober._check()
+        self.assertEqual(sorted(heard), sorted(name for name, *_ in self.checked))
+
     def test_daemon_is_cut_off_if_only_few_servers_answer(self):
         """Guards against a daemon that goes on alone with one server of many."""
         self.lost = set(SERVERS[1:])
