--- a/soak/plan.py
+++ b/soak/plan.py
@@ -74,7 +74,7 @@
 PAUSES = ("0.3", "1", "2.5", "5", "10", "soon", "-1")
 """Pauses in seconds that servers ask for; the last two are malformed."""
 
-PAUSE_WEIGHTS = (4, 4, 4, 1, 1, 1, 1)
+PAUSE_WEIGHTS = (3, 3, 6, 4, 1, 1, 1)
 """With many long pauses hardly any request would reach a server."""
 
 TEAM_CHANGES = ("low cap", "high cap", "key taken away", "key added")
@@ -176,31 +176,20 @@
             )
             at_ms += rng.uniform(50.0, 600.0)
         at_ms += rng.expovariate(1.0) * mean_gap_ms
-    if seed >= FIRST_OUTAGE_SEED:
-        events = sorted([*events, *_outages(rng, run_ms)], key=lambda e: e.at_ms)
-    if seed >= FIRST_CUT_SEED:
-        events = sorted([*events, *_server_cuts(rng, run_ms)], key=lambda e: e.at_ms)
-    if seed >= FIRST_STOP_SEED:
-        events = sorted([*events, *_stops(rng, run_ms)], key=lambda e: e.at_ms)
-    if seed >= FIRST_ENTRY_SEED:
-        events = sorted([*events, *_entries(rng, run_ms)], key=lambda e: e.at_ms)
-    if seed >= FIRST_COPY_SEED:
-        events = sorted([*events, *_copies(rng, run_ms)], key=lambda e: e.at_ms)
-    if seed >= FIRST_LIMIT_SEED and not _is_without_limits(seed):
-        events = sorted([*events, *_limits(rng, run_ms)], key=lambda e: e.at_ms)
-    if seed >= FIRST_TEAM_SEED:
-        events = sorted([*events, *_team_changes(rng, run_ms)], key=lambda e: e.at_ms)
+    for first_seed, series in _ADDED_SERIES:
+        if seed >= first_seed and not _has_few_faults(seed):
+            events = sorted([*events, *series(rng, run_ms)], key=lambda e: e.at_ms)
     if seed >= FIRST_ANNOUNCEMENT_SEED:
         added = [*_pauses(rng, run_ms), *_announced_leaves(rng, run_ms)]
         events = sorted([*events, *added], key=lambda e: e.at_ms)
     return [event for event in events if event.at_ms < run_ms]
 
 
-def _is_without_limits(seed):
-    """Tell whether a later seed's servers name no limits.
+def _has_few_faults(seed):
+    """Tell whether the plan of a seed has only the original kinds, and announcements.
 
-    Requests for a limited server may be sent by another daemon than the caller's, so
-    they say nothing of what the caller's daemon was asked for.
+    Most faults excuse requests in a pause, so that hardly any pause is checked beside
+    many of them.
     """
     return seed >= FIRST_ANNOUNCEMENT_SEED and seed % 2 == 1
 
@@ -441,6 +430,17 @@
     return FaultEvent(at_ms, "link", "leader", duration_ms, kind, "store")
 
 
+_ADDED_SERIES = (
+    (FIRST_OUTAGE_SEED, _outages),
+    (FIRST_CUT_SEED, _server_cuts),
+    (FIRST_STOP_SEED, _stops),
+    (FIRST_ENTRY_SEED, _entries),
+    (FIRST_COPY_SEED, _copies),
+    (FIRST_LIMIT_SEED, _limits),
+    (FIRST_TEAM_SEED, _team_changes),
+)
+"""Series of events that later seeds have besides, in the order of their first seeds."""
+
 _ADDED_GENERATORS = (
     _deregister,
     _deregister,
--- a/soak/run.py
+++ b/soak/run.py
@@ -49,7 +49,10 @@
 """Time limit for serving every key again after the last fault. It covers a hold, the
 time in which unanswered grants may still be applied, and a change of leader."""
 
-N_CALLERS = 8
+N_CALLERS, N_CALLERS_OF_ANNOUNCERS = 8, 24
+"""Number of callers, and of those in runs whose servers ask for pauses: with fewer, a
+daemon that sends on in a pause would send hardly more requests than it may."""
+
 PAUSE_MS = 40.0
 PIPELINED_GAP_S = 0.15
 UNLIMITED = 10_000
@@ -134,7 +137,9 @@
         succeeded = False
         try:
             self._start()
-            callers = [gevent.spawn(self._call, i) for i in range(N_CALLERS)]
+            is_announced = self.seed >= FIRST_ANNOUNCEMENT_SEED
+            n_callers = N_CALLERS_OF_ANNOUNCERS if is_announced else N_CALLERS
+            callers = [gevent.spawn(self._call, i) for i in range(n_callers)]
             if self.seed >= FIRST_STOP_SEED:
                 callers.append(gevent.spawn(self._call_pipelined))
             self._run_plan()
