A daemon hears from its delegate which servers leave

A daemon that hands a request to another one passes on the answer, so that a server's leaving that is said in it binds both; only the delegate knew of it, and the daemon would send to the server once it reaches servers again.

A delegate's report of a served request names the listed servers that have told it that they leave. Reports of earlier builds name none.

Evidence: new tests in tests.test_delegate and tests.test_peer_delegator, which can't run on the code before.

--- a/src/tarragonramp/delegation.py
+++ b/src/tarragonramp/delegation.py
@@ -78,6 +78,8 @@
     retry_after_s : float or None
     was_sent : bool
         Whether a server has got the request.
+    leaving : tuple of (str, int)
+        Names and lives of servers that have told the delegate that they leave.
     """
 
     result: str
@@ -86,10 +88,14 @@
     reason: str = ""
     retry_after_s: float | None = None
     was_sent: bool = False
+    leaving: tuple = ()
 
     def to_header(self):
         """Return the header as a (str, str) pair."""
-        return DELEGATION_HEADER, json.dumps(attrs.asdict(self))
+        fields = attrs.asdict(self)
+        if not self.leaving:
+            del fields["leaving"]
+        return DELEGATION_HEADER, json.dumps(fields)
 
     @classmethod
     def from_header(cls, text):
@@ -103,6 +109,7 @@
             str(raw["reason"]),
             None if retry_after_s is None else float(retry_after_s),
             bool(raw.get("was_sent", False)),
+            tuple((str(name), int(life)) for name, life in raw.get("leaving", ())),
         )
 
 
--- a/src/tarragonramp/fleet.py
+++ b/src/tarragonramp/fleet.py
@@ -266,7 +266,8 @@
             limits=ServerLimits(settings.name),
         )
         leadership.monitor, leadership.limits = router.monitor, router.limits
-        leadership.record_leaving = router.announcements.record_leaving
+        for part in (leadership, router.delegator):
+            part.record_leaving = router.announcements.record_leaving
         ports.grants.on_leaving = router.announcements.record_leaving
         view.directory.key_move_ms = KEY_MOVE_SHARE * settings.bounds.drain_ms
         started_ms = time.time_ns() // 1_000_000
--- a/src/tarragonramp/roles/delegate.py
+++ b/src/tarragonramp/roles/delegate.py
@@ -133,7 +133,9 @@
     def _report(self, result, error=None):
         self.counts[result] += 1
         if error is None:
-            return Report(result, self._version)
+            # The sender passes on the answer, so what it announces binds it as well.
+            leaving = tuple(self.view.directory.leaving())
+            return Report(result, self._version, leaving=leaving)
         return Report(
             result,
             self._version,
--- a/src/tarragonramp/roles/peer_delegator.py
+++ b/src/tarragonramp/roles/peer_delegator.py
@@ -60,6 +60,8 @@
         Latest version of the manifest that a delegate has used.
     secret_headers : frozenset of str
         Headers that are not handed on if callers need API keys.
+    record_leaving : callable
+        Takes name and life of a server that told another daemon that it leaves.
     """
 
     name: str
@@ -71,6 +73,7 @@
     is_stranded: bool = False
     seen_version: int = 0
     secret_headers: frozenset = frozenset()
+    record_leaving: object = attrs.field(default=lambda name, life, told_by: None)
     _in_progress: collections.Counter = attrs.Factory(collections.Counter)
     _unanswered: collections.Counter = attrs.Factory(collections.Counter)
     _skipped_until_ms: dict = attrs.Factory(dict)
@@ -168,6 +171,8 @@
         self._logged_results.pop(peer, None)
         self.seen_version = max(self.seen_version, report.manifest_version)
         self.counts[report.result] += 1
+        for server, life in report.leaving:
+            self.record_leaving(server, life, told_by=peer)
         if report.result != SERVED:
             inputs = {"delegate": peer}
             raise RequestError(
--- a/tests/test_delegate.py
+++ b/tests/test_delegate.py
@@ -22,6 +22,7 @@
 )
 from tarragonramp.clock import Clock
 from tarragonramp.delegation import DELEGATION_HEADER, Delegation, Report
+from tarragonramp.directory import BackendServer
 from tarragonramp.errors import AbandonedError, RequestError
 from tarragonramp.fleet_view import FleetView
 from tarragonramp.manifest import Manifest, RouteTable
@@ -103,6 +104,13 @@
         self.assertEqual(seen.headers["request-id"], "r1")
         self.assertEqual(seen.delegation, DELEGATION)
 
+    def test_a_report_names_the_servers_that_leave(self):
+        """Guards against requests to a server that told only this daemon."""
+        self.view.directory.upsert(BackendServer("s1", 7, "desk", "s1:80", "a", 3))
+        self.view.directory.mark_leaving("s1", 7)
+        report = self.report_of(self.hand_over().unwrap())
+        self.assertEqual(report, Report("served", 3, leaving=(("s1", 7),)))
+
     def test_a_server_can_not_forge_a_report(self):
         forged = Report("declined", 3).to_header()
         self.response = attrs.evolve(self.response, headers=(forged,))
--- a/tests/test_peer_delegator.py
+++ b/tests/test_peer_delegator.py
@@ -95,6 +95,15 @@
             if found == domain:
                 self.scripted[name] = result
 
+    def test_leaving_is_heard_from_an_answer_that_is_passed_on(self):
+        """Guards against requests to a server that told only the delegate."""
+        heard = []
+        self.delegator.record_leaving = lambda *server, told_by: heard.append(server)
+        report = Report(SERVED, 3, leaving=(("s1", 7),))
+        self.script("a", response_of(report))
+        self.delegator.serve(self.request())
+        self.assertEqual(heard, [("s1", 7)])
+
     def test_the_servers_response_is_returned_without_the_report(self):
         response = self.delegator.serve(self.request())
         self.assertEqual((response.status, response.body), (200, b"whole"))
