--- a/src/tarragonramp/fleet.py
+++ b/src/tarragonramp/fleet.py
@@ -269,7 +269,6 @@
         for part in (leadership, router.delegator):
             part.record_leaving = router.announcements.record_leaving
         ports.grants.on_leaving = router.announcements.record_leaving
-        view.directory.key_move_ms = KEY_MOVE_SHARE * settings.bounds.drain_ms
         started_ms = time.time_ns() // 1_000_000
         caps = CapKeeper(
             settings.name, started_ms, view, peers, clock, settings.bounds.caps
@@ -302,6 +301,7 @@
             freshness=freshness,
             delegate=DelegateApplication(router, view, clock, DELEGATED_PREFIX),
         )
+        daemon._apply_bounds(settings.bounds)
         daemon._add_servers()
         return daemon
 
@@ -389,10 +389,14 @@
             log_event("settings-refused", level=logbook.WARNING, reason=reason)
             return
         bounds = loaded.unwrap().bounds
-        self.router.bounds, self.router.caps.bounds = bounds, bounds.caps
+        self._apply_bounds(bounds)
         self.settings = attrs.evolve(self.settings, bounds=bounds)
         log_event("settings-reloaded")
 
+    def _apply_bounds(self, bounds):
+        self.router.bounds, self.router.caps.bounds = bounds, bounds.caps
+        self.view.directory.key_move_ms = KEY_MOVE_SHARE * bounds.drain_ms
+
     def _open(self):
         """Start accepting callers once the routing state has been read.
 
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -20,7 +20,8 @@
 
 def make_router(clock, n_known):
     """Return a daemon's Router that knows some daemons, itself among them."""
-    view = types.SimpleNamespace(daemons=dict.fromkeys(map(str, range(n_known))))
+    daemons = dict.fromkeys(map(str, range(n_known)))
+    view = types.SimpleNamespace(daemons=daemons, directory=None)
     return Router(view, None, None, None, None, BOUNDS, None, clock, None)
 
 
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -498,6 +498,7 @@
     def use_manual_clock(self):
         """Let time pass only while a request waits for a change of the view."""
         self.clock = self.router.clock = self.router.owners.clock = ManualClock()
+        self.router.chooser.clock = self.clock
         wait = lambda view, timeout_ms: self.clock.advance(timeout_ms)
         patch = mock.patch.object(FleetView, "wait", wait)
         patch.start()
