A rejection with a pause does not count as a failure of its server

What callers saw: one server of three got a tenth of the requests, and was nearly idle, for seconds after its pause had ended, while the others queued.

Cause: each rejection raised the failure rate as well, by several requests at the begin of each pause of a series; what is left of it after the pause makes the server look slow.

The pause keeps requests away for the time that the server itself asks for. A rejection still counts without a pause, or with one below half a second, as a server that asks for short ones over and over would cost a retry each time.

--- a/src/tarragonramp/balancing.py
+++ b/src/tarragonramp/balancing.py
@@ -54,6 +54,10 @@
 used. Servers that join while the others are fast and not busy would otherwise never be
 selected. It is lower than the factor of the fastest server of a service."""
 
+MIN_SUFFICIENT_BACKOFF_MS = 500.0
+"""Shortest pause in place of which a rejection does not count as a failure. A server
+that asks for shorter ones over and over would cost a retry each time."""
+
 MIN_RETRY_AFTER_S = 0.05
 MAX_RETRY_AFTER_S = 5.0
 INITIAL_WORK_MS = 150.0
@@ -295,10 +299,16 @@
         usual_ms = self._usual_ms(selection, stats.typical_slowdown(now_ms))
         stats.note_error(took_ms / usual_ms, now_ms)
 
-    def record_shed(self, selection, report, now_ms):
-        """Record that a server rejected a request without executing it."""
+    def record_shed(self, selection, report, now_ms, backoff_ms=None):
+        """Record that a server rejected a request without executing it.
+
+        A server that says for how long it wants no requests gets none meanwhile. If the
+        rejections made it look failing as well, it would not be used again for seconds
+        after that.
+        """
         stats = self._record_end(selection, report, now_ms)
-        stats.note_failure(now_ms)
+        if backoff_ms is None or backoff_ms < MIN_SUFFICIENT_BACKOFF_MS:
+            stats.note_failure(now_ms)
 
     def record_failure(self, selection, now_ms, at_connect=False):
         """Record a failed exchange; ``at_connect`` if no connection was established."""
--- a/src/tarragonramp/roles/router.py
+++ b/src/tarragonramp/roles/router.py
@@ -474,7 +474,7 @@
             server, facts, request.request_id, began_ms, now_ms
         )
         if facts.not_run:
-            self.selector.record_shed(chosen, facts.load, now_ms)
+            self.selector.record_shed(chosen, facts.load, now_ms, facts.backoff_ms)
         elif response.status >= MIN_SERVER_ERROR_STATUS:
             self.selector.record_error(chosen, took_ms, facts.load, now_ms)
         else:
--- a/tests/test_balancing.py
+++ b/tests/test_balancing.py
@@ -218,6 +218,28 @@
         }
         self.assertEqual(chosen, {"s1"})
 
+    def test_server_is_used_again_once_its_pause_has_ended(self):
+        """Guards against a server that has room but looks failing for seconds more."""
+        shares = {}
+        for backoff_ms in (None, 100.0, 2000.0):
+            selector = ServerSelector("a", random.Random(1))
+            servers = [server(0), server(1)]
+            used = Selection(servers[1], "r", 0.0)
+            selector.record_sent(used)
+            selector.record_cancellation(used)
+            for i in range(6):
+                shed = Selection(servers[0], "r", 0.0)
+                selector.record_sent(shed)
+                selector.record_shed(shed, None, i * 10.0, backoff_ms)
+            requirements = Requirements("r", LIMIT_MS, TARGET_MS)
+            chosen = [
+                selector.select(servers, requirements, 2050.0) for _ in range(200)
+            ]
+            n_chosen = sum(choice.server.name == "s0" for choice in chosen)
+            shares[backoff_ms] = n_chosen / len(chosen)
+        self.assertEqual((shares[None], shares[100.0]), (0.0, 0.0))
+        self.assertGreater(shares[2000.0], 0.4)
+
     def test_fast_errors_do_not_make_a_server_look_fast(self):
         """Guards against a failing server that gets more requests than any other."""
         play = self.simulation()
