A request that an owner turns away with a pause counts once as its load

Cause: its work was counted as rejected, and once more as refused because of the pause, so that an owner in pauses looked up to twice as busy, and keys would leave it. Found in reading; the new test in tests.test_router_backoffs failed before.

--- a/src/tarragonramp/roles/chooser.py
+++ b/src/tarragonramp/roles/chooser.py
@@ -212,7 +212,10 @@
         )
 
     def other_servers(self, request):
-        """Return the servers that a retry may go to, whatever their load."""
+        """Return the servers that may serve a request and have not been tried.
+
+        Of a divided service this is the owner, also if it has been tried.
+        """
         if self.view.service(request.service).divided:
             owner = self.owners.current(request)
             return [] if owner is None else [owner]
@@ -241,9 +244,8 @@
         if not self.view.directory.is_cold(server.name):
             return
         cold_rate_per_s = self.view.service(request.service).cold_per_s
-        bound = (
-            cold_rate_per_s * self.bounds().cold_burst_factor + self.bounds().cold_slack
-        )
+        bounds = self.bounds()
+        bound = cold_rate_per_s * bounds.cold_burst_factor + bounds.cold_slack
         # A daemon that knows only itself does not know how many there are.
         known = self.view.daemons if len(self.view.daemons) > 1 else ()
         if not self.cold.try_acquire(server.name, bound, known, now_ms):
--- a/src/tarragonramp/roles/router.py
+++ b/src/tarragonramp/roles/router.py
@@ -570,11 +570,11 @@
         self._log_failed_attempt(
             request, "misdirected" if facts.misdirected else "shed", **asked
         )
-        if not facts.misdirected:
-            self.chooser.count_refused_work(request)
         if facts.backoff_ms is not None:
             # Raised before a retry is paid for that no server would take.
             self.chooser.without_paused(request, self.chooser.other_servers(request))
+        if not facts.misdirected:
+            self.chooser.count_refused_work(request)
         may_repeat = len(request.tried) <= request.route.attempts
         if facts.misdirected and self.view.service(request.service).divided:
             may_repeat = self.owners.may_repeat(request) and may_repeat
--- a/tests/test_router_backoffs.py
+++ b/tests/test_router_backoffs.py
@@ -1,5 +1,7 @@
 """How the router treats servers in their pauses, with scripted answers."""
 
+import types
+
 import attrs
 import gevent
 from returns.result import Success
@@ -77,6 +79,17 @@
             self.assertEqual(self.send_request("/keyed/", 7)[0], 503)
         self.assertEqual(self.sent, ["p1"])
 
+    def test_request_that_an_owner_turns_away_counts_once_as_its_load(self):
+        """Guards against keys that leave an owner as it looks twice as busy."""
+        noted = []
+        self.view.key_load_recorder = types.SimpleNamespace(
+            note=lambda service, key, took_ms: noted.append(round(took_ms))
+        )
+        self.scripted["p1"] = [PAUSED]
+        self.send_request("/keyed/", 7)
+        work_ms = round(self.router.selector.work_ms("/keyed/"))
+        self.assertEqual(noted.count(work_ms), 1)
+
     def test_owner_is_used_again_after_its_pause(self):
         self.pause("p1", for_ms=1.0)
         gevent.sleep(0.005)
