Soak: what another daemon sends is not counted as the caller's daemon's

The trace: d4 took late health checks for lost paths (servers-not-reached to servers-reached in its log) and handed the requests to d2, which had sent the first one, was the one that was asked to wait, and logged it; d4 was never told. A pause binds the daemon that was told. The checks now leave out the time in which the caller's daemon reached no server by its log, and 1.5 s more, as they do for servers that name limits; other spans count as before.

--- a/soak/announcements.py
+++ b/soak/announcements.py
@@ -2,7 +2,7 @@
 
 import collections
 
-__all__ = ["late_after_leaving", "sent_in_pauses"]
+__all__ = ["delegating_spans", "late_after_leaving", "sent_in_pauses"]
 
 MAX_IN_PAUSE, TRANSIT_MS = 2, 500.0
 """Requests that may reach a server from a daemon in a pause that it was asked for, from
@@ -15,6 +15,9 @@
 CONTACT_MS = 3000.0
 """Links to a server that were faulty up to this long before may delay its answers."""
 
+HAND_OVER_MS = 1500.0
+"""How long a request that was handed to another daemon may take."""
+
 LIMIT_KNOWN_MS = 10_000.0
 """How long after a server has named a limit daemons may still hand requests over."""
 
@@ -22,8 +25,9 @@
 def sent_in_pauses(run, disturbances, overlaps):
     """Return the pauses in which a daemon sent a server too many requests.
 
-    Servers that have lately named limits are left out: requests for them may be sent by
-    another daemon than the one that the caller is connected to.
+    Left out is what another daemon may have sent than the one that the caller is
+    connected to: to servers that have lately named limits, and while the caller's
+    daemon reaches no server.
 
     Parameters
     ----------
@@ -51,6 +55,8 @@
             continue
         if overlaps(limits, at_ms, until_ms):
             continue
+        if overlaps(_handed_over(run, daemon), at_ms, until_ms):
+            continue
         if overlaps(disturbances(run, daemon), at_ms, until_ms):
             continue
         times_ms = arrivals[server, life, daemon]
@@ -78,11 +84,44 @@
         since_ms = outcome and told_ms.get((server, life, outcome.daemon))
         if since_ms is None or outcome.sent_ms <= since_ms + DRAIN_MS:
             continue
+        if overlaps(_handed_over(run, outcome.daemon), since_ms, at_ms):
+            continue
         if not overlaps(disturbances(run, outcome.daemon), since_ms, at_ms):
             found.append(f"{outcome.request_id}: {server}, told at {since_ms}")
     return found
 
 
+def delegating_spans(lines, end_ms):
+    """Return from when to when a daemon reached no server, by its log.
+
+    Parameters
+    ----------
+    lines : iterable of LogLine
+    end_ms : float
+        End of a span that has no other.
+    """
+    spans, since_ms = [], None
+    for line in lines:
+        if line.event == "servers-not-reached" and since_ms is None:
+            since_ms = line.at_ms
+        if (
+            line.event in ("servers-reached", "daemon-starting")
+            and since_ms is not None
+        ):
+            spans.append((since_ms, line.at_ms))
+            since_ms = None
+    return spans if since_ms is None else [*spans, (since_ms, end_ms)]
+
+
+def _handed_over(run, daemon):
+    """Return the spans in which other daemons may send what a daemon's callers send."""
+    return [
+        (from_ms, to_ms + HAND_OVER_MS)
+        for name, from_ms, to_ms in run.delegating
+        if name == daemon
+    ]
+
+
 def _parse_ms(text):
     """Return a pause in ms; None if the server wrote something else."""
     return float(text) * 1000.0 if text.replace(".", "", 1).isdecimal() else None
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -117,6 +117,9 @@
         Name of a daemon that was told to stop; when, and when its process ended.
     unplanned : list of (str, float, float)
         Name of a process that was killed or frozen; start and end.
+    delegating : list of (str, float, float)
+        Name of a daemon that, by its log, reached no server, so that others sent the
+        requests of its callers; start and end.
     teams : dict of str to str
         Team of each caller's request, by its id; empty in runs without teams.
     caps : list of (float, UsageCap)
@@ -134,6 +137,7 @@
     outages: list = attrs.Factory(list)
     stops: list = attrs.Factory(list)
     unplanned: list = attrs.Factory(list)
+    delegating: list = attrs.Factory(list)
     teams: dict = attrs.Factory(dict)
     caps: list = attrs.Factory(list)
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -29,7 +29,9 @@
 from tarragonramp.adapters.http import HttpPool  # noqa: E402
 from tarragonramp.limits import UsageCap  # noqa: E402
 from tarragonramp.manifest import N_KEYS  # noqa: E402
+from tarragonramp.timelines import parse_line  # noqa: E402
 
+from .announcements import delegating_spans  # noqa: E402
 from .checks import Outcome, Probe, RunRecord, find_violations  # noqa: E402
 from .plan import (  # noqa: E402
     DAEMONS,
@@ -560,7 +562,11 @@
             for line in self.site.log_text(name).splitlines():
                 if line.startswith("["):
                     self.record.entries.append(json.loads(line))
+        end_ms = time.time() * 1000.0
         for name in DAEMONS:
+            parsed = map(parse_line, self.site.log_text(name).splitlines())
+            spans = delegating_spans(filter(None, parsed), end_ms)
+            self.record.delegating += [(name, *span) for span in spans]
             for line in self.site.log_text(name).splitlines():
                 if "event=task-failed" in line or line.startswith("Traceback"):
                     self.anomalies.append(f"{name}: {line[:300]}")
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -15,6 +15,7 @@
 import gevent
 
 from soak import run
+from soak.announcements import delegating_spans
 from soak.checks import Outcome, Probe, RunRecord, find_violations
 from soak.plan import (
     COPY_FAULTS,
@@ -40,6 +41,7 @@
 from standins.fleet_site import FleetSite
 from tarragonramp.adapters.http import HttpPool
 from tarragonramp.limits import UsageCap
+from tarragonramp.timelines import LogLine
 
 SHORT_S = 12.0
 SEED = 5
@@ -117,13 +119,29 @@
         self.assertEqual(violated([5100.0, 5400.0, 8010.0, 8020.0]), [])
         self.assertEqual(violated(in_pause, text="soon"), [])
         self.assertEqual(violated(in_pause, unplanned=[("d1", 6000.0, 6100.0)]), [])
+        self.assertEqual(violated(in_pause, delegating=[("d1", 6000.0, 6100.0)]), [])
         for changes in (
             {"unplanned": [("d2", 6000.0, 6100.0)]},
+            {"delegating": [("d2", 6000.0, 6100.0), ("d1", 1000.0, 3000.0)]},
             {"store_faults": [(0.0, 9000.0)]},
             {"link_faults": [("desk1", 0.0, 9000.0)]},
         ):
             self.assertEqual(violated(in_pause, **changes), ["pauses of servers"])
 
+    def test_time_in_which_a_daemon_reaches_no_server(self):
+        def spans(*events):
+            lines = [LogLine(at_ms, "d1", event, {}, "") for at_ms, event in events]
+            return delegating_spans(lines, 99.0)
+
+        lost, found, started = (
+            "servers-not-reached",
+            "servers-reached",
+            "daemon-starting",
+        )
+        self.assertEqual(spans((1.0, lost), (2.0, found), (3.0, found)), [(1.0, 2.0)])
+        self.assertEqual(spans((1.0, lost), (2.0, started)), [(1.0, 2.0)])
+        self.assertEqual(spans((1.0, started), (5.0, lost)), [(5.0, 99.0)])
+
     def test_requests_to_a_server_that_said_that_it_leaves(self):
         told = attrs.evolve(outcome("told", "GET", status=200, body=b""), daemon="d1")
         told = attrs.evolve(told, sent_ms=900.0, answered_ms=1000.0)
