--- a/tests/test_fleet_announcements.py
+++ b/tests/test_fleet_announcements.py
@@ -258,9 +258,13 @@
             self.assertIn("backoff-not-understood", self.site.log_text(daemon))
 
     def test_line_and_metrics_tell_of_a_pause(self):
-        self.play_pauses("2", DESKS[:1], for_s=1.5)
+        self.ask_to_wait("10", DESKS[0])
         for daemon in DAEMONS:
-            self.assertEqual(self.metric(daemon, "servers_in_backoff"), 1.0)
+            self.site.wait(
+                lambda daemon=daemon: self.metric(daemon, "servers_in_backoff") == 1.0,
+                f"{daemon} in a pause",
+                timeout_s=8.0,
+            )
             lines = self.site.log_text(daemon).splitlines()
             lines = [line for line in lines if "event=server-backoff " in line]
             self.assertEqual(len(lines), 1, lines)
