--- a/standins/fleet_server.py
+++ b/standins/fleet_server.py
@@ -7,6 +7,7 @@
 import argparse  # noqa: E402
 import errno  # noqa: E402
 import json  # noqa: E402
+import os  # noqa: E402
 import random  # noqa: E402
 import re  # noqa: E402
 import signal  # noqa: E402
@@ -108,6 +109,10 @@
         Highest fencing token seen for each range.
     log : list of list
         Events with their Unix time in milliseconds and details.
+    deadly_path : str
+        Part of the paths of requests that end this process; none if empty.
+    deadly_after_ms : float
+        How long after it began to execute such a request the process ends.
     """
 
     name: str
@@ -122,6 +127,8 @@
     tokens: dict = attrs.Factory(dict)
     log: list = attrs.Factory(list)
     faults: ServerFaults = attrs.Factory(ServerFaults)
+    deadly_path: str = ""
+    deadly_after_ms: float = 20.0
     draining: bool = False
     is_deregistering: bool = False
     running: int = 0
@@ -254,6 +261,10 @@
         request_id = headers["request-id"]
         method = environ["REQUEST_METHOD"]
         self._record("run", request_id, method, key, headers.get("deadline-ms"))
+        if self.deadly_path and self.deadly_path in environ["PATH_INFO"]:
+            gevent.sleep(self.deadly_after_ms / 1000.0)
+            self._record("ended-by", request_id)
+            os._exit(1)
         gevent.sleep(self.work_ms / 1000.0)
         self.running -= 1
         for running_key in keys:
@@ -376,6 +387,8 @@
     parser.add_argument("--listen", help="address to bind, if it differs from ADDRESS")
     parser.add_argument("--slots", type=int, default=4)
     parser.add_argument("--work-ms", type=float, default=5.0)
+    parser.add_argument("--deadly-path", default="")
+    parser.add_argument("--deadly-after-ms", type=float, default=20.0)
     options = parser.parse_args()
     server = FleetServer(
         options.name,
@@ -385,6 +398,8 @@
         options.divided,
         options.slots,
         options.work_ms,
+        deadly_path=options.deadly_path,
+        deadly_after_ms=options.deadly_after_ms,
     )
 
     def start_draining():
