Ends of servers are told apart from broken connections, by request content

What the logs could not tell: a connection that breaks looks the same for a full server, a lost answer, a cut path and a process that has ended, and nothing connects ends with the requests that were in hand.

Now a connection to the server is opened at once after a break; refused, or a later process in the entries, is an end. Lines server-ended and request-suspected name server, life and a hash of the request's content; two daemons that follow from the content sum the ends up. Metrics: servers.ended, requests.held_back, requests.hold_backs, requests.releases. explain-request includes the lines about a request's content. Nothing is refused yet.

--- a/src/tarragonramp/adapters/fleet_peers.py
+++ b/src/tarragonramp/adapters/fleet_peers.py
@@ -17,14 +17,13 @@
 
 __all__ = ["DELEGATED_PREFIX", "FleetPeers", "PeerApplication"]
 
-PING_PATH, STEP_DOWN_PATH, NEWS_PATH, RELAY_PATH, SHARES_PATH, METRICS_PATH = (
+PING_PATH, STEP_DOWN_PATH, NEWS_PATH, RELAY_PATH = (
     "/peer/ping",
     "/peer/step-down",
     "/peer/news",
     "/peer/relay",
-    "/peer/shares",
-    "/metrics",
 )
+SHARES_PATH, SUSPECTS_PATH, METRICS_PATH = "/peer/shares", "/peer/suspects", "/metrics"
 DELEGATED_PREFIX = "/peer/request"
 """Stands before the target of a request that one daemon hands to another."""
 
@@ -97,6 +96,10 @@
         """Ask the leader for shares of usage caps; returns as :meth:`ping` does."""
         return self._exchange("POST", address, SHARES_PATH, message, timeout_ms)
 
+    def tell_suspects(self, address, message, timeout_ms) -> Result:
+        """Tell a daemon of requests under which servers ended; returns as `ping`."""
+        return self._exchange("POST", address, SUSPECTS_PATH, message, timeout_ms)
+
     def delegate(
         self, address, method, target, headers, body, timeout_ms, is_wanted
     ) -> Result:
@@ -185,6 +188,7 @@
     delegate : callable
         WSGI application for requests that other daemons hand to this one.
     caps : CapKeeper, optional
+    suspects : SuspectFinder, optional
     """
 
     leadership: object
@@ -193,6 +197,7 @@
     metrics: object
     delegate: object
     caps: object = None
+    suspects: object = None
 
     def __call__(self, environ, start_response):
         """Serve one request."""
@@ -212,6 +217,8 @@
                 response = self.relay.send(_read_message(environ), is_wanted)
             elif path == SHARES_PATH and self.caps is not None:
                 response = self.caps.handle_question(_read_message(environ))
+            elif path == SUSPECTS_PATH and self.suspects is not None:
+                response = self.suspects.handle(_read_message(environ))
             elif path == NEWS_PATH:
                 response = self._news(environ)
             elif path == METRICS_PATH:
--- a/src/tarragonramp/adapters/http.py
+++ b/src/tarragonramp/adapters/http.py
@@ -273,6 +273,23 @@
         )
         return Success(response)
 
+    def connect_once(self, timeout_ms) -> Result:
+        """Open a connection and close it, to find out whether a process listens.
+
+        Parameters
+        ----------
+        timeout_ms : float
+
+        Returns
+        -------
+        result : Success of None, or Failure of NotSentError
+        """
+        try:
+            self._open(time.monotonic() + timeout_ms / 1000.0).close()
+        except OSError as error:
+            return Failure(NotSentError(f"{self.address}: {error}"))
+        return Success(None)
+
     def has_open_idle(self):
         """Return whether the idle connection that is used next is still open.
 
--- a/src/tarragonramp/fleet.py
+++ b/src/tarragonramp/fleet.py
@@ -266,6 +266,7 @@
             limits=ServerLimits(settings.name),
         )
         leadership.monitor, leadership.limits = router.monitor, router.limits
+        router.suspects.name, router.suspects.peers = settings.name, peers
         for part in (leadership, router.delegator):
             part.record_leaving = router.announcements.record_leaving
         ports.grants.on_leaving = router.announcements.record_leaving
@@ -321,6 +322,7 @@
             self._metrics_page,
             self.delegate,
             self.router.caps,
+            self.router.suspects,
         )
         self.peer_server = DaemonServer(
             settings.peer_address, application, clock, self.traffic, id_header
@@ -367,6 +369,7 @@
         keep_running(self.leadership.run)
         keep_running(self.granter.run)
         keep_running(self.router.prober.run)
+        keep_running(self.router.suspects.run)
         self.open_task = keep_running(self._open)
         keep_running(self._tidy)
         return run_until_drained(self.stopped, self._drain)
@@ -545,6 +548,11 @@
             "Backend servers that have asked this daemon to send nothing for a time.",
             lambda: self.router.announcements.backoffs.n_active(self.clock.now_ms()),
         )
+        gauge(
+            "requests.held_back",
+            "Contents of requests that are held back, as servers end under them.",
+            lambda: self.router.suspects.quarantine.n_active(self.clock.now_ms()),
+        )
         gauge(
             "cut_off",
             "1 if it reaches no backend server.",
@@ -589,6 +597,21 @@
             "Requests sent to backend servers in their pauses.",
             lambda: self.router.announcements.n_sent_in_backoff,
         )
+        count(
+            "servers.ended",
+            "Backend servers that ended while they had requests of this daemon.",
+            lambda: self.router.suspects.n_ended,
+        )
+        count(
+            "requests.hold_backs",
+            "Contents of requests that were held back.",
+            lambda: self.router.suspects.quarantine.n_held,
+        )
+        count(
+            "requests.releases",
+            "Contents that are held back no longer, as a server answered them.",
+            lambda: self.router.suspects.quarantine.n_released,
+        )
         count(
             "delegations",
             "Requests handed to other daemons.",
--- a/src/tarragonramp/roles/routed_request.py
+++ b/src/tarragonramp/roles/routed_request.py
@@ -49,6 +49,8 @@
         Whose caller it is from; None if callers need no API key.
     has_token : bool
         Whether a token of the team's usage cap has been taken for the next send.
+    mark : str
+        What identifies its content, see :func:`.content_mark`; empty until needed.
     """
 
     request_id: str
@@ -71,6 +73,7 @@
     is_unpaid_retry: bool = False
     team: object = None
     has_token: bool = False
+    mark: str = ""
 
     @property
     def may_repeat(self):
--- a/src/tarragonramp/roles/router.py
+++ b/src/tarragonramp/roles/router.py
@@ -31,6 +31,7 @@
 from .path_prober import PathProber
 from .refusals import ABANDONED_STATUS, log_refusal
 from .routed_request import RoutedRequest
+from .suspects import SuspectFinder
 
 __all__ = ["Router"]
 
@@ -83,6 +84,8 @@
     monitor : PathMonitor
         Whether this daemon reaches servers.
     prober : PathProber
+    suspects : SuspectFinder
+        Holds back requests under which servers end.
     confirm_manifest : callable
         Takes the latest version of the manifest that other daemons have used; returns
         whether the manifest in force is recent enough to refuse what it lacks.
@@ -111,6 +114,7 @@
     _started_ms: float = attrs.field(init=False)
     _budgets: dict = attrs.Factory(dict)
     announcements: Announcements = attrs.field(init=False)
+    suspects: SuspectFinder = attrs.field(init=False)
     chooser: ServerChooser = attrs.field(init=False)
     owners: OwnerResolver = attrs.field(init=False)
     _rng: random.Random = attrs.Factory(random.Random)
@@ -139,6 +143,9 @@
             self.announcements.backoffs,
             self._record_health,
         )
+        self.suspects = SuspectFinder(
+            self.view, self.clock, self.pools, lambda: self.prober.confirm_cut_off()
+        )
 
     def __call__(self, environ, start_response):
         """Serve one request of a caller."""
@@ -470,6 +477,8 @@
         response, facts = result.unwrap()
         if is_divided and not facts.misdirected:
             self.owners.record_served(request)
+        if facts.genuine and not facts.not_run:
+            self.suspects.record_answer(request)
         self.announcements.record_answer(
             server, facts, request.request_id, began_ms, now_ms
         )
@@ -608,6 +617,7 @@
         request.in_doubt = True
         if self.clock.now_ms() >= request.until_ms:
             raise RequestError(504, UNKNOWN, "no whole answer in time")
+        self.suspects.record_break(request, chosen.server)
         self._check_retry(request, budget)
         if request.may_delegate:
             # The retry takes another way if this daemon reaches no server.
--- a/src/tarragonramp/timelines.py
+++ b/src/tarragonramp/timelines.py
@@ -89,12 +89,19 @@
         return []
     daemons = {line.daemon for line in own_lines}
     servers = {line.fields["server"] for line in own_lines if "server" in line.fields}
+    contents = {
+        line.fields["content"] for line in own_lines if "content" in line.fields
+    }
     first_ms, last_ms = (
         own_lines[0].at_ms - LOOKBACK_MS,
         own_lines[-1].at_ms + MAX_CLOCK_SKEW_MS,
     )
     timeline = []
     for line in lines:
+        if line.at_ms <= last_ms and line.fields.get("content") in contents:
+            is_own = line.fields.get("id") == request_id
+            timeline.append((line, "" if is_own else "about the same content"))
+            continue
         if not first_ms <= line.at_ms <= last_ms:
             continue
         if line.fields.get("id") == request_id:
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -203,7 +203,8 @@
             answers = self.scripted.get(name) or self.scripted.get("all") or [OK]
             return answers.pop(0) if len(answers) > 1 else answers[0]
 
-        return types.SimpleNamespace(exchange=exchange)
+        connect_once = lambda timeout_ms: Success(None)
+        return types.SimpleNamespace(exchange=exchange, connect_once=connect_once)
 
     def send_request(self, path, key=None, request_id=""):
         """Return the status and headers that a caller gets."""
