A request under which servers end is held back by all daemons

Cause: each daemon knows a request by its id and for one attempt. A safe one is sent to the next server as soon as its server has ended, and nothing is remembered afterwards. The class: a limit that is kept for one attempt at one daemon, while what it guards against is a sum over attempts and daemons.

The ends of one caller's two sends, and those of callers who come back, are of the same content.

Why this works: a content that two servers have ended under, and that none has answered since, is refused unsent. Two daemons that follow from the content sum up what all see, and tell all once it is held back. One request is let through after 1 s, 10 s, 20 s and so on; its answer releases the content. An answer of any server clears suspects, so a frequent request is served while its servers are killed.

--- a/src/tarragonramp/quarantine.py
+++ b/src/tarragonramp/quarantine.py
@@ -17,11 +17,13 @@
 SUSPICION_MS = 60_000.0
 """How long an end counts. Two ends that lie further apart are taken for chance."""
 
-FIRST_HOLD_MS, MAX_HOLD_MS = 10_000.0, 300_000.0
-"""How long a content is held back until one request is let through, at first and at
-most. Each time a server ends under that one, the time doubles."""
+FIRST_HOLD_MS, SECOND_HOLD_MS, MAX_HOLD_MS = 1_000.0, 10_000.0, 300_000.0
+"""How long a content is held back until one request is let through. The first time is
+short: servers that were killed together end under whatever they had in hand, and no
+answer clears it while none of them runs. If a server ends under the one request, the
+second time follows, and then twice the time before, up to the last."""
 
-TRIAL_MS = 5_000.0
+TRIAL_MS = 2_000.0
 """How long the outcome of the request that is let through is awaited."""
 
 MAX_SUSPECTS = 1024
@@ -145,7 +147,8 @@
             self.n_held += 1
             suspect.hold_ms = FIRST_HOLD_MS
         elif now_ms >= suspect.held_until_ms:
-            suspect.hold_ms = min(2.0 * suspect.hold_ms, MAX_HOLD_MS)
+            longer_ms = max(SECOND_HOLD_MS, 2.0 * suspect.hold_ms)
+            suspect.hold_ms = min(longer_ms, MAX_HOLD_MS)
         suspect.trial_until_ms = 0.0
         suspect.held_until_ms = max(suspect.held_until_ms, now_ms + suspect.hold_ms)
 
@@ -193,6 +196,12 @@
         found.trial_until_ms = now_ms + TRIAL_MS
         return True
 
+    def cancel_trial(self, mark):
+        """Let another request through: the one that was is not sent, or was refused."""
+        found = self.suspects.get(mark)
+        if found is not None:
+            found.trial_until_ms = 0.0
+
     def n_active(self, now_ms):
         """Return the number of contents that are held back."""
         return sum(
--- a/src/tarragonramp/roles/routed_request.py
+++ b/src/tarragonramp/roles/routed_request.py
@@ -51,6 +51,8 @@
         Whether a token of the team's usage cap has been taken for the next send.
     mark : str
         What identifies its content, see :func:`.content_mark`; empty until needed.
+    is_trial : bool
+        Whether it is sent to find out whether its content still has to be held back.
     """
 
     request_id: str
@@ -74,6 +76,7 @@
     team: object = None
     has_token: bool = False
     mark: str = ""
+    is_trial: bool = False
 
     @property
     def may_repeat(self):
--- a/src/tarragonramp/roles/router.py
+++ b/src/tarragonramp/roles/router.py
@@ -55,6 +55,10 @@
 Never more than the connections guaranteed to this daemon are kept: one that was opened
 beyond these is closed after use, so that other daemons can open theirs."""
 
+EXAMINATION_MS = 100.0
+"""How long a request whose connection broke waits before it is repeated, until it is
+known whether its server has ended, and whether others have ended under it."""
+
 CLOSING_STATUSES = frozenset((408, 413))
 MIN_SERVER_ERROR_STATUS = 500
 SUCCESS_STATUSES = range(200, 300)
@@ -325,6 +329,7 @@
             return self._deliver_within_cap(request, times)
         finally:
             self._give_token_back(request)
+            self.suspects.end_trial(request)
 
     def _give_token_back(self, request):
         """Return a token of the team's usage cap that was not used."""
@@ -366,6 +371,7 @@
             if not request.is_credited:
                 budget.earn()
                 request.is_credited = True
+            self.suspects.check(request)
             self._take_token(request)
             chosen = self.chooser.choose(request)
             if isinstance(chosen, BackendServer):
@@ -617,11 +623,12 @@
         request.in_doubt = True
         if self.clock.now_ms() >= request.until_ms:
             raise RequestError(504, UNKNOWN, "no whole answer in time")
-        self.suspects.record_break(request, chosen.server)
+        examination = self.suspects.record_break(request, chosen.server)
         self._check_retry(request, budget)
         if request.may_delegate:
             # The retry takes another way if this daemon reaches no server.
             self.prober.confirm_cut_off()
+        examination.join(EXAMINATION_MS / 1000.0)
 
     def _check_retry(self, request, budget):
         """Raise unless a request with unknown outcome may be sent again."""
--- a/src/tarragonramp/roles/suspects.py
+++ b/src/tarragonramp/roles/suspects.py
@@ -100,6 +100,7 @@
         if found is None or not found.is_held:
             return
         if self.quarantine.left_ms(found, now_ms) <= 0.0 and self._may_try(mark):
+            request.is_trial = True
             log_event("request-let-through", id=request.request_id, content=mark)
             return
         left_ms = max(0.0, self.quarantine.left_ms(found, self.clock.now_ms()))
@@ -110,7 +111,7 @@
             rule="held back",
             content=mark,
             ends=len(found.ends_ms),
-            held_ms=round(left_ms),
+            hold_left_ms=round(left_ms),
         )
 
     def record_answer(self, request):
@@ -122,6 +123,15 @@
             self._log_released(mark, id=request.request_id)
             gevent.spawn(self._tell_keepers, {"kind": "answered", "content": mark})
 
+    def end_trial(self, request):
+        """Have another request tried if this one showed nothing, as it did not run."""
+        if not request.is_trial or request.in_doubt:
+            return
+        self.quarantine.cancel_trial(request.mark)
+        if request.mark in self.quarantine.suspects:
+            message = {"kind": "untried", "content": request.mark}
+            gevent.spawn(self._tell_keepers, message)
+
     def record_break(self, request, server):
         """Find out whether a server ended while it had a request.
 
@@ -164,6 +174,9 @@
             If it is malformed.
         """
         kind, mark = message["kind"], str(message["content"])
+        if kind == "untried":
+            self.quarantine.cancel_trial(mark)
+            return {}
         if kind in ("answered", "released"):
             found = self.quarantine.record_answer(mark)
             if found is not None:
--- a/tests/test_deadly_requests.py
+++ b/tests/test_deadly_requests.py
@@ -127,6 +127,7 @@
         self.assertLessEqual(len(ends_ms), MAX_ENDS, found)
         self.assertLessEqual(n_late, MAX_LATE_ARRIVALS, found)
         self.assertGreater(served, min_served, found)
+        self.assertEqual({500} & {*self.answers, *self.others}, set())
 
 
 class DeadlyRequestTest(DeadlyRequestTestCase):
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -6,6 +6,7 @@
     FIRST_HOLD_MS,
     MAX_HOLD_MS,
     MAX_SUSPECTS,
+    SECOND_HOLD_MS,
     SUSPICION_MS,
     TRIAL_MS,
     Quarantine,
@@ -30,6 +31,14 @@
         self.assertTrue(self.end("s2", 100.0))
         self.assertFalse(self.quarantine.begin_trial("m", FIRST_HOLD_MS))
 
+    def test_a_trial_that_is_not_sent_leaves_its_place_to_another(self):
+        """Guards against a wait after an outage of all servers of a service."""
+        self.end("s1", 0.0)
+        self.end("s2", 0.0)
+        self.assertTrue(self.quarantine.begin_trial("m", FIRST_HOLD_MS))
+        self.quarantine.cancel_trial("m")
+        self.assertTrue(self.quarantine.begin_trial("m", FIRST_HOLD_MS))
+
     def test_one_end_that_several_daemons_tell_of_counts_once(self):
         """Guards against holding back what one server ended under."""
         for _ in range(5):
@@ -65,7 +74,8 @@
             self.assertFalse(self.quarantine.begin_trial("m", now_ms + 1.0))
             now_ms += 20.0
             self.end(f"t{n_trials}", now_ms)
-            hold_ms, n_trials = min(2 * hold_ms, MAX_HOLD_MS), n_trials + 1
+            hold_ms = min(max(SECOND_HOLD_MS, 2 * hold_ms), MAX_HOLD_MS)
+            n_trials += 1
         self.assertLess(n_trials, 20)
 
     def test_a_trial_without_an_outcome_ends(self):
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -5,6 +5,7 @@
 from unittest import mock
 
 import attrs
+import gevent
 from returns.result import Failure, Success
 
 from tarragonramp import Clock, ManualClock
@@ -148,6 +149,7 @@
             server = BackendServer(name, 1, service, f"{name}:80", "a", 3)
             self.view.directory.upsert(server)
         self.scripted, self.sent, self.while_connecting = {}, [], {}
+        self.connections_refused = False
         pools = types.SimpleNamespace(at=self.pool_at)
         self.router = Router(
             self.view,
@@ -203,7 +205,10 @@
             answers = self.scripted.get(name) or self.scripted.get("all") or [OK]
             return answers.pop(0) if len(answers) > 1 else answers[0]
 
-        connect_once = lambda timeout_ms: Success(None)
+        refused = Failure(NotSentError("Connection refused"))
+        connect_once = lambda timeout_ms: (
+            refused if self.connections_refused else Success(None)
+        )
         return types.SimpleNamespace(exchange=exchange, connect_once=connect_once)
 
     def send_request(self, path, key=None, request_id=""):
@@ -251,6 +256,26 @@
         self.assertEqual(self.delegated, [([], False)] * 3)
         self.assertEqual(self.sent, [])
 
+    def test_a_content_under_which_two_servers_ended_is_not_sent(self):
+        """Guards against callers who come back until all servers have ended."""
+        self.connections_refused = True
+        self.scripted["all"] = [UNANSWERED]
+        self.assertEqual(self.send_request("/safe/x")[0], 502)
+        self.assertEqual(len(self.sent), 2)
+        gevent.sleep(0.01)
+        self.scripted["all"] = [OK]
+        status, headers = self.send_request("/safe/x")
+        self.assertEqual((status, "Retry-After" in headers), (503, True))
+        self.assertEqual(len(self.sent), 2)
+        self.assertEqual(self.send_request("/safe/y")[0], 200)
+
+    def test_a_content_is_sent_while_connections_break_without_an_end(self):
+        """Guards against refusals because of full servers or lost answers."""
+        self.scripted["all"] = [UNANSWERED]
+        for _ in range(3):
+            self.assertEqual(self.send_request("/safe/x")[0], 502)
+        self.assertEqual(len(self.sent), 6)
+
     def test_a_request_that_no_daemon_takes_is_sent_by_this_one(self):
         """Guards against refusals because of a wrong verdict on the paths."""
         self.router.monitor.record_check(False, 0.0)
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -13,7 +13,7 @@
 from tarragonramp.directory import BackendServer
 from tarragonramp.errors import NotSentError, RequestError, UnansweredError
 from tarragonramp.fleet_view import FleetView
-from tarragonramp.quarantine import FIRST_HOLD_MS
+from tarragonramp.quarantine import FIRST_HOLD_MS, SECOND_HOLD_MS
 from tarragonramp.roles.routed_request import RoutedRequest
 from tarragonramp.roles.suspects import SuspectFinder
 
@@ -162,13 +162,14 @@
         fleet = self.fleet(90)
         fleet.send("d0")
         fleet.settle()
-        for hold in (1, 2, 4, 8):
+        second_ms = SECOND_HOLD_MS
+        for hold_ms in (FIRST_HOLD_MS, second_ms, 2 * second_ms, 4 * second_ms):
             before = fleet.n_ends
-            self.clock.advance(hold * FIRST_HOLD_MS + 100.0)
+            self.clock.advance(hold_ms + 100.0)
             for daemon in fleet.finders:
                 fleet.send(daemon)
                 fleet.settle()
-            self.assertEqual(fleet.n_ends - before, 1, hold)
+            self.assertEqual(fleet.n_ends - before, 1, hold_ms)
 
     def test_an_answer_releases_the_content_at_all_daemons(self):
         """Guards against a request that stays held back once its servers are mended."""
@@ -182,6 +183,19 @@
         fleet.settle()
         self.assertFalse(any(fleet.send(name) for name in fleet.finders))
 
+    def test_a_trial_that_is_refused_unsent_is_followed_by_another(self):
+        """Guards against a wait after an outage of all servers of a service."""
+        fleet = self.fleet(9)
+        fleet.send("d0")
+        fleet.settle()
+        self.clock.advance(FIRST_HOLD_MS + 100.0)
+        for daemon in fleet.finders:
+            request = fleet.request()
+            fleet.finders[daemon].check(request)
+            self.assertTrue(request.is_trial)
+            fleet.finders[daemon].end_trial(request)
+            fleet.settle()
+
     def test_other_contents_are_not_held_back(self):
         """Guards against refusals of whatever was at the same servers once."""
         fleet = self.fleet(9)
