An entry that can't be read no longer hides the others

What callers saw: with one entry of another writer in the list of servers that is nested deeply, or has a number of thousands of digits, new servers got nothing and draining ones went on getting requests; started beside such an entry, no daemon got ready. An entry whose host is no valid name gave callers 500.

Cause: a list is parsed as a whole, so the part of one writer decides over all. RecursionError was caught nowhere; a host that is no IP address was looked up by name, where it raises what is no OSError.

Why this works: a list that can't be parsed is cut into its elements by a scan that neither nests nor converts, and each is parsed by itself. One that can't be read, or that others may not be able to read, is an object without content under its name. Addresses are IP addresses with a port. Every parser of other processes' messages raises ValueError for deep nesting.

--- a/src/tarragonramp/adapters/backends.py
+++ b/src/tarragonramp/adapters/backends.py
@@ -8,6 +8,7 @@
 from ..errors import UnansweredError
 from ..leases import ServerAnswer
 from .http import HttpPools
+from .json_lists import parse_json
 
 __all__ = ["HttpBackends"]
 
@@ -56,7 +57,7 @@
 
 def _parse_answer(response):
     try:
-        raw = json.loads(response.body)
+        raw = parse_json(response.body)
         return Success(
             ServerAnswer(
                 boot_id=raw["boot_id"],
--- a/src/tarragonramp/adapters/fleet_peers.py
+++ b/src/tarragonramp/adapters/fleet_peers.py
@@ -13,6 +13,7 @@
 from ..meters import NOT_RUN
 from ..results import is_successful
 from .http import HttpPools
+from .json_lists import parse_json
 from .web import ARRIVED_KEY, RequestError, caller_disconnected, error_reply
 
 __all__ = ["DELEGATED_PREFIX", "FleetPeers", "PeerApplication"]
@@ -157,7 +158,7 @@
     """Decompress and parse a peer's message; ValueError if it is malformed."""
     decompressor = zlib.decompressobj()
     try:
-        return json.loads(decompressor.decompress(data, MAX_MESSAGE_BYTES))
+        return parse_json(decompressor.decompress(data, MAX_MESSAGE_BYTES))
     except zlib.error as error:
         raise ValueError("message is not deflate-compressed") from error
 
--- a/src/tarragonramp/adapters/http.py
+++ b/src/tarragonramp/adapters/http.py
@@ -5,6 +5,7 @@
 parser is used.
 """
 
+import ipaddress
 import math
 import re
 import socket as plain_socket
@@ -33,7 +34,14 @@
 from .optional import optional_step
 from .parser import ResponseParser
 
-__all__ = ["Response", "HttpPool", "HttpPools", "check_bounded_sends", "split_address"]
+__all__ = [
+    "Response",
+    "HttpPool",
+    "HttpPools",
+    "check_address",
+    "check_bounded_sends",
+    "split_address",
+]
 
 RECEIVE_BYTES = 16_384
 MAX_TURN_BYTES, PAUSE_MS = 65_536, 1.0
@@ -61,6 +69,7 @@
 
 _watch = AbandonmentWatch()
 
+_PORT, N_PORTS = re.compile(r"[0-9]{1,5}\Z", re.ASCII), 65_536
 _TOKEN = re.compile(r"[!#$%&'*+\-.^_`|~0-9A-Za-z]+\Z")
 _VALUE = re.compile(r"[\t\x20-\x7e\x80-\xff]*\Z")
 _TARGET = re.compile(r"/[^\x00-\x20\x7f]*\Z")
@@ -102,6 +111,19 @@
     return host, int(port)
 
 
+def check_address(address):
+    """Raise ValueError unless an address is ``ip:port`` of a machine.
+
+    Any other host would be looked up by name, and port 0 or a longer number may be
+    taken for another port.
+    """
+    host, _, port = address.rpartition(":")
+    if not _PORT.match(port) or not 0 < int(port) < N_PORTS:
+        raise ValueError(f"address {address!r:.200} has no valid port")
+    if ipaddress.ip_address(host).is_unspecified:
+        raise ValueError(f"address {address!r:.200} is of no machine")
+
+
 @attrs.define(eq=False, repr=False)
 class HttpPool:
     """Pool of connections to one address.
@@ -229,7 +251,8 @@
             if connection is None and reuse_only:
                 return Failure(NoConnectionError(f"{self.address}: no open connection"))
             connection = connection or self._open(deadline_s)
-        except OSError as error:
+        except (OSError, UnicodeError) as error:
+            # A host that is not an IP address may not even be a valid name.
             return Failure(NotSentError(f"{self.address}: {error}"))
         if may_send is not None and not may_send():
             connection.close()
@@ -286,7 +309,7 @@
         """
         try:
             self._open(time.monotonic() + timeout_ms / 1000.0).close()
-        except OSError as error:
+        except (OSError, UnicodeError) as error:
             return Failure(NotSentError(f"{self.address}: {error}"))
         return Success(None)
 
--- a/src/tarragonramp/adapters/peers.py
+++ b/src/tarragonramp/adapters/peers.py
@@ -20,6 +20,7 @@
 from ..vms import VmChanges
 from ..wire import peer_pb2, peer_pb2_grpc
 from .http import HttpPools, Response
+from .json_lists import parse_json
 
 __all__ = [
     "GrpcPeers",
@@ -364,7 +365,7 @@
     ValueError, KeyError, TypeError
         If the data is malformed.
     """
-    found = json.loads(raw)
+    found = parse_json(raw)
     return NewsQuestion(*(found[field.name] for field in attrs.fields(NewsQuestion)))
 
 
@@ -375,7 +376,7 @@
 
 def _parse_news_answer(response):
     try:
-        raw = json.loads(response.body)
+        raw = parse_json(response.body)
         items = tuple(Stored(**item) for item in raw["items"])
         return Success(
             NewsAnswer(
@@ -395,7 +396,7 @@
 
 def _parse_ping_answer(response):
     try:
-        raw = json.loads(response.body)
+        raw = parse_json(response.body)
         newest = raw.get("newest", 0)
         leaving = raw.get("leaving", False)
         return Success(PingAnswer(raw["identity"], dict(raw["taken"]), newest, leaving))
--- a/src/tarragonramp/adapters/platform.py
+++ b/src/tarragonramp/adapters/platform.py
@@ -16,6 +16,7 @@
 )
 from ..model import Stored, Vm
 from .http import HttpPool
+from .json_lists import parse_json
 
 __all__ = ["HttpPlatform", "platform_error"]
 
@@ -123,7 +124,7 @@
             )
         )
     try:
-        raw = json.loads(response.body)
+        raw = parse_json(response.body)
     except ValueError:
         return Failure(PlatformUnreachableError("platform response is not JSON"))
     if response.status == 409:
--- a/src/tarragonramp/ranges.py
+++ b/src/tarragonramp/ranges.py
@@ -282,6 +282,8 @@
             bounds, n_initial = spec["bounds"], 0
             if isinstance(bounds, int):
                 n_initial = bounds
+                if not 0 <= n_initial <= N_KEYS:
+                    raise ValueError(f"{n_initial:.3g} ranges")
                 bounds = _split_bounds(n_initial, spec.get("cuts", ()))
             moving = {at: (*owners[old], token) for at, old, token in spec["moving"]}
             rows = zip(bounds, spec["owners"], spec["tokens"], strict=True)
@@ -290,7 +292,7 @@
                 for at, ((first, last), owner, token) in enumerate(rows)
             )
             return cls(spec["service"], ranges, addresses, n_initial)
-        except (KeyError, IndexError, TypeError, ValueError) as error:
+        except (LookupError, TypeError, ValueError, AttributeError) as error:
             raise ValueError(f"invalid range table: {error!r}") from error
 
 
--- a/src/tarragonramp/roles/caps.py
+++ b/src/tarragonramp/roles/caps.py
@@ -10,6 +10,7 @@
 import gevent
 from gevent.event import Event
 
+from ..adapters.json_lists import parse_json
 from ..adapters.logs import log_event
 from ..limits import (
     CLOCK_DRIFT,
@@ -447,7 +448,7 @@
     n_steps, _, body = text.rpartition(":")
     try:
         factor = PART_STEPS / int(n_steps or UNNAMED_STEPS)
-        raw = json.loads(zlib.decompress(base64.b64decode(body))) if body else {}
+        raw = parse_json(zlib.decompress(base64.b64decode(body))) if body else {}
         return {
             str(name): {str(team): _scaled(name, n, factor) for team, n in held.items()}
             for name, held in raw.items()
--- a/src/tarragonramp/roles/control.py
+++ b/src/tarragonramp/roles/control.py
@@ -1,9 +1,8 @@
 """The control port: requests of other daemons and operators, probes and metrics."""
 
-import json
-
 import attrs
 
+from ..adapters.json_lists import parse_json
 from ..adapters.peers import news_payload, parse_news_question
 from ..adapters.web import REASONS, json_reply
 from .status import IN_FORCE_TARGET
@@ -76,11 +75,11 @@
             return json_reply(start_response, 401, {"error": "peer secret is wrong"})
         body = environ["wsgi.input"].read()
         if path == IN_FORCE_TARGET:
-            report = json.loads(body)
+            report = parse_json(body)
             self.status.record_version(report["identity"], report["version"])
             return json_reply(start_response, 200, {})
         if path == "/peer/ping":
-            return json_reply(start_response, 200, self._answer_ping(json.loads(body)))
+            return json_reply(start_response, 200, self._answer_ping(parse_json(body)))
         if path == "/peer/news":
             news = news_payload(self.news.answer(parse_news_question(body)))
             return json_reply(start_response, 200, news)
--- a/src/tarragonramp/roles/operators.py
+++ b/src/tarragonramp/roles/operators.py
@@ -1,12 +1,12 @@
 """Operator API: queries, and changes that are recorded in the audit trail."""
 
-import json
 import urllib.parse
 import uuid
 
 import attrs
 from returns.result import Result
 
+from ..adapters.json_lists import parse_json
 from ..adapters.web import json_reply
 from ..declarations import (
     DECLARED_KINDS,
@@ -353,7 +353,7 @@
     if length > MAX_BODY_BYTES:
         raise _CallError(413, f"longer than {MAX_BODY_BYTES} bytes")
     try:
-        return json.loads(environ["wsgi.input"].read(length))
+        return parse_json(environ["wsgi.input"].read(length))
     except ValueError as error:
         raise _CallError(400, f"the body is not JSON: {error}") from error
 
--- a/standins/fleet_store.py
+++ b/standins/fleet_store.py
@@ -8,6 +8,7 @@
 monkey.patch_all()
 
 import argparse  # noqa: E402
+import base64  # noqa: E402
 import json  # noqa: E402
 import time  # noqa: E402
 import urllib.parse  # noqa: E402
@@ -62,6 +63,8 @@
         Revision, kind and event of each change.
     calls : dict of str to int
         Number of calls, by purpose and kind.
+    raw_parts : dict of str to bytes
+        Text that answers have in place of a quoted name: what no JSON library writes.
     faults : StoreFaults
     """
 
@@ -70,6 +73,7 @@
     kinds: dict = attrs.Factory(dict)
     events: list = attrs.Factory(list)
     calls: dict = attrs.Factory(dict)
+    raw_parts: dict = attrs.Factory(dict)
     faults: StoreFaults = attrs.Factory(StoreFaults)
     _changed: Event = attrs.Factory(Event)
 
@@ -95,7 +99,7 @@
             # The connection stays open without a response.
             environ[SOCKET_KEY].settimeout(None)
             gevent.sleep(60.0)
-        return _reply(start_response, status, payload)
+        return _reply(start_response, status, payload, self.raw_parts)
 
     def _drops_response(self, method, query, status):
         if method != "GET" and self.faults.lose_answers > 0:
@@ -198,6 +202,8 @@
 
     def _control(self, body, start_response):
         command = json.loads(body)
+        for name, encoded in command.get("raw_parts", {}).items():
+            self.raw_parts[name] = base64.b64decode(encoded)
         if "write" in command:
             self.write(*command["write"])
         if "delete" in command:
@@ -210,8 +216,10 @@
         return _reply(start_response, 200, payload)
 
 
-def _reply(start_response, status, payload):
+def _reply(start_response, status, payload, raw_parts=None):
     body = json.dumps(payload).encode()
+    for name, raw in (raw_parts or {}).items():
+        body = body.replace(json.dumps(name).encode(), raw)
     start_response(f"{status} Status", [("Content-Length", str(len(body)))])
     return [body]
 
--- a/tests/test_platform_folder.py
+++ b/tests/test_platform_folder.py
@@ -60,7 +60,9 @@
 
     def exchange(self, *request):
         """Return the next page."""
-        return Success(Response(200, (), json.dumps(self.pages.pop(0)).encode()))
+        page = self.pages.pop(0)
+        body = page if isinstance(page, bytes) else json.dumps(page).encode()
+        return Success(Response(200, (), body))
 
 
 class GrantTest(unittest.TestCase):
@@ -242,6 +244,23 @@
         self.assertEqual([item.name for item in parsed], ["a", "b"])
         self.assertEqual(version, 10)
 
+    def test_pages_that_end_with_an_unreadable_item_are_continued(self):
+        """Guards against a list that is taken for whole after such a page."""
+        item = '{"meta": {"name": "%s", "rev": 5}, "spec": {"a": %s}}'
+        page = '{"items": [%s], "hasMore": %s, "storeRevision": 10}'
+        pages = [
+            page % (item % ("a", "1"), "true"),
+            page % (item % ("b", "9" * 6000), "true"),
+            page % (item % ("c", "1"), "false"),
+        ]
+        store = MetadataStore("10.0.0.1:80")
+        store._pool = PagedPool(*(text.encode() for text in pages))
+        _, items = store.snapshot("server").unwrap()
+        specs = [(item.name, item.spec) for item in items]
+        self.assertEqual(specs, [("a", {"a": 1}), ("b", {}), ("c", {"a": 1})])
+        store._pool = PagedPool({"items": [{}], "hasMore": True, "storeRevision": 10})
+        self.assertFalse(is_successful(store.snapshot("server")))
+
     def test_items_that_cannot_be_read_do_not_hide_the_others(self):
         """Guards against one entry that ends the task that follows all of them."""
         good = {"meta": {"name": "a", "rev": 5}, "spec": {"born": 1}, "status": {}}
@@ -312,6 +331,13 @@
         for path, value in (
             ("addr", "nowhere"),
             ("addr", "10.0.0.1:99999"),
+            ("addr", "10.0.0.1:+8_0"),
+            ("addr", "10.0.0.1:" + "9" * 6000),
+            ("addr", "10.0.0.1:\u0668\u0660"),
+            ("addr", "localhost:80"),
+            ("addr", "a..b:80"),
+            ("addr", "a" * 300 + ":80"),
+            ("addr", "0.0.0.0:80"),
             ("born", True),
             ("born", "1000"),
             ("born", 10**400),
