Soak and stand-ins: deadly requests, entries that can't be parsed, heads that are cut

Seeds from 10,000,000 have callers who repeat a request under which servers end, entries of another program that parsers fail on, and servers that stop in the heads of their answers. New checks: a request does not end more servers than the daemons' lives excuse, and no caller gets a 500.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -34,6 +34,10 @@
 CAP_PROPAGATION_MS = 2500.0
 """How long after it was stored a lower cap may be unknown to daemons."""
 
+ENDS_PER_LIFE, MORE_ENDS = 3, 8
+"""Servers that may end under one content for each start of a daemon, and in all: those
+of requests let through, and of callers who send before an end is known."""
+
 STORE_RECOVERY_MS = 6000.0
 """How long after a fault of the store has ended daemons may still lack a change: the
 response to a watch may have been lost, which shows only when the watch times out."""
@@ -124,6 +128,8 @@
         Team of each caller's request, by its id; empty in runs without teams.
     caps : list of (float, UsageCap)
         Cap of the team that has one, and since when, as stored.
+    n_daemon_lives : int
+        How often daemons were started.
     """
 
     outcomes: list = attrs.Factory(list)
@@ -140,6 +146,7 @@
     delegating: list = attrs.Factory(list)
     teams: dict = attrs.Factory(dict)
     caps: list = attrs.Factory(list)
+    n_daemon_lives: int = 0
 
 
 def find_violations(run):
@@ -171,6 +178,10 @@
         "limits of servers": _beyond_limits(run),
         "teams and keys at servers": _wrong_callers(run),
         "usage cap": _beyond_cap(run),
+        "a request does not end all servers": _ends_under_one_content(run),
+        "no internal errors": [
+            outcome.request_id for outcome in run.outcomes if outcome.status == 500
+        ],
         "pauses of servers": sent_in_pauses(run, _disturbances, _overlaps),
         "servers that say they leave": late_after_leaving(
             run, _disturbances, _overlaps
@@ -178,6 +189,20 @@
     }
 
 
+def _ends_under_one_content(run):
+    """Return contents under which more servers ended than daemons can excuse.
+
+    Each life of a daemon may have seen none of the earlier ends. The proxy accepts
+    connections to a server that has ended, so that its next life has to tell.
+    """
+    paths = {outcome.request_id: outcome.path for outcome in run.outcomes}
+    ends = collections.Counter(
+        paths.get(entry[4], "") for entry in run.entries if entry[2] == "ended-by"
+    )
+    most = ENDS_PER_LIFE * run.n_daemon_lives + MORE_ENDS
+    return [f"{path}: {n}, most {most}" for path, n in ends.items() if n > most]
+
+
 def _wrong_callers(run):
     """Return requests that reached a server with a key, or for another team."""
     found = []
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -12,13 +12,16 @@
     "FIRST_ANNOUNCEMENT_SEED",
     "FIRST_COPY_SEED",
     "FIRST_CUT_SEED",
+    "FIRST_DEADLY_SEED",
     "FIRST_ENTRY_SEED",
     "FIRST_EXTENDED_SEED",
     "FIRST_LIMIT_SEED",
     "FIRST_OUTAGE_SEED",
     "FIRST_STOP_SEED",
     "FIRST_TEAM_SEED",
+    "DEADLY_REQUESTS",
     "LIMITS",
+    "ODD_KINDS",
     "PAUSES",
     "REFUSALS",
     "SERVERS",
@@ -71,6 +74,14 @@
 FIRST_ANNOUNCEMENT_SEED = 9_000_000
 """First seed whose plans also have servers ask for pauses, and say that they leave."""
 
+FIRST_DEADLY_SEED = 10_000_000
+"""First seed whose plans also have callers send requests under which servers end, other
+programs write entries that cannot be parsed, and servers cut the heads of answers."""
+
+DEADLY_REQUESTS = ("/view/deadly", "/book/deadly", "/parts/deadly")
+ODD_KINDS = ("nested", "long number", "no text", "no address", "no port")
+"""Entries of another program that a parser may not be able to read."""
+
 PAUSES = ("0.3", "1", "2.5", "5", "10", "soon", "-1")
 """Pauses in seconds that servers ask for; the last two are malformed."""
 
@@ -182,6 +193,9 @@
     if seed >= FIRST_ANNOUNCEMENT_SEED:
         added = [*_pauses(rng, run_ms), *_announced_leaves(rng, run_ms)]
         events = sorted([*events, *added], key=lambda e: e.at_ms)
+    if seed >= FIRST_DEADLY_SEED:
+        added = [*_deadly_requests(rng, run_ms), *_odd_entries(rng, run_ms)]
+        events = sorted([*events, *added], key=lambda e: e.at_ms)
     return [event for event in events if event.at_ms < run_ms]
 
 
@@ -230,6 +244,23 @@
     return events
 
 
+def _deadly_requests(rng, run_ms):
+    """Return callers who repeat a request under which servers end, to the end."""
+    for path in rng.sample(DEADLY_REQUESTS, rng.choice((1, 1, 2))):
+        for _ in range(rng.randint(1, 3)):
+            at_ms = rng.uniform(1000.0, run_ms / 3)
+            yield FaultEvent(at_ms, "send-deadly", path, run_ms - at_ms)
+
+
+def _odd_entries(rng, run_ms):
+    """Return entries that cannot be parsed, and servers that stop in their answers."""
+    for kind in rng.sample(ODD_KINDS, rng.randint(1, len(ODD_KINDS))):
+        yield FaultEvent(rng.uniform(0.0, run_ms / 2), "odd-entry", detail=kind)
+    for name in rng.sample(list(SERVERS), rng.randint(1, 3)):
+        at_ms, lasts_ms = rng.uniform(0.0, run_ms / 2), rng.uniform(1000.0, 5000.0)
+        yield FaultEvent(at_ms, "misbehave", name, lasts_ms, "cut_heads")
+
+
 def _team_changes(rng, run_ms):
     """Return changes of teams, at times several in quick succession."""
     events, at_ms = [], rng.uniform(1000.0, 3000.0)
--- a/soak/run.py
+++ b/soak/run.py
@@ -7,7 +7,9 @@
 
 monkey.patch_all()
 
+import base64  # noqa: E402
 import collections  # noqa: E402
+import itertools  # noqa: E402
 import json  # noqa: E402
 import os  # noqa: E402
 import random  # noqa: E402
@@ -37,6 +39,7 @@
     DAEMONS,
     FIRST_ANNOUNCEMENT_SEED,
     FIRST_COPY_SEED,
+    FIRST_DEADLY_SEED,
     FIRST_OUTAGE_SEED,
     FIRST_STOP_SEED,
     FIRST_TEAM_SEED,
@@ -74,6 +77,13 @@
 ENTRY_INTERVAL_S = 0.1
 """Interval at which another program writes an entry: shorter than that of servers."""
 
+RESTART_S, CHECK_S = 0.8, 0.1
+"""After what time a server that ended under a request is started again, and how often
+that is looked at."""
+
+DEADLY_INTERVAL_S, DEADLY_KEY = 0.5, 4711
+ODD_PLACE = "put raw text here"
+
 READY_LINE = "event=daemon-ready"
 """Logged by a daemon once it is ready. Before that it serves no callers, and it may not
 have installed its signal handlers yet, so that SIGTERM ends it at once."""
@@ -104,6 +114,8 @@
         Length of a daemon's log when it was last started, by name.
     starting : set of str
         Servers that are being started.
+    restarting : set of str
+        Servers that have ended under a request and are not started again yet.
     start_locks : dict of str to BoundedSemaphore
         Held while a process is checked and started, by name.
     n_starts : Counter
@@ -126,6 +138,7 @@
     anomalies: list = attrs.Factory(list)
     log_offsets: dict = attrs.Factory(dict)
     starting: set = attrs.Factory(set)
+    restarting: set = attrs.Factory(set)
     n_starts: collections.Counter = attrs.Factory(collections.Counter)
     start_locks: dict = attrs.Factory(lambda: collections.defaultdict(BoundedSemaphore))
     cap: UsageCap = HIGH_CAP
@@ -144,6 +157,8 @@
             callers = [gevent.spawn(self._call, i) for i in range(n_callers)]
             if self.seed >= FIRST_STOP_SEED:
                 callers.append(gevent.spawn(self._call_pipelined))
+            if self.seed >= FIRST_DEADLY_SEED:
+                callers.append(gevent.spawn(self._restart_ended))
             self._run_plan()
             recovered = self._recovers()
             self.stopping = True
@@ -163,11 +178,80 @@
         self.site.start_store()
         self._write_manifest()
         for name, (service, domain) in SERVERS.items():
-            self.site.start_server(name, service, domain)
+            self.site.start_server(name, service, domain, *self._server_options())
         for name in DAEMONS:
             self._start_daemon(name)
         self.site.wait_ready(*DAEMONS)
 
+    def _server_options(self):
+        deadly = ("--deadly-path", "deadly")
+        return deadly if self.seed >= FIRST_DEADLY_SEED else ()
+
+    def _restart_ended(self):
+        """Start the servers again that have ended under a request."""
+        while not self.stopping:
+            gevent.sleep(CHECK_S)
+            for name in SERVERS:
+                process = self.site.processes[name]
+                if process.poll() == 1 and name not in self.restarting:
+                    self.restarting.add(name)
+                    gevent.spawn(self._restart_later, name)
+
+    def _restart_later(self, name):
+        ended_ms = time.time() * 1000.0
+        self.record.kills.append((name, ended_ms))
+        self.record.unplanned.append((name, ended_ms - CHECK_S * 1000.0, ended_ms))
+        gevent.sleep(RESTART_S)
+        self._restart(name)
+        self.restarting.discard(name)
+        self._record_outage(name, ended_ms - CHECK_S * 1000.0)
+
+    def _send_deadly(self, event, duration_s):
+        """Repeat one request under new ids, at one daemon after the other."""
+        until_s = time.monotonic() + duration_s
+        path, key = event.name, DEADLY_KEY if "parts" in event.name else None
+        method = "POST" if "book" in path else "GET"
+        for daemon in itertools.cycle(DAEMONS):
+            if time.monotonic() >= until_s:
+                return
+            self.n_calls += 1
+            request_id, sent_ms = f"deadly-{self.n_calls}", time.time() * 1000.0
+            self.record.teams[request_id] = "common"
+            answer = self.site.call(
+                daemon,
+                path,
+                request_id,
+                key,
+                method,
+                extra_headers=self._secret("common"),
+            )
+            times_ms = sent_ms, time.time() * 1000.0
+            status, body = (answer.status, answer.body) if answer else (0, b"")
+            outcome = Outcome(request_id, method, path, *times_ms, status, body, daemon)
+            self.record.outcomes.append(outcome)
+            gevent.sleep(DEADLY_INTERVAL_S)
+
+    def _odd_entry(self, event, duration_s):
+        """Have another program write an entry that may make others unreadable."""
+        entry = {
+            "addr": {"no address": "a" * 300 + ":80", "no port": "127.0.0.1:x"}.get(
+                event.detail, "127.0.0.1:9"
+            ),
+            "born": int(time.time() * 1000),
+            "info": {"service": "desk", "version": "v1", "zone": "a", "slots": 4},
+            "status": {"state": "ready", "seq": 1, "warmupLeft": "0ms"},
+            "extra": f"{ODD_PLACE} {event.detail}",
+        }
+        raw = {
+            "nested": b"[" * 100_000 + b"]" * 100_000,
+            "long number": b"9" * 6000,
+            "no text": b'"\xff"',
+        }.get(event.detail, b"0")
+        self.site.control_store(
+            raw_parts={entry["extra"]: base64.b64encode(raw).decode()},
+            write=["servers", f"odd-{event.detail}", entry, None],
+        )
+
     def _start_daemon(self, name):
         was_started = name in self.site.processes
         self.log_offsets[name] = len(self.site.log_text(name)) if was_started else 0
@@ -177,6 +261,7 @@
         n_start = self.n_starts[name] = self.n_starts[name] + 1
         rng = random.Random(f"{self.seed} {name} {n_start}")
         self.site.start_daemon(name, DAEMONS[name], "", rng.choice(REFUSALS))
+        self.record.n_daemon_lives += 1
 
     def _is_starting(self, name):
         """Tell whether a daemon's process has not yet reported that it is ready."""
@@ -296,10 +381,12 @@
     def _start_server(self, name):
         self.starting.add(name)
         try:
-            self.site.start_server(name, *SERVERS[name])
+            options = self._server_options()
+            self.site.start_server(name, *SERVERS[name], *options)
         except ChildProcessError as error:
             # If another event killed it while it started, that event restarts it.
-            if self.site.processes[name].poll() != -signal.SIGKILL:
+            ended = {-signal.SIGKILL} | ({1} if options else set())
+            if self.site.processes[name].poll() not in ended:
                 self.anomalies.append(f"{name}: {error}")
         finally:
             self.starting.discard(name)
@@ -585,7 +672,7 @@
         Duration of the faults in each run, in seconds.
     """
     fresh_seeds = (
-        FIRST_ANNOUNCEMENT_SEED + secrets.randbelow(1_000_000) for _ in range(fresh)
+        FIRST_DEADLY_SEED + secrets.randbelow(1_000_000) for _ in range(fresh)
     )
     chosen = [*seeds, *fresh_seeds]
     return sum(not run_seed(seed, length_s) for seed in chosen or regression_seeds())
--- a/standins/fleet_server.py
+++ b/standins/fleet_server.py
@@ -11,6 +11,8 @@
 import random  # noqa: E402
 import re  # noqa: E402
 import signal  # noqa: E402
+import socket  # noqa: E402
+import struct  # noqa: E402
 import time  # noqa: E402
 
 import attrs  # noqa: E402
@@ -23,6 +25,7 @@
 HEARTBEAT_INTERVAL_MS = 300.0
 LOG, FAULTS = "/stand-in/log", "/stand-in/faults"
 GRANT, RELEASE, HEALTH = "/-/grant", "/-/release", "/health"
+RESET = struct.pack("ii", 1, 0)
 _ID_LINE = re.compile(rb"\r\nRequest-Id: [^\r]*")
 
 
@@ -50,6 +53,8 @@
     copy_responses, copy_without_id, copy_health : int
         Responses to requests, to requests but with a copy that lacks the id, and to
         health checks that are followed by such a copy.
+    cut_heads : int
+        Executed; the response ends at any place of its head, with a close or a reset.
     unstated : int
         Executed; the response is 503 and does not say whether it was.
     share : float
@@ -72,6 +77,7 @@
     copy_responses: int = 0
     copy_without_id: int = 0
     copy_health: int = 0
+    cut_heads: int = 0
     unstated: int = 0
     share: float = 1.0
     limit: str = ""
@@ -342,10 +348,16 @@
         return line
 
     def _sendall(self, data):
+        faults, is_head = self.server.application.faults, data.startswith(b"HTTP/1.1 ")
+        if is_head and _ID_LINE.search(data) and faults.consume("cut_heads"):
+            super()._sendall(data[: random.randrange(data.index(b"\r\n\r\n") + 3)])
+            if random.random() < 0.5:
+                self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+            self.socket.shutdown(socket.SHUT_RDWR)
+            raise ConnectionResetError(errno.ECONNRESET, "injected: response cut")
         super()._sendall(data)
-        if not data.startswith(b"HTTP/1.1 "):
+        if not is_head:
             return
-        faults = self.server.application.faults
         if self.path in (GRANT, RELEASE, HEALTH):
             fault = "copy_health" if self.path == HEALTH else "copy_answers"
             self._copy = data if faults.consume(fault) else b""
--- a/tests/test_deadly_requests.py
+++ b/tests/test_deadly_requests.py
@@ -25,6 +25,9 @@
 MAX_LATE_ARRIVALS = 2
 """Arrivals of the request later than ``KNOWN_MS`` after the third end under it."""
 KNOWN_MS = 1000.0
+BACK_S = 2.0
+"""How long after killed servers are back a request that is sent often has to be served
+again: the time of a cold start, and one second."""
 MIN_SERVED, MIN_SERVED_OF_KEYS = 0.95, 0.8
 
 
@@ -157,6 +160,26 @@
         task.kill()
         self.assertGreater(self.answers.count(200) / len(self.answers), 0.97)
 
+    def test_a_frequent_request_is_served_once_killed_servers_are_back(self):
+        """Guards against a request held back as all its servers ended with it."""
+
+        def kill_all():
+            for _ in range(2):
+                gevent.sleep(3.0)
+                for name in self.names:
+                    if self.site.processes[name].poll() is None:
+                        self.site.processes[name].kill()
+                gevent.sleep(RESTART_S + BACK_S)
+                self.answers.clear()
+                gevent.sleep(1.0)
+                shares.append(self.answers.count(200) / len(self.answers))
+
+        shares = []
+        task = gevent.spawn(kill_all)
+        self.send_hot()
+        task.kill()
+        self.assertGreater(min(shares), 0.95, shares)
+
     def send_hot(self):
         """Have all callers send the same request often."""
         self.answers.clear()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -78,6 +78,25 @@
             outcomes.append(attrs.evolve(found, daemon="d1"))
         return RunRecord(outcomes, entries, **changes)
 
+    def test_a_request_that_ends_servers(self):
+        def violated(n_ends, **changes):
+            ends = [
+                ("desk0", number, "ended-by", 1.0, f"r{number % 9}")
+                for number in range(n_ends)
+            ]
+            outcomes = [
+                outcome(f"r{number}", "GET", "/view/deadly", 503) for number in range(9)
+            ]
+            return violated_checks(RunRecord(outcomes, ends, **changes))
+
+        self.assertEqual(violated(9), ["a request does not end all servers"])
+        self.assertEqual(violated(8), [])
+        self.assertEqual(violated(20, n_daemon_lives=4), [])
+
+    def test_errors_of_a_daemon(self):
+        run = RunRecord([outcome(status=500)])
+        self.assertEqual(violated_checks(run), ["no internal errors"])
+
     def test_more_requests_than_a_server_takes(self):
         crowded = self.limited_run(["2.8"] * 100)
         self.assertEqual(violated_checks(crowded), ["limits of servers"])
