A pause that a restarted server asks for holds before its new entry is known

Cause: an answer does not tell the life of its server, so the pause was recorded for the life in the entry known then, and a later life has asked for nothing.

Evidence: test_a_life_whose_entry_comes_later_has_asked failed before.

Why this works: the entry tells when its life started. If that is before the pause was asked for, the earlier life had ended by then, and the pause is the later one's.

--- a/src/tarragonramp/backoffs.py
+++ b/src/tarragonramp/backoffs.py
@@ -27,16 +27,20 @@
     Parameters
     ----------
     life : int
-        Of the server; a later life has not asked for anything.
+        Of the server, as it was known. A later life that has started since has not
+        asked for anything.
     began_ms, until_ms : float
     request_id : str
         Id of the request that the server turned away first.
+    asked_unix_ms : float
+        When the server asked last, as Unix time.
     """
 
     life: int
     began_ms: float
     until_ms: float
     request_id: str
+    asked_unix_ms: float = 0.0
 
 
 @attrs.define(eq=False, repr=False)
@@ -59,7 +63,7 @@
         """Whether there may be any pause; without one, all servers may be sent to."""
         return bool(self._backoffs)
 
-    def record(self, server, for_ms, request_id, now_ms):
+    def record(self, server, for_ms, request_id, now_ms, unix_ms=0.0):
         """Record that a server asks for a pause from now on.
 
         Each answer holds for itself: a shorter pause does not end one that was asked
@@ -71,6 +75,9 @@
         for_ms : float
         request_id : str
         now_ms : float
+        unix_ms : float, default=0.0
+            The same moment as Unix time. A life that started before it has asked, as
+            the one before had ended, although its entry may be known only later.
 
         Returns
         -------
@@ -84,20 +91,25 @@
         before = self.find(server, now_ms)
         if before is not None:
             until_ms = max(until_ms, before.until_ms)
-            self._backoffs[server.name] = attrs.evolve(before, until_ms=until_ms)
+            self._backoffs[server.name] = attrs.evolve(
+                before, until_ms=until_ms, asked_unix_ms=unix_ms
+            )
             return False
         if until_ms <= now_ms:
             return False
-        self._backoffs[server.name] = Backoff(server.life, now_ms, until_ms, request_id)
+        self._backoffs[server.name] = Backoff(
+            server.life, now_ms, until_ms, request_id, unix_ms
+        )
         self.n_begun += 1
         return True
 
     def find(self, server, now_ms):
         """Return the Backoff that a server is in; None if it may be sent requests."""
         found = self._backoffs.get(server.name)
-        if found is None or found.life != server.life or now_ms >= found.until_ms:
+        if found is None or now_ms >= found.until_ms:
             return None
-        return found
+        has_asked = found.life < server.life <= found.asked_unix_ms
+        return found if found.life == server.life or has_asked else None
 
     def without_paused(self, servers, now_ms):
         """Return a list of those servers that may be sent requests."""
--- a/src/tarragonramp/roles/announcements.py
+++ b/src/tarragonramp/roles/announcements.py
@@ -5,6 +5,8 @@
 does not go unheard.
 """
 
+import time
+
 import attrs
 
 from ..adapters.logs import log_event
@@ -118,7 +120,8 @@
                 self._log_unreadable("backoff", server, facts.backoff_text)
             return
         self.tidy(now_ms)
-        if self.backoffs.record(server, facts.backoff_ms, request_id, now_ms):
+        unix_ms = time.time() * 1000.0
+        if self.backoffs.record(server, facts.backoff_ms, request_id, now_ms, unix_ms):
             log_event(
                 "server-backoff",
                 server=server.name,
--- a/tests/test_backoffs.py
+++ b/tests/test_backoffs.py
@@ -49,6 +49,14 @@
         self.record(3000.0, 0.0)
         self.assertFalse(self.is_paused(10.0, RESTARTED))
 
+    def test_a_life_whose_entry_comes_later_has_asked(self):
+        """Guards against requests to a restarted server that has asked for none."""
+        started = attrs.evolve(SERVER, life=5_000)
+        self.backoffs.record(SERVER, 3000.0, "r1", 0.0, unix_ms=5_200.0)
+        self.assertTrue(self.is_paused(10.0, started))
+        self.assertFalse(self.is_paused(10.0, attrs.evolve(SERVER, life=5_300)))
+        self.assertTrue(self.is_paused(10.0))
+
     def test_answer_of_an_earlier_life_ends_no_pause(self):
         """Guards against a late answer that replaces what a restarted server asked."""
         self.record(3000.0, 0.0, RESTARTED)
