Soak: repeats of all daemons are summed up as servers see them

In each window of ten seconds a service may get as many arrivals beyond the first of each id as the ratio of its callers' requests and the slack allow, whatever daemons are started again, cut off or hand requests to each other.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -1,5 +1,6 @@
 """Checks a run against its invariants, by callers' outcomes and servers' event logs."""
 
+import bisect
 import collections
 
 import attrs
@@ -38,6 +39,9 @@
 """Servers that may end under one content for each start of a daemon, and in all: those
 of requests let through, and of callers who send before an end is known."""
 
+RETRY_WINDOW_MS, RETRY_RATIO, RETRY_SLACK = 10_000.0, 0.2, 50
+"""As in the daemons' settings: what all of them may add to a service's requests."""
+
 STORE_RECOVERY_MS = 6000.0
 """How long after a fault of the store has ended daemons may still lack a change: the
 response to a watch may have been lost, which shows only when the watch times out."""
@@ -178,6 +182,7 @@
         "limits of servers": _beyond_limits(run),
         "teams and keys at servers": _wrong_callers(run),
         "usage cap": _beyond_cap(run),
+        "retries of all daemons": _beyond_retry_limit(run),
         "a request does not end all servers": _ends_under_one_content(run),
         "no internal errors": [
             outcome.request_id for outcome in run.outcomes if outcome.status == 500
@@ -189,6 +194,39 @@
     }
 
 
+def _beyond_retry_limit(run):
+    """Return the windows in which a service got more repeats than all daemons may send.
+
+    A repeat is an arrival of a request that has arrived before; the requests counted
+    are those of callers in that window, the one before, or the one half a window
+    before, whichever has most.
+    """
+    sent_ms, repeats_ms = collections.defaultdict(list), collections.defaultdict(list)
+    for o in run.outcomes:
+        is_divided = o.path.startswith(("/parts/", "/order/"))
+        sent_ms["parts" if is_divided else "desk"].append(o.sent_ms)
+    arrived, found = set(), []
+    for at_ms, name, request_id in sorted(
+        (entry[3], entry[0], entry[4]) for entry in run.entries if entry[2] == "arrival"
+    ):
+        if request_id in arrived:
+            repeats_ms[name.rstrip("0123456789")].append(at_ms)
+        arrived.add(request_id)
+    for service, times_ms in repeats_ms.items():
+        requests_ms = sorted(sent_ms[service])
+        count = lambda times, from_ms: (
+            bisect.bisect(times, from_ms + RETRY_WINDOW_MS)
+            - bisect.bisect_left(times, from_ms)
+        )
+        for from_ms in times_ms:
+            starts_ms = (from_ms - RETRY_WINDOW_MS * part for part in (0.0, 0.5, 1.0))
+            n_requests = max(count(requests_ms, start_ms) for start_ms in starts_ms)
+            n_repeats = count(times_ms, from_ms)
+            if n_repeats > RETRY_RATIO * n_requests + RETRY_SLACK:
+                found.append(f"{service}: {n_repeats} for {n_requests} at {from_ms}")
+    return found
+
+
 def _ends_under_one_content(run):
     """Return contents under which more servers ended than daemons can excuse.
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -78,6 +78,21 @@
             outcomes.append(attrs.evolve(found, daemon="d1"))
         return RunRecord(outcomes, entries, **changes)
 
+    def test_retries_beyond_the_common_limit(self):
+        def violated(n_repeats, n_requests, gap_ms=10.0):
+            outcomes = [
+                outcome(f"r{number}", "GET", status=503) for number in range(n_requests)
+            ]
+            arrivals = [
+                ("desk0", 1, "arrival", gap_ms * number, f"r{number % n_requests}", "")
+                for number in range(n_requests + n_repeats)
+            ]
+            return violated_checks(RunRecord(outcomes, arrivals))
+
+        self.assertEqual(violated(71, 100), ["retries of all daemons"])
+        self.assertEqual(violated(70, 100), [])
+        self.assertEqual(violated(140, 100, gap_ms=250.0), [])
+
     def test_a_request_that_ends_servers(self):
         def violated(n_ends, **changes):
             ends = [
