Tests: the stand-in of a request says that it is no trial

test_a_request_for_another_daemon_takes_its_token_there hands the router a stand-in of a request, which lacked the new field; its checks are the same.

--- a/tests/test_api_keys.py
+++ b/tests/test_api_keys.py
@@ -284,7 +284,11 @@
         self.router.delegator.serve = serve
         team = self.view.manifest.teams.find(KEY)
         return types.SimpleNamespace(
-            service="desk", may_delegate=True, has_token=False, team=team
+            service="desk",
+            may_delegate=True,
+            has_token=False,
+            is_trial=False,
+            team=team,
         )
 
     def times(self):
