--- a/tests/test_deadly_requests.py
+++ b/tests/test_deadly_requests.py
@@ -53,7 +53,7 @@
         for name, domain in DAEMONS.items():
             self.site.start_daemon(name, domain)
         self.site.wait_ready(*DAEMONS)
-        self.others, self.answers, self.n_ended = [], [], 0
+        self.others, self.answers, self.n_restarted = [], [], 0
         self.tasks = [
             gevent.spawn(self.call_forever, number) for number in range(N_CALLERS)
         ]
@@ -73,9 +73,13 @@
         while True:
             gevent.sleep(0.02)
             if self.site.processes[name].poll() is not None:
-                self.n_ended += 1
                 gevent.sleep(RESTART_S)
                 self.start_server(name)
+                self.n_restarted += 1
+
+    def wait_restarted(self, count):
+        """Wait until servers have been started again, and listen, so many times."""
+        self.site.wait(lambda: self.n_restarted >= count, "servers are back")
 
     def call_forever(self, caller):
         """Send usual requests to all daemons in turn; keep their statuses."""
@@ -165,25 +169,26 @@
 
         def kill_all():
             for _ in range(2):
-                gevent.sleep(3.0)
+                gevent.sleep(2.0)
                 for name in self.names:
                     if self.site.processes[name].poll() is None:
                         self.site.processes[name].kill()
-                gevent.sleep(RESTART_S + BACK_S)
+                self.wait_restarted(self.n_restarted + len(self.names))
+                gevent.sleep(BACK_S)
                 self.answers.clear()
                 gevent.sleep(1.0)
                 shares.append(self.answers.count(200) / len(self.answers))
 
         shares = []
-        task = gevent.spawn(kill_all)
-        self.send_hot()
-        task.kill()
+        sending = gevent.spawn(self.send_hot, 2 * SENDING_S)
+        kill_all()
+        sending.kill()
         self.assertGreater(min(shares), 0.95, shares)
 
-    def send_hot(self):
+    def send_hot(self, for_s=SENDING_S):
         """Have all callers send the same request often."""
         self.answers.clear()
-        until_s = time.monotonic() + SENDING_S
+        until_s = time.monotonic() + for_s
 
         def send(caller):
             daemons = itertools.cycle(DAEMONS)
@@ -195,7 +200,9 @@
                 self.answers.append(answer.status if answer is not None else 0)
                 gevent.sleep(0.1)
 
-        gevent.joinall([gevent.spawn(send, n) for n in range(6)])
+        tasks = [gevent.spawn(send, n) for n in range(6)]
+        self.addCleanup(gevent.killall, tasks)
+        gevent.joinall(tasks)
 
 
 class SlowlyDeadlyRequestTest(DeadlyRequestTestCase):
