--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -38,6 +38,7 @@
 N_DAEMONS = 4
 N_SERVERS = 4
 CONNECT_S = 1.0
+LONGEST_S = 115
 
 SETTINGS = """
 grants = "invoke"
@@ -368,6 +369,9 @@
         ``play(site, record)`` returns HELD or BROKEN.
     """
     os.chdir(ROOT)
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGALRM):
+        signal.signal(number, _interrupt)
+    signal.alarm(LONGEST_S)
     folder = os.path.dirname(os.path.abspath(path))
     record, site, result = Record(os.path.join(folder, "record.txt")), None, NOT_RUN
     record.say(f"disruption: {'yes' if has_trouble() else 'no (TROUBLE=0)'}")
@@ -378,7 +382,21 @@
         record.say(f"the case could not run: {error!r}")
     finally:
         if site is not None:
+            _record_runs(site, record)
             site.close()
     names = {HELD: "held", BROKEN: "broken", NOT_RUN: "not run"}
     record.say(f"result: {names[result]}")
-    sys.exit(result)
+    sys.stdout.flush()
+    # Threads that still wait for answers would hold up the usual exit.
+    os._exit(result)
+
+
+def _record_runs(site, record):
+    """Write which requests the upstreams have run, and how often."""
+    with contextlib.suppress(Exception):
+        for request_id, n_runs in site.runs().items():
+            record.add(f"{request_id} run {n_runs} times")
+
+
+def _interrupt(number, frame):
+    raise InterruptedError(f"signal {number}")
