--- a/standins/fleet_server.py
+++ b/standins/fleet_server.py
@@ -119,6 +119,8 @@
         Part of the paths of requests that end this process; none if empty.
     deadly_after_ms : float
         How long after it began to execute such a request the process ends.
+    answer_bytes : int
+        Length of the bodies of answers to paths that end with ``large``.
     """
 
     name: str
@@ -135,6 +137,7 @@
     faults: ServerFaults = attrs.Factory(ServerFaults)
     deadly_path: str = ""
     deadly_after_ms: float = 20.0
+    answer_bytes: int = 0
     draining: bool = False
     is_deregistering: bool = False
     running: int = 0
@@ -285,6 +288,8 @@
 
     def _respond(self, environ, request_id, body, start_response):
         text = f"{self.name} {environ['PATH_INFO']} {len(body)}".encode()
+        if environ["PATH_INFO"].endswith("large"):
+            text = text.ljust(self.answer_bytes)
         if self.faults.consume("unstated"):
             return _reply(start_response, 503, b"")
         if self.faults.consume("lose"):
@@ -401,6 +406,7 @@
     parser.add_argument("--work-ms", type=float, default=5.0)
     parser.add_argument("--deadly-path", default="")
     parser.add_argument("--deadly-after-ms", type=float, default=20.0)
+    parser.add_argument("--answer-bytes", type=int, default=0)
     options = parser.parse_args()
     server = FleetServer(
         options.name,
@@ -412,6 +418,7 @@
         options.work_ms,
         deadly_path=options.deadly_path,
         deadly_after_ms=options.deadly_after_ms,
+        answer_bytes=options.answer_bytes,
     )
 
     def start_draining():
--- a/tests/run.py
+++ b/tests/run.py
@@ -1,7 +1,8 @@
 """Runs the suite under nose2 and prints the summary line that CI reads.
 
 Without arguments, the test modules run in a few parallel processes, since they spend
-most of their time waiting. With arguments, the named tests run in this process.
+most of their time waiting; those in ``tests/isolated`` follow one at a time. With
+arguments, the named tests run in this process.
 """
 
 from gevent import monkey
@@ -24,6 +25,7 @@
 KNOWN_FAILURES_FILE = "KNOWN-RED.txt"
 N_WORKERS = 3
 COUNTS_PREFIX = "counts: "
+ISOLATED_PREFIX = "tests.isolated."
 
 
 @attrs.define
@@ -95,15 +97,24 @@
     return counts
 
 
-def run_in_parallel(modules):
-    """Run modules in up to ``N_WORKERS`` processes at a time."""
+def run_all():
+    """Run all modules: first those that may run beside others, then the isolated."""
+    modules = test_modules()
+    isolated = [name for name in modules if name.startswith(ISOLATED_PREFIX)]
+    counts = run_in_parallel([name for name in modules if name not in isolated])
+    counts.add(run_in_parallel(isolated, n_workers=1))
+    return counts
+
+
+def run_in_parallel(modules, n_workers=N_WORKERS):
+    """Run modules in up to ``n_workers`` processes at a time."""
     counts, pending = Counts(), list(modules)
 
     def run_pending():
         while pending:
             counts.add(_run_module(pending.pop(0)))
 
-    workers = [threading.Thread(target=run_pending) for _ in range(N_WORKERS)]
+    workers = [threading.Thread(target=run_pending) for _ in range(n_workers)]
     for worker in workers:
         worker.start()
     for worker in workers:
@@ -146,7 +157,7 @@
         counts = run_in_process(argv[1:])
         print(COUNTS_PREFIX + json.dumps(attrs.asdict(counts)))
         return 0
-    counts = run_in_process(argv) if argv else run_in_parallel(test_modules())
+    counts = run_in_process(argv) if argv else run_all()
     allowed = known_failures()
     for name in counts.failed:
         print(f"{'KNOWN RED' if name in allowed else 'FAILED'} {name}")
