Bodies in tiny chunks no longer keep a daemon from answering

Callers got no answer for more than 30 s, also after 40 clients had left that sent bodies in chunks of one byte (test_chunks_of_one_byte, failed before).

The WSGI server's parser reads the frame of each chunk byte by byte and never gives way while bytes are there, so one connection holds the process for seconds, and no timeout fires. It reads chunk extensions and trailers without a limit for all of them.

Bodies are now read by a reader of our own, line by line. It gives way after 256 KB or 256 chunks; readers of many chunks do so one after the other, so that a crowd of them gets no more turns than one. Extensions and trailers are limited as the header section is. Heads and trailers share one parser.

--- a/src/tarragonramp/adapters/web.py
+++ b/src/tarragonramp/adapters/web.py
@@ -7,11 +7,13 @@
 
 import gevent
 from gevent import monkey
-from gevent.pywsgi import Input, WSGIHandler, WSGIServer, unquote_latin1
+from gevent.pywsgi import WSGIHandler, WSGIServer, unquote_latin1
 
 from ..errors import AddressError, RequestError
 from ..meters import NOT_RUN
 from ..sizes import Limits
+from .bodies import CONTINUE, BodyReader
+from .fields import read_fields
 from .http import split_address
 from .optional import optional_step
 
@@ -88,20 +90,21 @@
 _REQUEST_LINE = re.compile(
     r"([!#$%&'*+\-.^_`|~0-9A-Za-z]{1,32}) (/[!\"$-~]*) HTTP/1\.([01])\r\n\Z"
 )
-_HEADER_LINE = re.compile(
-    r"([!#$%&'*+\-.^_`|~0-9A-Za-z]+):([\t\x20-\x7e\x80-\xff]*)\r\n\Z"
-)
 _BAD_ESCAPE = re.compile(r"%(?![0-9A-Fa-f]{2})|%00")
 _LENGTH = re.compile(r"[0-9]{1,18}\Z")
 
 
-class BoundedInput(Input):
-    """A request body that limits how much unread data is discarded."""
-
-    __slots__ = ("handler",)
+class RequestInput(BodyReader):
+    """The body of the request that a handler serves; ``wsgi.input``."""
 
-    def __init__(self, handler, **options):
-        super().__init__(handler.rfile, handler.content_length, **options)
+    def __init__(self, handler, is_chunked, send_continue):
+        super().__init__(
+            handler.rfile,
+            handler.content_length,
+            is_chunked,
+            handler.server.limits,
+            send_continue,
+        )
         self.handler = handler
 
     def _discard(self):
@@ -109,34 +112,24 @@
 
         The connection stays open only if the end of the body was reached. Without the
         limits, a caller with a huge or endless body would occupy the connection's
-        greenlet forever.
+        greenlet forever. Called by the WSGI handler.
         """
-        if self._is_exhausted():
+        if self.is_exhausted:
             return
-        was_persistent = not self.handler.close_connection
-        self.handler.close_connection = True
-        if self.socket is not None or self._chunked_input_error:
+        handler = self.handler
+        was_persistent = not handler.close_connection
+        handler.close_connection = True
+        if self.is_continue_due or self.is_malformed:
             # The caller still waits for "100 Continue" and may never send the body, or
-            # the chunked body is malformed.
+            # the rest cannot be read.
             return
-        self.send_100_continue_enabled = False
-        remaining = DISCARD_BYTES
         try:
             with gevent.Timeout(DISCARD_S, False):
-                while remaining > 0:
-                    data = self.read(16_384)
-                    if not data:
-                        break
-                    remaining -= len(data)
+                self.discard(DISCARD_BYTES)
         except (OSError, ValueError):
             return
-        if was_persistent and self._is_exhausted():
-            self.handler.close_connection = False
-
-    def _is_exhausted(self):
-        if self.chunked_input:
-            return self.chunk_length == 0 and not self._chunked_input_error
-        return self.position >= (self.content_length or 0)
+        if was_persistent and self.is_exhausted:
+            handler.close_connection = False
 
 
 class WebHandler(WSGIHandler):
@@ -168,7 +161,7 @@
         self.request_version = f"HTTP/1.{minor}"
         if "%" in self.path and _BAD_ESCAPE.search(self.path):
             raise RequestError(400, NOT_RUN, "malformed request target")
-        self.headers = self._read_headers()
+        self.headers = read_fields(self.rfile, self.server.limits)
         self._check_framing(dict(self.headers))
         if self.command not in METHODS:
             raise RequestError(405, NOT_RUN, "method not supported")
@@ -199,10 +192,11 @@
                 value = f"{environ[key]}{'; ' if name == 'cookie' else ','}{value}"
             environ[key] = value
         expects_continue = environ.get("HTTP_EXPECT", "").lower() == "100-continue"
-        self.wsgi_input = BoundedInput(
+        sock = self.socket
+        self.wsgi_input = RequestInput(
             self,
-            socket=self.socket if expects_continue else None,
-            chunked_input="HTTP_TRANSFER_ENCODING" in environ,
+            "HTTP_TRANSFER_ENCODING" in environ,
+            (lambda: sock.sendall(CONTINUE)) if expects_continue else None,
         )
         environ["wsgi.input"] = self.wsgi_input
         environ["wsgi.input_terminated"] = True
@@ -252,28 +246,6 @@
         )
         return str(ex.status), head.encode() + body
 
-    def _read_headers(self):
-        limits = self.server.limits
-        remaining = limits.header_block_bytes
-        headers = []
-        while True:
-            line = self.rfile.readline(min(limits.header_line_bytes, remaining) + 1)
-            if line == b"\r\n":
-                return headers
-            remaining -= len(line)
-            if remaining < 0 or len(line) > limits.header_line_bytes:
-                raise RequestError(431, NOT_RUN, "headers longer than the limit")
-            if len(headers) >= limits.header_count:
-                raise RequestError(431, NOT_RUN, "more headers than the limit")
-            match = _HEADER_LINE.match(line.decode("latin-1"))
-            if match is None:
-                raise RequestError(400, NOT_RUN, "malformed header")
-            name, value = match.groups()
-            if "_" in name:
-                # Ignored: it would get the same WSGI key as the name with dashes.
-                continue
-            headers.append((name.lower(), value.strip(" \t")))
-
     def _check_framing(self, by_name):
         if len(by_name) < len(self.headers):
             names = [name for name, _ in self.headers]
--- a/src/tarragonramp/errors.py
+++ b/src/tarragonramp/errors.py
@@ -16,6 +16,7 @@
     "FaultsError",
     "HistoryGoneError",
     "KernelError",
+    "MalformedBodyError",
     "NoConnectionError",
     "NotFoundError",
     "NotSentError",
@@ -168,6 +169,10 @@
         return f"{super().__str__()}; this change may have been in force before it"
 
 
+class MalformedBodyError(TarragonError, ValueError):
+    """The body of a request has a malformed framing, or ends early."""
+
+
 @attrs.define(eq=False)
 class RequestError(TarragonError):
     """The router answers a caller's request with an error of its own.
