What clients hold of a daemon's memory is bounded

A crowd of 200 clients with bodies of 1 MB that stop short of their end took a daemon that was told of 128 MB to 248 MB, in one piece, in pieces and in chunks alike, and most of it stayed; 250 clients that sent GETs with long queries or many fields ahead, and read nothing, took it to 145 and 178 MB, endless chunked bodies to 198 MB. On a VM the process is killed, with all requests in progress.

Nothing bounded the sum: each body, head and answer has a limit of its own only. A body was copied once more for each send; the kernel's buffer of a connection grew to megabytes; and the C library's threshold rises with each long buffer that is freed, so that such memory is never returned.

Connections now share one budget, from the memory that the VM's settings state. Bytes count as they come, not as they are announced. Once it is spent, who stalls for a second gives way, then the oldest request that still comes in: any that comes in faster than a crowd can fill the budget is read to its end. Requests at servers do not give way. Who gives way, or finds no room, is refused as not run, with Retry-After. Long bodies are sent without a copy, the kernel's buffer is limited, and freed memory is returned.

--- a/src/tarragonramp/adapters/bodies.py
+++ b/src/tarragonramp/adapters/bodies.py
@@ -16,7 +16,7 @@
 
 __all__ = ["BodyReader"]
 
-PIECE_BYTES = 65_536
+PIECE_BYTES, HELD_STEP_BYTES = 65_536, 4096
 MAX_TURN_BYTES, MAX_TURN_CHUNKS = 262_144, 256
 PAUSE_MS = 1.0
 """Pause after a turn. Without a timer, gevent would not let those run that wait for
@@ -43,6 +43,11 @@
     is_chunked : bool
     limits : Limits
         Those of the header section hold for chunk extensions and trailers as well.
+    hold : callable
+        Called with a number of bytes that are kept; raises RequestError if there is no
+        room for them, or for what was kept before.
+    record_progress : callable
+        Called with the number of bytes that have been read or dropped.
     send_continue : callable, optional
         Called before the first read if the client waits for it.
     """
@@ -53,13 +58,15 @@
         content_length,
         is_chunked,
         limits,
+        hold,
+        record_progress,
         send_continue=None,
     ):
         self.is_chunked = is_chunked
         self.is_malformed = False
         self.is_continue_due = send_continue is not None
-        self._rfile, self._limits = rfile, limits
-        self._send_continue = send_continue
+        self._rfile, self._limits, self._hold = rfile, limits, hold
+        self._record_progress, self._send_continue = record_progress, send_continue
         # Bytes left of the body or, if it is chunked, of the current chunk.
         self._n_left = 0 if is_chunked else content_length or 0
         self._is_ended = not is_chunked and not self._n_left
@@ -79,12 +86,19 @@
         ------
         MalformedBodyError
             If the framing is malformed, or the body ends early.
+        RequestError
+            If there is no room for the body.
         OSError
             If the connection failed.
         """
-        body = io.BytesIO()
+        body, n_unheld = io.BytesIO(), 0
         for piece in self._pieces(size):
             body.write(piece)
+            n_unheld += len(piece)
+            if n_unheld >= HELD_STEP_BYTES:
+                self._hold(n_unheld)
+                n_unheld = 0
+        self._hold(n_unheld)
         return body.getvalue()
 
     def discard(self, max_bytes):
@@ -111,6 +125,7 @@
                 raise self._malformed("body ended early")
             self._n_left -= len(piece)
             n_wanted -= len(piece)
+            self._record_progress(len(piece))
             self._end_piece()
             yield piece
             self._give_way(len(piece))
@@ -148,6 +163,8 @@
 
     def _malformed(self, reason):
         self.is_malformed = True
+        # The connection may have been ended to make room.
+        self._hold(0)
         return MalformedBodyError(reason)
 
     def _give_way(self, n_bytes):
--- a/src/tarragonramp/adapters/http.py
+++ b/src/tarragonramp/adapters/http.py
@@ -48,6 +48,9 @@
 """Bytes of a response that are parsed before other greenlets get their turn, and the
 pause for them. Without a timer, gevent would not let those run that wait for one."""
 
+MAX_JOINED_BYTES = 16_384
+"""Bodies up to this size are sent in one segment with their head."""
+
 MAX_IDLE_CONNECTIONS = 64
 MAX_RESPONSE_HEAD_BYTES = 65_536
 # Bytes beside the body that a response may have: its heads and trailers, and for each
@@ -241,7 +244,7 @@
         # against the timeout.
         deadline_s = time.monotonic() + timeout_ms / 1000.0
         try:
-            data = _request_bytes(method, target, self.address, headers, body)
+            parts = _request_parts(method, target, self.address, headers, body)
         except ValueError as error:
             return Failure(NotSentError(str(error)))
         try:
@@ -265,10 +268,11 @@
             method, self._extra_check(history, sent), self.drops_trailing
         )
         try:
-            connection.settimeout(_remaining_s(deadline_s))
-            connection.sendall(data)
+            for part in parts:
+                connection.settimeout(_remaining_s(deadline_s))
+                connection.sendall(part)
             if self.traffic is not None:
-                self.traffic.sent(kind_of(method, target), len(data))
+                self.traffic.sent(kind_of(method, target), sum(map(len, parts)))
             n_received = self._read(connection, parser, deadline_s, is_wanted)
         except AbandonedError as error:
             connection.close()
@@ -590,7 +594,8 @@
     return False
 
 
-def _request_bytes(method, target, host, headers, body):
+def _request_parts(method, target, host, headers, body):
+    """Return a request as the parts that are sent, without a copy of a long body."""
     if not _TOKEN.match(method):
         raise ValueError("invalid method")
     if not _TARGET.match(target):
@@ -605,4 +610,5 @@
     if body or method not in ("GET", "HEAD", "DELETE", "OPTIONS"):
         lines.append(f"Content-Length: {len(body)}\r\n")
     lines.append("\r\n")
-    return "".join(lines).encode("latin-1") + body
+    head = "".join(lines).encode("latin-1")
+    return (head + body,) if len(body) <= MAX_JOINED_BYTES else (head, body)
--- a/src/tarragonramp/adapters/pipelining.py
+++ b/src/tarragonramp/adapters/pipelining.py
@@ -120,6 +120,7 @@
             # The close was announced while this request was being read.
             self.close_connection = True
             self.wsgi_input._discard()
+            self.end_request()
             return
         if not can_overlap:
             super().handle_one_response()
--- a/src/tarragonramp/adapters/usage.py
+++ b/src/tarragonramp/adapters/usage.py
@@ -1,5 +1,6 @@
 """Resource usage of this process: CPU time by kind of work, memory, pauses."""
 
+import ctypes
 import os
 import time
 
@@ -7,13 +8,30 @@
 import gevent
 import greenlet
 
-__all__ = ["CpuMeter", "LoopWatch", "mark_request_work", "resident_bytes"]
+from .optional import optional_step
+
+__all__ = [
+    "CpuMeter",
+    "FreedMemory",
+    "LoopWatch",
+    "limit_kept_memory",
+    "mark_request_work",
+    "resident_bytes",
+]
 
 REQUEST_MARK = "on_request_path"
 LOOP_CHECK_MS = 100
 LOOP_BLOCKED_MS = 200
 PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
 
+# Of malloc.h.
+_M_MMAP_THRESHOLD = -3
+MAPPED_BYTES = 262_144
+
+LONG_BUFFER_BYTES, MAX_KEPT_BYTES, TRIM_DELAY_S = 65_536, 1 << 20, 0.5
+"""Buffers that count as long, how much of them may be freed without memory being
+returned to the kernel, and how long after it that is done."""
+
 _running_meters = []
 
 
@@ -31,6 +49,45 @@
         return int(stream.read().split()[1]) * PAGE_BYTES
 
 
+def limit_kept_memory():
+    """Have the C library return the memory of long buffers once they are freed.
+
+    By default its threshold rises with each long buffer that is freed, up to 32 MB, and
+    from then on such buffers stay with the process.
+    """
+    with optional_step("allocator-threshold"):
+        if not ctypes.CDLL(None).mallopt(_M_MMAP_THRESHOLD, MAPPED_BYTES):
+            raise OSError("mallopt failed")
+
+
+@attrs.define(eq=False)
+class FreedMemory:
+    """Returns freed memory to the kernel after many long buffers.
+
+    Parameters
+    ----------
+    n_bytes : int
+        Freed since it was last returned.
+    """
+
+    n_bytes: int = 0
+    _is_trim_due: bool = False
+
+    def record(self, n_bytes):
+        """Record a buffer that is freed."""
+        if n_bytes < LONG_BUFFER_BYTES:
+            return
+        self.n_bytes += n_bytes
+        if self.n_bytes > MAX_KEPT_BYTES and not self._is_trim_due:
+            self._is_trim_due = True
+            gevent.spawn_later(TRIM_DELAY_S, self._trim)
+
+    def _trim(self):
+        self.n_bytes, self._is_trim_due = 0, False
+        with optional_step("allocator-trim"):
+            ctypes.CDLL(None).malloc_trim(0)
+
+
 @attrs.define(eq=False, repr=False)
 class CpuMeter:
     """Splits the CPU time of this process into callers' requests and control work.
--- a/src/tarragonramp/adapters/web.py
+++ b/src/tarragonramp/adapters/web.py
@@ -1,5 +1,6 @@
 """gevent's WSGI server with strict HTTP framing and low latency for small responses."""
 
+import contextlib
 import json
 import re
 import select
@@ -10,12 +11,14 @@
 from gevent.pywsgi import WSGIHandler, WSGIServer, unquote_latin1
 
 from ..errors import AddressError, RequestError
+from ..holdings import HoldingTable
 from ..meters import NOT_RUN
 from ..sizes import Limits
 from .bodies import CONTINUE, BodyReader
 from .fields import read_fields
 from .http import split_address
 from .optional import optional_step
+from .usage import FreedMemory
 
 __all__ = [
     "ARRIVED_KEY",
@@ -61,6 +64,21 @@
 # Bodies up to this size are sent in one segment with their headers.
 MAX_JOINED_BYTES = 16_384
 
+OUTCOME_HEADER = "Tarragon-Outcome"
+"""Of answers of the process itself."""
+
+REQUEST_BYTES, FIELD_BYTES = 16_384, 300
+"""What a request in progress, and each of its header fields, take beside their text."""
+
+RECEIVE_BUFFER_BYTES, LONG_RECEIVE_BUFFER_BYTES = 32_768, 1 << 20
+"""Sizes of the kernel's buffer of a connection. Bytes that a client sends ahead take
+memory, too; only a long body that is being read gets more, while there is room."""
+
+SENT_PIECE_BYTES = 65_536
+NO_MEMORY_RETRY_S = 0.5
+MAX_UNFREED_BYTES = 1 << 20
+FREEING_PAUSES_MS = tuple(2.0**n for n in range(10))
+
 # Keys added to the WSGI environment: header fields as (lower-case name, value) in the
 # caller's order, the request target as sent, the caller's socket, and the arrival time
 # (milliseconds on the server's clock; only set by servers that have a clock).
@@ -74,6 +92,8 @@
 DISCARD_BYTES = 4 << 20
 DISCARD_S = 1.0
 
+_freed_memory = FreedMemory()
+
 # Headers that a request may contain only once.
 _SINGLE_HEADERS = frozenset(
     (
@@ -103,9 +123,22 @@
             handler.content_length,
             is_chunked,
             handler.server.limits,
+            self._hold_piece,
+            handler.record_progress,
             send_continue,
         )
-        self.handler = handler
+        self.handler, self._n_held = handler, 0
+
+    def read(self, size=None):
+        """Read as :class:`BodyReader` does; the client is waited for meanwhile."""
+        with self.handler.receiving():
+            return super().read(size)
+
+    def _hold_piece(self, n_bytes):
+        self._n_held += n_bytes
+        if self._n_held > RECEIVE_BUFFER_BYTES:
+            self.handler.lengthen_receive_buffer()
+        self.handler.hold(n_bytes)
 
     def _discard(self):
         """Discard the rest of the body, within limits of size and time.
@@ -119,14 +152,14 @@
         handler = self.handler
         was_persistent = not handler.close_connection
         handler.close_connection = True
-        if self.is_continue_due or self.is_malformed:
+        if self.is_continue_due or self.is_malformed or handler.holding.is_revoked:
             # The caller still waits for "100 Continue" and may never send the body, or
             # the rest cannot be read.
             return
         try:
-            with gevent.Timeout(DISCARD_S, False):
+            with handler.receiving(), gevent.Timeout(DISCARD_S, False):
                 self.discard(DISCARD_BYTES)
-        except (OSError, ValueError):
+        except (OSError, ValueError, RequestError):
             return
         if was_persistent and self.is_exhausted:
             handler.close_connection = False
@@ -142,6 +175,86 @@
     """
 
     headers = ()
+    holding = None
+    has_long_buffer = False
+    held_bytes = 0
+
+    def handle(self):
+        """Serve the connection until it ends, if there is room for it."""
+        server = self.server
+        self.holding = server.holdings.open(server, self.revoke)
+        if self.holding is None:
+            self.socket.close()
+            return
+        try:
+            super().handle()
+        finally:
+            server.holdings.close(self.holding)
+
+    def revoke(self):
+        """End the connection, because its memory or descriptor is needed.
+
+        A greenlet that waits for the client is woken: by the end of the stream, or by
+        an error if it sends.
+        """
+        how = socket.SHUT_RDWR if self.holding.n_sending else socket.SHUT_RD
+        try:
+            # On the underlying socket: gevent's would also raise an error in the
+            # greenlet that waits for data.
+            self.socket._sock.shutdown(how)
+        except (AttributeError, OSError):
+            # The handler is closing the connection concurrently.
+            return
+
+    def hold(self, n_bytes):
+        """Record bytes that the request in progress holds until it is answered.
+
+        Raises
+        ------
+        RequestError
+            503 if there is no room for them.
+        """
+        holdings = self.server.holdings
+        self.held_bytes += n_bytes
+        if not holdings.charge(self.holding, n_bytes):
+            raise RequestError(503, NOT_RUN, "no memory left", NO_MEMORY_RETRY_S)
+        # Those that gave way free their memory once they have their turn.
+        for pause_ms in FREEING_PAUSES_MS:
+            if holdings.n_revoked_bytes <= MAX_UNFREED_BYTES:
+                return
+            gevent.sleep(pause_ms / 1000.0)
+        raise RequestError(503, NOT_RUN, "no memory left", NO_MEMORY_RETRY_S)
+
+    def record_progress(self, n_bytes):
+        """Record bytes that the client has sent."""
+        self.server.holdings.record_progress(self.holding, n_bytes)
+
+    @contextlib.contextmanager
+    def receiving(self):
+        """Wait for the client to send the body of a request."""
+        holdings = self.server.holdings
+        holdings.begin_receiving(self.holding)
+        try:
+            yield
+        finally:
+            holdings.end_receiving(self.holding)
+            if self.has_long_buffer:
+                self.has_long_buffer = False
+                self._set_receive_buffer(RECEIVE_BUFFER_BYTES)
+                holdings.release(self.holding, LONG_RECEIVE_BUFFER_BYTES)
+
+    def lengthen_receive_buffer(self):
+        """Give a long body a larger buffer in the kernel while there is room."""
+        holdings = self.server.holdings
+        if self.has_long_buffer or not holdings.has_spare(LONG_RECEIVE_BUFFER_BYTES):
+            return
+        self.has_long_buffer = True
+        holdings.charge(self.holding, LONG_RECEIVE_BUFFER_BYTES)
+        self._set_receive_buffer(LONG_RECEIVE_BUFFER_BYTES)
+
+    def _set_receive_buffer(self, n_bytes):
+        with optional_step("caller-connection-buffer"):
+            self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, n_bytes)
 
     def read_request(self, raw_requestline):
         """Parse and validate the request line and headers, and set the body's framing.
@@ -149,8 +262,37 @@
         Raises
         ------
         RequestError
-            400, 405, 414 or 431; the connection is closed.
+            400, 405, 408, 414, 431 or 503; the connection is closed.
         """
+        holdings = self.server.holdings
+        try:
+            self._parse_head(raw_requestline)
+        finally:
+            holdings.end_receiving(self.holding)
+        self.held_bytes = self._head_cost()
+        if not holdings.begin_request(self.holding, self.held_bytes):
+            self.end_request()
+            raise RequestError(503, NOT_RUN, "no memory left", NO_MEMORY_RETRY_S)
+        return True
+
+    def end_request(self):
+        """Give back what the request in progress holds."""
+        self.server.holdings.end_request(self.holding, self.held_bytes)
+        _freed_memory.record(self.held_bytes)
+        self.held_bytes = 0
+
+    def _head_cost(self):
+        """Return the bytes that a request without its body holds, about."""
+        return (
+            REQUEST_BYTES
+            + 6 * len(self.requestline)
+            + sum(
+                FIELD_BYTES + 4 * (len(name) + len(value))
+                for name, value in self.headers
+            )
+        )
+
+    def _parse_head(self, raw_requestline):
         self.requestline = raw_requestline
         if not raw_requestline.endswith("\n"):
             raise RequestError(414, NOT_RUN, "request line longer than the limit")
@@ -165,12 +307,40 @@
         self._check_framing(dict(self.headers))
         if self.command not in METHODS:
             raise RequestError(405, NOT_RUN, "method not supported")
-        return True
 
     def read_requestline(self):
         """Return the request line, truncated if it exceeds the limit."""
-        limit = self.server.limits.request_line_bytes
-        return self.rfile.readline(limit).decode("latin-1")
+        if not self.rfile.peek():
+            return ""
+        limits = self.server.limits
+        self.server.holdings.begin_receiving(self.holding)
+        return self.rfile.readline(limits.request_line_bytes).decode("latin-1")
+
+    def handle_one_response(self):
+        """Serve a request, and give back what it holds."""
+        try:
+            super().handle_one_response()
+        finally:
+            self.end_request()
+
+    def write(self, data):
+        """Write a part of an answer, which is held until the client has taken it."""
+        self.held_bytes += len(data)
+        self.server.holdings.charge(self.holding, len(data))
+        super().write(data)
+
+    def _sendall(self, data):
+        """Send data in pieces, to see whether the client takes them."""
+        holdings = self.server.holdings
+        holdings.begin_sending(self.holding)
+        try:
+            view = memoryview(data)
+            for begin in range(0, len(view), SENT_PIECE_BYTES):
+                piece = view[begin : begin + SENT_PIECE_BYTES]
+                super()._sendall(piece)
+                holdings.record_progress(self.holding, len(piece))
+        finally:
+            holdings.end_sending(self.holding)
 
     def get_environ(self):
         """Return the WSGI environment of a request whose head has been validated."""
@@ -207,6 +377,9 @@
         if self.command == "HEAD" and self.provided_content_length is None:
             # gevent would set 0, which is wrong for most resources.
             self.provided_content_length = ""
+        if self.holding.is_revoked:
+            self.close_connection = True
+            self.response_headers.append((b"Connection", b"close"))
         super().finalize_headers()
 
     def _write_with_headers(self, data):
@@ -237,12 +410,15 @@
         elif not isinstance(ex, RequestError):
             ex = RequestError(400, NOT_RUN, "malformed request")
         body = _error_body(ex)
+        retry_after = ""
+        if ex.retry_after_s is not None:
+            retry_after = f"Retry-After: {ex.retry_after_s:.2f}\r\n"
         head = (
             f"HTTP/1.1 {REASONS[ex.status]}\r\n"
-            "Connection: close\r\n"
+            f"Connection: close\r\n{retry_after}"
             "Content-Type: application/json\r\n"
             f"Content-Length: {len(body)}\r\n"
-            f"Tarragon-Outcome: {ex.outcome}\r\n\r\n"
+            f"{OUTCOME_HEADER}: {ex.outcome}\r\n\r\n"
         )
         return str(ex.status), head.encode() + body
 
@@ -287,12 +463,22 @@
         Allow several processes on this VM to share the port (SO_REUSEPORT).
     limits : Limits, optional
         Limits of a request's head and of the idle time of a connection.
+    holdings : HoldingTable, optional
+        Shared by all servers of a process.
     """
 
     handler_class = WebHandler
 
-    def __init__(self, address, application, reuse_port=False, limits=None):
+    def __init__(
+        self,
+        address,
+        application,
+        reuse_port=False,
+        limits=None,
+        holdings=None,
+    ):
         self.limits = limits or Limits()
+        self.holdings = HoldingTable() if holdings is None else holdings
         listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         with optional_step("listener-reuse-address"):
             listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -323,6 +509,8 @@
         """Serve one connection."""
         with optional_step("caller-connection-nodelay"):
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        with optional_step("caller-connection-buffer"):
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
         sock.settimeout(self.limits.idle_ms / 1000.0)
         super().handle(sock, address)
 
@@ -456,7 +644,7 @@
         [
             ("Content-Type", "application/json"),
             ("Content-Length", str(len(body))),
-            ("Tarragon-Outcome", error.outcome),
+            (OUTCOME_HEADER, error.outcome),
             *headers,
         ],
     )
--- a/src/tarragonramp/fleet.py
+++ b/src/tarragonramp/fleet.py
@@ -19,12 +19,13 @@
 from .adapters.optional import optional_step, optional_step_failures
 from .adapters.pipelining import PipeliningServer
 from .adapters.serving import DaemonServer, log_requests_cut
-from .adapters.usage import CpuMeter
+from .adapters.usage import CpuMeter, limit_kept_memory
 from .adapters.web import json_reply
 from .balancing import ServerSelector
 from .clock import SuspendAwareClock
 from .errors import AddressError, KernelError
 from .fleet_view import FOLLOWED_KINDS, FleetView
+from .holdings import HoldingTable
 from .leadership import LeaseTiming
 from .limits import CapBounds, ColdStartLimiter, ServerLimits
 from .meters import RequestMeter, TrafficMeter
@@ -39,7 +40,7 @@
 from .roles.relay import Relay, RelayPool
 from .roles.router import Router
 from .roles.tasks import keep_running, run_until_drained, task_failures
-from .sizes import Limits
+from .sizes import Limits, Resources
 
 __all__ = ["FleetBounds", "FleetDaemon", "FleetPorts", "FleetSettings", "run_daemon"]
 
@@ -140,6 +141,7 @@
     capacity : float
         How much control work this VM can take: processor cores, or the part of a link
         that never limits it, whichever is less.
+    resources : Resources
     """
 
     USUAL_CAPACITY = 1.0
@@ -154,6 +156,7 @@
     bounds: FleetBounds = FleetBounds()
     metrics_address: str = ""
     capacity: float = USUAL_CAPACITY
+    resources: Resources = Resources()
 
 
 @attrs.frozen
@@ -209,6 +212,7 @@
     clock: object
     freshness: ManifestFreshness
     delegate: DelegateApplication
+    holdings: HoldingTable
     traffic: TrafficMeter = attrs.Factory(TrafficMeter)
     cpu: CpuMeter = attrs.Factory(CpuMeter)
     caller_server: object = None
@@ -301,6 +305,7 @@
             clock=clock,
             freshness=freshness,
             delegate=DelegateApplication(router, view, clock, DELEGATED_PREFIX),
+            holdings=HoldingTable(settings.resources, clock),
         )
         daemon._apply_bounds(settings.bounds)
         daemon._add_servers()
@@ -310,10 +315,19 @@
         settings, clock = self.settings, self.clock
         id_header = self.ports.dialect.request_id_header
         self.caller_server = PipeliningServer(
-            settings.caller_address, self.router, clock, id_header=id_header
+            settings.caller_address,
+            self.router,
+            clock,
+            id_header=id_header,
+            holdings=self.holdings,
         )
+        control = {"holdings": self.holdings}
         self.readiness_server = DaemonServer(
-            settings.ready_address, self._serve_readiness, clock, self.traffic
+            settings.ready_address,
+            self._serve_readiness,
+            clock,
+            self.traffic,
+            **control,
         )
         application = PeerApplication(
             self.leadership,
@@ -325,12 +339,17 @@
             self.router.suspects,
         )
         self.peer_server = DaemonServer(
-            settings.peer_address, application, clock, self.traffic, id_header
+            settings.peer_address,
+            application,
+            clock,
+            self.traffic,
+            id_header,
+            **control,
         )
         if settings.metrics_address:
-            self._add_metrics_server(settings.metrics_address, application)
+            self._add_metrics_server(settings.metrics_address, application, control)
 
-    def _add_metrics_server(self, address, application):
+    def _add_metrics_server(self, address, application, options):
         """Serve the metrics at a separate address.
 
         If the address is in use, the daemon runs without it: callers do not depend on
@@ -338,7 +357,11 @@
         """
         try:
             self.metrics_server = DaemonServer(
-                address, application.metrics_only, self.clock, self.traffic
+                address,
+                application.metrics_only,
+                self.clock,
+                self.traffic,
+                **options,
             )
         except AddressError as error:
             log_event("metrics-not-served", level=logbook.WARNING, reason=str(error))
@@ -630,6 +653,23 @@
             self.router.caps.request_counts,
             "team",
         )
+        gauge(
+            "connections.held_bytes",
+            "What connections of clients hold of the memory, about.",
+            lambda: self.holdings.n_bytes,
+        )
+        gauge(
+            "connections.open",
+            "Connections of clients by what they wait for.",
+            self.holdings.counts,
+            "phase",
+        )
+        count(
+            "connections.revoked",
+            "Connections that were closed to make room, by what they waited for.",
+            lambda: dict(self.holdings.n_revoked),
+            "phase",
+        )
         count("tasks.failures", "Failed rounds of a task.", task_failures, "task")
         count(
             "optional_steps.failures",
@@ -661,6 +701,7 @@
     """
     set_up_logs(settings.name, "info", sys.stdout)
     log_event("daemon-starting", domain=settings.failure_domain)
+    limit_kept_memory()
     try:
         daemon = FleetDaemon.from_config(settings, ports)
         for signum in (signal.SIGTERM, signal.SIGINT):
--- a/src/tarragonramp/sizes.py
+++ b/src/tarragonramp/sizes.py
@@ -1,10 +1,21 @@
-"""Size limits of requests and responses."""
+"""Size limits of requests and responses, and of what a process may use."""
+
+import math
 
 import attrs
 
 from . import checks
 
-__all__ = ["Limits"]
+__all__ = ["Limits", "Resources"]
+
+OWN_MEMORY_MB = 60
+"""Memory of a process without connections."""
+
+MEMORY_SHARE = 0.8
+"""Fraction of the memory that is planned for. The rest allows for fragmentation, and
+for bytes of revoked connections that have not been freed."""
+
+MIN_SHARED_MB = 8
 
 
 @attrs.frozen
@@ -43,3 +54,43 @@
     answer_bytes: int = attrs.field(
         default=8_388_608, validator=checks.between(1, 1 << 30)
     )
+
+
+@attrs.frozen
+class Resources:
+    """What a process may use.
+
+    Parameters
+    ----------
+    memory_mb : int
+        Memory of the process, with what its kernel buffers hold unread.
+    """
+
+    USUAL_MEMORY_MB, MEMORY_RANGE_MB = 300, (32, 1 << 20)
+
+    memory_mb: int = attrs.field(
+        default=USUAL_MEMORY_MB, validator=checks.between(*MEMORY_RANGE_MB)
+    )
+
+    @classmethod
+    def from_config(cls, memory_mb):
+        """Create from a number that another program states.
+
+        The usual value is taken for one that is missing or no number, and the nearest
+        possible one for one that is out of range.
+        """
+        return cls(_clamped(memory_mb, cls.MEMORY_RANGE_MB, cls.USUAL_MEMORY_MB))
+
+    @property
+    def shared_bytes(self):
+        """Bytes that connections may hold together."""
+        shared_mb = MEMORY_SHARE * self.memory_mb - OWN_MEMORY_MB
+        return int(max(shared_mb, MIN_SHARED_MB) * 1e6)
+
+
+def _clamped(value, bounds, usual):
+    """Return a value as a whole number within bounds, or the usual one."""
+    is_number = isinstance(value, int | float) and not isinstance(value, bool)
+    if not is_number or not math.isfinite(value):
+        return usual
+    return min(max(int(value), bounds[0]), bounds[1])
--- /dev/null
+++ b/tests/test_holdings.py
@@ -0,0 +1,232 @@
+"""Which connections give way when clients hold more than there is memory for."""
+
+import collections
+import unittest
+
+import attrs
+
+from tarragonramp.clock import ManualClock
+from tarragonramp.holdings import CONNECTION_BYTES, STALL_MS, HoldingTable, Phase
+from tarragonramp.sizes import Resources
+
+TICK_MS = 10.0
+BODY_BYTES, CROWD = 1_000_000, 600
+LINK_BYTES_PER_TICK = 1_250_000
+
+
+class NewcomerRefusedTable(HoldingTable):
+    """Compared policy: nobody gives way, so that who comes last is refused."""
+
+    def _revoke_one(self, groups, spared=None):
+        return False
+
+
+class LargestFirstTable(HoldingTable):
+    """Compared policy: who holds most gives way."""
+
+    def _revoke_one(self, groups, spared=None):
+        holdings = [
+            holding
+            for group in groups
+            for phase in (Phase.CLIENT, Phase.UNUSED, Phase.IDLE)
+            for holding in self._phases(group)[phase]
+        ]
+        if not holdings:
+            return False
+        largest = max(holdings, key=lambda holding: holding.n_bytes)
+        return self._revoke(largest)
+
+
+@attrs.define(eq=False)
+class Client:
+    """Sends bodies of some length at some speed, up to a point, one after the other.
+
+    Parameters
+    ----------
+    n_bytes : int
+        Length of the body.
+    bytes_per_tick : int
+    is_finishing : bool
+        Whether it sends the last byte.
+    """
+
+    table: HoldingTable
+    n_bytes: int
+    bytes_per_tick: int
+    is_finishing: bool = True
+    n_served: int = 0
+    n_failed: int = 0
+    _holding: object = None
+    _n_sent: int = 0
+
+    def tick(self):
+        """Send the next bytes; return their number."""
+        table = self.table
+        if self._holding is None:
+            self._holding, self._n_sent = table.open("door", lambda: None), 0
+            if self._holding is None:
+                self.n_failed += 1
+                return 0
+            table.begin_receiving(self._holding)
+        end = self.n_bytes if self.is_finishing else self.n_bytes - 1
+        n_bytes = min(self.bytes_per_tick, end - self._n_sent)
+        is_held = table.charge(self._holding, n_bytes)
+        if n_bytes:
+            table.record_progress(self._holding, n_bytes)
+        self._n_sent += n_bytes
+        if not is_held:
+            self.n_failed += 1
+        elif self._n_sent == self.n_bytes:
+            self.n_served += 1
+        else:
+            return n_bytes
+        table.close(self._holding)
+        self._holding = None
+        return n_bytes
+
+    @property
+    def served_share(self):
+        """Fraction of its requests that were served."""
+        return self.n_served / max(1, self.n_served + self.n_failed)
+
+
+def play(make_table, crowd_bytes_per_tick, seconds=20):
+    """Have ordinary clients and a crowd send; return the shares that were served.
+
+    Parameters
+    ----------
+    make_table : callable
+    crowd_bytes_per_tick : int
+        At which one client of the crowd sends, as far as the link allows.
+    seconds : int
+
+    Returns
+    -------
+    ordinary, slow : float
+        Of clients with 200 kB in 0.2 s, and of one with the longest body in 5 s.
+    """
+    clock = ManualClock()
+    table = make_table(Resources(memory_mb=300), clock)
+    crowd = collections.deque(
+        Client(table, BODY_BYTES, crowd_bytes_per_tick, is_finishing=False)
+        for _ in range(CROWD)
+    )
+    ordinary = [Client(table, 200_000, 10_000) for _ in range(4)]
+    slow = Client(table, BODY_BYTES, 2000)
+    for _ in range(int(seconds * 1000 / TICK_MS)):
+        for client in (*ordinary, slow):
+            client.tick()
+        n_left = LINK_BYTES_PER_TICK
+        for client in crowd:
+            n_left -= client.tick()
+            if n_left <= 0:
+                break
+        crowd.rotate(1)
+        clock.advance(TICK_MS)
+    n_served = sum(client.n_served for client in ordinary)
+    n_failed = sum(client.n_failed for client in ordinary)
+    return n_served / max(1, n_served + n_failed), slow.served_share
+
+
+class PolicyTest(unittest.TestCase):
+    """What a crowd that holds bodies without their end leaves to others."""
+
+    def test_ordinary_clients_are_served_beside_bodies_without_end(self):
+        """Guards against a crowd that shuts out all others, however fast it sends."""
+        for bytes_per_tick in (100_000, 10_000, 2000):
+            with self.subTest(bytes_per_tick):
+                ordinary, _ = play(HoldingTable, bytes_per_tick)
+                self.assertEqual(ordinary, 1.0)
+                refused, _ = play(NewcomerRefusedTable, bytes_per_tick)
+                self.assertLess(refused, 0.5)
+
+    def test_a_slow_client_with_the_longest_body_is_served(self):
+        """Guards against rules that take a slow link for a client that stalls.
+
+        A crowd that sends as slowly cannot be told from it, and shuts it out.
+        """
+        self.assertEqual(play(HoldingTable, 100_000)[1], 1.0)
+        self.assertLess(play(LargestFirstTable, 100_000)[1], 0.5)
+
+
+class HoldingTableTest(unittest.TestCase):
+    """Order in which connections give way."""
+
+    def setUp(self):
+        self.clock = ManualClock()
+        self.table = HoldingTable(Resources(memory_mb=128), self.clock)
+        self.revoked = []
+
+    def open(self, name, n_bytes=0):
+        """Open a connection whose request is being read."""
+        holding = self.table.open("door", lambda: self.revoked.append(name))
+        self.table.begin_receiving(holding)
+        self.assertTrue(self.table.charge(holding, n_bytes))
+        return holding
+
+    def fill(self, holding):
+        """Charge what is left of the budget, and one byte."""
+        n_left = self.table.resources.shared_bytes - self.table.n_bytes
+        return self.table.charge(holding, n_left + 1)
+
+    def test_who_made_no_progress_for_longest_gives_way(self):
+        first, second = self.open("first", 1000), self.open("second", 1000)
+        self.clock.advance(STALL_MS + 1)
+        self.table.record_progress(first, 5000)
+        self.assertTrue(self.fill(self.open("new")))
+        self.assertEqual(self.revoked, ["second"])
+        self.assertTrue(second.is_revoked)
+
+    def test_a_byte_at_a_time_is_no_progress(self):
+        drip, _ = self.open("drip"), self.open("steady")
+        for _ in range(100):
+            self.clock.advance(100.0)
+            self.table.record_progress(drip, 1)
+        steady = self.open("later")
+        self.assertTrue(self.fill(steady))
+        self.assertEqual(self.revoked, ["drip"])
+
+    def test_requests_at_servers_do_not_give_way(self):
+        """Guards against requests that run, and whose answers are lost."""
+        running = self.open("running")
+        self.table.end_receiving(running)
+        self.table.begin_request(running, 1000)
+        self.clock.advance(60_000.0)
+        self.assertFalse(self.fill(self.open("new")))
+        self.assertEqual(self.revoked, [])
+
+    def test_answers_that_nobody_takes_give_way(self):
+        reader = self.open("reader")
+        self.table.end_receiving(reader)
+        self.table.begin_request(reader, 1000)
+        self.table.begin_sending(reader)
+        self.clock.advance(STALL_MS + 1)
+        self.assertTrue(self.fill(self.open("new")))
+        self.assertEqual(self.revoked, ["reader"])
+
+    def test_idle_connections_give_way_before_requests_that_get_on(self):
+        used = self.open("used")
+        self.table.end_receiving(used)
+        self.clock.advance(STALL_MS + 1)
+        self.open("sending")
+        self.assertTrue(self.fill(self.open("new")))
+        self.assertEqual(self.revoked, ["used"])
+
+    def test_bytes_are_counted_until_they_are_freed(self):
+        holding = self.open("old", 5000)
+        self.fill(self.open("new"))
+        self.assertEqual(self.table.n_revoked_bytes, 5000 + CONNECTION_BYTES)
+        self.table.release(holding, 5000)
+        self.table.close(holding)
+        self.assertEqual(self.table.n_revoked_bytes, 0)
+
+    def test_nothing_is_left_of_connections_that_have_ended(self):
+        """Guards against a budget that shrinks with each connection."""
+        holdings = [self.open(str(n), 10_000) for n in range(50)]
+        for holding in holdings[:25]:
+            self.table.end_receiving(holding)
+            self.table.begin_request(holding, 700)
+        for holding in holdings:
+            self.table.close(holding)
+        self.assertEqual(self.table.n_bytes, 0)
+        self.assertEqual(sum(self.table.counts().values()), 0)
