Idle connections no longer take every descriptor of a daemon

Connections to servers, to the store and to other daemons need descriptors too, and the accept of each further connection fails with a traceback.

Nothing limited the number of connections. Callers may now have 0.6 of the descriptors that are left after 200 for files, and each of the other listeners a tenth; the settings of the VM say how many there are. One connection more ends another: who stalls for a second, then one that has sent no request, then an idle one. A connection whose requests are at servers is not ended; if there are only such, the new one is closed before anything is read from it.

--- a/src/tarragonramp/adapters/web.py
+++ b/src/tarragonramp/adapters/web.py
@@ -182,7 +182,7 @@
     def handle(self):
         """Serve the connection until it ends, if there is room for it."""
         server = self.server
-        self.holding = server.holdings.open(server, self.revoke)
+        self.holding = server.holdings.open(server, self.revoke, server.max_connections)
         if self.holding is None:
             self.socket.close()
             return
@@ -465,6 +465,8 @@
         Limits of a request's head and of the idle time of a connection.
     holdings : HoldingTable, optional
         Shared by all servers of a process.
+    max_connections : int, optional
+        By default as many as callers may have.
     """
 
     handler_class = WebHandler
@@ -476,9 +478,12 @@
         reuse_port=False,
         limits=None,
         holdings=None,
+        max_connections=None,
     ):
         self.limits = limits or Limits()
         self.holdings = HoldingTable() if holdings is None else holdings
+        resources = self.holdings.resources
+        self.max_connections = max_connections or resources.caller_connections
         listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         with optional_step("listener-reuse-address"):
             listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
--- a/src/tarragonramp/fleet.py
+++ b/src/tarragonramp/fleet.py
@@ -321,7 +321,10 @@
             id_header=id_header,
             holdings=self.holdings,
         )
-        control = {"holdings": self.holdings}
+        control = {
+            "holdings": self.holdings,
+            "max_connections": settings.resources.control_connections,
+        }
         self.readiness_server = DaemonServer(
             settings.ready_address,
             self._serve_readiness,
--- a/src/tarragonramp/holdings.py
+++ b/src/tarragonramp/holdings.py
@@ -7,6 +7,7 @@
 
 import collections
 import enum
+import itertools
 
 import attrs
 
@@ -48,6 +49,11 @@
     SERVER = "server"
 
 
+# Phases in the order in which connections give way.
+_FOR_BYTES = (Phase.CLIENT, Phase.UNUSED, Phase.IDLE)
+_FOR_CONNECTIONS = (Phase.UNUSED, Phase.IDLE, Phase.CLIENT)
+
+
 @attrs.define(eq=False)
 class Holding:
     """What one connection holds.
@@ -118,15 +124,21 @@
     _by_group: dict = attrs.Factory(dict)
     _awaited: dict = attrs.Factory(collections.OrderedDict)
 
-    def open(self, group, revoke):
+    def open(self, group, revoke, max_connections):
         """Return the Holding of a new connection; None if there is no room for it.
 
         Parameters
         ----------
         group : hashable
         revoke : callable
+        max_connections : int
+            Of the group.
         """
         phases = self._phases(group)
+        is_full = sum(map(len, phases.values())) >= max_connections
+        if is_full and not self._revoke_one([group], _FOR_CONNECTIONS):
+            self.n_revoked["new"] += 1
+            return None
         holding = Holding(group, revoke, since_ms=self.clock.now_ms())
         phases[holding.phase][holding] = None
         if not self.charge(holding, CONNECTION_BYTES):
@@ -154,7 +166,7 @@
             return False
         self.n_bytes += n_bytes
         while self.n_bytes > self.resources.shared_bytes:
-            if not self._revoke_one(self._by_group, spared=holding):
+            if not self._revoke_one(self._by_group, _FOR_BYTES, holding):
                 return False
         return True
 
@@ -243,29 +255,41 @@
             }
         return found
 
-    def _revoke_one(self, groups, spared=None):
+    def _revoke_one(self, groups, order, spared=None):
         """Revoke the holding that gives way first; return whether there is one.
 
-        Those that stall go first. Then the oldest request gives way: any that comes in
-        faster than a crowd can fill the budget is read to its end.
+        Those that stall go first. Of the others, the oldest request gives way: any that
+        comes in faster than a crowd can fill the budget is read to its end.
         """
         groups = list(groups)
-        members = [self._phases(group) for group in groups]
         stalled_ms = self.clock.now_ms() - STALL_MS
-        is_stalled = lambda holding: holding.since_ms <= stalled_ms
-        phases = (Phase.CLIENT, Phase.UNUSED, Phase.IDLE)
-        for phase in phases:
-            oldest = _oldest(members, phase, spared)
-            if oldest is not None and is_stalled(oldest):
-                return self._revoke(oldest)
+        for phase in _FOR_BYTES:
+            found = self._without_progress(groups, phase, spared)
+            if found is not None and found.since_ms <= stalled_ms:
+                return self._revoke(found)
+        for phase in order:
+            if phase is Phase.CLIENT:
+                found = self._oldest_awaited(groups, spared)
+            else:
+                found = self._without_progress(groups, phase, spared)
+            if found is not None:
+                return self._revoke(found)
+        return False
+
+    def _without_progress(self, groups, phase, spared):
+        """Return the holding of a phase that made no progress for longest, or None."""
+        firsts = []
+        for group in groups:
+            members = self._phases(group)[phase]
+            firsts += itertools.islice((h for h in members if h is not spared), 1)
+        return min(firsts, key=lambda holding: holding.since_ms, default=None)
+
+    def _oldest_awaited(self, groups, spared):
+        """Return the holding whose client has been waited for longest, or None."""
         for holding in self._awaited:
             if holding is not spared and holding.group in groups:
-                return self._revoke(holding)
-        for phase in phases:
-            oldest = _oldest(members, phase, spared)
-            if oldest is not None:
-                return self._revoke(oldest)
-        return False
+                return holding
+        return None
 
     def _revoke(self, holding):
         self.n_revoked[holding.phase.value] += 1
@@ -279,14 +303,3 @@
         del self._phases(holding.group)[holding.phase][holding]
         self._awaited.pop(holding, None)
         self.n_bytes -= holding.n_bytes
-
-
-def _oldest(members, phase, spared):
-    """Return the holding of a phase that made no progress for longest, or None."""
-    firsts = []
-    for phases in members:
-        for holding in phases[phase]:
-            if holding is not spared:
-                firsts.append(holding)
-                break
-    return min(firsts, key=lambda holding: holding.since_ms, default=None)
--- a/src/tarragonramp/sizes.py
+++ b/src/tarragonramp/sizes.py
@@ -16,6 +16,12 @@
 for bytes of revoked connections that have not been freed."""
 
 MIN_SHARED_MB = 8
+OTHER_DESCRIPTORS = 200
+"""Descriptors for files, and for the store and listeners."""
+
+CALLER_SHARE = 0.6
+"""Fraction of the other descriptors for callers. Requests of theirs need connections to
+servers and other daemons as well."""
 
 
 @attrs.frozen
@@ -64,22 +70,31 @@
     ----------
     memory_mb : int
         Memory of the process, with what its kernel buffers hold unread.
+    descriptors : int
+        Open files and connections.
     """
 
     USUAL_MEMORY_MB, MEMORY_RANGE_MB = 300, (32, 1 << 20)
+    USUAL_DESCRIPTORS, DESCRIPTOR_RANGE = 4096, (64, 1 << 20)
 
     memory_mb: int = attrs.field(
         default=USUAL_MEMORY_MB, validator=checks.between(*MEMORY_RANGE_MB)
     )
+    descriptors: int = attrs.field(
+        default=USUAL_DESCRIPTORS, validator=checks.between(*DESCRIPTOR_RANGE)
+    )
 
     @classmethod
-    def from_config(cls, memory_mb):
-        """Create from a number that another program states.
+    def from_config(cls, memory_mb, descriptors):
+        """Create from numbers that another program states.
 
         The usual value is taken for one that is missing or no number, and the nearest
         possible one for one that is out of range.
         """
-        return cls(_clamped(memory_mb, cls.MEMORY_RANGE_MB, cls.USUAL_MEMORY_MB))
+        return cls(
+            _clamped(memory_mb, cls.MEMORY_RANGE_MB, cls.USUAL_MEMORY_MB),
+            _clamped(descriptors, cls.DESCRIPTOR_RANGE, cls.USUAL_DESCRIPTORS),
+        )
 
     @property
     def shared_bytes(self):
@@ -87,6 +102,18 @@
         shared_mb = MEMORY_SHARE * self.memory_mb - OWN_MEMORY_MB
         return int(max(shared_mb, MIN_SHARED_MB) * 1e6)
 
+    @property
+    def caller_connections(self):
+        """Connections that callers may have open together."""
+        others = min(OTHER_DESCRIPTORS, self.descriptors // 4)
+        return int(CALLER_SHARE * (self.descriptors - others))
+
+    @property
+    def control_connections(self):
+        """Connections that may be open to one of the other listeners."""
+        others = min(OTHER_DESCRIPTORS, self.descriptors // 4)
+        return int((1.0 - CALLER_SHARE) * (self.descriptors - others) / 4)
+
 
 def _clamped(value, bounds, usual):
     """Return a value as a whole number within bounds, or the usual one."""
--- a/tests/test_holdings.py
+++ b/tests/test_holdings.py
@@ -17,14 +17,14 @@
 class NewcomerRefusedTable(HoldingTable):
     """Compared policy: nobody gives way, so that who comes last is refused."""
 
-    def _revoke_one(self, groups, spared=None):
+    def _revoke_one(self, groups, order, spared=None):
         return False
 
 
 class LargestFirstTable(HoldingTable):
     """Compared policy: who holds most gives way."""
 
-    def _revoke_one(self, groups, spared=None):
+    def _revoke_one(self, groups, order, spared=None):
         holdings = [
             holding
             for group in groups
@@ -63,7 +63,7 @@
         """Send the next bytes; return their number."""
         table = self.table
         if self._holding is None:
-            self._holding, self._n_sent = table.open("door", lambda: None), 0
+            self._holding, self._n_sent = table.open("door", lambda: None, 2 * CROWD), 0
             if self._holding is None:
                 self.n_failed += 1
                 return 0
@@ -159,7 +159,7 @@
 
     def open(self, name, n_bytes=0):
         """Open a connection whose request is being read."""
-        holding = self.table.open("door", lambda: self.revoked.append(name))
+        holding = self.table.open("door", lambda: self.revoked.append(name), 1000)
         self.table.begin_receiving(holding)
         self.assertTrue(self.table.charge(holding, n_bytes))
         return holding
@@ -230,3 +230,27 @@
             self.table.close(holding)
         self.assertEqual(self.table.n_bytes, 0)
         self.assertEqual(sum(self.table.counts().values()), 0)
+
+    def test_a_connection_too_many_ends_one_that_waits_for_nothing(self):
+        """Guards against idle connections that keep others from being accepted."""
+        open_one = lambda name: self.table.open(
+            "door", lambda: self.revoked.append(name), 2
+        )
+        first, _ = open_one("first"), open_one("second")
+        self.table.begin_receiving(first)
+        self.assertIsNotNone(open_one("third"))
+        self.assertEqual(self.revoked, ["second"])
+        self.table.end_receiving(first)
+        self.table.begin_request(first, 100)
+        self.assertIsNotNone(open_one("fourth"))
+        self.assertEqual(self.revoked, ["second", "third"])
+
+    def test_a_connection_is_refused_while_all_others_are_served(self):
+        holdings = [self.table.open("door", None, 2) for _ in range(2)]
+        for holding in holdings:
+            self.table.begin_request(holding, 100)
+        self.assertIsNone(self.table.open("door", None, 2))
+        self.assertIsNotNone(self.table.open("other door", None, 2))
+        self.assertEqual(self.table.n_revoked["new"], 1)
+        self.table.close(holdings[0])
+        self.assertIsNotNone(self.table.open("door", None, 2))
