Heads that come too slowly are cut after headerTimeout

100 connections that sent their heads a byte each 0.4 s kept them for as long as they liked, though headerTimeout was 1 s (test_heads_byte_by_byte: not cut within 30 s, failed before). Each byte renewed the timeout of the socket, and the limit of the manifest was read by nobody.

No timer is started for a head that is there whole. A value that no timer can hold is replaced by the nearest that one can.

--- a/src/tarragonramp/adapters/web.py
+++ b/src/tarragonramp/adapters/web.py
@@ -75,6 +75,7 @@
 memory, too; only a long body that is being read gets more, while there is room."""
 
 SENT_PIECE_BYTES = 65_536
+HEAD_END = b"\r\n\r\n"
 NO_MEMORY_RETRY_S = 0.5
 MAX_UNFREED_BYTES = 1 << 20
 FREEING_PAUSES_MS = tuple(2.0**n for n in range(10))
@@ -176,6 +177,7 @@
 
     headers = ()
     holding = None
+    head_timer = None
     has_long_buffer = False
     held_bytes = 0
 
@@ -268,6 +270,7 @@
         try:
             self._parse_head(raw_requestline)
         finally:
+            self._cancel_head_timer()
             holdings.end_receiving(self.holding)
         self.held_bytes = self._head_cost()
         if not holdings.begin_request(self.holding, self.held_bytes):
@@ -310,11 +313,24 @@
 
     def read_requestline(self):
         """Return the request line, truncated if it exceeds the limit."""
-        if not self.rfile.peek():
+        buffered = self.rfile.peek()
+        if not buffered:
             return ""
         limits = self.server.limits
         self.server.holdings.begin_receiving(self.holding)
-        return self.rfile.readline(limits.request_line_bytes).decode("latin-1")
+        if HEAD_END not in buffered:
+            error = TimeoutError("request head not received in time")
+            self.head_timer = gevent.Timeout.start_new(limits.head_ms / 1000.0, error)
+        try:
+            return self.rfile.readline(limits.request_line_bytes).decode("latin-1")
+        except OSError:
+            self._cancel_head_timer()
+            raise
+
+    def _cancel_head_timer(self):
+        if self.head_timer is not None:
+            self.head_timer.close()
+            self.head_timer = None
 
     def handle_one_response(self):
         """Serve a request, and give back what it holds."""
--- a/src/tarragonramp/fleet.py
+++ b/src/tarragonramp/fleet.py
@@ -71,6 +71,7 @@
 
 MAX_HEADER_LINES = 100
 MAX_HEADER_BLOCK_BYTES = 1 << 20
+MAX_HEAD_MS = 3_600_000
 MAX_ADDED_HEADERS, DELEGATION_BYTES = 4, 16_384
 """What a daemon adds at most to the headers of a request that it hands to another."""
 
@@ -457,6 +458,7 @@
             header_block_bytes=limits.header_bytes,
             header_count=MAX_HEADER_LINES,
             idle_ms=int(limits.idle_timeout_ms),
+            head_ms=int(min(max(limits.header_timeout_ms, 100), MAX_HEAD_MS)),
             body_bytes=limits.body_bytes,
         )
         # A request that another daemon hands over has more headers than the caller's.
--- a/src/tarragonramp/sizes.py
+++ b/src/tarragonramp/sizes.py
@@ -41,6 +41,8 @@
         Maximum size of a response body from a backend server.
     idle_ms : int
         How long a caller's connection may be idle before it is closed.
+    head_ms : int
+        How long the head of a request may take, from its first byte.
     """
 
     request_line_bytes: int = attrs.field(
@@ -54,6 +56,7 @@
     )
     header_count: int = attrs.field(default=100, validator=checks.between(1, 1000))
     idle_ms: int = attrs.field(default=75_000, validator=checks.between(100, 3_600_000))
+    head_ms: int = attrs.field(default=10_000, validator=checks.between(100, 3_600_000))
     body_bytes: int = attrs.field(
         default=1_048_576, validator=checks.between(0, 1 << 30)
     )
