Requests that were sent ahead wait while others are refused

Beside 250 connections that sent 200 GETs ahead and read nothing, four ordinary callers got 17 answers in 8 s of 22 calls (90 short fields a request) and 22 of 35 (long queries); the others were refused, most as 'no connection left'.

A client that does not wait for its answers asks for the next place as soon as it has one, sixteen at a time, so that a crowd of them keeps all places. A refusal costs it nothing, and processor time costs it nobody.

While requests are refused for want of places, the next request of a connection that has sent more is read after a pause: 25 ms at first, doubled up to 400 ms every 100 ms with refusals, halved without any. A connection whose requests are all refused, for whatever reason, waits up to 0.8 s, and has fewer in progress. The first request of a connection and a client that waits for its answers never do, so that ordinary callers are not slowed. Every eighth request of a connection gives way to others.

--- a/src/tarragonramp/adapters/pipelining.py
+++ b/src/tarragonramp/adapters/pipelining.py
@@ -30,6 +30,9 @@
         Set once the response to the latest request has been sent.
     in_progress : int
         Number of requests whose responses have not been sent.
+    max_in_progress : int
+        Fewer than usual after refusals, as a client that sends ahead would otherwise
+        take the place of others.
     is_next_read : bool
         Whether a request that does not overlap with others waits for their responses.
     closing : bool
@@ -39,6 +42,7 @@
 
     last_sent: Event
     in_progress: int = 0
+    max_in_progress: int = MAX_CONCURRENT_REQUESTS
     is_next_read: bool = False
     closing: bool = False
 
@@ -135,7 +139,7 @@
         pipeline.last_sent = handler.sent
         self.busy = False
         gevent.spawn(handler.respond)
-        if pipeline.in_progress >= MAX_CONCURRENT_REQUESTS:
+        if pipeline.in_progress >= pipeline.max_in_progress:
             handler.sent.wait()
 
     def respond(self):
@@ -144,6 +148,7 @@
         try:
             super().handle_one_response()
         finally:
+            self._adapt_pipeline()
             self.pipeline.in_progress -= 1
             if self.close_connection:
                 self.pipeline.closing = True
@@ -169,6 +174,15 @@
         # shutting down.
         WebHandler.finalize_headers(self)
 
+    def _adapt_pipeline(self):
+        """Serve fewer requests at once after a refusal, and more after an answer."""
+        pipeline = self.pipeline
+        if self.holding.n_refused:
+            pipeline.max_in_progress = max(1, pipeline.max_in_progress // 2)
+        else:
+            at_most = MAX_CONCURRENT_REQUESTS
+            pipeline.max_in_progress = min(at_most, pipeline.max_in_progress + 1)
+
     def _is_last(self):
         """Return whether no request behind this one has been read."""
         return self.pipeline.last_sent is self.sent and not self.pipeline.is_next_read
--- a/src/tarragonramp/adapters/web.py
+++ b/src/tarragonramp/adapters/web.py
@@ -13,6 +13,7 @@
 from ..errors import AddressError, RequestError
 from ..holdings import HoldingTable
 from ..meters import NOT_RUN
+from ..pacing import AheadPacing
 from ..sizes import Limits
 from .bodies import CONTINUE, BodyReader
 from .fields import read_fields
@@ -80,6 +81,9 @@
 MAX_UNFREED_BYTES = 1 << 20
 FREEING_PAUSES_MS = tuple(2.0**n for n in range(10))
 
+MAX_TURN_REQUESTS = 8
+BUSY_STATUSES = frozenset((429, 503))
+
 # Keys added to the WSGI environment: header fields as (lower-case name, value) in the
 # caller's order, the request target as sent, the caller's socket, and the arrival time
 # (milliseconds on the server's clock; only set by servers that have a clock).
@@ -179,7 +183,7 @@
     holding = None
     head_timer = None
     has_long_buffer = False
-    held_bytes = 0
+    held_bytes = n_read = 0
 
     def handle(self):
         """Serve the connection until it ends, if there is room for it."""
@@ -313,6 +317,7 @@
 
     def read_requestline(self):
         """Return the request line, truncated if it exceeds the limit."""
+        self._give_way()
         buffered = self.rfile.peek()
         if not buffered:
             return ""
@@ -327,6 +332,20 @@
             self._cancel_head_timer()
             raise
 
+    def _give_way(self):
+        """Let others run before a request that may have been sent ahead.
+
+        Its connection is read more slowly while requests are refused.
+        """
+        self.n_read += 1
+        if self.n_read == 1:
+            return
+        if self.n_read % MAX_TURN_REQUESTS == 0:
+            gevent.sleep(0)
+        pause_ms = self.server.pacing.pause_ms(self.holding.n_refused)
+        if pause_ms and _has_unread(self.socket):
+            gevent.sleep(pause_ms / 1000.0)
+
     def _cancel_head_timer(self):
         if self.head_timer is not None:
             self.head_timer.close()
@@ -393,7 +412,12 @@
         if self.command == "HEAD" and self.provided_content_length is None:
             # gevent would set 0, which is wrong for most resources.
             self.provided_content_length = ""
-        if self.holding.is_revoked:
+        names = {name.lower() for name, _ in self.response_headers}
+        is_refusal = OUTCOME_HEADER.lower().encode() in names
+        self.holding.record_answer(is_refusal)
+        if is_refusal and self.code in BUSY_STATUSES:
+            self.server.pacing.record_refusal()
+        if self.holding.is_revoked and b"connection" not in names:
             self.close_connection = True
             self.response_headers.append((b"Connection", b"close"))
         super().finalize_headers()
@@ -498,6 +522,7 @@
     ):
         self.limits = limits or Limits()
         self.holdings = HoldingTable() if holdings is None else holdings
+        self.pacing = AheadPacing()
         resources = self.holdings.resources
         self.max_connections = max_connections or resources.caller_connections
         listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
@@ -536,6 +561,16 @@
         super().handle(sock, address)
 
 
+def _has_unread(sock):
+    """Return whether the peer of a socket has sent more than was read."""
+    poll = _original_poll()
+    try:
+        poll.register(sock.fileno(), select.POLLIN)
+    except (OSError, ValueError):
+        return False
+    return bool(poll.poll(0))
+
+
 def caller_disconnected(environ):
     """Return whether the caller of a request has closed its side of the connection.
 
--- a/src/tarragonramp/holdings.py
+++ b/src/tarragonramp/holdings.py
@@ -74,6 +74,8 @@
         Answers that are being written.
     is_receiving : bool
         Whether a request is being read.
+    n_refused : int
+        How many of its last requests in a row were refused.
     is_revoked : bool
     """
 
@@ -85,10 +87,15 @@
     n_requests: int = 0
     n_sending: int = 0
     is_receiving: bool = False
+    n_refused: int = 0
     is_revoked: bool = False
     _progress_bytes: int = 0
     _was_used: bool = False
 
+    def record_answer(self, is_refusal):
+        """Count an answer; whether this process refused the request."""
+        self.n_refused = self.n_refused + 1 if is_refusal else 0
+
     def current_phase(self):
         """Return the phase that follows from what is being read and written."""
         if self.n_sending:
