A status that HTTP does not know is no answer of a server

A server in trouble that answers with status 000 to 099 kept a request until its route's timeout: it was taken for an interim answer, and callers got 504 without a second attempt. 600 and 999 were passed on to callers as they are.

The parser takes any three digits for a status, and each code below 200 for an interim one. A code outside 100 to 599 now ends the exchange as soon as the head is there, and its connection with it: the outcome is unknown, so that a safe request has its second attempt and an unsafe one is answered 502. All that reads answers over HTTP (grants, health checks, other daemons, the store) uses the same parser.

Evidence: the tests of five such statuses failed before for GET, HEAD and POST, and with two servers, one of which answers so, callers got other statuses than 200 (safe) and 200 or 502 (unsafe). All four pass now; no unsafe request ran twice. Extra responses, cut heads, endless answers, framing and path pass.

--- a/src/tarragonramp/adapters/parser.py
+++ b/src/tarragonramp/adapters/parser.py
@@ -10,6 +10,7 @@
 
 SWITCHING_PROTOCOLS = 101
 MIN_FINAL_STATUS = 200
+KNOWN_STATUSES = range(100, 600)
 MAX_EXTRA_RESPONSES = 8
 """Extra responses put aside in one exchange; more look like a server out of step."""
 
@@ -69,6 +70,12 @@
             super()._flush_header()
         # A field after the header section is a trailer, which must not alter headers.
 
+    def _on_headers_complete(self):
+        # The code would be passed on, or taken for that of an interim response.
+        if self.get_code() not in KNOWN_STATUSES:
+            raise HTTPProtocolViolationError(f"unknown status {self.get_code():03}")
+        return super()._on_headers_complete()
+
     def _on_message_complete(self):
         super()._on_message_complete()
         if self.get_code() == SWITCHING_PROTOCOLS:
--- a/standins/fleet_server.py
+++ b/standins/fleet_server.py
@@ -57,6 +57,10 @@
         Executed; the response ends at any place of its head, with a close or a reset.
     unstated : int
         Executed; the response is 503 and does not say whether it was.
+    odd_status : int
+        Executed; the status of the response is ``status``.
+    status : str
+        A status that HTTP does not know.
     share : float
         Probability of each of these faults while its counter is above 0.
     limit : str
@@ -79,6 +83,8 @@
     copy_health: int = 0
     cut_heads: int = 0
     unstated: int = 0
+    odd_status: int = 0
+    status: str = "000"
     share: float = 1.0
     limit: str = ""
     retry_after: str = ""
@@ -300,6 +306,8 @@
         ]
         if not self.faults.consume("unmarked"):
             headers.append(("Upstream-Stamp", f"mark.{request_id}"))
+        if self.faults.consume("odd_status"):
+            return _reply(start_response, self.faults.status, text, headers)
         if self.faults.consume("truncate"):
             start_response("200 OK", [*headers, ("Content-Length", "999")])
             return [text]
