--- a/src/tarragonramp/adapters/web.py
+++ b/src/tarragonramp/adapters/web.py
@@ -18,6 +18,7 @@
 from .bodies import CONTINUE, BodyReader
 from .fields import read_fields
 from .http import split_address
+from .logs import log_event
 from .optional import optional_step
 from .usage import FreedMemory
 
@@ -203,6 +204,13 @@
         A greenlet that waits for the client is woken: by the end of the stream, or by
         an error if it sends.
         """
+        log_event(
+            "connection-revoked",
+            waited_for=self.holding.phase.value,
+            held_bytes=self.holding.n_bytes,
+            requests=self.holding.n_requests,
+            client=self.client_address[0],
+        )
         how = socket.SHUT_RDWR if self.holding.n_sending else socket.SHUT_RD
         try:
             # On the underlying socket: gevent's would also raise an error in the
--- a/src/tarragonramp/daemon.py
+++ b/src/tarragonramp/daemon.py
@@ -34,10 +34,11 @@
 from .adapters.peers import GrpcPeers, PeerServer  # noqa: E402
 from .adapters.platform import HttpPlatform  # noqa: E402
 from .adapters.serving import DaemonServer, log_requests_cut  # noqa: E402
-from .adapters.usage import CpuMeter, LoopWatch  # noqa: E402
+from .adapters.usage import CpuMeter, LoopWatch, limit_kept_memory  # noqa: E402
 from .clock import Clock  # noqa: E402
 from .credentials import Secrets  # noqa: E402
 from .errors import AddressError, KernelError  # noqa: E402
+from .holdings import HoldingTable  # noqa: E402
 from .meters import RequestMeter, TrafficMeter  # noqa: E402
 from .model import Member  # noqa: E402
 from .propagation import PLATFORM  # noqa: E402
@@ -208,8 +209,14 @@
             lambda: (self.ready, self._readiness()),
             self.stopped.is_set,
         )
+        holdings = HoldingTable(settings.resources, clock)
         self.control_server = DaemonServer(
-            settings.control_address, application, clock, self.traffic
+            settings.control_address,
+            application,
+            clock,
+            self.traffic,
+            holdings=holdings,
+            max_connections=settings.resources.control_connections,
         )
         self.caller_server = DaemonServer(
             settings.caller_address,
@@ -217,6 +224,7 @@
             clock,
             reuse_port=True,
             limits=settings.limits,
+            holdings=holdings,
         )
 
     def run(self):
@@ -400,6 +408,7 @@
     settings = loaded.unwrap()
     grpc_gevent.init_gevent()
     set_up_logs(settings.name, settings.log_level)
+    limit_kept_memory()
     try:
         daemon = Daemon.from_config(settings)
         for signum in (signal.SIGTERM, signal.SIGINT):
--- a/src/tarragonramp/settings.py
+++ b/src/tarragonramp/settings.py
@@ -10,13 +10,14 @@
 from .documents import Document, Fault, read_file
 from .errors import SettingsError
 from .results import is_successful
-from .sizes import Limits
+from .sizes import Limits, Resources
 from .structuring import structure
 
 __all__ = [
     "Audit",
     "DaemonSettings",
     "Limits",
+    "Resources",
     "Security",
     "Timing",
     "check_settings",
@@ -151,6 +152,7 @@
     log_level : {"debug", "info", "warning", "error"}
     timing : Timing
     limits : Limits
+    resources : Resources
     security : Security
     audit : Audit
     """
@@ -170,6 +172,7 @@
     log_level: str = attrs.field(default="info", validator=checks.one_of(*LOG_LEVELS))
     timing: Timing = Timing()
     limits: Limits = Limits()
+    resources: Resources = Resources()
     security: Security = Security()
     audit: Audit = Audit()
 
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -53,6 +53,14 @@
         self.assertEqual(settings.timing.ping_ms, 100)
         self.assertEqual(settings.timing.silence_ms, 500)
 
+    def test_resources_are_settings(self):
+        text = GOOD + "resources: {memory_mb: 128, descriptors: 400}\n"
+        resources = self.load(text).unwrap().resources
+        self.assertEqual(resources.caller_connections, 180)
+        self.assertEqual(resources.shared_bytes, 42_400_000)
+        faults = self.faults(GOOD + "resources: {memory_mb: 3}\n")
+        self.assertEqual(len(faults), 1)
+
     def test_all_faults_are_reported_together_with_file_and_line(self):
         text = GOOD.replace("127.0.0.1:7102", "localhost:7102") + (
             "timing:\n  ping_ms: '150'\n  right_ms: 3\n  pign_ms: 1\n"
