A refused HEAD request gets no body

The WSGI server writes whatever the application returns, and an answer to a malformed head was built without a look at its method. Bodies are now left out where all answers are written, for HEAD, 204 and 304, and in answers to heads that can't be read once their method is known.

Pipelining, entry and metrics tests pass.

--- a/src/tarragonramp/adapters/web.py
+++ b/src/tarragonramp/adapters/web.py
@@ -308,6 +308,7 @@
         )
 
     def _parse_head(self, raw_requestline):
+        self.command = None
         self.requestline = raw_requestline
         if not raw_requestline.endswith("\n"):
             raise RequestError(414, NOT_RUN, "request line longer than the limit")
@@ -367,7 +368,13 @@
             self.end_request()
 
     def write(self, data):
-        """Write a part of an answer, which is held until the client has taken it."""
+        """Write a part of an answer, which is held until the client has taken it.
+
+        The answer to a HEAD request, and one with 204 or 304, has no body whatever the
+        application returns: the client would take it for its next answer.
+        """
+        if self.command == "HEAD" or self.code in BODILESS_STATUSES:
+            data = b""
         self.held_bytes += len(data)
         self.server.holdings.charge(self.holding, len(data))
         super().write(data)
@@ -468,7 +475,7 @@
             f"Content-Length: {len(body)}\r\n"
             f"{OUTCOME_HEADER}: {ex.outcome}\r\n\r\n"
         )
-        return str(ex.status), head.encode() + body
+        return str(ex.status), head.encode() + (b"" if self.command == "HEAD" else body)
 
     def _check_framing(self, by_name):
         if len(by_name) < len(self.headers):
--- a/tests/test_framing.py
+++ b/tests/test_framing.py
@@ -130,6 +130,24 @@
         self.check(405, {"TRACE": b"TRACE / HTTP/1.1\r\n" + HOST + b"\r\n"})
         self.check(408, {"stopped halfway": b"GET / HTTP/1.1\r\nHos"})
 
+    def test_refused_head_requests_get_no_body(self):
+        """Guards against a body that the client takes for its next answer."""
+        head, get = b"HEAD / HTTP/1.1\r\n" + HOST, b"GET / HTTP/1.1\r\n" + HOST
+        for name, data, status in (
+            ("application", head + b"\r\n", b"200"),
+            ("head", head + b"X : a\r\n\r\n", b"400"),
+            ("many lines", head + b"X: a\r\n" * 11 + b"\r\n", b"431"),
+            ("no host", b"HEAD / HTTP/1.1\r\n\r\n", b"400"),
+            ("slow", head + b"X", b"408"),
+        ):
+            with self.subTest(name):
+                response, _ = send_raw(self.address, data, 0.6)
+                self.assertEqual(response[9:12], status)
+                self.assertTrue(response.endswith(b"\r\n\r\n"))
+        response, _ = send_raw(self.address, head + b"\r\n" + get + b"\r\n", 0.3)
+        _, _, rest = response.partition(b"\r\n\r\n")
+        self.assertTrue(rest.startswith(b"HTTP/1.1 200 OK"))
+
     def test_an_upgrade_is_not_read_past_the_request(self):
         upgrade = b"Connection: Upgrade\r\nUpgrade: websocket\r\n\r\n"
         data = b"GET / HTTP/1.1\r\n" + HOST + upgrade
