Routes are found by the path as it was sent

A prefix with an escape matched nothing, and of two routes that differ in a slash the wrong service got a request with %2F.

The route was found by the unescaped path, while the server gets the path as it was sent: the route's rules were those of another request. One form decides now, the one that servers read; kind, limits and attempts follow from the route, and the content of a request was already known by it. docs/PLATFORM.md says so.

Evidence: of 13 forms (%2F, %2f, %79, %25, a lone %, doubled slash, dots, ';', case, a prefix with an escape) four went elsewhere before. Router, route, delegate and path tests pass.

--- a/src/tarragonramp/roles/router.py
+++ b/src/tarragonramp/roles/router.py
@@ -228,7 +228,8 @@
         ``chosen_service`` is taken if the route leads there. ``delegated_team`` names
         the team that another daemon has found.
         """
-        routes, route = self._find_route(facts.host, environ["PATH_INFO"])
+        path = environ[TARGET_KEY].partition("?")[0]
+        routes, route = self._find_route(facts.host, path)
         team = None
         if routes.manifest.teams is not None:
             team = self._find_team(facts, route, delegated_team)
@@ -304,6 +305,9 @@
     def _find_route(self, host, path):
         """Return the RouteTable in force and the Route of a request.
 
+        The path is taken as the caller has sent it, escapes and all: servers get it in
+        that form, and may read another one differently.
+
         Raises
         ------
         RequestError
