A head that was cut off to make room is refused as not run

A connection that has to give way while its head comes in was answered 400, as the rest of the head was missing: clients do not repeat a request after that. It is 503 with Retry-After now, as for a body. Found by reading; its test was written with the change and was not run on the code before.

--- a/src/tarragonramp/adapters/web.py
+++ b/src/tarragonramp/adapters/web.py
@@ -460,7 +460,10 @@
         """Do nothing: the application does the logging."""
 
     def _handle_client_error(self, ex):
-        if isinstance(ex, TimeoutError):
+        if self.holding.is_revoked:
+            # What was read of the head was cut off by this side.
+            ex = RequestError(503, NOT_RUN, "no memory left", NO_MEMORY_RETRY_S)
+        elif isinstance(ex, TimeoutError):
             ex = RequestError(408, NOT_RUN, "request head not received in time")
         elif not isinstance(ex, RequestError):
             ex = RequestError(400, NOT_RUN, "malformed request")
--- a/tests/test_framing.py
+++ b/tests/test_framing.py
@@ -2,12 +2,15 @@
 
 import unittest
 
+import gevent
+from gevent import socket
 from returns.pipeline import is_successful
 
 from standins.site import free_address
-from tarragonramp.adapters.http import HttpPool
+from tarragonramp.adapters.http import HttpPool, split_address
 from tarragonramp.adapters.web import HEADERS_KEY, WebServer
 from tarragonramp.errors import NotSentError, UnansweredError
+from tarragonramp.holdings import HoldingTable
 from tarragonramp.settings import Limits
 
 from .wire import LateCopyServer, ScriptedServer, send_raw
@@ -277,3 +280,25 @@
         ):
             result = pool.exchange(method, target, [header], b"", 300)
             self.assertIn("invalid", str(result.failure()))
+
+
+class RevokedConnectionTest(unittest.TestCase):
+    """A connection that has to make room while its client sends a head."""
+
+    def test_a_revoked_head_is_refused_as_not_run(self):
+        """Guards against a client that is told that its proper request is malformed."""
+        address = free_address()
+        holdings = HoldingTable()
+        server = WebServer(address, echo_application, holdings=holdings)
+        server.start()
+        self.addCleanup(server.stop, 0)
+        with socket.create_connection(split_address(address), timeout=2.0) as client:
+            client.sendall(b"GET / HTTP/1.1\r\nHos")
+            gevent.sleep(0.1)
+            # Another connection needs all that there is.
+            other = holdings.open("other", lambda: None, 10)
+            holdings.charge(other, holdings.resources.shared_bytes)
+            answer = client.recv(4096)
+        self.assertTrue(answer.startswith(b"HTTP/1.1 503 "))
+        self.assertIn(b"Retry-After: ", answer)
+        self.assertIn(b"not-run", answer)
