--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -16,7 +16,10 @@
 def reader(data, content_length=None):
     """Return the reader of a body, chunked if it has no length, and its stream."""
     rfile = io.BufferedReader(io.BytesIO(data))
-    return BodyReader(rfile, content_length, content_length is None, LIMITS), rfile
+    ignore = lambda n_bytes: None
+    is_chunked = content_length is None
+    body = BodyReader(rfile, content_length, is_chunked, LIMITS, ignore, ignore)
+    return body, rfile
 
 
 def chunk(data):
