Limits of a manifest that are out of range no longer keep a daemon down

Under a manifest with an idle time of two hours no restarted daemon listened: 0 of some 230 requests were served later than 15 s after all were killed. The same holds for a header limit below 256 bytes or above 1 MB, a body limit above 1 GB, and an idle time of 0.

Limits raises ValueError for what it can't hold, and the task that opens the callers' address fails before it listens, again and again. Values of a manifest are now replaced by the nearest possible ones, with a line in the log and a gauge; the project's own settings stay strict. The bounds stand in one table.

--- a/src/tarragonramp/fleet.py
+++ b/src/tarragonramp/fleet.py
@@ -71,7 +71,6 @@
 
 MAX_HEADER_LINES = 100
 MAX_HEADER_BLOCK_BYTES = 1 << 20
-MAX_HEAD_MS = 3_600_000
 MAX_ADDED_HEADERS, DELEGATION_BYTES = 4, 16_384
 """What a daemon adds at most to the headers of a request that it hands to another."""
 
@@ -224,6 +223,7 @@
     open_task: object = None
     started_ns: int = attrs.Factory(time.time_ns)
     is_ready: bool = False
+    replaced_limits: tuple = ()
     stopped: Event = attrs.Factory(Event)
 
     @classmethod
@@ -453,14 +453,18 @@
 
     def _apply_limits(self):
         limits = self.view.manifest.limits
-        self.caller_server.limits = Limits(
+        self.caller_server.limits, replaced = Limits.from_config(
             header_line_bytes=min(limits.header_bytes, 65_536),
             header_block_bytes=limits.header_bytes,
             header_count=MAX_HEADER_LINES,
-            idle_ms=int(limits.idle_timeout_ms),
-            head_ms=int(min(max(limits.header_timeout_ms, 100), MAX_HEAD_MS)),
+            idle_ms=limits.idle_timeout_ms,
+            head_ms=limits.header_timeout_ms,
             body_bytes=limits.body_bytes,
         )
+        if replaced and replaced != self.replaced_limits:
+            names = ",".join(replaced)
+            log_event("limits-out-of-range", level=logbook.WARNING, limits=names)
+        self.replaced_limits = replaced
         # A request that another daemon hands over has more headers than the caller's.
         usual = Limits()
         self.peer_server.limits = attrs.evolve(
@@ -586,6 +590,11 @@
             "1 if it reaches no backend server.",
             lambda: int(self.router.monitor.is_cut_off),
         )
+        gauge(
+            "manifest.limits_replaced",
+            "Limits of the manifest in force that were out of range.",
+            lambda: len(self.replaced_limits),
+        )
         gauge("manifest.version", "Manifest in force.", self._manifest_version)
         gauge(
             "manifest.age_ms",
--- a/src/tarragonramp/sizes.py
+++ b/src/tarragonramp/sizes.py
@@ -24,6 +24,10 @@
 servers and other daemons as well."""
 
 
+def _limit(default, bounds):
+    return attrs.field(default=default, validator=checks.between(*bounds))
+
+
 @attrs.frozen
 class Limits:
     """Size limits for requests and responses, and the idle timeout of connections.
@@ -45,24 +49,48 @@
         How long the head of a request may take, from its first byte.
     """
 
-    request_line_bytes: int = attrs.field(
-        default=4096, validator=checks.between(64, 8191)
-    )
-    header_line_bytes: int = attrs.field(
-        default=8192, validator=checks.between(64, 65_536)
-    )
-    header_block_bytes: int = attrs.field(
-        default=32_768, validator=checks.between(256, 1 << 20)
-    )
-    header_count: int = attrs.field(default=100, validator=checks.between(1, 1000))
-    idle_ms: int = attrs.field(default=75_000, validator=checks.between(100, 3_600_000))
-    head_ms: int = attrs.field(default=10_000, validator=checks.between(100, 3_600_000))
-    body_bytes: int = attrs.field(
-        default=1_048_576, validator=checks.between(0, 1 << 30)
-    )
-    answer_bytes: int = attrs.field(
-        default=8_388_608, validator=checks.between(1, 1 << 30)
-    )
+    RANGES = {
+        "request_line_bytes": (64, 8191),
+        "header_line_bytes": (64, 65_536),
+        "header_block_bytes": (256, 1 << 20),
+        "header_count": (1, 1000),
+        "idle_ms": (100, 3_600_000),
+        "head_ms": (100, 3_600_000),
+        "body_bytes": (0, 1 << 30),
+        "answer_bytes": (1, 1 << 30),
+    }
+
+    request_line_bytes: int = _limit(4096, RANGES["request_line_bytes"])
+    header_line_bytes: int = _limit(8192, RANGES["header_line_bytes"])
+    header_block_bytes: int = _limit(32_768, RANGES["header_block_bytes"])
+    header_count: int = _limit(100, RANGES["header_count"])
+    idle_ms: int = _limit(75_000, RANGES["idle_ms"])
+    head_ms: int = _limit(10_000, RANGES["head_ms"])
+    body_bytes: int = _limit(1_048_576, RANGES["body_bytes"])
+    answer_bytes: int = _limit(8_388_608, RANGES["answer_bytes"])
+
+    @classmethod
+    def from_config(cls, **values):
+        """Create from numbers that another program states.
+
+        The nearest possible value is taken for one that is out of range.
+
+        Parameters
+        ----------
+        **values : float
+
+        Returns
+        -------
+        limits : Limits
+        replaced : tuple of str
+            Names of the limits that were out of range.
+        """
+        taken = {
+            name: int(min(max(value, cls.RANGES[name][0]), cls.RANGES[name][1]))
+            for name, value in values.items()
+        }
+        replaced = tuple(name for name in values if taken[name] != int(values[name]))
+        return cls(**taken), replaced
 
 
 @attrs.frozen
