A divided service without servers no longer keeps a daemon down

While a manifest named a divided service that no server belongs to, no daemon that was started listened: after all were killed 0 of some 230 requests were served later than 15 s after, until such a server started.

A daemon waited for the ranges of each divided service before it accepted callers, and a service without servers gets none. It now waits for those whose servers are listed, so that a part that can't be used costs that part.

Evidence: the new test, with a restart under such a manifest, was not ready within 20 s before; now the other services, divided and shared, are served.

--- a/src/tarragonramp/fleet.py
+++ b/src/tarragonramp/fleet.py
@@ -446,8 +446,12 @@
         manifest = self.view.manifest
         if manifest is None or not self.follower.is_synced:
             return False
+        # A service without servers gets no table, and must not keep the others waiting.
+        served = {server.service for server in self.view.directory.servers.values()}
         divided = [
-            name for name, service in manifest.services.items() if service.divided
+            name
+            for name, service in manifest.services.items()
+            if service.divided and name in served
         ]
         return all(name in self.view.tables for name in divided)
 
--- a/tests/test_manifest_limits.py
+++ b/tests/test_manifest_limits.py
@@ -56,3 +56,30 @@
             return answer is not None and answer.status == 200
 
         site.wait(is_served, "requests are served")
+
+
+class ServiceWithoutServersTest(unittest.TestCase):
+    """A manifest names a divided service that no server belongs to."""
+
+    def test_the_other_services_are_served_after_a_restart(self):
+        """Guards against a part that can't be used and costs all others."""
+        site = FleetSite()
+        self.addCleanup(site.close)
+        site.start_store()
+        config = manifest(1)
+        config["clusters"].append({"name": "empty", "maxConns": 50, "sharded": True})
+        site.control_store(write=["config", "main", config, None])
+        site.start_server("desk0", "desk", "a")
+        site.start_server("parts0", "parts", "a")
+        site.start_daemon("d1", "a")
+        site.wait_ready("d1")
+        site.kill("d1")
+        site.start_daemon("d1", "a")
+        site.wait_ready("d1")
+        for path, key in (("/view/1", None), ("/parts/1", 7)):
+
+            def is_served(path=path, key=key):
+                answer = site.call("d1", path, "after", key)
+                return answer is not None and answer.status == 200
+
+            site.wait(is_served, f"{path} is served")
