Long entries that can't be read no longer keep daemons from answering

Cause: a list that the parser refuses was cut by a scan in Python over each token, several times for each element, and neither it nor the check of parsed values gave way to other greenlets. The two daemons that read the store fell silent, the others then read it themselves.

Ruled out: the bytes (one long string of the same size does no harm) and the connection to the store, which gives way every 64 kB.

The scan now removes strings and sums up the levels of nesting of many marks in one step, looks at a list once, and parses runs of elements. Scan, parser and check work in turns of 64 kB. Of a long entry only the members that are used are kept, so it takes no memory here or at the daemons that hear of it.

The tests of read_list pass a ListFormat now; what they check is unchanged.

--- a/src/tarragonramp/adapters/json_lists.py
+++ b/src/tarragonramp/adapters/json_lists.py
@@ -3,17 +3,31 @@
 A parser of whole documents fails as a whole: on bytes that are no text, a number with
 too many digits, or more nesting than it can follow. So a list that can't be read is cut
 into its elements first, by a scan that neither nests nor converts anything.
+
+Other programs decide how long the elements are, and how many there are. All work is
+therefore done in turns, and other greenlets run between them.
 """
 
+import contextlib
+import itertools
 import json
 import math
 import re
 
+import attrs
+import gevent
 import logbook
 
 from .logs import log_event
 
-__all__ = ["is_plain", "parse_json", "read_list"]
+__all__ = [
+    "ListFormat",
+    "WorkTurns",
+    "is_plain",
+    "parse_elements",
+    "parse_json",
+    "read_list",
+]
 
 MAX_DEPTH = 32
 """Levels of nesting in an element. Whoever passes it on, or logs it, may follow fewer
@@ -22,25 +36,135 @@
 MAX_INTEGER = (1 << 63) - 1
 MAX_LOGGED_CHARS = 200
 
-_TOKEN = re.compile(r'"[^"\\]*(?:\\.[^"\\]*)*"|[\[{]+|[\]}]+|,', re.DOTALL)
-_SPACE = re.compile(r"[ \t\r\n]*")
-_UNDECODABLE = re.compile("[\udc80-\udcff]")
+MAX_TURN_BYTES, PAUSE_MS = 65_536, 1.0
+"""Bytes that are looked at before other greenlets get their turn, and the pause for
+them. Without a timer, gevent would not let those run that wait for one."""
 
+MAX_WHOLE_BYTES = 4 * MAX_TURN_BYTES
+"""A document up to this length is parsed at once, as the parser is faster than the
+scan."""
 
-def read_list(data, list_name, paths, checks=True):
-    """Parse a JSON object that has a list.
+MAX_LONG_LEVELS = 8
+"""Levels at which a value longer than a turn is parsed by its parts; each level scans
+it once more."""
+
+MAX_ELEMENT_BYTES = 65_536
+"""Of an element that takes more, only the parts that are wanted are kept."""
+
+STEP_BYTES, MARK_BYTES, VALUE_BYTES = 32, 4, 16
+"""What a step of the scan counts at least, and what a mark and a parsed value count, as
+bytes that take the same time."""
+
+_STRING_PATTERN = rb'"[^"\\]*+(?:\\.[^"\\]*+)*+"'
+_STRING = re.compile(_STRING_PATTERN, re.DOTALL)
+_WHOLE_STRINGS = re.compile(rb'(?:[^"]++|%b)*+' % _STRING_PATTERN, re.DOTALL)
+_MARK = re.compile(
+    rb'(?:[^"\[\]{},]++|%b)*+([\[\]{},"]|\Z)' % _STRING_PATTERN, re.DOTALL
+)
+"""A mark and what stands before it. Also a string that does not end, and the end of the
+text, as the next match would else begin somewhere in between."""
+
+_SPACE = re.compile(rb"[ \t\r\n]*+")
+_MISSING = object()
+
+_OPENING, _CLOSING, _COMMA = b"[{", b"]}", b","[0]
+_NO_MARKS = bytes(set(range(256)) - set(b"[]{},"))
+_LEVELS = [(byte in _OPENING) - (byte in _CLOSING) for byte in range(256)]
+"""By how much a byte outside of strings changes the level of nesting."""
 
-    Of an element that cannot be read only the members at ``paths`` are returned.
+PIECE_BYTES, MAX_STEPS = 4096, 64
+"""Bytes whose marks are found in one step, and marks that are looked at one by one
+before, which is faster for short elements."""
+
+
+@attrs.frozen
+class ListFormat:
+    """What is read of an object with a list.
 
     Parameters
     ----------
-    data : bytes
     list_name : str
         The member with the list.
-    paths : sequence of tuple of str
-        For each of these members, the names that lead to it.
+    paths : tuple of tuple of str
+        For each member that is read of an element that cannot be read as a whole, the
+        names that lead to it.
+    wanted : tuple of tuple of str, optional
+        Paths of all members that are needed of an element; the others are dropped if it
+        is long. By default all are needed.
     checks : bool, default=True
         Whether elements that are not plain count as unreadable, see :func:`is_plain`.
+    """
+
+    list_name: str
+    paths: tuple
+    wanted: tuple | None = None
+    checks: bool = True
+
+    @classmethod
+    def partial(cls, list_name, fields, place="", beside=""):
+        """Return a function that creates formats of a list for kinds of objects.
+
+        Parameters
+        ----------
+        list_name : str
+        fields : str
+            What is read of an object that cannot be read as a whole: paths with dots,
+            separated by spaces.
+        place : str, default=""
+            Path of the object in an element; empty if the element is the object.
+        beside : str, default=""
+            Paths of what is read of an element beside the object.
+
+        Returns
+        -------
+        create : callable
+            ``create(wanted, checks)`` returns a ListFormat; ``wanted`` has the paths in
+            an object, or is None.
+        """
+
+        def paths_of(fields):
+            prefix = f"{place}." if place else ""
+            texts = [*beside.split(), *(prefix + field for field in fields.split())]
+            return tuple(tuple(text.split(".")) for text in texts)
+
+        def create(wanted, checks):
+            wanted = None if wanted is None else paths_of(wanted)
+            return cls(list_name, paths_of(fields), wanted, checks)
+
+        return create
+
+
+@attrs.define(eq=False)
+class WorkTurns:
+    """Divides work into turns, with a pause for other greenlets after each.
+
+    Parameters
+    ----------
+    pause : callable
+        Called without arguments between two turns.
+    n_bytes : int
+        Bytes that were looked at in this turn.
+    """
+
+    pause: object = attrs.field(default=lambda: gevent.sleep(PAUSE_MS / 1000.0))
+    n_bytes: int = 0
+
+    def spend(self, n_bytes):
+        """Count bytes that were looked at, and end the turn once it was long enough."""
+        self.n_bytes += n_bytes
+        if self.n_bytes >= MAX_TURN_BYTES:
+            self.n_bytes = 0
+            self.pause()
+
+
+def read_list(data, list_format, turns=None):
+    """Parse a JSON object that has a list.
+
+    Parameters
+    ----------
+    data : bytes
+    list_format : ListFormat
+    turns : WorkTurns, optional
 
     Returns
     -------
@@ -52,20 +176,49 @@
     ValueError
         If the object cannot be read, or has no such list.
     """
-    try:
-        raw = parse_json(data)
-    except ValueError:
-        raw = _read_in_parts(data, list_name, paths)
-    if not isinstance(raw, dict) or not isinstance(raw.get(list_name), list):
-        raise ValueError(f"no object with a list of {list_name}")
-    if checks:
-        raw[list_name] = [
-            element if is_plain(element) else _keep(element, paths, "not plain")
-            for element in raw[list_name]
-        ]
+    turns, name = turns or WorkTurns(), list_format.list_name
+    raw = None
+    if len(data) <= MAX_WHOLE_BYTES:
+        with contextlib.suppress(ValueError):
+            raw = parse_json(data)
+        turns.spend(len(data))
+    if raw is None:
+        raw = _read_in_parts(data, name, list_format.paths, turns)
+    if not isinstance(raw, dict) or not isinstance(raw.get(name), list):
+        raise ValueError(f"no object with a list of {name}")
+    if list_format.checks:
+        raw[name] = [_checked(element, list_format, turns) for element in raw[name]]
     return raw
 
 
+def parse_elements(parse, kind, elements):
+    """Return what can be parsed of some elements: other programs may store anything.
+
+    Parameters
+    ----------
+    parse : callable
+        Takes the kind and an element.
+    kind : str
+    elements : list
+
+    Returns
+    -------
+    parsed : list
+    """
+    parsed = []
+    for element in elements:
+        try:
+            parsed.append(parse(kind, element))
+        except (KeyError, TypeError, ValueError, AttributeError) as error:
+            log_event(
+                "entry-not-understood",
+                level=logbook.WARNING,
+                kind=kind,
+                reason=repr(error),
+            )
+    return parsed
+
+
 def parse_json(data):
     """Parse JSON; ValueError for whatever cannot be parsed.
 
@@ -79,16 +232,27 @@
         raise ValueError("nested too deeply") from error
 
 
-def is_plain(value, max_depth=MAX_DEPTH):
+def is_plain(value, max_depth=MAX_DEPTH, spend=None):
     """Return whether a parsed value can be passed on as it is.
 
     Not if it is nested too deeply, or has numbers that other programs can't represent.
+
+    Parameters
+    ----------
+    value : object
+    max_depth : int
+    spend : callable, optional
+        Called with about the number of bytes of each value that is looked at.
     """
+    if spend is not None:
+        spend(VALUE_BYTES + (len(value) if isinstance(value, str) else 0))
     if isinstance(value, dict):
+        if spend is not None:
+            spend(sum(map(len, value)))
         value = value.values()
     elif not isinstance(value, list):
         return not isinstance(value, (int, float)) or _is_usual_number(value)
-    return max_depth > 0 and all(is_plain(part, max_depth - 1) for part in value)
+    return max_depth > 0 and all(is_plain(part, max_depth - 1, spend) for part in value)
 
 
 def _is_usual_number(value):
@@ -97,38 +261,59 @@
     return -MAX_INTEGER <= value <= MAX_INTEGER
 
 
-def _read_in_parts(data, list_name, paths):
-    text = data.decode(errors="surrogateescape")
-    first, last = _member(text, 0, list_name)
-    if text[first : first + 1] != "[":
-        raise ValueError(f"no list of {list_name}")
-    elements = [
-        _read_element(text[begin:end], paths) for begin, end in _elements(text, first)
-    ]
-    raw = _loads(text[:first] + "[]" + text[last:])
-    raw[list_name] = elements
-    return raw
+class _LongElementError(Exception):
+    """An element takes more than is kept of one."""
 
 
-def _read_element(text, paths):
+def _checked(element, list_format, turns):
+    """Return a parsed element, or the parts of it that are kept."""
     try:
-        return _loads(text)
-    except ValueError as error:
-        parts = {path: _read_part(text, path) for path in paths}
-        return _assemble(parts, str(error))
+        if is_plain(element, spend=_spender(turns, list_format.wanted is not None)):
+            return element
+    except _LongElementError:
+        reason = f"longer than {MAX_ELEMENT_BYTES} bytes"
+        return _keep(element, list_format.wanted, reason, turns)
+    return _keep(element, list_format.paths, "not plain", turns)
+
+
+def _spender(turns, is_limited):
+    """Return a function that counts what is looked at of one element.
+
+    If the element is limited it raises _LongElementError once there is too much.
+    """
+    if not is_limited:
+        return turns.spend
+    n_left = MAX_ELEMENT_BYTES
+
+    def spend(n_bytes):
+        nonlocal n_left
+        n_left -= n_bytes
+        if n_left < 0:
+            raise _LongElementError
+        turns.spend(n_bytes)
+
+    return spend
 
 
-def _keep(element, paths, reason):
+def _keep(element, paths, reason, turns):
     """Return only the members of an element at some paths."""
     parts = {}
     for path in paths:
         part = element
         for name in path:
-            part = part.get(name) if isinstance(part, dict) else None
-        parts[path] = part if is_plain(part) else None
+            part = part.get(name, _MISSING) if isinstance(part, dict) else _MISSING
+        if part is not _MISSING:
+            parts[path] = part if _is_short_and_plain(part, turns) else None
     return _assemble(parts, reason)
 
 
+def _is_short_and_plain(part, turns):
+    try:
+        return is_plain(part, spend=_spender(turns, True))
+    except _LongElementError:
+        return False
+
+
 def _assemble(parts, reason):
     """Return an element that consists of its readable parts, by path."""
     element = {}
@@ -146,62 +331,279 @@
     return element
 
 
-def _loads(text):
-    if _UNDECODABLE.search(text):
-        raise ValueError("bytes that are no text")
-    return parse_json(text)
+def _read_in_parts(data, list_name, paths, turns=None):
+    scan = _Scan(data, turns or WorkTurns())
+    raw, position, is_last = {}, scan.skip_bracket(0, b"{"), False
+    while not is_last:
+        name, first = scan.name(position)
+        if name == list_name and data[first : first + 1] == b"[":
+            raw[name], first = _read_elements(scan, first, paths)
+            position, is_last = scan.element_end(first)
+            scan.check_blank(first, position)
+        else:
+            position, is_last = scan.element_end(first)
+            raw[name] = scan.parse(first, position)
+        position += 1
+    return raw
 
 
-def _read_part(text, path):
+def _read_elements(scan, start, paths):
+    """Return the elements of a list, as far as they can be read, and its end."""
+    elements, end = [], start
+    for first, end in scan.runs(start):
+        try:
+            elements += scan.parse_run(first, end)
+        except ValueError as error:
+            is_one = end - first > MAX_TURN_BYTES
+            found = [(first, end)] if is_one else scan.elements(first, end)
+            elements += [
+                _read_element(scan, begin, last, paths, error if is_one else None)
+                for begin, last in found
+            ]
+    return elements, end + 1
+
+
+def _read_element(scan, first, last, paths, error):
+    """Return an element, or its parts at some paths if it is known to be unreadable."""
+    if error is None:
+        try:
+            return scan.parse(first, last)
+        except ValueError as found:
+            error = found
+    parts = {path: _read_part(scan, first, path) for path in paths}
+    return _assemble(parts, str(error))
+
+
+def _read_part(scan, start, path):
     """Return the value at a path of members; None if it cannot be read."""
-    first, last = 0, len(text)
+    last = None
     try:
-        for member in path:
-            first, last = _member(text, first, member)
-        return _loads(text[first:last])
+        for wanted in path:
+            places = (place for name, *place in scan.members(start) if name == wanted)
+            start, last = next(places, (start, None))
+            if last is None:
+                return None
+        return scan.parse(start, last)
     except ValueError:
         return None
 
 
-def _member(text, start, name):
-    """Return where the value of a member begins and ends.
+@attrs.define(eq=False)
+class _Scan:
+    """Finds and parses the parts of a JSON text, in turns.
+
+    Positions are bytes of the text. A part is given by where it begins, and where the
+    comma or bracket behind it stands. Brackets and commas outside of strings are called
+    marks; the levels of nesting of many marks are found in one step, so that no form of
+    nesting makes a text costly to scan.
 
-    ``start`` is where its object begins.
+    Parameters
+    ----------
+    data : bytes
+    turns : WorkTurns
     """
-    quoted = json.dumps(name)
-    for begin, end in _elements(text, start):
-        key = _TOKEN.match(text, begin, end)
-        colon = _skip_space(text, key.end()) if key else end
-        if text[colon : colon + 1] != ":":
+
+    data: bytes
+    turns: WorkTurns
+
+    def runs(self, start, max_level=math.inf):
+        """Yield the parts of the list or object at ``start``, many elements in each.
+
+        A part is longer than a turn only if it is a single element.
+
+        Raises
+        ------
+        ValueError
+            If nesting is deeper than ``max_level`` levels.
+        """
+        first, is_last = self.skip_bracket(start), False
+        while not is_last:
+            end, is_last = self._part_end(first, MAX_TURN_BYTES, max_level)
+            yield first, end
+            first = end + 1
+
+    def elements(self, first, last):
+        """Yield each element of a part."""
+        while first <= last:
+            end, _ = self.element_end(first)
+            yield first, end
+            first = end + 1
+
+    def members(self, start):
+        """Yield name, begin and end of each member of the object at ``start``.
+
+        Raises
+        ------
+        ValueError
+            If there is no object.
+        """
+        first, is_last = self.skip_bracket(start, b"{"), False
+        while not is_last:
+            end, is_last = self.element_end(first)
+            name, begin = self.name(first)
+            yield name, begin, end
+            first = end + 1
+
+    def element_end(self, first):
+        """Return the end of the element at a position, and whether it is the last."""
+        level = 0
+        for found in itertools.islice(_MARK.finditer(self.data, first), MAX_STEPS):
+            mark, end = found[1], found.start(1)
+            if mark in (b"", b'"'):
+                break
+            level += _LEVELS[mark[0]]
+            if level < 0 or (level == 0 and mark == b","):
+                self.turns.spend(max(STEP_BYTES, end - first))
+                return end, level < 0
+        return self._part_end(first, 0)
+
+    def name(self, first):
+        """Return the name of the member at a position, and where its value begins."""
+        first = self._skip_space(first)
+        quoted = _STRING.match(self.data, first)
+        colon = self._skip_space(quoted.end()) if quoted else first
+        if self.data[colon : colon + 1] != b":":
             raise ValueError("not a member of an object")
-        if key[0] == quoted:
-            return _skip_space(text, colon + 1), end
-    raise ValueError(f"no member {name}")
-
-
-def _elements(text, start):
-    """Yield where each element of the list or object at ``start`` begins and ends."""
-    start = _skip_space(text, start)
-    if text[start : start + 1] not in ("[", "{"):
-        raise ValueError("neither a list nor an object")
-    depth, begin = 0, start + 1
-    for token in _TOKEN.finditer(text, start):
-        mark, end = token[0], token.start()
-        if mark[0] in "[{":
-            depth += len(mark)
-        elif mark[0] in "]}":
-            # Of a run of closing brackets, the one that ends the whole may be any.
-            end += depth - 1
-            depth -= len(mark)
-        if depth <= 0 or (depth == 1 and mark == ","):
-            first = _skip_space(text, begin)
-            if first < end:
-                yield first, first + len(text[first:end].rstrip(" \t\r\n"))
-            begin = token.end()
-        if depth <= 0:
-            return
-    raise ValueError("a list or object without its end")
-
-
-def _skip_space(text, position):
-    return _SPACE.match(text, position).end()
+        return self._load(first, quoted.end()), self._skip_space(colon + 1)
+
+    def parse(self, first, last):
+        """Parse one value; a long one by its parts.
+
+        Raises
+        ------
+        ValueError
+            If it cannot be read.
+        """
+        if last - first <= MAX_WHOLE_BYTES:
+            return self._load(first, last)
+        self.turns.spend(last - first)
+        self.data[first:last].decode(errors="surrogatepass")
+        return self._parse_long(first, last, MAX_LONG_LEVELS)
+
+    def parse_run(self, first, last):
+        """Parse the elements of a part of a list; raises as :meth:`parse`."""
+        if last - first > MAX_TURN_BYTES:
+            return [self.parse(first, last)]
+        return self._load(first, last, b"[%b]")
+
+    def skip_bracket(self, start, brackets=_OPENING):
+        """Return the position behind the bracket that begins a list or object."""
+        start = self._skip_space(start)
+        if start == len(self.data) or self.data[start] not in brackets:
+            raise ValueError("neither a list nor an object")
+        return start + 1
+
+    def check_blank(self, first, last):
+        """Raise ValueError if anything but space stands in a part."""
+        if self._skip_space(first) < last:
+            raise ValueError("a list or object with another end")
+
+    def _parse_long(self, first, last, n_levels):
+        start = self._skip_space(first)
+        is_list = self.data[start : start + 1] == b"["
+        is_short = last - start <= MAX_WHOLE_BYTES
+        if is_short or not n_levels or self.data[start] not in _OPENING:
+            return self._load(first, last)
+        value, end = [] if is_list else {}, start
+        for begin, end in self.runs(start, MAX_DEPTH):
+            if self._skip_space(begin) >= end:
+                # None that is so long is empty.
+                raise ValueError("no value behind a comma")
+            is_long = end - begin > MAX_TURN_BYTES
+            if is_list and is_long:
+                value.append(self._parse_long(begin, end, n_levels - 1))
+            elif is_list:
+                value += self._load(begin, end, b"[%b]")
+            elif is_long:
+                name, begin = self.name(begin)
+                value[name] = self._parse_long(begin, end, n_levels - 1)
+            else:
+                value.update(self._load(begin, end, b"{%b}"))
+        if self.data[end : end + 1] != (b"]" if is_list else b"}"):
+            raise ValueError("a list or object with another end")
+        self.check_blank(end + 1, last)
+        return value
+
+    def _load(self, first, last, form=b"%b"):
+        self.turns.spend(max(STEP_BYTES, last - first))
+        return parse_json((form % self.data[first:last]).decode(errors="surrogatepass"))
+
+    def _part_end(self, first, most_bytes, max_level=math.inf):
+        """Return the end of a part, and whether it is the last one.
+
+        It has as many elements as fit in a number of bytes, and one at least.
+        """
+        position, level, found, is_last = first, 0, None, False
+        while position < len(self.data) and not is_last:
+            marks, levels, end = self._marks_behind(position, level)
+            is_long = end - first > most_bytes
+            if is_long and found is not None:
+                break
+            if max(levels, default=0) > max_level:
+                raise ValueError("nested too deeply")
+            index = (_first_end if is_long else _last_end)(marks, levels)
+            if index is not None:
+                found, is_last = (position, index), levels[index] < 0
+            position, level = end, levels[-1] if levels else level
+        if found is None:
+            raise ValueError("a list or object without its end")
+        return self._mark_position(*found), is_last
+
+    def _marks_behind(self, first, level):
+        """Find the marks in a piece, or in one string that is longer.
+
+        Parameters
+        ----------
+        first : int
+        level : int
+            Level of nesting at this position.
+
+        Returns
+        -------
+        marks : bytes
+        levels : list of int
+            Level behind each mark.
+        end : int
+            Where the next marks are to be looked for.
+        """
+        end = _WHOLE_STRINGS.match(self.data, first, first + PIECE_BYTES).end()
+        if end == first:
+            found = _STRING.match(self.data, first)
+            if found is None:
+                raise ValueError("a string without its end")
+            end = found.end()
+        text = _STRING.sub(b"", self.data[first:end])
+        marks = text.translate(None, _NO_MARKS)
+        steps = map(_LEVELS.__getitem__, marks)
+        levels = list(itertools.accumulate(steps, initial=level))[1:]
+        self.turns.spend(max(STEP_BYTES, end - first) + MARK_BYTES * len(marks))
+        return marks, levels, end
+
+    def _mark_position(self, first, index):
+        """Return the position of a mark, counted from another position."""
+        found = itertools.islice(_MARK.finditer(self.data, first), index, None)
+        return next(found).start(1)
+
+    def _skip_space(self, position):
+        return _SPACE.match(self.data, position).end()
+
+
+def _first_end(marks, levels):
+    """Return the index of the mark behind the first element; None without one."""
+    if min(levels, default=1) > 0:
+        return None
+    for index, (mark, level) in enumerate(zip(marks, levels, strict=True)):
+        if level < 0 or (level == 0 and mark == _COMMA):
+            return index
+    return None
+
+
+def _last_end(marks, levels):
+    """Return the index of the mark behind the last whole element; None without one."""
+    if -1 in levels:
+        # The list or object ends here.
+        return levels.index(-1)
+    for index in range(len(marks) - 1, -1, -1):
+        if levels[index] == 0 and marks[index] == _COMMA:
+            return index
+    return None
--- a/tests/test_json_lists.py
+++ b/tests/test_json_lists.py
@@ -8,7 +8,12 @@
 from hypothesis import strategies as st
 
 from tarragonramp.adapters import json_lists
-from tarragonramp.adapters.json_lists import is_plain, parse_json, read_list
+from tarragonramp.adapters.json_lists import (
+    ListFormat,
+    is_plain,
+    parse_json,
+    read_list,
+)
 
 VALUES = st.recursive(
     st.none()
@@ -32,7 +37,7 @@
     def read(self, *elements, **options):
         """Read a list with elements that are given as JSON text."""
         text = b'{"rev": 7, "items": [' + b", ".join(elements) + b'], "more": true}'
-        raw = read_list(text, "items", PATHS, **options)
+        raw = read_list(text, ListFormat("items", PATHS, **options))
         self.assertEqual((raw["rev"], raw["more"]), (7, True))
         return raw["items"]
 
@@ -71,7 +76,7 @@
         """Guards against an endless scan, and against an error of another kind."""
         for text in (b"", b"{", b"[]", b'{"items": 3}', b'{"items": [}', b"\xff\xff"):
             with self.assertRaises(ValueError):
-                read_list(text, "items", PATHS)
+                read_list(text, ListFormat("items", PATHS))
         with self.assertRaises(ValueError):
             parse_json(b"[" * 100_000)
 
