A stopping daemon refuses what it would not live to answer

Cause: the drain waits until 0.4 s before the end of the grace period, and nothing on the way of a request asked how much of it is left.

stopping.py decides it, by the longest time that a route's requests took of late, the queue of the chosen server, and the request's own deadline. It is asked before a request goes to another daemon, once a server has been chosen, and once a connection is open, so further attempts and waits for a key's move are covered. What does not fit is refused at once as not run, and another daemon takes it. What is still being received 0.2 s before the end is refused as well. The own interface does the same.

--- a/src/tarragonramp/adapters/serving.py
+++ b/src/tarragonramp/adapters/serving.py
@@ -10,6 +10,7 @@
 
 from ..meters import kind_of
 from ..request import REQUEST_ID_HEADER
+from ..stopping import LAST_PART_MS
 from .logs import log_event
 from .optional import optional_step
 from .usage import mark_request_work
@@ -78,7 +79,6 @@
     """Handles one connection and tracks whether a request is in progress on it."""
 
     busy = False
-    receive_shut_down = False
     idle_since_ms = 0.0
     arrived_ms = 0.0
 
@@ -91,6 +91,11 @@
         finally:
             self.server.connections.discard(self)
 
+    @property
+    def is_receiving(self):
+        """Whether a request has begun to arrive and has not been read whole."""
+        return self.holding is not None and self.holding.is_receiving
+
     def read_requestline(self):
         """Wait for the next request."""
         line = super().read_requestline()
@@ -238,10 +243,12 @@
         self.begin_shutdown()
         self._stop_listening()
         until_ms = self.clock.now_ms() + timeout_ms
-        while self.connections and self.clock.now_ms() < until_ms:
-            idle_before_ms = self.clock.now_ms() - idle_ms
+        while self.connections and (now_ms := self.clock.now_ms()) < until_ms:
+            # No request that is still being received then can be served.
+            is_late = until_ms - now_ms <= LAST_PART_MS
             for handler in list(self.connections):
-                if not handler.busy and handler.idle_since_ms <= idle_before_ms:
+                is_idle = not handler.busy and handler.idle_since_ms <= now_ms - idle_ms
+                if is_idle or (is_late and handler.is_receiving):
                     handler.shut_down_receive()
             gevent.sleep(DRAIN_POLL_MS / 1000.0)
         n_aborted = sum(handler.busy for handler in self.connections)
--- a/src/tarragonramp/adapters/web.py
+++ b/src/tarragonramp/adapters/web.py
@@ -78,7 +78,7 @@
 
 SENT_PIECE_BYTES = 65_536
 HEAD_END = b"\r\n\r\n"
-NO_MEMORY_RETRY_S = 0.5
+NO_MEMORY_RETRY_S, STOPPING_RETRY_S = 0.5, 0.05
 MAX_UNFREED_BYTES = 1 << 20
 FREEING_PAUSES_MS = tuple(2.0**n for n in range(10))
 
@@ -140,6 +140,11 @@
         with self.handler.receiving():
             return super().read(size)
 
+    def _malformed(self, reason):
+        error = super()._malformed(reason)
+        # The body may have been cut off by this side.
+        return _stopping_error() if self.handler.receive_shut_down else error
+
     def _hold_piece(self, n_bytes):
         self._n_held += n_bytes
         if self._n_held > RECEIVE_BUFFER_BYTES:
@@ -183,6 +188,7 @@
     headers = ()
     holding = None
     head_timer = None
+    receive_shut_down = False
     has_long_buffer = False
     held_bytes = n_read = 0
 
@@ -460,8 +466,8 @@
         """Do nothing: the application does the logging."""
 
     def _handle_client_error(self, ex):
+        # What was read of the head may have been cut off by this side.
         if self.holding.is_revoked:
-            # What was read of the head was cut off by this side.
             ex = RequestError(503, NOT_RUN, "no memory left", NO_MEMORY_RETRY_S)
         elif isinstance(ex, TimeoutError):
             ex = RequestError(408, NOT_RUN, "request head not received in time")
@@ -725,6 +731,10 @@
     return [body]
 
 
+def _stopping_error():
+    return RequestError(503, NOT_RUN, "daemon is stopping", STOPPING_RETRY_S)
+
+
 def _error_body(error):
     return f'{{"outcome": "{error.outcome}", "reason": "{error.reason}"}}\n'.encode()
 
--- a/src/tarragonramp/daemon.py
+++ b/src/tarragonramp/daemon.py
@@ -292,9 +292,10 @@
         was_ready, self.ready = self.ready, False
         log_event("daemon-draining", was_ready=was_ready)
         self.keeper.leave()
+        unready_ms = timing.unready_ms if was_ready else 0.0
+        self.entry.stop.ends_ms = began_ms + unready_ms + timing.drain_ms
         self.caller_server.begin_shutdown()
-        if was_ready:
-            gevent.sleep(timing.unready_ms / 1000.0)
+        gevent.sleep(unready_ms / 1000.0)
         drained = self.caller_server.drain(timing.drain_idle_ms, timing.drain_ms)
         log_requests_cut(drained.requests)
         all_handed = unregistered = False
--- a/src/tarragonramp/fleet.py
+++ b/src/tarragonramp/fleet.py
@@ -517,10 +517,11 @@
         log_event("daemon-draining", was_ready=was_ready)
         gevent.spawn(self.leadership.resign)
         self.delegate.is_open = False
+        end_ms = began_ms + self.settings.bounds.grace_ms - GRACE_MARGIN_MS
+        self.router.stop.ends_ms = end_ms
         self.caller_server.begin_shutdown()
         if was_ready:
             gevent.sleep(UNREADY_MS / 1000.0)
-        end_ms = began_ms + self.settings.bounds.grace_ms - GRACE_MARGIN_MS
         left_ms = max(MIN_DRAIN_MS, end_ms - self.clock.now_ms())
         drained = self.caller_server.drain(DRAIN_IDLE_MS, left_ms)
         while self.delegate.in_progress and self.clock.now_ms() < end_ms:
--- a/src/tarragonramp/roles/chooser.py
+++ b/src/tarragonramp/roles/chooser.py
@@ -8,6 +8,8 @@
 from ..connections import connection_share, may_connect
 from ..errors import RequestError
 from ..meters import NOT_RUN
+from ..stopping import StopDeadline
+from .refusals import stopping_refusal
 
 __all__ = ["ServerChooser"]
 
@@ -40,6 +42,7 @@
     bounds : callable
         Returns the FleetBounds in force.
     clock : Clock
+    stop : StopDeadline
     """
 
     view: object
@@ -49,6 +52,7 @@
     announcements: object
     bounds: object
     clock: object
+    stop: StopDeadline
     _rng: random.Random = attrs.Factory(random.Random)
 
     @property
@@ -88,6 +92,10 @@
             raise request.retryable_refusal(
                 choice.reason, choice.retry_after_s, **choice.inputs
             )
+        if not self.stop.allows(
+            request.route.name, request.until_ms, choice.expected_ms
+        ):
+            raise stopping_refusal(request)
         self._acquire_cold_start_permit(request, choice.server, now_ms)
         self.limits.record_sent(choice.server, now_ms)
         return choice
--- a/src/tarragonramp/roles/entry.py
+++ b/src/tarragonramp/roles/entry.py
@@ -44,7 +44,8 @@
 from ..results import is_successful
 from ..routing import RouteCache, less_loaded
 from ..slices import slice_of
-from .refusals import ABANDONED_STATUS, log_refusal
+from ..stopping import StopDeadline
+from .refusals import ABANDONED_STATUS, log_refusal, stopping_refusal
 
 __all__ = ["Entry"]
 
@@ -87,6 +88,8 @@
         needs that.
     total_pause_ms : callable
         Returns the total time for which this process has been paused.
+    stop : StopDeadline
+        When this daemon ends, if it stops.
     """
 
     view: object
@@ -98,6 +101,7 @@
     backends: object
     forward: object = None
     total_pause_ms: object = lambda: 0.0
+    stop: StopDeadline = attrs.field(init=False)
     _routes: RouteCache = attrs.field(init=False)
     _limiters: dict = attrs.Factory(dict)
     _direct_permits: DirectSendPermits = attrs.Factory(DirectSendPermits)
@@ -115,6 +119,7 @@
     def __attrs_post_init__(self):
         """Subscribe to view changes, to wake requests that wait for a route."""
         self._routes = RouteCache(self.view)
+        self.stop = StopDeadline(self.clock)
         self.view.on_change(self._on_view_change)
 
     def __call__(self, environ, start_response):
@@ -302,6 +307,7 @@
             requests that are queued for an unresponsive owner then follow their key to
             its next owner.
         """
+        self._check_stop(request)
         server_reachability = self._reachability[route.server]
         if not route.gated_at and server_reachability.should_probe(self.clock.now_ms()):
             gevent.spawn(self._probe, route, server_reachability)
@@ -390,6 +396,8 @@
             took_ms = now_ms - sent_ms - (self.total_pause_ms() - paused_before_ms)
             server_reachability.request_ended(number, answered, now_ms)
             _notify(limiter.release(outcome, took_ms, now_ms))
+            if outcome in (Outcome.ANSWERED, Outcome.LOST):
+                self.stop.record(_route_of(request), took_ms)
             if outliers is not None and outcome == Outcome.ANSWERED:
                 outliers.note_answer(route.server, took_ms, now_ms)
             elif outliers is not None and outcome == Outcome.LOST:
@@ -399,6 +407,7 @@
         left_ms = request.deadline_at_ms - sent_ms
         if left_ms <= 0:
             raise request.refusal(504, "deadline passed", self._retry_after_s())
+        self._check_stop(request)
         headers = request.headers + [
             ("X-Request-Id", request.request_id),
             (EXCHANGE_HEADER, next(self._exchange_ids)),
@@ -426,6 +435,11 @@
             self._direct_permits.revoke(route.server)
         return result
 
+    def _check_stop(self, request):
+        """Raise if this process would end before a request is answered."""
+        if not self.stop.allows(_route_of(request), request.deadline_at_ms):
+            raise stopping_refusal(request)
+
     def _retry_after_s(self):
         """Return a retry time for refusals without a queue estimate.
 
@@ -523,6 +537,11 @@
         changed.set()
 
 
+def _route_of(request):
+    """Return what requests that take similar times have in common."""
+    return request.times.service, request.caller_class.name
+
+
 def _outcome_of(result):
     """Return the outcome of an exchange as the limiter accounts for it."""
     if is_successful(result):
--- a/src/tarragonramp/roles/refusals.py
+++ b/src/tarragonramp/roles/refusals.py
@@ -1,14 +1,27 @@
-"""Logs why a caller's request was refused."""
+"""Refusals that several roles share, and why a request was refused."""
 
 import logbook
 
 from ..adapters.logs import log_event
 
-__all__ = ["ABANDONED_STATUS", "log_refusal"]
+__all__ = ["ABANDONED_STATUS", "log_refusal", "stopping_refusal"]
 
 ABANDONED_STATUS = 499
 """Status of a request whose caller has gone, which needs no explanation."""
 
+STOPPING_RETRY_S = 0.05
+"""Another daemon can take the request at once."""
+
+
+def stopping_refusal(request):
+    """Return the error for a request that this process would not live to answer.
+
+    Parameters
+    ----------
+    request : RoutedRequest or Request
+    """
+    return request.refusal(503, "daemon is stopping", STOPPING_RETRY_S)
+
 
 def log_refusal(request_id, error, times, now_ms, **context):
     """Log a refusal with what decided it, unless the caller has gone.
--- a/src/tarragonramp/roles/router.py
+++ b/src/tarragonramp/roles/router.py
@@ -25,11 +25,12 @@
 from ..request import end_to_end_response_headers
 from ..results import is_successful
 from ..server_paths import PathMonitor
+from ..stopping import StopDeadline
 from .announcements import Announcements
 from .chooser import ServerChooser
 from .owners import NO_OWNER_RETRY_S, OwnerResolver
 from .path_prober import PathProber
-from .refusals import ABANDONED_STATUS, log_refusal
+from .refusals import ABANDONED_STATUS, log_refusal, stopping_refusal
 from .routed_request import RoutedRequest
 from .suspects import SuspectFinder
 
@@ -97,6 +98,8 @@
         Returns how long ago the manifest in force was known to be the newest.
     caps : CapKeeper
         Usage caps of teams.
+    stop : StopDeadline
+        When this daemon ends, if it stops.
     """
 
     view: object
@@ -121,11 +124,13 @@
     suspects: SuspectFinder = attrs.field(init=False)
     chooser: ServerChooser = attrs.field(init=False)
     owners: OwnerResolver = attrs.field(init=False)
+    stop: StopDeadline = attrs.field(init=False)
     _rng: random.Random = attrs.Factory(random.Random)
 
     def __attrs_post_init__(self):
         """Create the parts that share its view and connections."""
         self._started_ms = self.clock.now_ms()
+        self.stop = StopDeadline(self.clock)
         self.owners = OwnerResolver(self.view, self.clock)
         self.announcements = Announcements(self.view.directory, self.limits)
         self.chooser = ServerChooser(
@@ -136,6 +141,7 @@
             self.announcements,
             lambda: self.bounds,
             self.clock,
+            self.stop,
         )
         self.prober = PathProber(
             self.monitor,
@@ -367,6 +373,8 @@
     def _deliver_within_cap(self, request, times):
         budget = self._budget(request.service)
         while True:
+            if not self.stop.allows(request.route.name, request.until_ms):
+                raise stopping_refusal(request)
             if self._should_delegate(request):
                 response = self.delegator.serve(request)
                 if response is not None:
@@ -464,7 +472,7 @@
                 request.body,
                 left_ms,
                 lambda: request.is_wanted() and not self._waits_in_vain(request),
-                may_send=lambda: self._may_still_send(server),
+                may_send=lambda: self._may_still_send(request, server),
             )
         except BaseException:
             self.selector.record_cancellation(chosen)
@@ -478,6 +486,8 @@
             self.view.key_load_recorder.note(request.service, request.key, took_ms)
         if not is_successful(result):
             self._record_failure(request, chosen, result.failure(), now_ms)
+            if not isinstance(result.failure(), AbandonedError | NotSentError):
+                self.stop.record(request.route.name, took_ms)
             return result, took_ms
         self.monitor.record_answer(server.name, now_ms)
         request.was_sent = True
@@ -492,6 +502,8 @@
         self.announcements.record_answer(
             server, facts, request.request_id, began_ms, now_ms
         )
+        if not facts.not_run:
+            self.stop.record(request.route.name, took_ms)
         if facts.not_run:
             self.selector.record_shed(chosen, facts.load, now_ms, facts.backoff_ms)
         elif response.status >= MIN_SERVER_ERROR_STATUS:
@@ -500,12 +512,14 @@
             self.selector.record_response(chosen, took_ms, facts.load, now_ms)
         return result, took_ms
 
-    def _may_still_send(self, server):
+    def _may_still_send(self, request, server):
         """Return whether a server may be sent a request once its connection is open.
 
         Opening one may take longer than the answer that asks this daemon to wait, or
-        that says that the server leaves.
+        that says that the server leaves, and longer than a stop leaves time for.
         """
+        if not self.stop.allows(request.route.name, request.until_ms):
+            return False
         directory, now_ms = self.view.directory, self.clock.now_ms()
         is_divided = self.view.service(server.service).divided
         may_serve = directory.may_serve_keys if is_divided else directory.may_serve
@@ -611,7 +625,7 @@
         if isinstance(error, AbandonedError) and not request.is_wanted():
             raise RequestError(ABANDONED_STATUS, UNKNOWN, "caller has gone")
         if isinstance(error, SendRevokedError):
-            self._log_failed_attempt(request, "server asked to wait, or leaves")
+            self._log_failed_attempt(request, "may not be sent any more")
             request.tried.pop()
             return
         gave_up = isinstance(error, AbandonedError)
--- a/standins/stop_load.py
+++ b/standins/stop_load.py
@@ -5,6 +5,7 @@
 import attrs
 import gevent
 from gevent import socket
+from gevent.select import select
 
 from tarragonramp.adapters.http import split_address
 
@@ -60,11 +61,14 @@
     attempts : list of Attempt
     headers : list of (str, str)
         Further headers of each request.
+    deadline_ms : int
+        Time limit of each request.
     """
 
     address: str
     attempts: list = attrs.Factory(list)
     headers: list = attrs.Factory(list)
+    deadline_ms: int = 1500
     _callers: list = attrs.Factory(list)
     _n_attempts: int = 0
 
@@ -95,6 +99,30 @@
         for _ in range(count):
             self._callers.append(gevent.spawn(self._call_pipelined, path))
 
+    def start_slow_bodies(self, path, whole_after_ms):
+        """Begin a POST on a connection each; the rest of its body comes later.
+
+        Parameters
+        ----------
+        path : str
+        whole_after_ms : iterable of float
+            By connection, when its request is whole.
+        """
+        for after_ms in whole_after_ms:
+            call = gevent.spawn(self._call_slow, path, b"12", -1, after_ms)
+            self._callers.append(call)
+
+    def start_slow_heads(self, whole_after_ms):
+        """Begin a GET on a connection each; the rest of its head comes later.
+
+        Every other one begins with a part of its request line only. The parameter is
+        that of :meth:`start_slow_bodies`.
+        """
+        for number, after_ms in enumerate(whole_after_ms):
+            n_first = len("GET /") if number % 2 else -1
+            call = gevent.spawn(self._call_slow, PATH, b"", n_first, after_ms)
+            self._callers.append(call)
+
     def wait(self):
         """Wait until all callers have ended; raise their unexpected errors."""
         gevent.joinall(self._callers, raise_error=True)
@@ -145,6 +173,23 @@
                 connection = None
             gevent.sleep(pause_ms / 1000.0)
 
+    def _call_slow(self, path, body, n_first, after_ms):
+        """Send a request in two parts; an answer to the first one ends it."""
+        attempt = self._new_attempt("POST" if body else "GET", path)
+        connection = self._connect(attempt)
+        if connection is None:
+            return
+        request = self._request(attempt.method, attempt.request_id, body, path)
+        with connection:
+            try:
+                connection.sendall(request[:n_first])
+                if not select([connection], [], [], after_ms / 1000.0)[0]:
+                    attempt.sent_ms = time.time() * 1000.0
+                    connection.sendall(request[n_first:])
+                self._receive(connection, attempt, b"")
+            except OSError as error:
+                attempt.fail(_describe(error))
+
     def _call_pipelined(self, path):
         first, second = self._new_attempt(), self._new_attempt("POST", path)
         connection = self._connect(first)
@@ -205,7 +250,7 @@
             f"{method} {path} HTTP/1.1",
             f"Host: {HOST}",
             f"Request-Id: {request_id}",
-            "Deadline-Ms: 1500",
+            f"Deadline-Ms: {self.deadline_ms}",
             *(f"{name}: {value}" for name, value in self.headers),
         ]
         if body:
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -407,6 +407,24 @@
         self.assertIn("id=cut-1", cut)
         self.assertIn("held_ms=", cut)
 
+    def test_request_that_is_whole_too_late_is_refused(self):
+        """Guards against a request that is sent on and cut at the end of the stop."""
+        self.start("d8", unready_ms=0, drain_ms=1500)
+        address = self.site.caller_address("d8")
+        HttpPool(address).exchange("POST", "/claims", (), b"claim", 5000).unwrap()
+        caller = socket.create_connection(split_address(address), timeout=5)
+        self.addCleanup(caller.close)
+        head = b"POST /claims HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\n"
+        caller.sendall(head + b"1")
+        gevent.sleep(0.2)
+        self.site.signal("d8", signal.SIGTERM)
+        gevent.sleep(0.4)
+        caller.sendall(b"2")
+        answer = caller.recv(4096)
+        self.assertTrue(answer.startswith(b"HTTP/1.1 503 "), answer)
+        self.assertIn(b"not-run", answer)
+        self.assertEqual(self.wait_for_exit("d8"), 0)
+
     def test_interrupt_drains(self):
         self.start("d6")
         self.site.signal("d6", signal.SIGINT)
--- a/tests/test_fleet_stop.py
+++ b/tests/test_fleet_stop.py
@@ -316,6 +316,63 @@
         self.assertEqual(self.drain(500.0), ["r1", "r2"])
 
 
+class LateRequestTest(StopTestCase):
+    """Requests become whole at any time of a stop, and may take longer than it does."""
+
+    TIMEOUT_MS, GAP_MS = 9000, 40
+    work_ms = 1000
+
+    @classmethod
+    def setUpClass(cls):
+        super().setUpClass()
+        changed = manifest(2)
+        for rule in changed["listeners"][0]["rules"]:
+            rule["action"]["timeout"] = f"{cls.TIMEOUT_MS}ms"
+        changed["limits"].update(headerTimeout="9s", idleTimeout="60s")
+        cls.site.control_store(write=["config", "main", changed, None])
+
+    def play(self, name, begin, is_warm=True):
+        """Stop a daemon while requests become whole; return its callers' load.
+
+        ``begin`` starts the callers, given when each of their requests is whole.
+        """
+        load = self.start(name)
+        load.deadline_ms = self.TIMEOUT_MS
+        if is_warm:
+            load.start_slow_bodies("/book/", [0.0] * 3)
+            load.wait()
+            load.attempts.clear()
+        begin(
+            load, [n * self.GAP_MS for n in range(int(GRACE_S * 1000) // self.GAP_MS)]
+        )
+        gevent.sleep(0.2)
+        self.assertEqual(self.stop(name), 0)
+        load.wait()
+        return load
+
+    def check(self, name, load):
+        """Fail if a request ran without an answer, or is told to be at fault."""
+        self.assert_answered(name, load, 100)
+        statuses = collections.Counter(a.status for a in load.attempts)
+        self.assertLessEqual(set(statuses), {0, 200, 503}, statuses)
+        self.assertIn("requests_cut=0", self.site.log_text(name))
+        return statuses
+
+    def test_bodies_that_are_whole_late(self):
+        """Guards against a request that is sent on and cut at the end of the stop."""
+        load = self.play(
+            "l1", lambda load, times: load.start_slow_bodies("/book/", times)
+        )
+        statuses = self.check("l1", load)
+        self.assertGreater(statuses[200], 60)
+        self.assertGreater(statuses[503], 20)
+
+    def test_bodies_of_a_route_whose_times_are_not_known(self):
+        """Guards against the same for a daemon that has served no such request."""
+        begin = lambda load, times: load.start_slow_bodies("/book/", times)  # noqa: E731
+        self.check("l2", self.play("l2", begin, is_warm=False))
+
+
 class PipelinedStopTest(StopTestCase):
     """Callers send a request behind another one on their connection."""
 
