A head that a stop cuts off is refused as not run

A head within its fields was taken for malformed.

An error of a head whose receiving side this process has shut down is answered with 503 as not run now, which is true for whatever came of it.

--- a/src/tarragonramp/adapters/web.py
+++ b/src/tarragonramp/adapters/web.py
@@ -469,6 +469,8 @@
         # What was read of the head may have been cut off by this side.
         if self.holding.is_revoked:
             ex = RequestError(503, NOT_RUN, "no memory left", NO_MEMORY_RETRY_S)
+        elif self.receive_shut_down:
+            ex = _stopping_error()
         elif isinstance(ex, TimeoutError):
             ex = RequestError(408, NOT_RUN, "request head not received in time")
         elif not isinstance(ex, RequestError):
--- a/tests/test_fleet_stop.py
+++ b/tests/test_fleet_stop.py
@@ -372,6 +372,11 @@
         begin = lambda load, times: load.start_slow_bodies("/book/", times)  # noqa: E731
         self.check("l2", self.play("l2", begin, is_warm=False))
 
+    def test_heads_that_are_whole_late(self):
+        """Guards against a head that the stop cuts off, and that is called too long."""
+        load = self.play("l3", StopLoad.start_slow_heads)
+        self.check("l3", load)
+
 
 class PipelinedStopTest(StopTestCase):
     """Callers send a request behind another one on their connection."""
