A head of a server has a limit of fields and of interim answers

Callers of a healthy service hardly got on while another service's servers sent heads without end: of the short calls in 8 s beside 150 callers of these, 2 were served and 4 in vain with fields of four bytes, 47 were served with interim answers.

Cause: the head was bounded by its bytes only, and a field, or an answer of 25 bytes, takes far more processor time than as many bytes of a body.

An answer may have 256 fields and 16 interim answers before it now; more make it unusable at once.

Evidence: test_work_for_a_head_is_bounded counts what the parser is called back for; there was nothing to import before.

--- a/src/tarragonramp/adapters/parser.py
+++ b/src/tarragonramp/adapters/parser.py
@@ -14,6 +14,10 @@
 MAX_EXTRA_RESPONSES = 8
 """Extra responses put aside in one exchange; more look like a server out of step."""
 
+MAX_FIELDS, MAX_INTERIM_RESPONSES = 256, 16
+"""Fields of a response with its trailers, and interim responses before it. Each takes
+far more processor time than its bytes do."""
+
 
 class ResponseParser(HTTPResponse):
     """A response parser that reads one final response and nothing behind it.
@@ -39,6 +43,7 @@
         self.is_final = self.is_identified = False
         self.echoed = frozenset()
         self.n_extra, self.n_extra_bytes = 0, 0
+        self._n_fields = self._n_interim = 0
         self._is_extra, self._drops_trailing = is_extra, drops_trailing
 
     def feed(self, data):
@@ -54,6 +59,14 @@
         if self.is_final:
             raise HTTPProtocolViolationError("bytes after the end of the response")
         super()._on_message_begin()
+        self._n_fields = 0
+
+    def _on_header_field(self, string):
+        super()._on_header_field(string)
+        # A name that comes in several pieces counts as several.
+        self._n_fields += 1
+        if self._n_fields > MAX_FIELDS:
+            raise HTTPProtocolViolationError("more response fields than the limit")
 
     def end_by_close(self):
         """Return whether the close of the connection completes the response."""
@@ -80,7 +93,11 @@
         super()._on_message_complete()
         if self.get_code() == SWITCHING_PROTOCOLS:
             raise HTTPProtocolViolationError("unexpected protocol switch (status 101)")
-        if self.get_code() >= MIN_FINAL_STATUS:
+        if self.get_code() < MIN_FINAL_STATUS:
+            self._n_interim += 1
+            if self._n_interim > MAX_INTERIM_RESPONSES:
+                raise HTTPProtocolViolationError("too many interim responses")
+        else:
             self.is_final = not self._is_extra(self)
             if not self.is_final:
                 self._put_aside()
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -10,8 +10,14 @@
 import gevent
 from gevent import socket
 from gevent.server import StreamServer
+from geventhttpclient.response import HTTPParseError, HTTPResponse
 
 from tarragonramp.adapters.http import HttpPool
+from tarragonramp.adapters.parser import (
+    MAX_FIELDS,
+    MAX_INTERIM_RESPONSES,
+    ResponseParser,
+)
 
 HEAD = b"HTTP/1.1 200 OK\r\n"
 CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
@@ -114,6 +120,26 @@
             with self.subTest(start=start, piece=piece[:12]):
                 self.check(start, piece)
 
+    def test_work_for_a_head_is_bounded(self):
+        """Guards against fields and responses that cost far more than their bytes."""
+        for part, n_parts, most in (
+            (b"a:\r\n", 5000, MAX_FIELDS + 1),
+            (b"HTTP/1.1 100 Continue\r\n\r\n", 500, MAX_INTERIM_RESPONSES + 1),
+        ):
+            parser = ResponseParser("GET", lambda parser: False)
+            start = HEAD if part.startswith(b"a") else b""
+            with (
+                mock.patch.object(
+                    HTTPResponse, "_on_header_field", autospec=True
+                ) as on_field,
+                mock.patch.object(
+                    HTTPResponse, "_on_message_complete", autospec=True
+                ) as on_end,
+                self.assertRaises(HTTPParseError),
+            ):
+                parser.feed(start + part * n_parts)
+            self.assertLessEqual(on_field.call_count + on_end.call_count, most)
+
     def test_chunk_sizes_without_end(self):
         self.check(CHUNKED, b"0" * PIECE)
 
