Answers of servers share the memory budget, and one gives way

Callers of all services would have lost a daemon to servers at fault: beside 150 callers of two servers whose answers never end it took 450 to 3,945 MB, on a VM of 128 MB.

Cause: one answer was bounded by 32 MB, their sum by nothing, and the kernel's buffers of connections to servers had no limit of ours.

HoldingTable accounts for answers above 16 kB. Once the budget is spent and half of it are answers, the longest one of the server of which most were broken off since its last whole one gives way; its caller gets 502, and no second attempt is made, which would need the same memory.

The rule has tests without processes in test_holdings.

--- a/src/tarragonramp/adapters/fleet_peers.py
+++ b/src/tarragonramp/adapters/fleet_peers.py
@@ -55,10 +55,13 @@
         Holds the addresses of the other daemons.
     name : str
         Name of this daemon.
+    holdings : HoldingTable, optional
+        Accounts for the memory of delegates' responses.
     """
 
     view: object
     name: str
+    holdings: object = None
     _pools: HttpPools = attrs.field(init=False)
     _delegate_pools: HttpPools = attrs.field(init=False)
     _rng: random.Random = attrs.Factory(random.Random)
@@ -68,7 +71,9 @@
         options = {"max_idle": 2, "keepalive": True, "connect_ms": TIMEOUT_MS}
         self._pools = HttpPools(16 << 20, user_timeout_ms=TIMEOUT_MS, options=options)
         self._delegate_pools = HttpPools(
-            MAX_DELEGATED_BYTES, user_timeout_ms=1500.0, options=DELEGATE_OPTIONS
+            MAX_DELEGATED_BYTES,
+            user_timeout_ms=1500.0,
+            options={**DELEGATE_OPTIONS, "holdings": self.holdings},
         )
 
     def ping(self, address, message, wait_ms) -> Result:
--- a/src/tarragonramp/adapters/http.py
+++ b/src/tarragonramp/adapters/http.py
@@ -5,6 +5,7 @@
 parser is used.
 """
 
+import contextlib
 import ipaddress
 import math
 import re
@@ -15,6 +16,7 @@
 
 import attrs
 import gevent
+import logbook
 from gevent import socket
 from geventhttpclient.response import HTTPParseError
 from returns.result import Failure, Result, Success
@@ -22,6 +24,7 @@
 from ..echoes import EchoHistory, ResponseMatch
 from ..errors import (
     AbandonedError,
+    AnswerRevokedError,
     KernelError,
     NoConnectionError,
     NotSentError,
@@ -51,6 +54,14 @@
 MAX_JOINED_BYTES = 16_384
 """Bodies up to this size are sent in one segment with their head."""
 
+FREE_ANSWER_BYTES = 16_384
+"""Length up to which a response is not counted in the memory that is shared."""
+
+ANSWER_BUFFER_BYTES, KEPT_COPIES = 65_536, 2
+"""Size of the kernel's buffer of a connection, which counts for each longer response,
+and how often the bytes of one are held at most: once more when it is complete."""
+
+MAX_UNFREED_BYTES = 1 << 20
 MAX_IDLE_CONNECTIONS = 64
 MAX_RESPONSE_HEAD_BYTES = 65_536
 # Bytes beside the body that a response may have: its heads and trailers, and for each
@@ -167,6 +178,9 @@
         disappeared fails after a few seconds.
     connect_ms : float
         Longest time to open a connection; 0 for the timeout of the exchange.
+    holdings : HoldingTable, optional
+        Accounts for the memory of responses, and breaks off exchanges if there is none
+        left.
     """
 
     address: str
@@ -181,6 +195,7 @@
     takes_unframed: bool = False
     keepalive: bool = False
     connect_ms: float = 0.0
+    holdings: object = None
     _idle: list = attrs.Factory(list)
     _idle_since_s: dict = attrs.Factory(dict)
     _idle_until_s: dict = attrs.Factory(dict)
@@ -238,7 +253,8 @@
             NotSentError if no byte was sent, and its subclasses NoConnectionError if
             ``reuse_only`` found no open connection and SendRevokedError if ``may_send``
             returned False; AbandonedError if ``is_wanted``
-            returned False; otherwise UnansweredError.
+            returned False; AnswerRevokedError if the response was broken off for its
+            memory; otherwise UnansweredError.
         """
         # Computed first, so that a pause of this process at any later point counts
         # against the timeout.
@@ -273,10 +289,12 @@
                 connection.sendall(part)
             if self.traffic is not None:
                 self.traffic.sent(kind_of(method, target), sum(map(len, parts)))
-            n_received = self._read(connection, parser, deadline_s, is_wanted)
-        except AbandonedError as error:
+            with _held_answer(self.holdings, self.address, connection) as hold:
+                n_received = self._read(connection, parser, deadline_s, is_wanted, hold)
+        except (AbandonedError, AnswerRevokedError) as error:
             connection.close()
-            return Failure(error)
+            # Its traceback would keep the response until the next garbage collection.
+            return Failure(error.with_traceback(None))
         except (OSError, HTTPParseError) as error:
             connection.close()
             return Failure(UnansweredError(f"{self.address}: {error}"))
@@ -411,9 +429,14 @@
         if self.keepalive:
             with optional_step("server-connection-keepalive"):
                 _enable_keepalive(connection)
+        if self.holdings is not None:
+            with optional_step("server-connection-buffer"):
+                connection.setsockopt(
+                    plain_socket.SOL_SOCKET, plain_socket.SO_RCVBUF, ANSWER_BUFFER_BYTES
+                )
         return connection
 
-    def _read(self, connection, parser, deadline_s, is_wanted):
+    def _read(self, connection, parser, deadline_s, is_wanted, hold):
         """Feed a parser until the response is complete; return the bytes received."""
         n_received = n_head = n_turn = 0
         while not parser.is_final:
@@ -422,6 +445,7 @@
                 gevent.sleep(PAUSE_MS / 1000.0)
                 n_turn = 0
             data = _receive(connection, deadline_s, is_wanted)
+            hold(0, deadline_s)
             if not data:
                 if self.takes_unframed and parser.end_by_close():
                     break
@@ -442,6 +466,7 @@
             max_framing = MAX_FRAMING_BYTES + FRAMING_BYTES_PER_BODY_BYTE * n_body
             if n_received - n_body > max_framing:
                 raise HTTPParseError("framing of the response longer than the limit")
+            hold(len(parser._body_buffer) + n_head, deadline_s)
         return n_received
 
     def _release(self, connection, parser, is_kept):
@@ -551,6 +576,61 @@
         connection.setsockopt(plain_socket.IPPROTO_TCP, option, value)
 
 
+@contextlib.contextmanager
+def _held_answer(holdings, source, connection):
+    """Account for the memory of a response while it is read.
+
+    Yields
+    ------
+    hold : callable
+        ``hold(n_bytes, deadline_s)`` records the bytes that are held of it, unless
+        they are 0. It raises AnswerRevokedError if there is no memory for them, or for
+        what was held before.
+    """
+    holding = None
+
+    def revoke():
+        log_event(
+            "answer-revoked",
+            level=logbook.WARNING,
+            address=source,
+            held_bytes=holding.n_bytes,
+            server_bytes=holdings.bytes_of(source),
+        )
+        try:
+            # On the underlying socket: gevent's would also raise an error in the
+            # greenlet that waits for data.
+            connection._sock.shutdown(plain_socket.SHUT_RDWR)
+        except (AttributeError, OSError):
+            # The connection has ended.
+            return
+
+    def hold(n_bytes, deadline_s):
+        nonlocal holding
+        if holding is None:
+            if n_bytes <= FREE_ANSWER_BYTES or holdings is None:
+                return
+            holding = holdings.open_answer(source, revoke)
+        n_held = ANSWER_BUFFER_BYTES + KEPT_COPIES * n_bytes
+        if not holding.is_revoked and n_held > holding.n_bytes:
+            holdings.charge(holding, n_held - holding.n_bytes)
+        while holdings.n_revoked_bytes > MAX_UNFREED_BYTES and not holding.is_revoked:
+            # Those that gave way free their memory once they have their turn.
+            _remaining_s(deadline_s)
+            gevent.sleep(PAUSE_MS / 1000.0)
+        if holding.is_revoked:
+            raise AnswerRevokedError(f"{source}: no memory left for the response")
+
+    is_whole = False
+    try:
+        yield hold
+        is_whole = True
+    finally:
+        if holding is not None:
+            holdings.close_answer(holding, is_whole)
+            holding.revoke = None
+
+
 def _receive(connection, deadline_s, is_wanted):
     """Receive bytes while the response is wanted.
 
--- a/src/tarragonramp/errors.py
+++ b/src/tarragonramp/errors.py
@@ -9,6 +9,7 @@
 __all__ = [
     "AbandonedError",
     "AddressError",
+    "AnswerRevokedError",
     "ConflictError",
     "DocumentError",
     "EntryError",
@@ -109,6 +110,10 @@
     """The exchange was cancelled because nothing waits for its response any more."""
 
 
+class AnswerRevokedError(UnansweredError):
+    """The exchange was broken off because the memory for its response is needed."""
+
+
 class PlatformError(TarragonError):
     """A call of the platform's object API failed."""
 
--- a/src/tarragonramp/fleet.py
+++ b/src/tarragonramp/fleet.py
@@ -232,7 +232,8 @@
         check_bounded_sends()
         clock = SuspendAwareClock()
         view = FleetView(clock)
-        peers = FleetPeers(view, settings.name)
+        holdings = HoldingTable(settings.resources, clock)
+        peers = FleetPeers(view, settings.name, holdings)
         follower = Follower(view, ports.store, peers, ports, clock)
         selector = ServerSelector(settings.failure_domain)
         leadership = Leadership(
@@ -257,6 +258,7 @@
             "takes_unframed": True,
             "keepalive": True,
             "connect_ms": SERVER_CONNECT_MS,
+            "holdings": holdings,
         }
         router = Router(
             view,
@@ -306,7 +308,7 @@
             clock=clock,
             freshness=freshness,
             delegate=DelegateApplication(router, view, clock, DELEGATED_PREFIX),
-            holdings=HoldingTable(settings.resources, clock),
+            holdings=holdings,
         )
         daemon._apply_bounds(settings.bounds)
         daemon._add_servers()
@@ -674,12 +676,12 @@
         )
         gauge(
             "connections.held_bytes",
-            "What connections of clients hold of the memory, about.",
+            "What connections of clients, and answers, hold of the memory, about.",
             lambda: self.holdings.n_bytes,
         )
         gauge(
             "connections.open",
-            "Connections of clients by what they wait for.",
+            "Connections of clients by what they wait for; answers being read.",
             self.holdings.counts,
             "phase",
         )
--- a/src/tarragonramp/holdings.py
+++ b/src/tarragonramp/holdings.py
@@ -2,7 +2,9 @@
 
 Connections share one budget, as a fixed part for each would be too small for the
 longest body and too large for a crowd. Once the budget is spent, connections that keep
-the process waiting are closed first: nothing that runs is lost with them.
+the process waiting are closed first: nothing that runs is lost with them. Only if the
+answers of servers take a large part of the budget, some are broken off before: a server
+at fault would otherwise cost the clients of all others their place.
 """
 
 import collections
@@ -25,6 +27,9 @@
 SPARE_SHARE = 0.5
 """Fraction of the budget up to which bytes may be used to make connections faster."""
 
+MAX_ANSWER_SHARE = 0.5
+"""Fraction of the budget from which answers of servers give way before clients do."""
+
 PROGRESS_BYTES = 1024
 """Bytes that count as progress; a client that sends fewer at a time hardly gets on."""
 
@@ -41,12 +46,15 @@
         an answer.
     SERVER
         Its requests are being served.
+    ANSWER
+        It is a connection to a server, whose answer is being read.
     """
 
     UNUSED = "unused"
     IDLE = "idle"
     CLIENT = "client"
     SERVER = "server"
+    ANSWER = "answer"
 
 
 # Phases in the order in which connections give way.
@@ -61,7 +69,7 @@
     Parameters
     ----------
     group : hashable
-        The listener that accepted it.
+        The listener that accepted it, or the server that it leads to.
     revoke : callable
         Called without arguments to end the connection; must not block.
     n_bytes : int
@@ -129,6 +137,9 @@
     n_revoked_bytes: int = 0
     n_revoked: collections.Counter = attrs.Factory(collections.Counter)
     _by_group: dict = attrs.Factory(dict)
+    _answers: dict = attrs.Factory(dict)
+    _answer_bytes: int = 0
+    _n_broken: collections.Counter = attrs.Factory(collections.Counter)
     _awaited: dict = attrs.Factory(collections.OrderedDict)
 
     def open(self, group, revoke, max_connections):
@@ -153,6 +164,29 @@
             return None
         return holding
 
+    def open_answer(self, source, revoke):
+        """Return the Holding of an answer that is being read.
+
+        Parameters
+        ----------
+        source : hashable
+            The server that sends it.
+        revoke : callable
+            As of a Holding.
+        """
+        now_ms = self.clock.now_ms()
+        holding = Holding(source, revoke, phase=Phase.ANSWER, since_ms=now_ms)
+        self._answers.setdefault(source, {})[holding] = None
+        return holding
+
+    def close_answer(self, holding, is_whole):
+        """Forget an answer that has been read, or has been broken off."""
+        if is_whole:
+            self._n_broken.pop(holding.group, None)
+        elif not holding.is_revoked:
+            self._n_broken[holding.group] += 1
+        self.close(holding)
+
     def close(self, holding):
         """Forget a connection that has ended."""
         if holding.is_revoked:
@@ -172,11 +206,17 @@
             self.n_revoked_bytes += n_bytes
             return False
         self.n_bytes += n_bytes
+        if holding.phase is Phase.ANSWER:
+            self._answer_bytes += n_bytes
         while self.n_bytes > self.resources.shared_bytes:
-            if not self._revoke_one(self._by_group, _FOR_BYTES, holding):
+            if not self._make_room(holding) or holding.is_revoked:
                 return False
         return True
 
+    def bytes_of(self, source):
+        """Return what the answers of one server hold that are not broken off."""
+        return sum(holding.n_bytes for holding in self._answers.get(source, ()))
+
     def has_spare(self, n_bytes):
         """Tell whether bytes may be used for what only makes a connection faster."""
         return self.n_bytes + n_bytes <= SPARE_SHARE * self.resources.shared_bytes
@@ -237,6 +277,7 @@
         for phases in self._by_group.values():
             for phase, members in phases.items():
                 counts[phase.value] += len(members)
+        counts[Phase.ANSWER.value] = sum(map(len, self._answers.values()))
         return counts
 
     def _settle(self, holding):
@@ -262,6 +303,26 @@
             }
         return found
 
+    def _make_room(self, holding):
+        """Revoke what gives way for the bytes of a holding; return whether any did."""
+        if self._answer_bytes >= MAX_ANSWER_SHARE * self.resources.shared_bytes:
+            return self._revoke_answer()
+        if self._revoke_one(self._by_group, _FOR_BYTES, holding):
+            return True
+        return holding.phase is Phase.ANSWER and self._revoke_answer()
+
+    def _revoke_answer(self):
+        """Revoke the longest answer of the server that is most likely at fault.
+
+        That is the one of which most answers were broken off since the last whole one,
+        or the one whose answers hold most.
+        """
+        source = max(
+            self._answers, key=lambda name: (self._n_broken[name], self.bytes_of(name))
+        )
+        self._n_broken[source] += 1
+        return self._revoke(max(self._answers[source], key=lambda h: h.n_bytes))
+
     def _revoke_one(self, groups, order, spared=None):
         """Revoke the holding that gives way first; return whether there is one.
 
@@ -307,6 +368,13 @@
         return True
 
     def _take_out(self, holding):
-        del self._phases(holding.group)[holding.phase][holding]
-        self._awaited.pop(holding, None)
+        if holding.phase is Phase.ANSWER:
+            answers = self._answers[holding.group]
+            del answers[holding]
+            if not answers:
+                del self._answers[holding.group]
+            self._answer_bytes -= holding.n_bytes
+        else:
+            del self._phases(holding.group)[holding.phase][holding]
+            self._awaited.pop(holding, None)
         self.n_bytes -= holding.n_bytes
--- a/src/tarragonramp/roles/peer_delegator.py
+++ b/src/tarragonramp/roles/peer_delegator.py
@@ -8,7 +8,12 @@
 from ..adapters.logs import log_event
 from ..delegation import DECLINED, DELEGATION_HEADER, SERVED, Delegation, Report
 from ..dialect import end_to_end_headers
-from ..errors import AbandonedError, NotSentError, RequestError
+from ..errors import (
+    AbandonedError,
+    AnswerRevokedError,
+    NotSentError,
+    RequestError,
+)
 from ..meters import UNKNOWN
 from ..results import is_successful
 from .refusals import ABANDONED_STATUS
@@ -237,6 +242,8 @@
         if isinstance(error, NotSentError):
             self._pass_over(peer, "not reached", UNREACHED_MS, str(error))
             return
+        if isinstance(error, AnswerRevokedError):
+            raise RequestError(502, UNKNOWN, "no memory left for the answer")
         late = self.clock.now_ms() >= request.until_ms
         self._unanswered[peer] += 1
         if not late or self._unanswered[peer] >= MAX_UNANSWERED:
--- a/src/tarragonramp/roles/router.py
+++ b/src/tarragonramp/roles/router.py
@@ -19,7 +19,13 @@
 from ..api_keys import ANONYMOUS, key_mark
 from ..connections import connection_share
 from ..directory import BackendServer
-from ..errors import AbandonedError, NotSentError, RequestError, SendRevokedError
+from ..errors import (
+    AbandonedError,
+    AnswerRevokedError,
+    NotSentError,
+    RequestError,
+    SendRevokedError,
+)
 from ..limits import ServerLimits, WindowedRetryBudget
 from ..meters import ANSWERED, NOT_RUN, UNKNOWN, RequestTimes
 from ..request import end_to_end_response_headers
@@ -552,7 +558,7 @@
         if isinstance(error, SendRevokedError):
             self.selector.record_cancellation(chosen)
             return
-        if not isinstance(error, AbandonedError):
+        if not isinstance(error, AbandonedError | AnswerRevokedError):
             self.monitor.record_failure(error)
             self.prober.suspect()
         if isinstance(error, AbandonedError) or now_ms >= request.until_ms:
@@ -639,6 +645,9 @@
                 raise request.retryable_refusal("server not reached", NO_OWNER_RETRY_S)
             return
         request.in_doubt = True
+        if isinstance(error, AnswerRevokedError):
+            # A further attempt would need the same memory.
+            raise RequestError(502, UNKNOWN, "no memory left for the answer")
         if self.clock.now_ms() >= request.until_ms:
             raise RequestError(504, UNKNOWN, "no whole answer in time")
         examination = self.suspects.record_break(request, chosen.server)
--- a/tests/isolated/crowds.py
+++ b/tests/isolated/crowds.py
@@ -105,10 +105,13 @@
     pid : int
     addresses : list of str
         Listening addresses, whose connections' unread bytes are counted.
+    servers : list of str
+        Addresses of servers, of whose answers the unread bytes are counted.
     """
 
     pid: int
     addresses: list
+    servers: list = attrs.Factory(list)
     peak_bytes: int = 0
     peak_unread_bytes: int = 0
     peak_descriptors: int = 0
@@ -149,11 +152,17 @@
         return 0
 
     def _unread_bytes(self):
-        ports = {f"{int(address.rpartition(':')[2]):04X}" for address in self.addresses}
+        ports, server_ports = _ports(self.addresses), _ports(self.servers)
         with open("/proc/net/tcp", encoding="ascii") as stream:
             rows = [line.split() for line in stream][1:]
         return sum(
             int(row[4].partition(":")[2], 16)
             for row in rows
-            if row[1].partition(":")[2] in ports and row[3] != LISTENING
+            if (row[1].partition(":")[2] in ports and row[3] != LISTENING)
+            or row[2].partition(":")[2] in server_ports
         )
+
+
+def _ports(addresses):
+    """Return the ports of addresses as the kernel's table of connections has them."""
+    return {f"{int(address.rpartition(':')[2]):04X}" for address in addresses}
--- a/tests/test_holdings.py
+++ b/tests/test_holdings.py
@@ -256,6 +256,64 @@
         self.table.close(holdings[0])
         self.assertIsNotNone(self.table.open("door", None, 2))
 
+    def open_answers(self, source, *sizes):
+        """Open answers of a server, each with its bytes; return their holdings."""
+        opened = []
+        for n, n_bytes in enumerate(sizes):
+            revoke = lambda n=n: self.revoked.append(f"{source}-{n}")
+            opened.append(self.table.open_answer(source, revoke))
+            self.table.charge(opened[-1], n_bytes)
+        return opened
+
+    def test_a_server_with_long_answers_gives_way_before_clients(self):
+        """Guards against a server at fault that costs the callers of others."""
+        budget = self.table.resources.shared_bytes
+        self.open("client", 1000)
+        self.open_answers("sound", 1000)
+        self.open_answers("faulty", budget // 3, budget // 2)
+        self.assertTrue(
+            self.table.charge(self.open_answers("sound", 0)[0], budget // 3)
+        )
+        self.assertEqual(self.revoked, ["faulty-1"])
+
+    def test_a_server_whose_answers_were_broken_off_gives_way_again(self):
+        """Guards against a sound long answer that is broken off beside short ones."""
+        budget = self.table.resources.shared_bytes
+        faulty = self.open_answers("faulty", budget // 2 + 9, budget // 2)
+        self.assertEqual(self.revoked, ["faulty-0"])
+        self.table.close_answer(faulty[0], is_whole=False)
+        self.table.close_answer(faulty[1], is_whole=False)
+        (sound,) = self.open_answers("sound", budget // 2)
+        self.open_answers("faulty", budget // 3, budget // 3)
+        self.assertEqual(self.revoked, ["faulty-0", "faulty-0"])
+        self.assertFalse(sound.is_revoked)
+
+    def test_a_whole_answer_clears_its_server(self):
+        budget = self.table.resources.shared_bytes
+        (broken,) = self.open_answers("a", 1000)
+        self.table.close_answer(broken, is_whole=False)
+        (whole,) = self.open_answers("a", 1000)
+        self.table.close_answer(whole, is_whole=True)
+        self.open_answers("a", budget // 3)
+        self.open_answers("b", budget // 2, budget // 3)
+        self.assertEqual(self.revoked, ["b-0"])
+
+    def test_clients_that_wait_give_way_while_answers_hold_little(self):
+        """Guards against answers that are broken off for clients that stall."""
+        budget = self.table.resources.shared_bytes
+        self.open("stalling", 0.7 * budget)
+        self.open_answers("sound", budget // 5, budget // 5)
+        self.assertEqual(self.revoked, ["stalling"])
+
+    def test_nothing_is_left_of_answers_that_have_ended(self):
+        """Guards against a budget that shrinks with each answer."""
+        budget = self.table.resources.shared_bytes
+        for holding in self.open_answers("a", *[budget // 4] * 6):
+            self.table.close_answer(holding, is_whole=False)
+        self.assertEqual((self.table.n_bytes, self.table.n_revoked_bytes), (0, 0))
+        self.assertEqual(sum(self.table.counts().values()), 0)
+        self.assertEqual(self.table.bytes_of("a"), 0)
+
     def test_the_longest_body_has_room_on_a_small_vm(self):
         """Guards against a budget that refuses a legal request in calm."""
         table = HoldingTable(Resources(memory_mb=160), self.clock)
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -16,6 +16,7 @@
 from tarragonramp.dialect import RequestFacts, ResponseFacts
 from tarragonramp.directory import BackendServer
 from tarragonramp.errors import (
+    AnswerRevokedError,
     NotSentError,
     RequestError,
     SendRevokedError,
@@ -51,6 +52,7 @@
 PAUSED = Success(Response(503, (("Shed", "1"), ("Pause-Ms", "60000")), b""))
 LEAVING = Success(Response(200, (("Mark", "1"), ("Leaving", "1")), b"whole"))
 UNANSWERED = Failure(UnansweredError("connection closed"))
+NO_MEMORY = Failure(AnswerRevokedError("no memory left"))
 UNREACHABLE = Failure(NotSentError("timed out"))
 
 
@@ -465,6 +467,35 @@
         self.scripted["all"] = [UNANSWERED, SHED]
         self.assertEqual(self.send_request("/safe/")[0], 502)
 
+    def test_a_response_without_memory_is_not_asked_for_again(self):
+        """Guards against attempts that need the memory that was just lacking."""
+        self.scripted["all"] = [NO_MEMORY, OK]
+        status, headers = self.send_request("/safe/")
+        self.assertEqual((status, len(self.sent)), (502, 1))
+        self.assertEqual(headers["Tarragon-Outcome"], UNKNOWN)
+        self.assertEqual(self.router.suspects.n_ended, 0)
+        self.assertFalse(self.router.monitor.failures)
+
+    def test_a_stopping_daemon_sends_nothing_that_ends_after_it(self):
+        """Guards against a request that is cut at the end of the stop."""
+        self.router.stop.ends_ms = self.clock.now_ms() + 900.0
+        status, headers = self.send_request("/once/")
+        self.assertEqual((status, self.sent, self.delegated), (503, [], []))
+        self.assertEqual(headers["Tarragon-Outcome"], NOT_RUN)
+        self.assertLess(float(headers["Retry-After"]), 0.2)
+        self.assertEqual(self.serve_delegated("/safe/").status, 503)
+        self.assertEqual(self.sent, [])
+
+    def test_a_stop_that_begins_while_a_connection_opens(self):
+        """Guards against a decision that is older than the stop."""
+
+        def stop():
+            self.router.stop.ends_ms = self.clock.now_ms() + 900.0
+
+        self.while_connecting = dict.fromkeys(("s1", "s2", "s3"), stop)
+        self.assertEqual(self.send_request("/once/")[0], 503)
+        self.assertEqual(self.sent, [])
+
     def test_response_without_server_mark_is_rejected(self):
         self.scripted["all"] = [UNMARKED]
         self.assertEqual(self.send_request("/once/")[0], 502)
