Own interface: answers of servers share the memory budget as well

The cause of "Answers of servers share the memory budget, and one gives way", on the related path: a daemon of the own interface bounded each answer, not their sum.

Its entry and its steward count answers in the daemon's HoldingTable; a lookup whose answer was broken off gets 502 and no second attempt.

Evidence: test_an_answer_without_memory_is_not_asked_for_again; before, the entry waited for the rest of the answer, and nothing accounted for it.

--- a/src/tarragonramp/daemon.py
+++ b/src/tarragonramp/daemon.py
@@ -94,6 +94,7 @@
     traffic: object
     cpu: object
     metrics: object
+    holdings: HoldingTable
     forward_handler: object = None
     peer_server: object = None
     control_server: object = None
@@ -121,6 +122,8 @@
         requests, traffic, cpu = RequestMeter(), TrafficMeter(), CpuMeter()
         platform = HttpPlatform.from_config(settings, traffic)
         watcher = HttpPlatform.from_config(settings, traffic)
+        holdings = HoldingTable(settings.resources, clock)
+        answers = {"holdings": holdings}
         pools = HttpPools(traffic=traffic)
         peers = GrpcPeers(pools, timing.control_timeout_ms, traffic, peer_secrets)
         membership = Membership(me, view, platform, peers, clock, timing)
@@ -138,7 +141,7 @@
             view=view,
             entry=Entry(
                 view,
-                HttpPools(settings.limits.answer_bytes),
+                HttpPools(settings.limits.answer_bytes, options=answers),
                 clock,
                 timing,
                 settings.limits,
@@ -166,10 +169,13 @@
             traffic=traffic,
             cpu=cpu,
             metrics=Metrics(me.name, requests, traffic, cpu),
+            holdings=holdings,
         )
         daemon.entry.total_pause_ms = daemon.loop_watch.total_pause_ms
         gate_pools = HttpPools(
-            settings.limits.answer_bytes, user_timeout_ms=timing.right_ms
+            settings.limits.answer_bytes,
+            user_timeout_ms=timing.right_ms,
+            options=answers,
         )
         daemon.forward_handler = ForwardHandler(
             daemon.stewards,
@@ -209,13 +215,12 @@
             lambda: (self.ready, self._readiness()),
             self.stopped.is_set,
         )
-        holdings = HoldingTable(settings.resources, clock)
         self.control_server = DaemonServer(
             settings.control_address,
             application,
             clock,
             self.traffic,
-            holdings=holdings,
+            holdings=self.holdings,
             max_connections=settings.resources.control_connections,
         )
         self.caller_server = DaemonServer(
@@ -224,7 +229,7 @@
             clock,
             reuse_port=True,
             limits=settings.limits,
-            holdings=holdings,
+            holdings=self.holdings,
         )
 
     def run(self):
--- a/src/tarragonramp/roles/entry.py
+++ b/src/tarragonramp/roles/entry.py
@@ -20,7 +20,12 @@
     read_body,
 )
 from ..admission import ADMITTED, WAITING, ConcurrencyLimiter, Outcome, Ticket
-from ..errors import AbandonedError, NotSentError, RequestError
+from ..errors import (
+    AbandonedError,
+    AnswerRevokedError,
+    NotSentError,
+    RequestError,
+)
 from ..gates import ForwardedRequest
 from ..limits import RetryBudget
 from ..meters import ANSWERED, NOT_RUN, UNKNOWN
@@ -525,6 +530,9 @@
                 raise request.refusal(504, "deadline passed", self._retry_after_s())
             return
         request.in_doubt = True
+        if isinstance(error, AnswerRevokedError):
+            # A further attempt would need the same memory.
+            raise RequestError(502, UNKNOWN, "no memory left for the answer")
         if late:
             raise RequestError(504, UNKNOWN, "no whole answer in time")
         if not request.caller_class.idempotent or not budget.spend():
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -17,11 +17,13 @@
 from tarragonramp.adapters.web import WebServer
 from tarragonramp.admission import ConcurrencyLimiter
 from tarragonramp.clock import Clock
+from tarragonramp.holdings import HoldingTable
 from tarragonramp.limits import RetryBudget
 from tarragonramp.meters import RequestMeter
 from tarragonramp.model import OWNED, Assignment, SliceState, Stored, Vm
 from tarragonramp.roles.entry import Entry
 from tarragonramp.settings import Limits, Timing
+from tarragonramp.sizes import Resources
 from tarragonramp.view import View
 
 from .wire import LateCopyServer, ScriptedServer, send_raw
@@ -58,7 +60,7 @@
 class EntryTest(unittest.TestCase):
     """Each test starts its own entry."""
 
-    def start(self, *servers):
+    def start(self, *servers, holdings=None):
         """Start an entry for some servers, the first of which owns every slice."""
         view = View()
         services = [{**service, "classes": CALLER_CLASSES} for service in SERVICES]
@@ -83,9 +85,8 @@
         view.apply_vms(vms)
         limits = Limits(body_bytes=1000)
         meter, backends = RequestMeter(), HttpBackends(HttpPools())
-        self.entry = Entry(
-            view, HttpPools(), Clock(), Timing(), limits, meter, backends
-        )
+        pools = HttpPools(options={"holdings": holdings})
+        self.entry = Entry(view, pools, Clock(), Timing(), limits, meter, backends)
         address = free_address()
         web = WebServer(address, self.entry, limits=limits)
         web.start()
@@ -291,6 +292,19 @@
         for _ in range(4):
             self.assertEqual(self.call("GET", "/pages").status, 200)
 
+    def test_an_answer_without_memory_is_not_asked_for_again(self):
+        """Guards against answers that together take more memory than there is."""
+        holdings = HoldingTable(Resources(memory_mb=72))
+        endless = b"HTTP/1.1 200 OK\r\nContent-Length: 8000000\r\n\r\n"
+        server = ScriptedServer([endless + b"x" * 5_000_000])
+        self.start(server, ScriptedServer([OK]), holdings=holdings)
+        answer = self.call("GET", "/records", [("X-Key", "k")])
+        outcome = (answer.status, answer.header("Tarragon-Outcome"))
+        self.assertEqual(outcome, (502, "unknown"))
+        self.assertEqual(len(server.requests), 1)
+        self.assertEqual(holdings.n_revoked["answer"], 1)
+        self.assertEqual(holdings.n_bytes, 0)
+
     def test_a_claim_is_retried_elsewhere_only_if_it_did_not_run(self):
         shedding, taking = ScriptedServer([SHED]), ScriptedServer([OK])
         self.start(shedding, taking)
