--- a/tests/test_platform_folder.py
+++ b/tests/test_platform_folder.py
@@ -411,6 +411,13 @@
         for malformed in (None, {}, {"version": "12"}, {**manifest(3), "clusters": 7}):
             self.assertFalse(is_successful(read_manifest(malformed)), malformed)
 
+    def test_a_limit_without_a_value_is_the_usual_one(self):
+        """Guards against a null after which no restarted daemon listens."""
+        usual = read_manifest({**manifest(1), "limits": {}}).unwrap().limits
+        for limits in (None, dict.fromkeys(manifest(1)["limits"])):
+            found = read_manifest({**manifest(1), "limits": limits})
+            self.assertEqual(found.unwrap().limits, usual)
+
     def test_kinds_say_what_may_run_again(self):
         """Guards against downloads that are not retried, and uploads that are."""
         for kind, idempotent in (
