Answers whose callers have left do not count against their server

A server of which a long answer was broken off as its caller had left would have been taken for one at fault once memory is short. Found by reading, not seen.

Also: one name for the reason and the Retry-After of refusals by a stopping daemon, and MAX_UNFREED_BYTES stands with the table that counts these bytes.

--- a/src/tarragonramp/adapters/http.py
+++ b/src/tarragonramp/adapters/http.py
@@ -31,6 +31,7 @@
     SendRevokedError,
     UnansweredError,
 )
+from ..holdings import MAX_UNFREED_BYTES
 from ..meters import kind_of
 from .abandonment import AbandonmentWatch
 from .logs import log_event
@@ -61,7 +62,6 @@
 """Size of the kernel's buffer of a connection, which counts for each longer response,
 and how often the bytes of one are held at most: once more when it is complete."""
 
-MAX_UNFREED_BYTES = 1 << 20
 MAX_IDLE_CONNECTIONS = 64
 MAX_RESPONSE_HEAD_BYTES = 65_536
 # Bytes beside the body that a response may have: its heads and trailers, and for each
@@ -621,13 +621,19 @@
         if holding.is_revoked:
             raise AnswerRevokedError(f"{source}: no memory left for the response")
 
-    is_whole = False
+    is_whole = is_abandoned = False
     try:
         yield hold
         is_whole = True
+    except AbandonedError:
+        is_abandoned = True
+        raise
     finally:
         if holding is not None:
-            holdings.close_answer(holding, is_whole)
+            if not is_abandoned:
+                holdings.record_answer(holding, is_whole)
+            holdings.close(holding)
+            # It refers to this function's variables, among them the holding.
             holding.revoke = None
 
 
--- a/src/tarragonramp/adapters/web.py
+++ b/src/tarragonramp/adapters/web.py
@@ -11,10 +11,11 @@
 from gevent.pywsgi import WSGIHandler, WSGIServer, unquote_latin1
 
 from ..errors import AddressError, RequestError
-from ..holdings import HoldingTable
+from ..holdings import MAX_UNFREED_BYTES, HoldingTable
 from ..meters import NOT_RUN
 from ..pacing import AheadPacing
 from ..sizes import Limits
+from ..stopping import STOPPING_REASON, STOPPING_RETRY_S
 from .bodies import CONTINUE, BodyReader
 from .fields import read_fields
 from .http import split_address
@@ -78,8 +79,7 @@
 
 SENT_PIECE_BYTES = 65_536
 HEAD_END = b"\r\n\r\n"
-NO_MEMORY_RETRY_S, STOPPING_RETRY_S = 0.5, 0.05
-MAX_UNFREED_BYTES = 1 << 20
+NO_MEMORY_RETRY_S = 0.5
 FREEING_PAUSES_MS = tuple(2.0**n for n in range(10))
 
 MAX_TURN_REQUESTS = 8
@@ -734,7 +734,7 @@
 
 
 def _stopping_error():
-    return RequestError(503, NOT_RUN, "daemon is stopping", STOPPING_RETRY_S)
+    return RequestError(503, NOT_RUN, STOPPING_REASON, STOPPING_RETRY_S)
 
 
 def _error_body(error):
--- a/src/tarragonramp/holdings.py
+++ b/src/tarragonramp/holdings.py
@@ -16,7 +16,7 @@
 from .clock import Clock
 from .sizes import Resources
 
-__all__ = ["Holding", "HoldingTable", "Phase"]
+__all__ = ["MAX_UNFREED_BYTES", "Holding", "HoldingTable", "Phase"]
 
 CONNECTION_BYTES = 57_344
 """What a connection without a request holds: its buffers here and in the kernel."""
@@ -24,6 +24,9 @@
 STALL_MS = 1000.0
 """A connection without progress for this time gives way before others."""
 
+MAX_UNFREED_BYTES = 1 << 20
+"""What revoked connections may still hold while others go on to take bytes."""
+
 SPARE_SHARE = 0.5
 """Fraction of the budget up to which bytes may be used to make connections faster."""
 
@@ -179,13 +182,12 @@
         self._answers.setdefault(source, {})[holding] = None
         return holding
 
-    def close_answer(self, holding, is_whole):
-        """Forget an answer that has been read, or has been broken off."""
+    def record_answer(self, holding, is_whole):
+        """Record that an answer has been read whole, or that its server failed to."""
         if is_whole:
             self._n_broken.pop(holding.group, None)
         elif not holding.is_revoked:
             self._n_broken[holding.group] += 1
-        self.close(holding)
 
     def close(self, holding):
         """Forget a connection that has ended."""
--- a/src/tarragonramp/roles/refusals.py
+++ b/src/tarragonramp/roles/refusals.py
@@ -3,15 +3,13 @@
 import logbook
 
 from ..adapters.logs import log_event
+from ..stopping import STOPPING_REASON, STOPPING_RETRY_S
 
 __all__ = ["ABANDONED_STATUS", "log_refusal", "stopping_refusal"]
 
 ABANDONED_STATUS = 499
 """Status of a request whose caller has gone, which needs no explanation."""
 
-STOPPING_RETRY_S = 0.05
-"""Another daemon can take the request at once."""
-
 
 def stopping_refusal(request):
     """Return the error for a request that this process would not live to answer.
@@ -20,7 +18,7 @@
     ----------
     request : RoutedRequest or Request
     """
-    return request.refusal(503, "daemon is stopping", STOPPING_RETRY_S)
+    return request.refusal(503, STOPPING_REASON, STOPPING_RETRY_S)
 
 
 def log_refusal(request_id, error, times, now_ms, **context):
--- a/src/tarragonramp/stopping.py
+++ b/src/tarragonramp/stopping.py
@@ -8,7 +8,16 @@
 
 import attrs
 
-__all__ = ["LAST_PART_MS", "StopDeadline", "is_answered_in_time"]
+__all__ = [
+    "LAST_PART_MS",
+    "STOPPING_REASON",
+    "STOPPING_RETRY_S",
+    "StopDeadline",
+    "is_answered_in_time",
+]
+
+STOPPING_REASON, STOPPING_RETRY_S = "daemon is stopping", 0.05
+"""Of refusals. Another daemon can take the request at once."""
 
 LONGEST_DECAY = 0.02
 """Weight of the newest answer in the longest time of a route, if it took less. About
--- a/tests/test_holdings.py
+++ b/tests/test_holdings.py
@@ -281,8 +281,10 @@
         budget = self.table.resources.shared_bytes
         faulty = self.open_answers("faulty", budget // 2 + 9, budget // 2)
         self.assertEqual(self.revoked, ["faulty-0"])
-        self.table.close_answer(faulty[0], is_whole=False)
-        self.table.close_answer(faulty[1], is_whole=False)
+        self.table.record_answer(faulty[0], is_whole=False)
+        self.table.close(faulty[0])
+        self.table.record_answer(faulty[1], is_whole=False)
+        self.table.close(faulty[1])
         (sound,) = self.open_answers("sound", budget // 2)
         self.open_answers("faulty", budget // 3, budget // 3)
         self.assertEqual(self.revoked, ["faulty-0", "faulty-0"])
@@ -291,9 +293,11 @@
     def test_a_whole_answer_clears_its_server(self):
         budget = self.table.resources.shared_bytes
         (broken,) = self.open_answers("a", 1000)
-        self.table.close_answer(broken, is_whole=False)
+        self.table.record_answer(broken, is_whole=False)
+        self.table.close(broken)
         (whole,) = self.open_answers("a", 1000)
-        self.table.close_answer(whole, is_whole=True)
+        self.table.record_answer(whole, is_whole=True)
+        self.table.close(whole)
         self.open_answers("a", budget // 3)
         self.open_answers("b", budget // 2, budget // 3)
         self.assertEqual(self.revoked, ["b-0"])
@@ -309,7 +313,8 @@
         """Guards against a budget that shrinks with each answer."""
         budget = self.table.resources.shared_bytes
         for holding in self.open_answers("a", *[budget // 4] * 6):
-            self.table.close_answer(holding, is_whole=False)
+            self.table.record_answer(holding, is_whole=False)
+            self.table.close(holding)
         self.assertEqual((self.table.n_bytes, self.table.n_revoked_bytes), (0, 0))
         self.assertEqual(sum(self.table.counts().values()), 0)
         self.assertEqual(self.table.bytes_of("a"), 0)
