--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -18,6 +18,10 @@
     MAX_INTERIM_RESPONSES,
     ResponseParser,
 )
+from tarragonramp.errors import AbandonedError
+from tarragonramp.holdings import HoldingTable
+
+from .wire import ScriptedServer
 
 HEAD = b"HTTP/1.1 200 OK\r\n"
 CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
@@ -120,6 +124,25 @@
             with self.subTest(start=start, piece=piece[:12]):
                 self.check(start, piece)
 
+    def test_a_caller_that_leaves_is_not_the_servers_fault(self):
+        """Guards against a sound server whose long answers are broken off first."""
+        answer = HEAD + b"Content-Length: 9999999\r\n\r\n" + b"x" * 2_000_000
+        server = ScriptedServer([answer])
+        self.addCleanup(server.stop)
+        holdings = HoldingTable()
+        pool = HttpPool(server.address, answer_bytes=1 << 30, holdings=holdings)
+        is_wanted = lambda: holdings.n_bytes < 1 << 20
+        result = pool.exchange("GET", "/", [], b"", TIMEOUT_MS, is_wanted)
+        self.assertIsInstance(result.failure(), AbandonedError)
+        self.assertEqual(holdings.n_bytes, 0)
+        after = holdings.open_answer("another server", mock.Mock())
+        holdings.charge(after, 1000)
+        mine = holdings.open_answer(server.address, mock.Mock())
+        holdings.charge(mine, 10)
+        holdings.charge(after, holdings.resources.shared_bytes)
+        self.assertTrue(after.is_revoked)
+        self.assertFalse(mine.is_revoked)
+
     def test_work_for_a_head_is_bounded(self):
         """Guards against fields and responses that cost far more than their bytes."""
         for part, n_parts, most in (
