--- a/tests/isolated/crowds.py
+++ b/tests/isolated/crowds.py
@@ -135,6 +135,11 @@
         n_open = len(os.listdir(f"/proc/{self.pid}/fd"))
         self.peak_descriptors = max(self.peak_descriptors, n_open)
 
+    def kernel_peaks(self):
+        """Return the kernel's figures of the process's memory, for a message."""
+        names = ("VmHWM", "VmRSS", "RssAnon")
+        return {name: self._status_bytes(name) for name in names}
+
     def resident_bytes(self):
         """Return the memory in use now."""
         return self._status_bytes("VmRSS")
--- a/tests/isolated/test_client_crowds.py
+++ b/tests/isolated/test_client_crowds.py
@@ -85,7 +85,8 @@
         self.assertIsNone(self.daemon.poll(), "the process has ended")
         self.meter.stop()
         self.check_answered()
-        self.assertLess(self.meter.peak_bytes / 1e6, MEMORY_MB)
+        peaks = f"unread {self.meter.peak_unread_bytes}, {self.meter.kernel_peaks()}"
+        self.assertLess(self.meter.peak_bytes / 1e6, MEMORY_MB, peaks)
         self.assertLess(self.meter.peak_descriptors, MAX_DESCRIPTORS)
 
     def check_answered(self):
--- a/tests/test_api_keys.py
+++ b/tests/test_api_keys.py
@@ -1,5 +1,6 @@
 """API keys of teams: the index, the manifest, and what a router does with them."""
 
+import math
 import types
 import unittest
 
@@ -285,6 +286,8 @@
         team = self.view.manifest.teams.find(KEY)
         return types.SimpleNamespace(
             service="desk",
+            route=self.view.manifest.routes[0],
+            until_ms=math.inf,
             may_delegate=True,
             has_token=False,
             is_trial=False,
