Stand-in: a release that cuts a grant twice is logged

The log of parts1 has a KeyError instead: a part that is left of a grant had no token of its own, so the release that cut it again ended in an error before it was logged, and was not answered. The daemon did what it does without an answer: it fenced the owner once more, released under that token, which was answered, and only then granted the keys to parts3.

A part that is left keeps the token of its grant. The check is unchanged. Evidence: ReleasedPartsTest failed before with this KeyError.

--- a/standins/fleet_server.py
+++ b/standins/fleet_server.py
@@ -230,7 +230,8 @@
             for a, b in ((held[0], first - 1), (last + 1, held[1]))
             if a <= b
         }
-        for rest, (_, end_s) in rests.items():
+        for rest, (held, end_s) in rests.items():
+            self.tokens.setdefault(rest, self.tokens[held])
             self.hold_ends_s[rest] = max(end_s, self.hold_ends_s.get(rest, 0.0))
         while any(first <= key <= last for key in self.running_keys):
             gevent.sleep(0.002)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -38,6 +38,7 @@
     generate_plan,
 )
 from soak.run import LOG_FOLDER, Soak, regression_seeds, run_seed
+from standins.fleet_server import FleetServer
 from standins.fleet_site import FleetSite
 from tarragonramp.adapters.http import HttpPool
 from tarragonramp.limits import UsageCap
@@ -312,6 +313,34 @@
         self.assertEqual(violated_checks(answered), [])
 
 
+class ReleasedPartsTest(unittest.TestCase):
+    """What the stand-in of a server logs of keys that it lets go."""
+
+    def test_a_grant_is_cut_twice(self):
+        """Guards against a hold that seems to go on, as its end is not logged."""
+        server = FleetServer("parts0", "parts", "a", "127.0.0.1:1", True, 4, 5.0)
+        start_response = lambda status, headers: None
+        with contextlib.redirect_stdout(io.StringIO()):
+            message = {"from": 0, "to": 9, "fence": 1, "hold_time": "7000ms"}
+            server._grant(message, start_response)
+            for first, last in ((5, 9), (0, 2)):
+                message = {"from": first, "to": last, "fence": 2}
+                server._release(message, start_response)
+        events = [(event, *details[:2]) for event, _, *details in server.log]
+        self.assertEqual(
+            events,
+            [
+                ("grant", 0, 9),
+                ("release", 0, 9),
+                ("grant", 0, 4),
+                ("release", 5, 9),
+                ("release", 0, 4),
+                ("grant", 3, 4),
+                ("release", 0, 2),
+            ],
+        )
+
+
 class StopCheckTest(unittest.TestCase):
     """A request that ran at a daemon that stops from 0 to 100 ms."""
 
