The memory of responses is accounted for in a module of its own

adapters/http.py had got a second job: a closure with two uses told apart by a 0, and a cycle that had to be cut by hand. ResponseMemory has a method for each use. What it does is unchanged.

--- a/src/tarragonramp/adapters/http.py
+++ b/src/tarragonramp/adapters/http.py
@@ -5,7 +5,6 @@
 parser is used.
 """
 
-import contextlib
 import ipaddress
 import math
 import re
@@ -16,7 +15,6 @@
 
 import attrs
 import gevent
-import logbook
 from gevent import socket
 from geventhttpclient.response import HTTPParseError
 from returns.result import Failure, Result, Success
@@ -31,12 +29,12 @@
     SendRevokedError,
     UnansweredError,
 )
-from ..holdings import MAX_UNFREED_BYTES
 from ..meters import kind_of
 from .abandonment import AbandonmentWatch
 from .logs import log_event
 from .optional import optional_step
 from .parser import ResponseParser
+from .response_memory import RECEIVE_BUFFER_BYTES, ResponseMemory
 
 __all__ = [
     "Response",
@@ -55,13 +53,6 @@
 MAX_JOINED_BYTES = 16_384
 """Bodies up to this size are sent in one segment with their head."""
 
-FREE_ANSWER_BYTES = 16_384
-"""Length up to which a response is not counted in the memory that is shared."""
-
-ANSWER_BUFFER_BYTES, KEPT_COPIES = 65_536, 2
-"""Size of the kernel's buffer of a connection, which counts for each longer response,
-and how often the bytes of one are held at most: once more when it is complete."""
-
 MAX_IDLE_CONNECTIONS = 64
 MAX_RESPONSE_HEAD_BYTES = 65_536
 # Bytes beside the body that a response may have: its heads and trailers, and for each
@@ -289,8 +280,12 @@
                 connection.sendall(part)
             if self.traffic is not None:
                 self.traffic.sent(kind_of(method, target), sum(map(len, parts)))
-            with _held_answer(self.holdings, self.address, connection) as hold:
-                n_received = self._read(connection, parser, deadline_s, is_wanted, hold)
+            with ResponseMemory(
+                self.holdings, self.address, connection, deadline_s
+            ) as memory:
+                n_received = self._read(
+                    connection, parser, deadline_s, is_wanted, memory
+                )
         except (AbandonedError, AnswerRevokedError) as error:
             connection.close()
             # Its traceback would keep the response until the next garbage collection.
@@ -432,11 +427,13 @@
         if self.holdings is not None:
             with optional_step("server-connection-buffer"):
                 connection.setsockopt(
-                    plain_socket.SOL_SOCKET, plain_socket.SO_RCVBUF, ANSWER_BUFFER_BYTES
+                    plain_socket.SOL_SOCKET,
+                    plain_socket.SO_RCVBUF,
+                    RECEIVE_BUFFER_BYTES,
                 )
         return connection
 
-    def _read(self, connection, parser, deadline_s, is_wanted, hold):
+    def _read(self, connection, parser, deadline_s, is_wanted, memory):
         """Feed a parser until the response is complete; return the bytes received."""
         n_received = n_head = n_turn = 0
         while not parser.is_final:
@@ -445,7 +442,7 @@
                 gevent.sleep(PAUSE_MS / 1000.0)
                 n_turn = 0
             data = _receive(connection, deadline_s, is_wanted)
-            hold(0, deadline_s)
+            memory.check()
             if not data:
                 if self.takes_unframed and parser.end_by_close():
                     break
@@ -466,7 +463,7 @@
             max_framing = MAX_FRAMING_BYTES + FRAMING_BYTES_PER_BODY_BYTE * n_body
             if n_received - n_body > max_framing:
                 raise HTTPParseError("framing of the response longer than the limit")
-            hold(len(parser._body_buffer) + n_head, deadline_s)
+            memory.record(len(parser._body_buffer) + n_head)
         return n_received
 
     def _release(self, connection, parser, is_kept):
@@ -576,67 +573,6 @@
         connection.setsockopt(plain_socket.IPPROTO_TCP, option, value)
 
 
-@contextlib.contextmanager
-def _held_answer(holdings, source, connection):
-    """Account for the memory of a response while it is read.
-
-    Yields
-    ------
-    hold : callable
-        ``hold(n_bytes, deadline_s)`` records the bytes that are held of it, unless
-        they are 0. It raises AnswerRevokedError if there is no memory for them, or for
-        what was held before.
-    """
-    holding = None
-
-    def revoke():
-        log_event(
-            "answer-revoked",
-            level=logbook.WARNING,
-            address=source,
-            held_bytes=holding.n_bytes,
-            server_bytes=holdings.bytes_of(source),
-        )
-        try:
-            # On the underlying socket: gevent's would also raise an error in the
-            # greenlet that waits for data.
-            connection._sock.shutdown(plain_socket.SHUT_RDWR)
-        except (AttributeError, OSError):
-            # The connection has ended.
-            return
-
-    def hold(n_bytes, deadline_s):
-        nonlocal holding
-        if holding is None:
-            if n_bytes <= FREE_ANSWER_BYTES or holdings is None:
-                return
-            holding = holdings.open_answer(source, revoke)
-        n_held = ANSWER_BUFFER_BYTES + KEPT_COPIES * n_bytes
-        if not holding.is_revoked and n_held > holding.n_bytes:
-            holdings.charge(holding, n_held - holding.n_bytes)
-        while holdings.n_revoked_bytes > MAX_UNFREED_BYTES and not holding.is_revoked:
-            # Those that gave way free their memory once they have their turn.
-            _remaining_s(deadline_s)
-            gevent.sleep(PAUSE_MS / 1000.0)
-        if holding.is_revoked:
-            raise AnswerRevokedError(f"{source}: no memory left for the response")
-
-    is_whole = is_abandoned = False
-    try:
-        yield hold
-        is_whole = True
-    except AbandonedError:
-        is_abandoned = True
-        raise
-    finally:
-        if holding is not None:
-            if not is_abandoned:
-                holdings.record_answer(holding, is_whole)
-            holdings.close(holding)
-            # It refers to this function's variables, among them the holding.
-            holding.revoke = None
-
-
 def _receive(connection, deadline_s, is_wanted):
     """Receive bytes while the response is wanted.
 
