A stopping daemon declines what another daemon handed to it too late

A request that came from another daemon before the stop, and whose end did not fit any more, was refused; its caller got 503 although a third daemon had the time. Declined, the sender asks that one. Found by reading, no caller has been seen to meet it.

Evidence: test_a_stop_while_serving_declines_only_what_did_not_run failed before.

--- a/src/tarragonramp/roles/delegate.py
+++ b/src/tarragonramp/roles/delegate.py
@@ -115,8 +115,10 @@
         return self.view.manifest.version if self.view.manifest else 0
 
     def _refuse(self, start_response, environ, error):
+        # Another daemon may take what this one has no path, or no time left, to serve.
+        is_unable = self.router.monitor.is_cut_off or not self.is_open
         is_declined = isinstance(error, _DeclinedError) or (
-            error.outcome == NOT_RUN and self.router.monitor.is_cut_off
+            error.outcome == NOT_RUN and is_unable
         )
         report = self._report(DECLINED if is_declined else REFUSED, error)
         if error.status != ABANDONED_STATUS:
--- a/tests/test_delegate.py
+++ b/tests/test_delegate.py
@@ -157,6 +157,18 @@
         self.assertEqual(self.report_of(response).result, "declined")
         self.assertEqual(self.seen, [])
 
+    def test_a_stop_while_serving_declines_only_what_did_not_run(self):
+        """Guards against a refusal of what another daemon has the time to serve."""
+        for outcome, result in ((NOT_RUN, "declined"), (UNKNOWN, "refused")):
+            self.delegate.is_open = True
+            self.error = RequestError(503, outcome, "daemon is stopping")
+            found = gevent.spawn(self.hand_over)
+            self.blocks = True
+            gevent.sleep(0.05)
+            self.delegate.is_open = False
+            self.blocks = False
+            self.assertEqual(self.report_of(found.get().unwrap()).result, result)
+
     def test_requests_in_progress_are_counted_for_the_drain(self):
         self.blocks = True
         task = gevent.spawn(self.hand_over)
