--- a/src/tarragonramp/roles/entry.py
+++ b/src/tarragonramp/roles/entry.py
@@ -50,7 +50,12 @@
 from ..routing import RouteCache, less_loaded
 from ..slices import slice_of
 from ..stopping import StopDeadline
-from .refusals import ABANDONED_STATUS, log_refusal, stopping_refusal
+from .refusals import (
+    ABANDONED_STATUS,
+    log_refusal,
+    revoked_answer_error,
+    stopping_refusal,
+)
 
 __all__ = ["Entry"]
 
@@ -531,8 +536,7 @@
             return
         request.in_doubt = True
         if isinstance(error, AnswerRevokedError):
-            # A further attempt would need the same memory.
-            raise RequestError(502, UNKNOWN, "no memory left for the answer")
+            raise revoked_answer_error()
         if late:
             raise RequestError(504, UNKNOWN, "no whole answer in time")
         if not request.caller_class.idempotent or not budget.spend():
--- a/src/tarragonramp/roles/peer_delegator.py
+++ b/src/tarragonramp/roles/peer_delegator.py
@@ -16,7 +16,7 @@
 )
 from ..meters import UNKNOWN
 from ..results import is_successful
-from .refusals import ABANDONED_STATUS
+from .refusals import ABANDONED_STATUS, revoked_answer_error
 
 __all__ = ["PeerDelegator"]
 
@@ -243,7 +243,7 @@
             self._pass_over(peer, "not reached", UNREACHED_MS, str(error))
             return
         if isinstance(error, AnswerRevokedError):
-            raise RequestError(502, UNKNOWN, "no memory left for the answer")
+            raise revoked_answer_error()
         late = self.clock.now_ms() >= request.until_ms
         self._unanswered[peer] += 1
         if not late or self._unanswered[peer] >= MAX_UNANSWERED:
--- a/src/tarragonramp/roles/refusals.py
+++ b/src/tarragonramp/roles/refusals.py
@@ -3,9 +3,16 @@
 import logbook
 
 from ..adapters.logs import log_event
+from ..errors import RequestError
+from ..meters import UNKNOWN
 from ..stopping import STOPPING_REASON, STOPPING_RETRY_S
 
-__all__ = ["ABANDONED_STATUS", "log_refusal", "stopping_refusal"]
+__all__ = [
+    "ABANDONED_STATUS",
+    "log_refusal",
+    "revoked_answer_error",
+    "stopping_refusal",
+]
 
 ABANDONED_STATUS = 499
 """Status of a request whose caller has gone, which needs no explanation."""
@@ -21,6 +28,14 @@
     return request.refusal(503, STOPPING_REASON, STOPPING_RETRY_S)
 
 
+def revoked_answer_error():
+    """Return the error for a request whose answer was broken off for its memory.
+
+    It is not sent again, as a further attempt would need the same memory.
+    """
+    return RequestError(502, UNKNOWN, "no memory left for the answer")
+
+
 def log_refusal(request_id, error, times, now_ms, **context):
     """Log a refusal with what decided it, unless the caller has gone.
 
--- a/src/tarragonramp/roles/router.py
+++ b/src/tarragonramp/roles/router.py
@@ -36,7 +36,12 @@
 from .chooser import ServerChooser
 from .owners import NO_OWNER_RETRY_S, OwnerResolver
 from .path_prober import PathProber
-from .refusals import ABANDONED_STATUS, log_refusal, stopping_refusal
+from .refusals import (
+    ABANDONED_STATUS,
+    log_refusal,
+    revoked_answer_error,
+    stopping_refusal,
+)
 from .routed_request import RoutedRequest
 from .suspects import SuspectFinder
 
@@ -404,8 +409,9 @@
             request.is_unpaid_retry = False
             request.tried.append(chosen.server.name)
             result, took_ms = self._exchange(request, chosen)
-            if request.has_token and _may_have_run(result):
+            if _may_have_run(result):
                 request.has_token = False
+                self.stop.record(request.route.name, took_ms)
             times.service_ms += took_ms
             if is_successful(result):
                 response, facts = result.unwrap()
@@ -492,8 +498,6 @@
             self.view.key_load_recorder.note(request.service, request.key, took_ms)
         if not is_successful(result):
             self._record_failure(request, chosen, result.failure(), now_ms)
-            if not isinstance(result.failure(), AbandonedError | NotSentError):
-                self.stop.record(request.route.name, took_ms)
             return result, took_ms
         self.monitor.record_answer(server.name, now_ms)
         request.was_sent = True
@@ -508,8 +512,6 @@
         self.announcements.record_answer(
             server, facts, request.request_id, began_ms, now_ms
         )
-        if not facts.not_run:
-            self.stop.record(request.route.name, took_ms)
         if facts.not_run:
             self.selector.record_shed(chosen, facts.load, now_ms, facts.backoff_ms)
         elif response.status >= MIN_SERVER_ERROR_STATUS:
@@ -646,8 +648,7 @@
             return
         request.in_doubt = True
         if isinstance(error, AnswerRevokedError):
-            # A further attempt would need the same memory.
-            raise RequestError(502, UNKNOWN, "no memory left for the answer")
+            raise revoked_answer_error()
         if self.clock.now_ms() >= request.until_ms:
             raise RequestError(504, UNKNOWN, "no whole answer in time")
         examination = self.suspects.record_break(request, chosen.server)
