A caller that leaves ends an answer that comes without pauses

Whether the caller still waits was asked only while no byte of the answer was there, so an answer that came without a pause was read to its end, or to its limit, for nobody.

Asked at the end of each turn of 64 kB as well. Evidence: test_a_caller_that_leaves_ends_an_answer_without_pauses failed before, at the timeout.

--- a/src/tarragonramp/adapters/http.py
+++ b/src/tarragonramp/adapters/http.py
@@ -441,6 +441,9 @@
                 # A receive does not switch greenlets while bytes are there.
                 gevent.sleep(PAUSE_MS / 1000.0)
                 n_turn = 0
+                # Otherwise asked only while no bytes are there.
+                if is_wanted is not None and not is_wanted():
+                    raise AbandonedError("caller disconnected")
             data = _receive(connection, deadline_s, is_wanted)
             memory.check()
             if not data:
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -143,6 +143,18 @@
         self.assertTrue(after.is_revoked)
         self.assertFalse(mine.is_revoked)
 
+    def test_a_caller_that_leaves_ends_an_answer_without_pauses(self):
+        """Guards against a caller whose leaving is seen only while nothing comes."""
+        server = EndlessServer(
+            HEAD + b"Content-Length: 9999999999\r\n\r\n", b"x" * PIECE
+        )
+        self.addCleanup(server.stop)
+        pool = HttpPool(server.address, answer_bytes=1 << 40)
+        is_wanted = lambda: server.n_sent < 1 << 20
+        result = pool.exchange("GET", "/", [], b"", TIMEOUT_MS, is_wanted)
+        self.assertIsInstance(result.failure(), AbandonedError)
+        self.assertLess(server.n_sent, 8 << 20)
+
     def test_work_for_a_head_is_bounded(self):
         """Guards against fields and responses that cost far more than their bytes."""
         for part, n_parts, most in (
